--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command line
--- /dev/null
+++ b/crates/config/src/history.rs
@@ -0,0 +1,280 @@
+//! The fold over the bundle stream: which bundle is in force.
+//!
+//! A bundle comes into force by two records: a [`Record::Proposal`], whose
+//! offset is its version, and a [`Record::SignOff`] that names its digest.
+//! Every reader of the stream reaches the same answer, so operators who race
+//! one another need no lock: the first valid sign-off wins and makes every
+//! other proposal on the same base stale.
+//!
+//! ```
+//! use notchwharf_config::bundle::Bundle;
+//! use notchwharf_config::history::{History, Record};
+//!
+//! let bundle = Bundle::default();
+//! let digest = bundle.digest();
+//! let mut history = History::default();
+//! history
+//!     .apply(7, Record::proposal(None, "ana", bundle))
+//!     .unwrap();
+//! assert!(history.in_force().is_none());
+//! history.apply(8, Record::sign_off(7, &digest, "rui")).unwrap();
+//! assert_eq!(history.in_force().unwrap().version, 7);
+//! ```
+//!
+//! A version in force never goes down, whatever order records, carried copies
+//! and peers' copies come in. The price is that a roll-back is a new bundle
+//! with old content, not a return to an old version.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Version;
+use crate::bundle::Bundle;
+use crate::error::Refusal;
+
+/// The greatest number of open proposals that a reader keeps.
+const OPEN_MAX: usize = 256;
+/// The greatest number of past events that a reader keeps for operators.
+const EVENTS_MAX: usize = 256;
+
+/// A record of the bundle stream.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "kind")]
+pub enum Record {
+    /// An operator proposes a bundle.
+    Proposal {
+        /// The version in force that the proposal was made from.
+        base: Option<Version>,
+        /// Who proposes it.
+        author: String,
+        /// The content.
+        bundle: Box<Bundle>,
+    },
+    /// An operator signs a proposal off.
+    SignOff {
+        /// The version of the proposal.
+        version: Version,
+        /// The digest of the content signed off.
+        digest: String,
+        /// Who signs it off.
+        author: String,
+    },
+    /// A host repeats the bundle in force before the log drops its records.
+    Carried {
+        /// The version in force.
+        version: Version,
+        /// The content.
+        bundle: Box<Bundle>,
+    },
+}
+
+impl Record {
+    /// Returns a proposal.
+    pub fn proposal(base: Option<Version>, author: &str, bundle: Bundle) -> Self {
+        Self::Proposal {
+            base,
+            author: author.into(),
+            bundle: Box::new(bundle),
+        }
+    }
+
+    /// Returns a sign-off.
+    pub fn sign_off(version: Version, digest: &str, author: &str) -> Self {
+        Self::SignOff {
+            version,
+            digest: digest.into(),
+            author: author.into(),
+        }
+    }
+}
+
+/// A bundle in force.
+#[derive(Clone, Debug, PartialEq)]
+pub struct InForce {
+    /// The offset of its proposal.
+    pub version: Version,
+    /// The digest of its content.
+    pub digest: String,
+    /// The content.
+    pub bundle: Arc<Bundle>,
+}
+
+impl InForce {
+    /// Returns a bundle in force with the digest of its content.
+    pub fn new(version: Version, bundle: Bundle) -> Self {
+        Self {
+            version,
+            digest: bundle.digest(),
+            bundle: Arc::new(bundle),
+        }
+    }
+}
+
+/// One line of the history that operators see.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Event {
+    /// The offset of the record.
+    pub offset: u64,
+    /// The version that the record speaks of.
+    pub version: Version,
+    /// Who wrote it.
+    pub author: String,
+    /// What came of it.
+    pub outcome: Outcome,
+}
+
+/// What came of a record of the bundle stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// The proposal can be signed off.
+    Proposed,
+    /// The bundle came into force.
+    InForce,
+    /// The record was ignored, for this reason.
+    Refused(String),
+}
+
+#[derive(Clone, Debug)]
+struct Open {
+    base: Option<Version>,
+    digest: String,
+    bundle: Arc<Bundle>,
+}
+
+/// The state folded from the bundle stream.
+///
+/// Invariant: the version in force never goes down.
+#[derive(Clone, Debug, Default)]
+pub struct History {
+    in_force: Option<InForce>,
+    open: BTreeMap<Version, Open>,
+    events: Vec<Event>,
+}
+
+impl History {
+    /// Returns the bundle in force.
+    pub fn in_force(&self) -> Option<&InForce> {
+        self.in_force.as_ref()
+    }
+
+    /// Returns the version in force.
+    pub fn version(&self) -> Option<Version> {
+        self.in_force.as_ref().map(|f| f.version)
+    }
+
+    /// Returns the latest events, oldest first.
+    pub fn events(&self) -> &[Event] {
+        &self.events
+    }
+
+    /// Returns the digest of an open proposal.
+    pub fn proposal(&self, version: Version) -> Option<&str> {
+        self.open.get(&version).map(|p| p.digest.as_str())
+    }
+
+    /// Folds one record in.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the record does not count. Every reader refuses the same
+    /// records for the same reasons.
+    pub fn apply(&mut self, offset: u64, record: Record) -> Result<(), Refusal> {
+        let (version, author) = match &record {
+            Record::Proposal { author, .. } => (offset, author.clone()),
+            Record::SignOff {
+                version, author, ..
+            } => (*version, author.clone()),
+            Record::Carried { version, bundle } => {
+                self.adopt(InForce::new(*version, (**bundle).clone()));
+                return Ok(());
+            }
+        };
+        let res = match record {
+            Record::Proposal { base, bundle, .. } => self.propose(offset, base, *bundle),
+            Record::SignOff { digest, .. } => self.sign_off(version, &digest),
+            Record::Carried { .. } => Ok(Outcome::Proposed),
+        };
+        let outcome = match &res {
+            Ok(outcome) => outcome.clone(),
+            Err(err) => Outcome::Refused(err.to_string()),
+        };
+        self.remember(Event {
+            offset,
+            version,
+            author,
+            outcome,
+        });
+        res.map(|_| ())
+    }
+
+    /// Takes a bundle in force from a peer or a carried copy, if it is newer.
+    ///
+    /// Returns whether the bundle in force changed.
+    pub fn adopt(&mut self, other: InForce) -> bool {
+        if self.version() >= Some(other.version) {
+            return false;
+        }
+        self.open = self.open.split_off(&other.version);
+        self.open.remove(&other.version);
+        self.in_force = Some(other);
+        true
+    }
+
+    fn propose(
+        &mut self,
+        offset: u64,
+        base: Option<Version>,
+        bundle: Bundle,
+    ) -> Result<Outcome, Refusal> {
+        self.check_base(base)?;
+        bundle.check().map_err(Refusal::Invalid)?;
+        if self.open.len() >= OPEN_MAX {
+            self.open.pop_first();
+        }
+        let open = Open {
+            base,
+            digest: bundle.digest(),
+            bundle: Arc::new(bundle),
+        };
+        self.open.insert(offset, open);
+        Ok(Outcome::Proposed)
+    }
+
+    fn sign_off(&mut self, version: Version, digest: &str) -> Result<Outcome, Refusal> {
+        let open = self
+            .open
+            .get(&version)
+            .ok_or(Refusal::NoProposal { version })?;
+        if open.digest != digest {
+            return Err(Refusal::OtherContent { version });
+        }
+        self.check_base(open.base)?;
+        let in_force = InForce {
+            version,
+            digest: open.digest.clone(),
+            bundle: Arc::clone(&open.bundle),
+        };
+        let adopted = self.adopt(in_force);
+        debug_assert!(adopted, "A proposal is always newer than its base.");
+        Ok(Outcome::InForce)
+    }
+
+    fn check_base(&self, base: Option<Version>) -> Result<(), Refusal> {
+        let current = self.version();
+        if base == current {
+            return Ok(());
+        }
+        Err(Refusal::StaleBase { base, current })
+    }
+
+    fn remember(&mut self, event: Event) {
+        if self.events.len() >= EVENTS_MAX {
+            self.events.remove(0);
+        }
+        self.events.push(event);
+    }
+}
--- /dev/null
+++ b/crates/config/src/settings.rs
@@ -0,0 +1,565 @@
+//! Settings of one process, in JSON, all checked at start.
+//!
+//! Use [`parse`] on the file's bytes. Settings that it returns are safe to run
+//! with: every field lies within its bounds and no two contradict each other.
+//!
+//! ```
+//! use notchwharf_config::settings;
+//!
+//! let text = br#"{"host": {"name": "a1", "data_centre": "cluj-1"},
+//!                 "lease": {"duration_ms": 1000, "renew_ms": 2000}}"#;
+//! let err = settings::parse(text).unwrap_err();
+//! assert_eq!(err.to_string(), "lease.renew_ms: 2000 must be below lease.duration_ms, which is 1000");
+//! ```
+//!
+//! Fields carry their unit as a suffix. All but the host's own name and data
+//! centre have defaults, which suit a fleet of about twelve hosts.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::DataCentreId;
+use crate::bundle::is_name;
+use crate::error;
+
+/// Settings of one process.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Who this host is and where it listens.
+    pub host: Host,
+    /// Where the platform's services are.
+    #[serde(default)]
+    pub platform: Platform,
+    /// Leases on shards and targets.
+    #[serde(default)]
+    pub lease: Lease,
+    /// Records of jobs, items and idempotency keys.
+    #[serde(default)]
+    pub ledger: Ledger,
+    /// Online requests.
+    #[serde(default)]
+    pub online: Online,
+    /// Batch items.
+    #[serde(default)]
+    pub batch: Batch,
+    /// Bounds on what callers send.
+    #[serde(default)]
+    pub limits: Limits,
+    /// Gossip between hosts.
+    #[serde(default)]
+    pub membership: Membership,
+    /// Leaving.
+    #[serde(default)]
+    pub shutdown: Shutdown,
+}
+
+/// Who this host is and where it listens.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Host {
+    /// The name of the host, unique in the fleet.
+    pub name: String,
+    /// The data centre that the host stands in.
+    pub data_centre: DataCentreId,
+    /// Where callers connect.
+    #[serde(default = "any_port")]
+    pub listen: SocketAddr,
+    /// Where operators connect; not to be reachable for callers.
+    #[serde(default = "any_port")]
+    pub admin_listen: SocketAddr,
+    /// Where other hosts connect.
+    #[serde(default = "any_port")]
+    pub peer_listen: SocketAddr,
+    /// Where other hosts send gossip, over UDP.
+    #[serde(default = "any_port")]
+    pub gossip_listen: SocketAddr,
+    /// The header that names the tenant, where the platform's balancer sets
+    /// one. Without it only API keys count.
+    #[serde(default)]
+    pub tenant_header: Option<String>,
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// Where the platform's services are.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Platform {
+    /// Base URL of the append-only log service.
+    pub log_url: String,
+    /// Base URL of the list of live and leaving hosts.
+    pub host_list_url: String,
+    /// Rate of the weight store, shared by all loads. From 1 to 1_000_000_000_000_000; 2_000_000_000 by default.
+    pub weight_store_bytes_per_s: u64,
+    /// Time between two readings of the host list. From 10 to 60_000; 500 by default.
+    pub poll_ms: u64,
+    /// Time after which a call to the platform counts as lost. From 10 to 60_000; 2_000 by default.
+    pub timeout_ms: u64,
+}
+
+impl Default for Platform {
+    fn default() -> Self {
+        Self {
+            log_url: "http://127.0.0.1:7700".into(),
+            host_list_url: "http://127.0.0.1:7700".into(),
+            weight_store_bytes_per_s: 2_000_000_000,
+            poll_ms: 500,
+            timeout_ms: 2_000,
+        }
+    }
+}
+
+/// Leases on shards and targets.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Lease {
+    /// Silence of a holder after which others may claim. From 200 to 600_000; 6_000 by default.
+    pub duration_ms: u64,
+    /// Time between two renewals. From 50 to 300_000; 1_500 by default.
+    pub renew_ms: u64,
+    /// Bound on the time an order takes to land at a target. From 10 to 60_000; 1_000 by default.
+    pub landing_ms: u64,
+}
+
+impl Default for Lease {
+    fn default() -> Self {
+        Self {
+            duration_ms: 6_000,
+            renew_ms: 1_500,
+            landing_ms: 1_000,
+        }
+    }
+}
+
+/// Records of jobs, items and idempotency keys.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Ledger {
+    /// Number of shards; the same on every host, for good. From 1 to 4_096; 16 by default.
+    pub shards: u32,
+    /// Least time between two appends of one shard. From 1 to 10_000; 20 by default.
+    pub commit_ms: u64,
+    /// Appends a second that the whole fleet may use. From 1 to 100_000; 300 by default.
+    pub append_budget_per_s: u32,
+    /// Attempts after which an item fails for good. From 1 to 100; 3 by default.
+    pub attempts_max: u32,
+    /// Time for which the log keeps a record. From 1_000 to 31_536_000_000; 86_400_000 by default.
+    pub retention_ms: u64,
+    /// Time before expiry at which live records are carried forward. From 100 to 31_536_000_000; 21_600_000 by default.
+    pub carry_margin_ms: u64,
+    /// Time for which results of ended jobs stay readable. From 1_000 to 31_536_000_000; 259_200_000 by default.
+    pub readable_ms: u64,
+    /// Records after which a shard writes a snapshot. From 16 to 1_000_000; 4_096 by default.
+    pub snapshot_records: u32,
+}
+
+impl Default for Ledger {
+    fn default() -> Self {
+        Self {
+            shards: 16,
+            commit_ms: 20,
+            append_budget_per_s: 300,
+            attempts_max: 3,
+            retention_ms: 86_400_000,
+            carry_margin_ms: 21_600_000,
+            readable_ms: 259_200_000,
+            snapshot_records: 4_096,
+        }
+    }
+}
+
+/// Online requests.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Online {
+    /// Objective for the time to the first token at the 95th percentile. From 1 to 600_000; 750 by default.
+    pub first_token_objective_ms: u64,
+    /// Objective for the time between tokens at the 95th percentile. From 1 to 60_000; 26 by default.
+    pub inter_token_objective_ms: u64,
+    /// Deadline of a request where the caller sets none. From 10 to 3_600_000; 60_000 by default.
+    pub request_timeout_ms: u64,
+    /// Silence of a target after which its stream counts as cut. From 10 to 600_000; 5_000 by default.
+    pub idle_timeout_ms: u64,
+    /// Retries allowed as a share of recent successes. From 0 to 100; 20 by default.
+    pub retry_share_percent: u32,
+    /// Requests that one host carries at once. From 1 to 1_000_000; 4_096 by default.
+    pub in_flight_max: u32,
+}
+
+impl Default for Online {
+    fn default() -> Self {
+        Self {
+            first_token_objective_ms: 750,
+            inter_token_objective_ms: 26,
+            request_timeout_ms: 60_000,
+            idle_timeout_ms: 5_000,
+            retry_share_percent: 20,
+            in_flight_max: 4_096,
+        }
+    }
+}
+
+/// Batch items.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Batch {
+    /// Streams of all classes that a target is given at most. From 1 to 4_096; 32 by default.
+    pub slots_max: u32,
+    /// Slots of a target always left free for online bursts. From 0 to 4_096; 1 by default.
+    pub reserve_min: u32,
+    /// Time between two looks for work for an idle target. From 1 to 60_000; 100 by default.
+    pub pull_ms: u64,
+    /// Time after which an attempt at an item is given up. From 10 to 86_400_000; 600_000 by default.
+    pub item_timeout_ms: u64,
+}
+
+impl Default for Batch {
+    fn default() -> Self {
+        Self {
+            slots_max: 32,
+            reserve_min: 1,
+            pull_ms: 100,
+            item_timeout_ms: 600_000,
+        }
+    }
+}
+
+/// Bounds on what callers send.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Limits {
+    /// Largest body of one request. From 1_024 to 1_073_741_824; 1_048_576 by default.
+    pub body_bytes_max: u64,
+    /// Largest head of one request. From 8_192 to 1_048_576; 16_384 by default.
+    pub header_bytes_max: u64,
+    /// Time a caller has to send the head. From 10 to 600_000; 10_000 by default.
+    pub header_timeout_ms: u64,
+    /// Silence while a caller sends a body. From 10 to 600_000; 30_000 by default.
+    pub body_timeout_ms: u64,
+    /// Largest lot. From 1_024 to 1_099_511_627_776; 1_073_741_824 by default.
+    pub lot_bytes_max: u64,
+    /// Most items in one lot. From 1 to 10_000_000; 230_000 by default.
+    pub lot_items_max: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            body_bytes_max: 1_048_576,
+            header_bytes_max: 16_384,
+            header_timeout_ms: 10_000,
+            body_timeout_ms: 30_000,
+            lot_bytes_max: 1_073_741_824,
+            lot_items_max: 230_000,
+        }
+    }
+}
+
+/// Gossip between hosts.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Membership {
+    /// Time between two probes of a peer. From 10 to 60_000; 1_000 by default.
+    pub probe_ms: u64,
+    /// Time a silent host stays suspected before it counts as dead. From 10 to 600_000; 3_000 by default.
+    pub suspect_ms: u64,
+}
+
+impl Default for Membership {
+    fn default() -> Self {
+        Self {
+            probe_ms: 1_000,
+            suspect_ms: 3_000,
+        }
+    }
+}
+
+/// Leaving.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Shutdown {
+    /// Time that requests in flight have to end after SIGTERM. From 10 to 3_600_000; 65_000 by default.
+    pub drain_timeout_ms: u64,
+    /// Time between turning not ready and refusing new connections. From 0 to 60_000; 2_000 by default.
+    pub notice_ms: u64,
+}
+
+impl Default for Shutdown {
+    fn default() -> Self {
+        Self {
+            drain_timeout_ms: 65_000,
+            notice_ms: 2_000,
+        }
+    }
+}
+
+/// Reads settings from JSON and checks them.
+///
+/// # Errors
+///
+/// Returns the first fault with the path of the field.
+pub fn parse(text: &[u8]) -> Result<Settings, error::Settings> {
+    let mut de = serde_json::Deserializer::from_slice(text);
+    let settings: Settings =
+        serde_path_to_error::deserialize(&mut de).map_err(|err| error::Settings::Shape {
+            path: err.path().to_string(),
+            detail: err.inner().to_string(),
+        })?;
+    de.end().map_err(|err| error::Settings::Shape {
+        path: ".".into(),
+        detail: err.to_string(),
+    })?;
+    check(&settings)?;
+    Ok(settings)
+}
+
+/// Returns a number of milliseconds as a duration.
+pub fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+fn check(settings: &Settings) -> Result<(), error::Settings> {
+    name("host.name", &settings.host.name)?;
+    name("host.data_centre", &settings.host.data_centre)?;
+    check_ranges(settings)?;
+    check_combinations(settings)
+}
+
+fn check_ranges(settings: &Settings) -> Result<(), error::Settings> {
+    range(
+        "platform.weight_store_bytes_per_s",
+        settings.platform.weight_store_bytes_per_s,
+        1,
+        1_000_000_000_000_000,
+    )?;
+    range("platform.poll_ms", settings.platform.poll_ms, 10, 60_000)?;
+    range(
+        "platform.timeout_ms",
+        settings.platform.timeout_ms,
+        10,
+        60_000,
+    )?;
+    range(
+        "lease.duration_ms",
+        settings.lease.duration_ms,
+        200,
+        600_000,
+    )?;
+    range("lease.renew_ms", settings.lease.renew_ms, 50, 300_000)?;
+    range("lease.landing_ms", settings.lease.landing_ms, 10, 60_000)?;
+    range("ledger.shards", settings.ledger.shards, 1, 4_096)?;
+    range("ledger.commit_ms", settings.ledger.commit_ms, 1, 10_000)?;
+    range(
+        "ledger.append_budget_per_s",
+        settings.ledger.append_budget_per_s,
+        1,
+        100_000,
+    )?;
+    range("ledger.attempts_max", settings.ledger.attempts_max, 1, 100)?;
+    range(
+        "ledger.retention_ms",
+        settings.ledger.retention_ms,
+        1_000,
+        31_536_000_000,
+    )?;
+    range(
+        "ledger.carry_margin_ms",
+        settings.ledger.carry_margin_ms,
+        100,
+        31_536_000_000,
+    )?;
+    range(
+        "ledger.readable_ms",
+        settings.ledger.readable_ms,
+        1_000,
+        31_536_000_000,
+    )?;
+    range(
+        "ledger.snapshot_records",
+        settings.ledger.snapshot_records,
+        16,
+        1_000_000,
+    )?;
+    range(
+        "online.first_token_objective_ms",
+        settings.online.first_token_objective_ms,
+        1,
+        600_000,
+    )?;
+    range(
+        "online.inter_token_objective_ms",
+        settings.online.inter_token_objective_ms,
+        1,
+        60_000,
+    )?;
+    range(
+        "online.request_timeout_ms",
+        settings.online.request_timeout_ms,
+        10,
+        3_600_000,
+    )?;
+    range(
+        "online.idle_timeout_ms",
+        settings.online.idle_timeout_ms,
+        10,
+        600_000,
+    )?;
+    range(
+        "online.retry_share_percent",
+        settings.online.retry_share_percent,
+        0,
+        100,
+    )?;
+    range(
+        "online.in_flight_max",
+        settings.online.in_flight_max,
+        1,
+        1_000_000,
+    )?;
+    range("batch.slots_max", settings.batch.slots_max, 1, 4_096)?;
+    range("batch.reserve_min", settings.batch.reserve_min, 0, 4_096)?;
+    range("batch.pull_ms", settings.batch.pull_ms, 1, 60_000)?;
+    range(
+        "batch.item_timeout_ms",
+        settings.batch.item_timeout_ms,
+        10,
+        86_400_000,
+    )?;
+    range(
+        "limits.body_bytes_max",
+        settings.limits.body_bytes_max,
+        1_024,
+        1_073_741_824,
+    )?;
+    range(
+        "limits.header_bytes_max",
+        settings.limits.header_bytes_max,
+        8_192,
+        1_048_576,
+    )?;
+    range(
+        "limits.header_timeout_ms",
+        settings.limits.header_timeout_ms,
+        10,
+        600_000,
+    )?;
+    range(
+        "limits.body_timeout_ms",
+        settings.limits.body_timeout_ms,
+        10,
+        600_000,
+    )?;
+    range(
+        "limits.lot_bytes_max",
+        settings.limits.lot_bytes_max,
+        1_024,
+        1_099_511_627_776,
+    )?;
+    range(
+        "limits.lot_items_max",
+        settings.limits.lot_items_max,
+        1,
+        10_000_000,
+    )?;
+    range(
+        "membership.probe_ms",
+        settings.membership.probe_ms,
+        10,
+        60_000,
+    )?;
+    range(
+        "membership.suspect_ms",
+        settings.membership.suspect_ms,
+        10,
+        600_000,
+    )?;
+    range(
+        "shutdown.drain_timeout_ms",
+        settings.shutdown.drain_timeout_ms,
+        10,
+        3_600_000,
+    )?;
+    range("shutdown.notice_ms", settings.shutdown.notice_ms, 0, 60_000)?;
+    Ok(())
+}
+
+fn check_combinations(s: &Settings) -> Result<(), error::Settings> {
+    below(
+        ("lease.renew_ms", s.lease.renew_ms),
+        ("lease.duration_ms", s.lease.duration_ms),
+    )?;
+    below(
+        ("lease.landing_ms", s.lease.landing_ms),
+        ("lease.duration_ms", s.lease.duration_ms),
+    )?;
+    below(
+        ("online.request_timeout_ms", s.online.request_timeout_ms),
+        ("shutdown.drain_timeout_ms", s.shutdown.drain_timeout_ms),
+    )?;
+    below(
+        ("online.idle_timeout_ms", s.online.idle_timeout_ms),
+        ("online.request_timeout_ms", s.online.request_timeout_ms),
+    )?;
+    below(
+        ("ledger.carry_margin_ms", s.ledger.carry_margin_ms),
+        ("ledger.retention_ms", s.ledger.retention_ms),
+    )?;
+    below(
+        ("ledger.commit_ms", s.ledger.commit_ms),
+        ("lease.renew_ms", s.lease.renew_ms),
+    )?;
+    below(
+        ("batch.reserve_min", s.batch.reserve_min.into()),
+        ("batch.slots_max", s.batch.slots_max.into()),
+    )?;
+    below(
+        ("shutdown.notice_ms", s.shutdown.notice_ms),
+        ("shutdown.drain_timeout_ms", s.shutdown.drain_timeout_ms),
+    )
+}
+
+fn below(low: (&'static str, u64), high: (&'static str, u64)) -> Result<(), error::Settings> {
+    if low.1 < high.1 {
+        return Ok(());
+    }
+    Err(error::Settings::Order {
+        path: low.0,
+        found: low.1,
+        other: high.0,
+        limit: high.1,
+    })
+}
+
+fn range(
+    path: &'static str,
+    found: impl Into<u64>,
+    min: u64,
+    max: u64,
+) -> Result<(), error::Settings> {
+    let found = found.into();
+    if (min..=max).contains(&found) {
+        return Ok(());
+    }
+    Err(error::Settings::Range {
+        path,
+        found,
+        min,
+        max,
+    })
+}
+
+fn name(path: &'static str, found: &str) -> Result<(), error::Settings> {
+    if is_name(found) {
+        return Ok(());
+    }
+    Err(error::Settings::Name {
+        path,
+        found: found.into(),
+    })
+}
--- /dev/null
+++ b/crates/ledger/src/shard.rs
@@ -0,0 +1,314 @@
+//! The fold over one shard's stream: lease, lots, jobs, items and keys.
+//!
+//! Use [`Shard::apply`] on every record in offset order. Hosts that fold the
+//! same records hold the same state, whatever they believed before.
+//!
+//! ```
+//! use notchwharf_ledger::record::{Entry, Record, RecordId};
+//! use notchwharf_ledger::shard::Shard;
+//!
+//! let id = |seq| RecordId { host: "a1".into(), incarnation: 1, seq };
+//! let claim = Entry::Claim { supersedes: None, seen: 0 };
+//! let mut shard = Shard::default();
+//! shard.apply(4, &Record { id: id(1), epoch: 0, snapshot: None, entries: vec![claim] }).unwrap();
+//! assert_eq!(shard.lease().unwrap().epoch, 4);
+//! ```
+//!
+//! Time does not enter: a lease ends only by a record. Who may write that
+//! record, and when, is for [`crate::owner`] to decide.
+
+use std::collections::HashMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::error::Fold;
+use crate::error::Ignored;
+use crate::job::File;
+use crate::job::Job;
+use crate::job::Spec;
+use crate::record::Dropped;
+use crate::record::Entry;
+use crate::record::Epoch;
+use crate::record::FileId;
+use crate::record::HostId;
+use crate::record::Incarnation;
+use crate::record::JobId;
+use crate::record::KeyId;
+use crate::record::Offset;
+use crate::record::Place;
+use crate::record::Record;
+
+/// The lease in force on a shard.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lease {
+    /// The host that holds it.
+    pub holder: HostId,
+    /// That host's incarnation.
+    pub incarnation: Incarnation,
+    /// The offset of its claim.
+    pub epoch: Epoch,
+    /// The offset of the holder's newest record.
+    pub last: Offset,
+    /// The sequence number of the holder's newest record.
+    pub last_seq: u64,
+}
+
+/// A call that must not be repeated.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Key {
+    /// The digest of the call.
+    pub digest: String,
+    /// When it started, in milliseconds since the Unix epoch.
+    pub at_unix_ms: u64,
+    /// The epoch under which it started.
+    pub epoch: Epoch,
+    /// Where its answer stands, once it has one.
+    pub end: Option<Place>,
+}
+
+/// What became of one entry.
+pub type Outcome = Result<(), Ignored>;
+
+/// The state of one shard.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Shard {
+    lease: Option<Lease>,
+    next: Offset,
+    snapshot: Option<Offset>,
+    files: HashMap<FileId, File>,
+    jobs: HashMap<JobId, Job>,
+    keys: HashMap<KeyId, Key>,
+}
+
+impl Shard {
+    /// Returns the lease in force.
+    pub fn lease(&self) -> Option<&Lease> {
+        self.lease.as_ref()
+    }
+
+    /// Returns the offset that follows the newest record folded.
+    pub fn next(&self) -> Offset {
+        self.next
+    }
+
+    /// Returns the offset of the newest snapshot record.
+    pub fn snapshot(&self) -> Option<Offset> {
+        self.snapshot
+    }
+
+    /// Returns the lots.
+    pub fn files(&self) -> &HashMap<FileId, File> {
+        &self.files
+    }
+
+    /// Returns the jobs.
+    pub fn jobs(&self) -> &HashMap<JobId, Job> {
+        &self.jobs
+    }
+
+    /// Returns the idempotency keys.
+    pub fn keys(&self) -> &HashMap<KeyId, Key> {
+        &self.keys
+    }
+
+    /// Folds a record in and returns what became of each entry.
+    ///
+    /// A record of an epoch that is over gives [`Ignored::Fenced`] for every
+    /// entry. A record at an offset already folded gives an empty list.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Fold::Gap`] if records before this one are missing.
+    pub fn apply(&mut self, offset: Offset, record: &Record) -> Result<Vec<Outcome>, Fold> {
+        if offset < self.next {
+            return Ok(Vec::new());
+        }
+        // An empty shard may start anywhere: older records have expired only
+        // after an owner wrote a snapshot, which the reader loads first.
+        if self.next != 0 && offset != self.next {
+            return Err(Fold::Gap {
+                expected: self.next,
+                found: offset,
+            });
+        }
+        self.next = offset + 1;
+        Ok(self.apply_entries(offset, record))
+    }
+
+    /// Returns the state as bytes, for a snapshot.
+    pub fn save(&self) -> Vec<u8> {
+        crate::record::encode(self)
+    }
+
+    /// Returns the state that bytes from [`Shard::save`] hold.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Fold::Undecodable`] if the bytes hold no such state.
+    pub fn restore(bytes: &[u8]) -> Result<Self, Fold> {
+        crate::record::decode(bytes)
+    }
+
+    fn apply_entries(&mut self, offset: Offset, record: &Record) -> Vec<Outcome> {
+        if let Some(Entry::Claim { supersedes, seen }) = record.entries.first() {
+            let res = self.claim(offset, record, *supersedes, *seen);
+            return vec![res];
+        }
+        if let Err(ignored) = self.fence(offset, record) {
+            return vec![Err(ignored); record.entries.len()];
+        }
+        record
+            .entries
+            .iter()
+            .map(|entry| self.apply_entry(offset, entry))
+            .collect()
+    }
+
+    fn claim(
+        &mut self,
+        offset: Offset,
+        record: &Record,
+        supersedes: Option<Epoch>,
+        seen: Offset,
+    ) -> Outcome {
+        if let Some(lease) = &self.lease {
+            if lease.holder == record.id.host && lease.incarnation == record.id.incarnation {
+                return Err(Ignored::Copy);
+            }
+            if supersedes != Some(lease.epoch) {
+                return Err(Ignored::StaleClaim);
+            }
+            if lease.last > seen {
+                return Err(Ignored::HolderAlive);
+            }
+        } else if supersedes.is_some() {
+            return Err(Ignored::StaleClaim);
+        }
+        self.lease = Some(Lease {
+            holder: record.id.host.clone(),
+            incarnation: record.id.incarnation,
+            epoch: offset,
+            last: offset,
+            last_seq: record.id.seq,
+        });
+        Ok(())
+    }
+
+    fn fence(&mut self, offset: Offset, record: &Record) -> Outcome {
+        let lease = self.lease.as_mut().ok_or(Ignored::Fenced)?;
+        if record.epoch != lease.epoch {
+            return Err(Ignored::Fenced);
+        }
+        if record.id.seq <= lease.last_seq {
+            return Err(Ignored::Copy);
+        }
+        lease.last = offset;
+        lease.last_seq = record.id.seq;
+        Ok(())
+    }
+
+    fn apply_entry(&mut self, offset: Offset, entry: &Entry) -> Outcome {
+        match entry {
+            Entry::Claim { .. } => Err(Ignored::StaleClaim),
+            Entry::Renew => Ok(()),
+            Entry::Release => {
+                self.lease = None;
+                Ok(())
+            }
+            Entry::File(file) => {
+                self.files
+                    .entry(file.id.clone())
+                    .or_insert_with(|| file.clone());
+                Ok(())
+            }
+            Entry::Job(spec) => self.accept(spec),
+            Entry::Done { job, item, place } => self.job(job)?.finish(*item, *place),
+            Entry::Attempt { job, item } => self.job(job)?.attempt(*item),
+            Entry::Failed { job, item, failure } => self.job(job)?.fail(*item, failure.clone()),
+            Entry::Cancel { job } => self.cancel(job),
+            Entry::KeyStart {
+                key,
+                digest,
+                at_unix_ms,
+            } => self.start_key(key, digest, *at_unix_ms),
+            Entry::KeyEnd { key, place } => self.end_key(key, *place),
+            Entry::KeyUnsent { key } => self.drop_unsent(key),
+            Entry::Drop(dropped) => self.drop_kept(dropped),
+            Entry::Moved {
+                job,
+                blobs,
+                at_unix_ms,
+            } => {
+                self.job(job)?.move_blobs(blobs, *at_unix_ms);
+                Ok(())
+            }
+            Entry::Snapshot { .. } => {
+                self.snapshot = Some(offset);
+                Ok(())
+            }
+        }
+    }
+
+    fn job(&mut self, id: &str) -> Result<&mut Job, Ignored> {
+        self.jobs.get_mut(id).ok_or(Ignored::Unknown)
+    }
+
+    fn accept(&mut self, spec: &Spec) -> Outcome {
+        if !self.jobs.contains_key(&spec.id) {
+            self.jobs.insert(spec.id.clone(), Job::new(spec.clone()));
+        }
+        Ok(())
+    }
+
+    fn cancel(&mut self, id: &str) -> Outcome {
+        let job = self.job(id)?;
+        job.cancelled = true;
+        Ok(())
+    }
+
+    fn start_key(&mut self, key: &str, digest: &str, at_unix_ms: u64) -> Outcome {
+        if let Some(known) = self.keys.get(key) {
+            if known.digest != digest {
+                return Err(Ignored::OtherBody);
+            }
+            return Err(Ignored::Started);
+        }
+        let epoch = self.lease.as_ref().map_or(0, |l| l.epoch);
+        let state = Key {
+            digest: digest.into(),
+            at_unix_ms,
+            epoch,
+            end: None,
+        };
+        self.keys.insert(key.into(), state);
+        Ok(())
+    }
+
+    fn end_key(&mut self, key: &str, place: Place) -> Outcome {
+        let known = self.keys.get_mut(key).ok_or(Ignored::Unknown)?;
+        if known.end.is_some() {
+            return Err(Ignored::Settled);
+        }
+        known.end = Some(place);
+        Ok(())
+    }
+
+    fn drop_unsent(&mut self, key: &str) -> Outcome {
+        let known = self.keys.get(key).ok_or(Ignored::Unknown)?;
+        if known.end.is_some() {
+            return Err(Ignored::Settled);
+        }
+        self.keys.remove(key);
+        Ok(())
+    }
+
+    fn drop_kept(&mut self, dropped: &Dropped) -> Outcome {
+        let found = match dropped {
+            Dropped::File(id) => self.files.remove(id).is_some(),
+            Dropped::Job(id) => self.jobs.remove(id).is_some(),
+            Dropped::Key(id) => self.keys.remove(id).is_some(),
+        };
+        found.then_some(()).ok_or(Ignored::Unknown)
+    }
+}
--- /dev/null
+++ b/crates/platform/src/http.rs
@@ -0,0 +1,165 @@
+//! A small HTTP client whose failures say whether the request was sent.
+//!
+//! ```no_run
+//! # async fn example() -> Result<(), error_stack::Report<notchwharf_platform::error::Call>> {
+//! use std::time::Duration;
+//! use notchwharf_platform::http::Client;
+//!
+//! let client = Client::new(Duration::from_secs(2));
+//! let hosts: Vec<String> = client.get_json("http://127.0.0.1:7700/v1/names").await?;
+//! # Ok(()) }
+//! ```
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use error_stack::Report;
+use http_body_util::BodyExt as _;
+use http_body_util::Full;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
+use hyper_util::client::legacy;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::error::Call;
+
+/// Time after which a connection attempt counts as failed.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time after which an idle connection is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+const JSON: &str = "application/json";
+
+/// The result of a call.
+pub type Res<T> = Result<T, Report<Call>>;
+
+/// A pooled HTTP client.
+#[derive(Clone, Debug)]
+pub struct Client {
+    inner: legacy::Client<HttpConnector, Full<Bytes>>,
+    timeout: Duration,
+}
+
+impl Client {
+    /// Returns a client whose whole calls take at most `timeout`.
+    pub fn new(timeout: Duration) -> Self {
+        Self::build(timeout, usize::MAX)
+    }
+
+    /// Returns a client that opens a connection for each call.
+    ///
+    /// A pooled connection may be closed by the other side just as a request
+    /// goes out, and then nobody knows whether it ran. Calls that must not be
+    /// repeated go out on a connection of their own.
+    pub fn unpooled(timeout: Duration) -> Self {
+        Self::build(timeout, 0)
+    }
+
+    fn build(timeout: Duration, idle_max: usize) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let inner = legacy::Client::builder(TokioExecutor::new())
+            .pool_max_idle_per_host(idle_max)
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { inner, timeout }
+    }
+
+    /// Sends a request and returns the answer's head with its body to come.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no head came; only [`Call::NotSent`] rules out an effect.
+    pub async fn send(&self, req: Request<Full<Bytes>>) -> Res<Response<Incoming>> {
+        let sent = tokio::time::timeout(self.timeout, self.inner.request(req)).await;
+        match sent {
+            Err(_) => Err(Report::new(Call::TimedOut)),
+            Ok(Ok(resp)) => Ok(resp),
+            Ok(Err(err)) if err.is_connect() => Err(Report::new(Call::NotSent)),
+            Ok(Err(_)) => Err(Report::new(Call::Lost)),
+        }
+    }
+
+    /// Sends a request and returns the whole body of a successful answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no such answer came.
+    pub async fn fetch(&self, req: Request<Full<Bytes>>) -> Res<Bytes> {
+        let whole = async {
+            let resp = self.send(req).await?;
+            let status = resp.status();
+            let body = resp.into_body().collect().await;
+            let body = body.map_err(|_| Report::new(Call::Lost))?.to_bytes();
+            if status.is_success() {
+                return Ok(body);
+            }
+            let text = String::from_utf8_lossy(&body).into_owned();
+            Err(Report::new(Call::Status(status.as_u16())).attach(text))
+        };
+        tokio::time::timeout(self.timeout, whole)
+            .await
+            .unwrap_or_else(|_| Err(Report::new(Call::TimedOut)))
+    }
+
+    /// Fetches JSON.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no such answer came.
+    pub async fn get_json<T: DeserializeOwned>(&self, url: &str) -> Res<T> {
+        let req = request(Method::GET, url, Bytes::new())?;
+        parse(&self.fetch(req).await?)
+    }
+
+    /// Posts JSON and reads JSON.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no such answer came.
+    pub async fn post_json<B: Serialize, T: DeserializeOwned>(
+        &self,
+        url: &str,
+        body: &B,
+    ) -> Res<T> {
+        let body = serde_json::to_vec(body).map_err(|_| Report::new(Call::NotSent))?;
+        let mut req = request(Method::POST, url, body.into())?;
+        let json = hyper::header::HeaderValue::from_static(JSON);
+        req.headers_mut().insert(CONTENT_TYPE, json);
+        parse(&self.fetch(req).await?)
+    }
+
+    /// Posts bytes and reads JSON.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no such answer came.
+    pub async fn post_bytes<T: DeserializeOwned>(&self, url: &str, body: Bytes) -> Res<T> {
+        let req = request(Method::POST, url, body)?;
+        parse(&self.fetch(req).await?)
+    }
+}
+
+/// Returns a request without headers.
+///
+/// # Errors
+///
+/// Returns [`Call::NotSent`] if the URL is malformed.
+pub fn request(method: Method, url: &str, body: Bytes) -> Res<Request<Full<Bytes>>> {
+    Request::builder()
+        .method(method)
+        .uri(url)
+        .body(Full::new(body))
+        .map_err(|_| Report::new(Call::NotSent).attach(url.to_owned()))
+}
+
+fn parse<T: DeserializeOwned>(body: &Bytes) -> Res<T> {
+    serde_json::from_slice(body).map_err(|err| Report::new(Call::Malformed).attach(err.to_string()))
+}
--- /dev/null
+++ b/crates/proto/src/lib.rs
@@ -0,0 +1,8 @@
+//! The protocol between the system's own processes.
+//!
+//! [`peer`] is what one host calls on another, over JSON-RPC. [`datagram`] is
+//! what hosts send over UDP: gossip, and notices too short-lived to be worth
+//! an answer.
+
+pub mod datagram;
+pub mod peer;
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,12 @@
+//! Choice of target, limits, retries, fair shares and preemption.
+//!
+//! [`table`] chooses the target of an online request, [`admission`] says
+//! whether the host takes it at all, [`budget`] whether it may be tried again,
+//! and [`slots`] how much batch work a target is given beside online work.
+//! All take time as input and do no I/O.
+
+pub mod admission;
+pub mod budget;
+pub mod limit;
+pub mod slots;
+pub mod table;
--- /dev/null
+++ b/crates/server/src/bundle.rs
@@ -0,0 +1,214 @@
+//! The bundle in force at this host, indexed, and how it is kept up to date.
+//!
+//! The bundle stream is the source. A host that cannot read it takes the
+//! bundle from a peer that has a newer one, so that a host that reaches only
+//! peers, or starts during an outage, still has what operators signed off.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use notchwharf_config::TenantId;
+use notchwharf_config::Version;
+use notchwharf_config::bundle::Bundle;
+use notchwharf_config::bundle::Serving;
+use notchwharf_config::bundle::Tenant;
+use notchwharf_config::error::Refusal;
+use notchwharf_config::history::Event;
+use notchwharf_config::history::History;
+use notchwharf_config::history::InForce;
+use notchwharf_config::history::Record;
+use notchwharf_membership::fact::Fact;
+use notchwharf_platform::error::Read;
+use notchwharf_platform::target::Held;
+use tokio::sync::watch;
+
+use crate::context::Context;
+use crate::context::LOG_WAIT;
+use crate::context::Phase;
+use crate::context::lock;
+use crate::metrics::Counted;
+
+/// The stream that operators publish to.
+pub(crate) const STREAM: &str = "bundle";
+const PAGE_RECORDS: u32 = 100;
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// The bundle in force, indexed for routing.
+#[derive(Debug)]
+pub(crate) struct Active {
+    pub(crate) version: Version,
+    pub(crate) bundle: Arc<Bundle>,
+    by_name: HashMap<TenantId, usize>,
+    by_key: HashMap<String, usize>,
+    routes: HashMap<String, Route>,
+}
+
+/// What a serving runs as.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Route {
+    /// The fingerprint in force.
+    pub(crate) fingerprint: String,
+    /// The one before, which serves until a target is ready with the new one.
+    pub(crate) previous: Option<String>,
+}
+
+impl Active {
+    fn new(in_force: &InForce, before: Option<&Active>) -> Self {
+        let bundle = Arc::clone(&in_force.bundle);
+        let tenants = || bundle.tenants.iter().enumerate();
+        let by_name = tenants().map(|(i, t)| (t.name.clone(), i)).collect();
+        let by_key = tenants()
+            .flat_map(|(i, t)| t.key_sha256.iter().map(move |key| (key.clone(), i)))
+            .collect();
+        let routes = bundle
+            .servings
+            .iter()
+            .map(|s| (s.name.clone(), route(s, before)))
+            .collect();
+        Self {
+            version: in_force.version,
+            by_name,
+            by_key,
+            routes,
+            bundle,
+        }
+    }
+
+    pub(crate) fn tenant(&self, name: &str) -> Option<&Tenant> {
+        self.bundle.tenants.get(*self.by_name.get(name)?)
+    }
+
+    pub(crate) fn tenant_by_key(&self, digest: &str) -> Option<&Tenant> {
+        self.bundle.tenants.get(*self.by_key.get(digest)?)
+    }
+
+    pub(crate) fn route(&self, serving: &str) -> Option<&Route> {
+        self.routes.get(serving)
+    }
+
+    /// Returns whether a fingerprint is that of a serving in force.
+    pub(crate) fn is_in_force(&self, fingerprint: &str) -> bool {
+        self.routes.values().any(|r| r.fingerprint == fingerprint)
+    }
+}
+
+/// Returns the way a target names what a serving runs as.
+pub(crate) fn held_of(serving: &Serving) -> Held {
+    Held {
+        model: serving.model.clone(),
+        adapter: serving.adapter.clone(),
+        version: serving.version.clone(),
+    }
+}
+
+fn route(serving: &Serving, before: Option<&Active>) -> Route {
+    let fingerprint = held_of(serving).fingerprint();
+    let old = before.and_then(|b| b.route(&serving.name));
+    let previous = match old {
+        Some(old) if old.fingerprint == fingerprint => old.previous.clone(),
+        Some(old) => Some(old.fingerprint.clone()),
+        None => None,
+    };
+    Route {
+        fingerprint,
+        previous,
+    }
+}
+
+/// The fold over the bundle stream, and how far it has come.
+#[derive(Debug)]
+pub(crate) struct Feed {
+    history: Mutex<History>,
+    folded: watch::Sender<u64>,
+}
+
+impl Feed {
+    /// Starts to follow the stream.
+    pub(crate) fn start(ctx: &Arc<Context>) -> Arc<Self> {
+        let feed = Arc::new(Self {
+            history: Mutex::default(),
+            folded: watch::Sender::new(0),
+        });
+        tokio::spawn(follow(Arc::clone(ctx), Arc::clone(&feed)));
+        feed
+    }
+
+    pub(crate) fn events(&self) -> Vec<Event> {
+        lock(&self.history).events().to_vec()
+    }
+
+    /// Says beforehand whether a record would count now.
+    pub(crate) fn check(&self, record: &Record) -> Result<(), Refusal> {
+        let mut history = lock(&self.history).clone();
+        history.apply(u64::MAX, record.clone())
+    }
+
+    /// Waits until a record was folded and returns what came of it.
+    pub(crate) async fn outcome(&self, offset: u64) -> Option<Event> {
+        let mut folded = self.folded.subscribe();
+        folded.wait_for(|next| *next > offset).await.ok()?;
+        let events = self.events();
+        events.into_iter().find(|event| event.offset == offset)
+    }
+
+    /// Takes the bundle in force from a peer, if it is newer.
+    pub(crate) fn adopt(&self, ctx: &Context, version: Version, bundle: Bundle) {
+        let mut history = lock(&self.history);
+        if history.adopt(InForce::new(version, bundle)) {
+            put_in_force(ctx, &history);
+        }
+    }
+
+    fn fold(&self, ctx: &Context, offset: u64, bytes: &[u8]) {
+        let mut history = lock(&self.history);
+        let before = history.version();
+        let record = serde_json::from_slice::<Record>(bytes);
+        // What came of the record is kept with the history's events.
+        let _ = record.map(|record| history.apply(offset, record));
+        if history.version() != before {
+            put_in_force(ctx, &history);
+        }
+        drop(history);
+        self.folded.send_replace(offset + 1);
+    }
+}
+
+fn put_in_force(ctx: &Context, history: &History) {
+    let Some(in_force) = history.in_force() else {
+        return;
+    };
+    let before = ctx.active();
+    let active = Arc::new(Active::new(in_force, before.as_deref()));
+    ctx.bundle.send_replace(Some(active));
+    ctx.phase.send_if_modified(|phase| {
+        let starting = *phase == Phase::Starting;
+        if starting {
+            *phase = Phase::Ready;
+        }
+        starting
+    });
+    ctx.tell(Fact::Bundle(in_force.version));
+    slog::info!(ctx.logger, "bundle in force"; "version" => in_force.version);
+}
+
+async fn follow(ctx: Arc<Context>, feed: Arc<Feed>) {
+    let mut next = 0;
+    while ctx.phase() != Phase::Stopped {
+        match ctx.log.read(STREAM, next, PAGE_RECORDS, LOG_WAIT).await {
+            Ok(page) => {
+                for stored in page.records {
+                    let bytes = stored.bytes().unwrap_or_default();
+                    feed.fold(&ctx, stored.offset, &bytes);
+                    next = stored.offset + 1;
+                }
+            }
+            Err(Read::Expired { first }) => next = first,
+            Err(Read::Down | Read::Undecodable) => {
+                ctx.metrics.count(Counted::Log, "read failed");
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/context.rs
@@ -0,0 +1,296 @@
+//! What all parts of one server share.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::OnceLock;
+use std::sync::PoisonError;
+use std::sync::RwLock;
+use std::sync::RwLockReadGuard;
+use std::sync::RwLockWriteGuard;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use futures_util::FutureExt as _;
+use jsonrpsee::http_client::HttpClient;
+use notchwharf_config::settings::Settings;
+use notchwharf_config::settings::ms;
+use notchwharf_ledger::owner::Now;
+use notchwharf_ledger::record::HostId;
+use notchwharf_ledger::record::Incarnation;
+use notchwharf_ledger::record::ShardId;
+use notchwharf_ledger::record::TargetId;
+use notchwharf_membership::fact;
+use notchwharf_platform::blob::Blobs;
+use notchwharf_platform::hosts::Kind;
+use notchwharf_platform::hosts::Listed;
+use notchwharf_platform::http::Client;
+use notchwharf_platform::log::Log;
+use notchwharf_platform::target::Targets;
+use notchwharf_routing::admission::Admission;
+use notchwharf_routing::budget::Budget;
+use notchwharf_routing::limit::Objectives;
+use notchwharf_routing::table;
+use notchwharf_routing::table::Table;
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
+
+use crate::bundle::Active;
+use crate::bundle::Feed;
+use crate::dispatch::Dispatcher;
+use crate::members::Members;
+use crate::metrics::Metrics;
+use crate::results::Results;
+use crate::shards::ShardActor;
+use crate::timer::Timer;
+
+/// Time that a waiting read of the log waits.
+pub(crate) const LOG_WAIT: Duration = Duration::from_secs(2);
+
+/// Where a process is in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Phase {
+    /// It has no bundle yet.
+    Starting,
+    /// It takes requests.
+    Ready,
+    /// It finishes what it has.
+    Leaving,
+    /// It closes connections as they fall idle.
+    Closing,
+    /// It ends now.
+    Stopped,
+}
+
+/// What is known of the fleet.
+#[derive(Debug, Default)]
+pub(crate) struct View {
+    pub(crate) hosts: HashMap<HostId, fact::Host>,
+    pub(crate) shard_holders: HashMap<ShardId, fact::Holder>,
+    pub(crate) backlogs: HashMap<HostId, fact::Backlog>,
+    pub(crate) targets: HashMap<TargetId, fact::Target>,
+    pub(crate) listed: HashMap<String, Listed>,
+}
+
+/// What all parts of one server share.
+pub(crate) struct Context {
+    pub(crate) settings: Settings,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) logger: slog::Logger,
+    pub(crate) log: Log,
+    pub(crate) blobs: Blobs,
+    pub(crate) targets: Targets,
+    pub(crate) services: Client,
+    pub(crate) services_once: Client,
+    pub(crate) timer: Timer,
+    pub(crate) metrics: Metrics,
+    pub(crate) phase: watch::Sender<Phase>,
+    pub(crate) bundle: watch::Sender<Option<Arc<Active>>>,
+    pub(crate) table: Mutex<Table>,
+    pub(crate) admission: Mutex<Admission>,
+    pub(crate) budget: Mutex<Budget>,
+    pub(crate) view: RwLock<View>,
+    pub(crate) shards: RwLock<HashMap<ShardId, xtra::Address<ShardActor>>>,
+    pub(crate) held_shards: RwLock<HashMap<ShardId, u64>>,
+    pub(crate) dispatchers: RwLock<HashMap<TargetId, xtra::Address<Dispatcher>>>,
+    pub(crate) members: OnceLock<xtra::Address<Members>>,
+    pub(crate) results: OnceLock<Results>,
+    pub(crate) notices: OnceLock<UdpSocket>,
+    pub(crate) feed: OnceLock<Arc<Feed>>,
+    pub(crate) connections: Gauge,
+    pub(crate) in_flight: Gauge,
+    pub(crate) unsettled: Gauge,
+    peers: Mutex<HashMap<String, HttpClient>>,
+}
+
+impl Context {
+    pub(crate) fn new(settings: Settings, logger: slog::Logger) -> Self {
+        let timeout = ms(settings.platform.timeout_ms);
+        let log = Log::new(&settings.platform.log_url, timeout, LOG_WAIT);
+        let idle = ms(settings.online.idle_timeout_ms);
+        let request = ms(settings.online.request_timeout_ms);
+        let cfg = table::Config {
+            objectives: Objectives {
+                first_token: ms(settings.online.first_token_objective_ms),
+                inter_token: ms(settings.online.inter_token_objective_ms),
+            },
+            streams_max: settings.batch.slots_max,
+            ..table::Config::default()
+        };
+        let in_flight_max = settings.online.in_flight_max as usize;
+        Self {
+            incarnation: unix_ms(),
+            blobs: Blobs::new(log.clone(), &settings.host.name),
+            log,
+            targets: Targets::new(timeout, idle),
+            services: Client::new(request),
+            services_once: Client::unpooled(request),
+            timer: Timer::start(),
+            metrics: Metrics::new(),
+            phase: watch::Sender::new(Phase::Starting),
+            bundle: watch::Sender::new(None),
+            table: Mutex::new(Table::new(cfg, rand::random())),
+            admission: Mutex::new(Admission::new(in_flight_max)),
+            budget: Mutex::new(Budget::new(settings.online.retry_share_percent)),
+            view: RwLock::default(),
+            shards: RwLock::default(),
+            held_shards: RwLock::default(),
+            dispatchers: RwLock::default(),
+            members: OnceLock::new(),
+            results: OnceLock::new(),
+            notices: OnceLock::new(),
+            feed: OnceLock::new(),
+            connections: Gauge::default(),
+            in_flight: Gauge::default(),
+            unsettled: Gauge::default(),
+            peers: Mutex::default(),
+            settings,
+            logger,
+        }
+    }
+
+    pub(crate) fn host(&self) -> &HostId {
+        &self.settings.host.name
+    }
+
+    pub(crate) fn now(&self) -> Now {
+        Now {
+            at: Instant::now(),
+            unix_ms: unix_ms(),
+        }
+    }
+
+    pub(crate) fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    pub(crate) fn active(&self) -> Option<Arc<Active>> {
+        self.bundle.borrow().clone()
+    }
+
+    pub(crate) fn feed(&self) -> Option<&Arc<Feed>> {
+        self.feed.get()
+    }
+
+    pub(crate) fn view(&self) -> RwLockReadGuard<'_, View> {
+        self.view.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn view_mut(&self) -> RwLockWriteGuard<'_, View> {
+        self.view.write().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn table(&self) -> MutexGuard<'_, Table> {
+        lock(&self.table)
+    }
+
+    pub(crate) fn shard(&self, shard: ShardId) -> Option<xtra::Address<ShardActor>> {
+        let shards = self.shards.read();
+        let shards = shards.unwrap_or_else(PoisonError::into_inner);
+        shards.get(&shard).cloned()
+    }
+
+    pub(crate) fn dispatcher(&self, target: &str) -> Option<xtra::Address<Dispatcher>> {
+        let all = self.dispatchers.read();
+        let all = all.unwrap_or_else(PoisonError::into_inner);
+        all.get(target).cloned()
+    }
+
+    /// Returns a client of another host, the same for each call.
+    pub(crate) fn peer_client(&self, url: &str, timeout: Duration) -> Option<HttpClient> {
+        let mut peers = lock(&self.peers);
+        if let Some(client) = peers.get(url) {
+            return Some(client.clone());
+        }
+        let client = crate::ledger::peer(url, timeout)?;
+        peers.insert(url.to_owned(), client.clone());
+        Some(client)
+    }
+
+    /// Returns the base URL of a target, if the list has it.
+    pub(crate) fn target_url(&self, target: &str) -> Option<String> {
+        let view = self.view();
+        match &view.listed.get(target)?.kind {
+            Kind::Engine { url, .. } | Kind::Service { url, .. } => Some(url.clone()),
+            Kind::Entry { .. } => None,
+        }
+    }
+
+    /// Begins to leave, if the host does not leave already.
+    pub(crate) fn begin_leaving(&self) {
+        self.phase.send_if_modified(|phase| {
+            let leaves = *phase < Phase::Leaving;
+            if leaves {
+                *phase = Phase::Leaving;
+            }
+            leaves
+        });
+    }
+
+    /// Tells the fleet something.
+    pub(crate) fn tell(&self, fact: fact::Fact) {
+        if let Some(members) = self.members.get() {
+            post(members, crate::members::Heard(fact));
+        }
+    }
+}
+
+impl View {
+    /// Returns the hosts that can be given work.
+    pub(crate) fn live_hosts(&self) -> Vec<&str> {
+        let live = self.hosts.iter().filter(|(_, host)| host.is_live());
+        live.map(|(id, _)| id.as_str()).collect()
+    }
+
+    /// Returns where a host answers other hosts.
+    pub(crate) fn peer_url(&self, host: &str) -> Option<String> {
+        let addr = self.hosts.get(host)?.addr.as_ref()?;
+        Some(addr.peer_url.clone())
+    }
+
+    /// Returns the engines that can be given work.
+    pub(crate) fn engines(&self) -> Vec<&Listed> {
+        let engine = |l: &&Listed| matches!(l.kind, Kind::Engine { .. }) && !l.leaving;
+        self.listed.values().filter(engine).collect()
+    }
+}
+
+/// A count of things under way.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Gauge(Arc<()>);
+
+impl Gauge {
+    /// Counts one more until what is returned is dropped.
+    pub(crate) fn enter(&self) -> Self {
+        self.clone()
+    }
+
+    /// Returns how many are under way.
+    pub(crate) fn count(&self) -> usize {
+        Arc::strong_count(&self.0) - 1
+    }
+}
+
+/// Sends an actor a message without waiting for it to be handled.
+pub(crate) fn post<A, M>(address: &xtra::Address<A>, message: M)
+where
+    A: xtra::Handler<M>,
+    M: Send + 'static,
+{
+    // Mailboxes are unbounded, so sending is done when first polled, and an
+    // actor that has stopped needs no message.
+    let _ = address.send(message).detach().now_or_never();
+}
+
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+pub(crate) fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let ms = since.map_or(0, |d| d.as_millis());
+    u64::try_from(ms).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/server/src/error.rs
@@ -0,0 +1,23 @@
+//! Failures of this package.
+
+use std::fmt;
+
+/// Why a server did not start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Start {
+    /// An address cannot be listened on.
+    Listen,
+    /// The server for other hosts cannot be started.
+    Peers,
+}
+
+impl fmt::Display for Start {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Listen => f.write_str("cannot listen on an address of the settings"),
+            Self::Peers => f.write_str("cannot start the server for other hosts"),
+        }
+    }
+}
+
+impl std::error::Error for Start {}
--- /dev/null
+++ b/crates/server/src/members.rs
@@ -0,0 +1,369 @@
+//! The fleet as this host sees it, kept by gossip, the list and observation.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use notchwharf_config::settings::ms;
+use notchwharf_membership::fact;
+use notchwharf_membership::fact::Address as HostAddress;
+use notchwharf_membership::fact::Fact;
+use notchwharf_membership::fact::Health;
+use notchwharf_membership::gossip::Config;
+use notchwharf_membership::gossip::Gossip;
+use notchwharf_membership::gossip::Input;
+use notchwharf_platform::hosts::HostList;
+use notchwharf_platform::hosts::Kind;
+use notchwharf_platform::hosts::Listed;
+use notchwharf_proto::datagram;
+use notchwharf_proto::datagram::Datagram;
+use notchwharf_proto::peer::PeerClient as _;
+use notchwharf_routing::table::Report;
+use tokio::net::UdpSocket;
+use xtra::prelude::*;
+
+use crate::bundle::Feed;
+use crate::context::Context as Shared;
+use crate::context::Phase;
+use crate::context::post;
+use crate::dispatch::Online;
+use crate::metrics::Counted;
+use crate::shards::HostGone;
+
+const TICK_PERIOD: Duration = Duration::from_millis(20);
+const DATAGRAM_BYTES_MAX: usize = 2_048;
+/// Time the log has to bring a bundle before a peer is asked for it.
+const BUNDLE_PATIENCE: Duration = Duration::from_millis(500);
+const PEER_TIMEOUT: Duration = Duration::from_secs(4);
+/// Roles of targets as facts spell them.
+pub(crate) const ROLE_ANY: u8 = 0;
+pub(crate) const ROLE_ONLINE: u8 = 1;
+pub(crate) const ROLE_BATCH: u8 = 2;
+
+/// Something became known.
+pub(crate) struct Heard(pub(crate) Fact);
+/// A datagram of gossip came.
+struct Incoming(Vec<u8>);
+/// Time passed.
+struct Tick;
+/// This host leaves.
+pub(crate) struct Leave;
+
+/// The gossip of this host.
+pub(crate) struct Members {
+    shared: Arc<Shared>,
+    feed: Arc<Feed>,
+    gossip: Gossip,
+    socket: Arc<UdpSocket>,
+}
+
+impl Actor for Members {
+    type Stop = ();
+
+    async fn stopped(self) {}
+}
+
+impl Handler<Heard> for Members {
+    type Return = ();
+
+    async fn handle(&mut self, heard: Heard, _: &mut Context<Self>) {
+        self.step(Input::Heard(heard.0)).await;
+    }
+}
+
+impl Handler<Incoming> for Members {
+    type Return = ();
+
+    async fn handle(&mut self, incoming: Incoming, _: &mut Context<Self>) {
+        self.step(Input::Datagram(incoming.0)).await;
+    }
+}
+
+impl Handler<Tick> for Members {
+    type Return = ();
+
+    async fn handle(&mut self, _: Tick, _: &mut Context<Self>) {
+        self.step(Input::Tick).await;
+    }
+}
+
+impl Handler<Leave> for Members {
+    type Return = ();
+
+    async fn handle(&mut self, _: Leave, _: &mut Context<Self>) {
+        self.step(Input::Leave).await;
+    }
+}
+
+impl Members {
+    async fn step(&mut self, input: Input) {
+        let out = self.gossip.step(Instant::now(), input);
+        for fact in out.news {
+            self.note(fact);
+        }
+        for (addr, bytes) in out.sends {
+            let bytes = datagram::encode(&Datagram::Gossip(bytes));
+            let len = bytes.len() as u64;
+            self.shared.metrics.add(Counted::GossipBytes, "sent", len);
+            // A datagram lost here is a datagram lost on the way.
+            let _ = self.socket.send_to(&bytes, addr).await;
+        }
+    }
+
+    fn note(&self, fact: Fact) {
+        let shared = &self.shared;
+        match fact {
+            Fact::Host(id, host) => self.note_host(id, host),
+            Fact::Shard(shard, holder) => {
+                shared.view_mut().shard_holders.insert(shard, holder);
+            }
+            Fact::Backlog(host, backlog) => {
+                shared.view_mut().backlogs.insert(host, backlog);
+            }
+            Fact::Bundle(version) => self.note_bundle(version),
+            Fact::Target(id, target) => {
+                shared.view_mut().targets.insert(id.clone(), target);
+                update_table(shared, &id);
+            }
+        }
+    }
+
+    fn note_host(&self, id: String, host: fact::Host) {
+        let before = self
+            .shared
+            .view_mut()
+            .hosts
+            .insert(id.clone(), host.clone());
+        let restarted = before.as_ref().map(|b| b.incarnation) != Some(host.incarnation);
+        let gone = if host.health == Health::Down {
+            Some(host.incarnation)
+        } else if restarted {
+            host.incarnation.checked_sub(1)
+        } else {
+            None
+        };
+        if let Some(incarnation) = gone {
+            let gone = HostGone {
+                host: id.clone(),
+                incarnation,
+            };
+            for (_, shard) in self.shared.shard_actors() {
+                post(&shard, gone.clone());
+            }
+        }
+        let changed = before.is_none_or(|b| (b.health, b.leaving) != (host.health, host.leaving));
+        if changed {
+            slog::info!(self.shared.logger, "host changed";
+                "peer" => id, "health" => ?host.health, "leaving" => host.leaving);
+        }
+    }
+
+    fn note_bundle(&self, version: u64) {
+        let shared = Arc::clone(&self.shared);
+        let feed = Arc::clone(&self.feed);
+        tokio::spawn(async move {
+            tokio::time::sleep(BUNDLE_PATIENCE).await;
+            fetch_bundle(&shared, &feed, version).await;
+        });
+    }
+}
+
+/// Takes the bundle from a peer if the log has not brought it.
+async fn fetch_bundle(shared: &Shared, feed: &Feed, version: u64) {
+    let behind = || shared.active().map(|a| a.version) < Some(version);
+    let urls: Vec<String> = {
+        let view = shared.view();
+        let hosts = view.live_hosts();
+        hosts.iter().filter_map(|h| view.peer_url(h)).collect()
+    };
+    for url in urls {
+        if !behind() {
+            return;
+        }
+        let Some(client) = shared.peer_client(&url, PEER_TIMEOUT) else {
+            continue;
+        };
+        if let Ok(Some(copy)) = client.bundle().await {
+            feed.adopt(shared, copy.version, copy.bundle);
+        }
+    }
+}
+
+/// Brings the routing table up to what is known of a target.
+pub(crate) fn update_table(shared: &Shared, id: &str) {
+    let report = {
+        let view = shared.view();
+        report(view.listed.get(id), view.targets.get(id))
+    };
+    if let Some(report) = report {
+        shared.table().upsert(id, report, Instant::now());
+    }
+}
+
+fn report(listed: Option<&Listed>, known: Option<&fact::Target>) -> Option<Report> {
+    if let Some(Listed { kind, .. }) = listed
+        && let Kind::Service { service, .. } = kind
+    {
+        return Some(Report {
+            incarnation: listed.map_or(0, |l| l.incarnation),
+            leaving: listed.is_none_or(|l| l.leaving) || known.is_some_and(|k| k.leaving),
+            online: true,
+            batch: false,
+            holds: vec![service_fingerprint(service)],
+        });
+    }
+    let known = known?;
+    let unlisted = listed.is_none();
+    Some(Report {
+        incarnation: known.incarnation,
+        leaving: known.leaving || unlisted,
+        online: known.role != ROLE_BATCH,
+        batch: known.role != ROLE_ONLINE,
+        holds: known.holds.clone(),
+    })
+}
+
+/// Returns the fingerprint under which the table knows a plain service.
+pub(crate) fn service_fingerprint(service: &str) -> String {
+    format!("service/{service}")
+}
+
+/// Starts gossip, and the tasks that feed it.
+pub(crate) fn start(
+    shared: &Arc<Shared>,
+    feed: &Arc<Feed>,
+    socket: UdpSocket,
+    addr: HostAddress,
+) -> Address<Members> {
+    let s = &shared.settings;
+    let cfg = Config {
+        probe: ms(s.membership.probe_ms),
+        suspect: ms(s.membership.suspect_ms),
+        ..Config::new(shared.host())
+    };
+    let socket = Arc::new(socket);
+    let now = Instant::now();
+    let gossip = Gossip::new(cfg, shared.incarnation, addr, rand::random(), now);
+    let me = gossip.me();
+    let members = Members {
+        shared: Arc::clone(shared),
+        feed: Arc::clone(feed),
+        gossip,
+        socket: Arc::clone(&socket),
+    };
+    members.note(me);
+    let address = xtra::spawn_tokio(members, Mailbox::unbounded());
+    tokio::spawn(receive(Arc::clone(shared), socket, address.clone()));
+    tokio::spawn(tick(Arc::clone(shared), address.clone()));
+    tokio::spawn(follow_list(Arc::clone(shared), address.clone()));
+    address
+}
+
+async fn tick(shared: Arc<Shared>, members: Address<Members>) {
+    let mut ticks = shared.timer.subscribe(TICK_PERIOD);
+    while ticks.recv().await.is_some() && shared.phase() != Phase::Stopped {
+        if members.send(Tick).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn receive(shared: Arc<Shared>, socket: Arc<UdpSocket>, members: Address<Members>) {
+    let mut buf = vec![0; DATAGRAM_BYTES_MAX];
+    let mut phase = shared.phase.subscribe();
+    loop {
+        let received = tokio::select! {
+            received = socket.recv_from(&mut buf) => received,
+            _ = phase.wait_for(|p| *p == Phase::Stopped) => return,
+        };
+        let Ok((len, from)) = received else {
+            continue;
+        };
+        handle(&shared, &members, &buf[..len], from);
+    }
+}
+
+fn handle(shared: &Shared, members: &Address<Members>, bytes: &[u8], _from: SocketAddr) {
+    let len = bytes.len() as u64;
+    shared.metrics.add(Counted::GossipBytes, "received", len);
+    match datagram::decode(bytes) {
+        Some(Datagram::Gossip(bytes)) => post(members, Incoming(bytes)),
+        Some(Datagram::Online {
+            host,
+            target,
+            streams,
+        }) => {
+            if let Some(dispatcher) = shared.dispatcher(&target) {
+                post(&dispatcher, Online { host, streams });
+            }
+        }
+        None => {}
+    }
+}
+
+/// Reads the platform's list again and again.
+async fn follow_list(shared: Arc<Shared>, members: Address<Members>) {
+    let platform = &shared.settings.platform;
+    let list = HostList::new(&platform.host_list_url, ms(platform.timeout_ms));
+    let mut ticks = shared.timer.subscribe(ms(platform.poll_ms));
+    while shared.phase() != Phase::Stopped {
+        // An unreadable list changes nothing: the last reading stands.
+        if let Ok(listed) = list.read().await {
+            take_list(&shared, &members, listed);
+        }
+        if ticks.recv().await.is_none() {
+            return;
+        }
+    }
+}
+
+fn take_list(shared: &Shared, members: &Address<Members>, listed: Vec<Listed>) {
+    for entry in &listed {
+        if let Some(fact) = fact_of(entry) {
+            post(members, Heard(fact));
+        }
+    }
+    let names: Vec<String> = {
+        let mut view = shared.view_mut();
+        let old = std::mem::take(&mut view.listed);
+        view.listed = listed.into_iter().map(|l| (l.name.clone(), l)).collect();
+        old.into_keys().chain(view.listed.keys().cloned()).collect()
+    };
+    for name in names {
+        update_table(shared, &name);
+    }
+}
+
+fn fact_of(entry: &Listed) -> Option<Fact> {
+    let name = entry.name.clone();
+    let (incarnation, leaving) = (entry.incarnation, entry.leaving);
+    match &entry.kind {
+        Kind::Entry {
+            peer_url,
+            gossip_addr,
+            ..
+        } => {
+            let addr = HostAddress {
+                gossip: *gossip_addr,
+                peer_url: peer_url.clone(),
+                data_centre: entry.data_centre.clone(),
+            };
+            let host = fact::Host {
+                incarnation,
+                leaving,
+                addr: Some(addr),
+                ..fact::Host::default()
+            };
+            Some(Fact::Host(name, host))
+        }
+        Kind::Engine { .. } | Kind::Service { .. } => {
+            let target = fact::Target {
+                incarnation,
+                leaving,
+                ..fact::Target::default()
+            };
+            Some(Fact::Target(name, target))
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/peers.rs
@@ -0,0 +1,127 @@
+//! What other hosts call on this one.
+
+use std::sync::Arc;
+
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::core::async_trait;
+use jsonrpsee::server::Server;
+use jsonrpsee::server::ServerConfig;
+use jsonrpsee::server::ServerHandle;
+use notchwharf_ledger::error::Refused;
+use notchwharf_ledger::owner::Command;
+use notchwharf_ledger::owner::Reply;
+use notchwharf_ledger::record::ShardId;
+use notchwharf_proto::peer::BundleCopy;
+use notchwharf_proto::peer::Handed;
+use notchwharf_proto::peer::HostReport;
+use notchwharf_proto::peer::KeyedAnswer;
+use notchwharf_proto::peer::KeyedCall;
+use notchwharf_proto::peer::KeyedError;
+use notchwharf_proto::peer::PeerServer;
+use notchwharf_proto::peer::Take;
+
+use crate::context::Context;
+use crate::context::Phase;
+use crate::context::lock;
+use crate::keyed;
+use crate::ledger;
+
+const BYTES_MAX: u32 = 64 << 20;
+const CONNECTIONS_MAX: u32 = 4_096;
+
+struct Peers {
+    ctx: Arc<Context>,
+}
+
+#[async_trait]
+impl PeerServer for Peers {
+    async fn ledger(&self, shard: ShardId, command: Command) -> RpcResult<Result<Reply, Refused>> {
+        Ok(ledger::ask_here(&self.ctx, shard, command).await)
+    }
+
+    async fn take(&self, asked: Take) -> RpcResult<Vec<Handed>> {
+        Ok(take_here(&self.ctx, &asked).await)
+    }
+
+    async fn bundle(&self) -> RpcResult<Option<BundleCopy>> {
+        let active = self.ctx.active();
+        Ok(active.map(|active| BundleCopy {
+            version: active.version,
+            bundle: (*active.bundle).clone(),
+        }))
+    }
+
+    async fn host(&self) -> RpcResult<HostReport> {
+        Ok(report(&self.ctx))
+    }
+
+    async fn drain(&self) -> RpcResult<()> {
+        self.ctx.begin_leaving();
+        Ok(())
+    }
+
+    async fn keyed_call(&self, call: KeyedCall) -> RpcResult<Result<KeyedAnswer, KeyedError>> {
+        Ok(keyed::run_here(&self.ctx, call).await)
+    }
+}
+
+/// Returns what this host reports of itself.
+pub(crate) fn report(ctx: &Context) -> HostReport {
+    let dispatchers = ctx.dispatchers.read();
+    let dispatchers = dispatchers.unwrap_or_else(std::sync::PoisonError::into_inner);
+    let mut targets: Vec<String> = dispatchers.keys().cloned().collect();
+    targets.sort();
+    HostReport {
+        host: ctx.host().clone(),
+        data_centre: ctx.settings.host.data_centre.clone(),
+        incarnation: ctx.incarnation,
+        bundle_version: ctx.active().map(|a| a.version),
+        ready: ctx.phase() == Phase::Ready,
+        leaving: ctx.phase() >= Phase::Leaving,
+        in_flight: lock(&ctx.admission).in_flight() as u64,
+        shards: ctx.held_shards(),
+        targets,
+    }
+}
+
+/// Hands out items of any shard that this host holds.
+pub(crate) async fn take_here(ctx: &Arc<Context>, asked: &Take) -> Vec<Handed> {
+    let mut handed = Vec::new();
+    let mut shards = ctx.held_shards();
+    if !shards.is_empty() {
+        // Begin elsewhere each time, so that no shard is always last.
+        let by = rand::random::<u32>() as usize % shards.len();
+        shards.rotate_left(by);
+    }
+    for shard in shards {
+        let got = u32::try_from(handed.len()).unwrap_or(u32::MAX);
+        let Some(max) = asked.max.checked_sub(got).filter(|max| *max > 0) else {
+            break;
+        };
+        let take = Command::Take {
+            serving: asked.serving.clone(),
+            max,
+            host: asked.host.clone(),
+            incarnation: asked.incarnation,
+        };
+        if let Ok(Reply::Work(works)) = ledger::ask_here(ctx, shard, take).await {
+            handed.extend(works.into_iter().map(|work| Handed { shard, work }));
+        }
+    }
+    handed
+}
+
+/// Starts the server for other hosts.
+pub(crate) fn serve(ctx: &Arc<Context>, listener: std::net::TcpListener) -> Option<ServerHandle> {
+    let config = ServerConfig::builder()
+        .max_request_body_size(BYTES_MAX)
+        .max_response_body_size(BYTES_MAX)
+        .max_connections(CONNECTIONS_MAX)
+        .build();
+    let server = Server::builder().set_config(config);
+    let server = server.build_from_tcp(listener).ok()?;
+    let peers = Peers {
+        ctx: Arc::clone(ctx),
+    };
+    Some(server.start(peers.into_rpc()))
+}
--- /dev/null
+++ b/crates/standins/src/fleet.rs
@@ -0,0 +1,540 @@
+//! A whole fleet in one process: platform, engines, a service and hosts.
+//!
+//! Hosts are tasks here and processes elsewhere; between them are the same
+//! sockets. Stopping one drops it without a word to the others.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use bytes::Bytes;
+use error_stack::Report;
+use hyper::Method;
+use hyper::Request;
+use notchwharf_config::bundle;
+use notchwharf_config::bundle::Bundle;
+use notchwharf_config::settings;
+use notchwharf_config::settings::Settings;
+use notchwharf_platform::error::Call;
+use notchwharf_platform::hosts::Kind;
+use notchwharf_platform::hosts::Listed;
+use notchwharf_platform::http;
+use notchwharf_platform::http::Client;
+use notchwharf_server::Server;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::engine;
+use crate::engine::Engine;
+use crate::platform;
+use crate::platform::Platform;
+use crate::service::Service;
+
+/// The API key of the school in [`bundle`].
+pub const SCHOOL_KEY: &str = "school-key";
+/// The API key of the permit office in [`bundle`].
+pub const PERMITS_KEY: &str = "permits-key";
+const WAIT_MAX: Duration = Duration::from_secs(60);
+const POLL: Duration = Duration::from_millis(20);
+
+/// What a fleet consists of.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The number of hosts.
+    pub hosts: usize,
+    /// The number of engines.
+    pub engines: usize,
+    /// The number of data centres that they stand in.
+    pub data_centres: usize,
+    /// How the platform behaves.
+    pub platform: platform::Config,
+    /// How engines behave.
+    pub engine: engine::Config,
+    /// Changes to the settings of every host, as JSON merged in.
+    pub settings: Value,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            hosts: 3,
+            engines: 4,
+            data_centres: 3,
+            platform: platform::Config {
+                list_lag: Duration::from_millis(100),
+                ..platform::Config::default()
+            },
+            engine: engine::Config::default(),
+            settings: json!({}),
+        }
+    }
+}
+
+/// A running fleet.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The platform.
+    pub platform: Platform,
+    /// The engines, by name.
+    pub engines: BTreeMap<String, Engine>,
+    /// A plain service named `filing`.
+    pub service: Service,
+    /// The hosts that run, by name.
+    pub hosts: BTreeMap<String, Server>,
+    cfg: Config,
+    client: Client,
+}
+
+/// An answer as a caller sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Seen {
+    /// The status.
+    pub status: u16,
+    /// The body.
+    pub body: String,
+    /// The `Retry-After` header, in seconds.
+    pub retry_after_s: Option<u64>,
+    /// Whether a kept answer was given again.
+    pub replayed: bool,
+}
+
+impl Seen {
+    /// Returns the body as JSON; null if it is none.
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.body).unwrap_or_default()
+    }
+}
+
+impl Fleet {
+    /// Starts a fleet whose hosts have no bundle yet.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a part cannot be started; this is for tests and trials.
+    pub async fn start(cfg: Config) -> Self {
+        let platform = Platform::start(cfg.platform.clone()).await;
+        let platform = platform.expect("The platform starts.");
+        let listen = ([127, 0, 0, 1], 0).into();
+        let service = Service::start(listen).await.expect("The service starts.");
+        let mut fleet = Self {
+            platform,
+            engines: BTreeMap::new(),
+            service,
+            hosts: BTreeMap::new(),
+            client: Client::new(WAIT_MAX),
+            cfg,
+        };
+        fleet.list_service();
+        for i in 1..=fleet.cfg.engines {
+            fleet.start_engine(&format!("t{i}")).await;
+        }
+        for i in 1..=fleet.cfg.hosts {
+            fleet.start_host(&format!("a{i}")).await;
+        }
+        fleet
+    }
+
+    /// Starts a fleet with [`school_bundle`] in force and loaded.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it does not get that far.
+    pub async fn ready(cfg: Config) -> Self {
+        let fleet = Self::start(cfg).await;
+        fleet.put_in_force(&school_bundle("1")).await;
+        fleet.settled("tutor/-/1").await;
+        fleet
+    }
+
+    /// Starts an engine and lists it.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it cannot be started.
+    pub async fn start_engine(&mut self, name: &str) {
+        let cfg = engine::Config {
+            weights_url: Some(self.platform.url()),
+            ..self.cfg.engine.clone()
+        };
+        let checks_fencing = cfg.checks_fencing;
+        let engine = Engine::start(cfg).await.expect("The engine starts.");
+        let url = engine.url();
+        self.platform.list(Listed {
+            name: name.to_owned(),
+            data_centre: self.data_centre(name),
+            incarnation: 1,
+            leaving: false,
+            kind: Kind::Engine {
+                url,
+                checks_fencing,
+            },
+        });
+        self.engines.insert(name.to_owned(), engine);
+    }
+
+    /// Starts a host and lists it.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it cannot be started.
+    pub async fn start_host(&mut self, name: &str) {
+        let settings = self.settings(name);
+        let logger = slog::Logger::root(slog::Discard, slog::o!());
+        let server = Server::start(settings, logger).await;
+        let server = server.expect("The host starts.");
+        self.platform.list(server.listed());
+        self.hosts.insert(name.to_owned(), server);
+    }
+
+    /// Stops a host at once, without a word to the others.
+    pub fn kill_host(&mut self, name: &str) {
+        if let Some(server) = self.hosts.remove(name) {
+            server.stop();
+        }
+    }
+
+    /// Lets a host finish what it has; returns whether it did in time.
+    pub async fn leave_host(&mut self, name: &str) -> bool {
+        match self.hosts.remove(name) {
+            Some(server) => server.leave().await,
+            None => false,
+        }
+    }
+
+    /// Returns the settings of a host of this fleet.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the configured changes make them wrong.
+    pub fn settings(&self, name: &str) -> Settings {
+        let mut text = json!({
+            "host": {"name": name, "data_centre": self.data_centre(name)},
+            "platform": {"log_url": self.platform.url(), "host_list_url": self.platform.url(),
+                "poll_ms": 100},
+            "lease": {"duration_ms": 1_500, "renew_ms": 400, "landing_ms": 200},
+            "ledger": {"shards": 6, "commit_ms": 5},
+            "membership": {"probe_ms": 200, "suspect_ms": 500},
+            "shutdown": {"notice_ms": 100},
+        });
+        merge(&mut text, &self.cfg.settings);
+        let parsed = settings::parse(text.to_string().as_bytes());
+        parsed.expect("The settings are valid.")
+    }
+
+    /// Returns the base URL of a host for callers.
+    ///
+    /// # Panics
+    ///
+    /// Panics if no such host runs.
+    pub fn url(&self, host: &str) -> String {
+        format!("http://{}", self.hosts[host].addrs().listen)
+    }
+
+    /// Returns the base URL of a host for operators.
+    ///
+    /// # Panics
+    ///
+    /// Panics if no such host runs.
+    pub fn admin_url(&self, host: &str) -> String {
+        format!("http://{}", self.hosts[host].addrs().admin)
+    }
+
+    /// Returns any host that runs.
+    ///
+    /// # Panics
+    ///
+    /// Panics if none does.
+    pub fn any_host(&self) -> &str {
+        self.hosts.keys().next().expect("A host runs.")
+    }
+
+    /// Sends a request and returns the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no whole answer came.
+    pub async fn send(
+        &self,
+        method: Method,
+        url: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> Result<Seen, Report<Call>> {
+        send(&self.client, method, url, headers, body.into()).await
+    }
+
+    /// Publishes a bundle, signs it off, and waits until every host applies it.
+    ///
+    /// # Panics
+    ///
+    /// Panics if that fails.
+    pub async fn put_in_force(&self, bundle: &Bundle) -> u64 {
+        let admin = self.admin_url(self.any_host());
+        let now = self.get_json(&format!("{admin}/admin/v1/bundle")).await;
+        let asked = json!({"base": now["version"], "author": "ana", "bundle": bundle});
+        let asked = self.post(&format!("{admin}/admin/v1/bundle"), &asked).await;
+        let signed = json!({"version": asked["version"], "digest": asked["digest"],
+            "author": "rui"});
+        self.post(&format!("{admin}/admin/v1/sign-off"), &signed)
+            .await;
+        let version = asked["version"].as_u64().expect("A version is a number.");
+        for host in self.hosts.keys() {
+            self.until(|fleet| fleet.applies(host, version)).await;
+        }
+        version
+    }
+
+    /// Waits until every engine holds what its plan says, given a fingerprint
+    /// that all of them hold.
+    pub async fn settled(&self, fingerprint: &str) {
+        let fingerprint = fingerprint.to_owned();
+        for host in self.hosts.keys() {
+            self.until(|fleet| fleet.sees_held(host, &fingerprint))
+                .await;
+        }
+    }
+
+    /// Waits until something is so.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it is not so within a minute.
+    pub async fn until<'a, F, R>(&'a self, mut so: F)
+    where
+        F: FnMut(&'a Self) -> R,
+        R: Future<Output = bool>,
+    {
+        let wait = async {
+            while !so(self).await {
+                tokio::time::sleep(POLL).await;
+            }
+        };
+        let waited = tokio::time::timeout(WAIT_MAX, wait).await;
+        waited.expect("It becomes so within a minute.");
+    }
+
+    /// Uploads a lot and creates a job; returns the job's name.
+    ///
+    /// # Panics
+    ///
+    /// Panics if either is refused.
+    pub async fn submit(&self, host: &str, key: &str, lot: &str) -> String {
+        let file = self.upload(host, key, lot).await;
+        assert_eq!(file.status, 200, "{}", file.body);
+        let file = file.json();
+        let job = self.create_job(host, key, &file["id"]).await;
+        assert_eq!(job.status, 200, "{}", job.body);
+        job.json()["id"].as_str().unwrap_or_default().to_owned()
+    }
+
+    /// Uploads a lot.
+    ///
+    /// # Panics
+    ///
+    /// Panics if no answer comes.
+    pub async fn upload(&self, host: &str, key: &str, lot: &str) -> Seen {
+        let url = format!("{}/v1/files", self.url(host));
+        let form = format!(
+            "--edge\r\ncontent-disposition: form-data; name=\"purpose\"\r\n\r\nbatch\r\n\
+             --edge\r\ncontent-disposition: form-data; name=\"file\"; filename=\"lot.jsonl\"\
+             \r\n\r\n{lot}\r\n--edge--\r\n"
+        );
+        let auth = format!("Bearer {key}");
+        let kind = "multipart/form-data; boundary=edge";
+        let headers = [("authorization", auth.as_str()), ("content-type", kind)];
+        let seen = self.send(Method::POST, &url, &headers, form).await;
+        seen.expect("An answer comes.")
+    }
+
+    /// Creates a job from an uploaded lot.
+    ///
+    /// # Panics
+    ///
+    /// Panics if no answer comes.
+    pub async fn create_job(&self, host: &str, key: &str, file: &Value) -> Seen {
+        let url = format!("{}/v1/batches", self.url(host));
+        let body = json!({"input_file_id": file, "endpoint": "/v1/chat/completions",
+            "completion_window": "24h"});
+        let auth = format!("Bearer {key}");
+        let headers = [("authorization", auth.as_str())];
+        let seen = self.send(Method::POST, &url, &headers, body.to_string());
+        seen.await.expect("An answer comes.")
+    }
+
+    /// Waits until a job has ended and returns it.
+    pub async fn job_ended(&self, key: &str, job: &str) -> Value {
+        let ended = |seen: &Value| seen["status"] != "in_progress" && seen["status"].is_string();
+        self.until(|fleet| async move { ended(&fleet.job(key, job).await) })
+            .await;
+        self.job(key, job).await
+    }
+
+    /// Returns a job as its caller sees it; null if it cannot be had now.
+    pub async fn job(&self, key: &str, job: &str) -> Value {
+        let url = format!("{}/v1/batches/{job}", self.url(self.any_host()));
+        let seen = self.get(key, &url).await;
+        seen.filter(|s| s.status == 200)
+            .map(|s| s.json())
+            .unwrap_or_default()
+    }
+
+    /// Returns the lines of a file.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it cannot be read.
+    pub async fn lines(&self, key: &str, file: &str) -> Vec<Value> {
+        let url = format!("{}/v1/files/{file}/content", self.url(self.any_host()));
+        let seen = self.get(key, &url).await.expect("An answer comes.");
+        assert_eq!(seen.status, 200, "{}", seen.body);
+        let lines = seen
+            .body
+            .lines()
+            .map(|l| serde_json::from_str(l).unwrap_or_default());
+        lines.collect()
+    }
+
+    /// Sends a GET request with an API key.
+    pub async fn get(&self, key: &str, url: &str) -> Option<Seen> {
+        let auth = format!("Bearer {key}");
+        let headers = [("authorization", auth.as_str())];
+        self.send(Method::GET, url, &headers, "").await.ok()
+    }
+
+    /// Asks for a chat completion.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no whole answer came.
+    pub async fn chat(&self, host: &str, key: &str, body: &Value) -> Result<Seen, Report<Call>> {
+        let url = format!("{}/v1/chat/completions", self.url(host));
+        let auth = format!("Bearer {key}");
+        let headers = [("authorization", auth.as_str())];
+        self.send(Method::POST, &url, &headers, body.to_string())
+            .await
+    }
+
+    /// Reads JSON from an operator's address.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it cannot be read.
+    pub async fn get_json(&self, url: &str) -> Value {
+        self.client.get_json(url).await.expect("An answer comes.")
+    }
+
+    async fn post(&self, url: &str, body: &Value) -> Value {
+        let seen = self.send(Method::POST, url, &[], body.to_string()).await;
+        let seen = seen.expect("An answer comes.");
+        assert_eq!(seen.status, 200, "{}", seen.body);
+        seen.json()
+    }
+
+    async fn applies(&self, host: &str, version: u64) -> bool {
+        let url = format!("{}/admin/v1/bundle", self.admin_url(host));
+        self.get_json(&url).await["version"] == version
+    }
+
+    async fn sees_held(&self, host: &str, fingerprint: &str) -> bool {
+        let url = format!("{}/admin/v1/targets", self.admin_url(host));
+        let seen = self.get_json(&url).await;
+        let targets = seen["targets"].as_array().cloned().unwrap_or_default();
+        let holding = targets.iter().filter(|t| {
+            let holds = t["holds"].as_array();
+            holds.is_some_and(|h| h.iter().any(|f| f == fingerprint))
+        });
+        holding.count() == self.engines.len()
+    }
+
+    fn list_service(&self) {
+        self.platform.list(Listed {
+            name: "s1".into(),
+            data_centre: "dc1".into(),
+            incarnation: 1,
+            leaving: false,
+            kind: Kind::Service {
+                url: self.service.url(),
+                service: "filing".into(),
+            },
+        });
+    }
+
+    fn data_centre(&self, name: &str) -> String {
+        let number: usize = name[1..].parse().unwrap_or(0);
+        format!("dc{}", number % self.cfg.data_centres.max(1) + 1)
+    }
+}
+
+/// Returns a bundle with one serving on every engine and two tenants.
+pub fn school_bundle(version: &str) -> Bundle {
+    let text = json!({
+        "servings": [{"name": "hints", "model": "tutor", "version": version, "replicas": 1_000}],
+        "tenants": [
+            {"name": "school", "servings": ["hints"], "services": ["filing"], "weight": 2,
+             "key_sha256": [bundle::key_digest(SCHOOL_KEY)]},
+            {"name": "permits", "servings": ["hints"], "services": ["filing"],
+             "key_sha256": [bundle::key_digest(PERMITS_KEY)]},
+        ],
+        "services": [{"name": "filing"}],
+    });
+    let parsed = bundle::parse(text.to_string().as_bytes());
+    parsed.expect("The bundle is valid.")
+}
+
+/// Returns a lot of items with prompts of their own.
+pub fn lot(name: &str, items: usize, tokens: u32) -> String {
+    let line = |i: usize| {
+        let body = json!({"model": "hints", "max_tokens": tokens,
+            "messages": [{"role": "user", "content": format!("{name} {i}")}]});
+        let line = json!({"custom_id": format!("{name}-{i}"), "method": "POST",
+            "url": "/v1/chat/completions", "body": body});
+        format!("{line}\n")
+    };
+    (0..items).map(line).collect()
+}
+
+/// Sends a request and returns the answer.
+///
+/// # Errors
+///
+/// Returns why no whole answer came.
+pub async fn send(
+    client: &Client,
+    method: Method,
+    url: &str,
+    headers: &[(&str, &str)],
+    body: Bytes,
+) -> Result<Seen, Report<Call>> {
+    use http_body_util::BodyExt as _;
+    let mut req: Request<_> = http::request(method, url, body)?;
+    for (name, value) in headers {
+        let name = hyper::header::HeaderName::try_from(*name);
+        let value = hyper::header::HeaderValue::try_from(*value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            req.headers_mut().insert(name, value);
+        }
+    }
+    let resp = client.send(req).await?;
+    let status = resp.status().as_u16();
+    let header = |name: &str| resp.headers().get(name).and_then(|v| v.to_str().ok());
+    let retry_after_s = header("retry-after").and_then(|v| v.parse().ok());
+    let replayed = header("idempotent-replayed").is_some();
+    let body = resp.into_body().collect().await;
+    let body = body.map_err(|_| Report::new(Call::Lost))?.to_bytes();
+    Ok(Seen {
+        status,
+        body: String::from_utf8_lossy(&body).into_owned(),
+        retry_after_s,
+        replayed,
+    })
+}
+
+fn merge(into: &mut Value, from: &Value) {
+    match (into, from) {
+        (Value::Object(into), Value::Object(from)) => {
+            for (key, value) in from {
+                merge(into.entry(key.clone()).or_insert(Value::Null), value);
+            }
+        }
+        (into, from) => *into = from.clone(),
+    }
+}
--- /dev/null
+++ b/crates/standins/src/http.rs
@@ -0,0 +1,121 @@
+//! The little of an HTTP server that every stand-in needs.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use http_body_util::Full;
+use http_body_util::combinators::BoxBody;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde::Serialize;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+/// The body of an answer; an error in it cuts the connection.
+pub type Body = BoxBody<Bytes, io::Error>;
+/// An answer; an error cuts the connection without one.
+pub type Answer = Result<Response<Body>, io::Error>;
+
+/// A running stand-in; dropping it closes its port and its connections.
+#[derive(Debug)]
+pub struct Running {
+    addr: SocketAddr,
+    _stop: watch::Sender<()>,
+}
+
+impl Running {
+    /// Returns where it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Returns its base URL.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.addr)
+    }
+}
+
+/// Serves requests until the value returned is dropped.
+///
+/// # Errors
+///
+/// Returns the system's error if the address cannot be listened on.
+pub async fn serve<F, R>(listen: SocketAddr, handler: F) -> io::Result<Running>
+where
+    F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = Answer> + Send + 'static,
+{
+    let listener = TcpListener::bind(listen).await?;
+    let addr = listener.local_addr()?;
+    let (stop, mut stopped) = watch::channel(());
+    tokio::spawn(async move {
+        loop {
+            let (socket, _) = tokio::select! {
+                accepted = listener.accept() => match accepted {
+                    Ok(accepted) => accepted,
+                    Err(_) => continue,
+                },
+                _ = stopped.changed() => return,
+            };
+            let _ = socket.set_nodelay(true);
+            let handler = handler.clone();
+            let mut stopped = stopped.clone();
+            tokio::spawn(async move {
+                let service = service_fn(handler);
+                let conn = http1::Builder::new().serve_connection(TokioIo::new(socket), service);
+                tokio::select! {
+                    _ = conn => {}
+                    _ = stopped.changed() => {}
+                }
+            });
+        }
+    });
+    Ok(Running { addr, _stop: stop })
+}
+
+/// Returns an answer with JSON.
+pub fn json<T: Serialize>(status: StatusCode, value: &T) -> Answer {
+    let text = serde_json::to_vec(value).map_err(io::Error::other)?;
+    bytes(status, text.into())
+}
+
+/// Returns an answer with bytes.
+pub fn bytes(status: StatusCode, body: Bytes) -> Answer {
+    let body = Full::new(body).map_err(|never| match never {}).boxed();
+    Response::builder()
+        .status(status)
+        .body(body)
+        .map_err(io::Error::other)
+}
+
+/// Returns an empty answer.
+pub fn empty(status: StatusCode) -> Answer {
+    bytes(status, Bytes::new())
+}
+
+/// Reads a whole body.
+///
+/// # Errors
+///
+/// Returns an error if the connection is cut.
+pub async fn read(req: Request<Incoming>) -> io::Result<Bytes> {
+    let body = req.into_body().collect().await;
+    Ok(body.map_err(io::Error::other)?.to_bytes())
+}
+
+/// Returns a parameter of a query.
+pub fn param(query: &str, name: &str) -> Option<u64> {
+    query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .and_then(|(_, value)| value.parse().ok())
+}
