--- a/crates/cli/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! The operators' command line
--- a/crates/ledger/src/error.rs
+++ b/crates/ledger/src/error.rs
@@ -25,6 +25,8 @@
     Unknown,
     /// The item has a final answer already.
     Settled,
+    /// The attempt was counted already.
+    Counted,
     /// The job was cancelled.
     Cancelled,
     /// The key was used with another body.
@@ -42,6 +44,7 @@
             Self::HolderAlive => "the holder was heard since",
             Self::Unknown => "names nothing that is known",
             Self::Settled => "the item has its final answer already",
+            Self::Counted => "the attempt was counted already",
             Self::Cancelled => "the job was cancelled",
             Self::OtherBody => "the key was used with another body",
             Self::Started => "the call was started already and has no recorded end",
--- a/crates/ledger/src/job.rs
+++ b/crates/ledger/src/job.rs
@@ -234,8 +234,11 @@
     /// # Errors
     ///
     /// Returns why it does not count.
-    pub fn attempt(&mut self, item: ItemIndex) -> Result<(), Ignored> {
+    pub fn attempt(&mut self, item: ItemIndex, before: u8) -> Result<(), Ignored> {
         let slot = self.open(item)?;
+        if slot.attempts != before {
+            return Err(Ignored::Counted);
+        }
         slot.attempts = slot.attempts.saturating_add(1);
         Ok(())
     }
--- a/crates/ledger/src/owner.rs
+++ b/crates/ledger/src/owner.rs
@@ -308,8 +308,11 @@
     Done(Place),
     /// It can never be done.
     Failed(Failure),
-    /// The target failed under it.
-    TargetFailed,
+    /// The target failed under it, after as many failures before.
+    TargetFailed {
+        /// The attempts that failed before.
+        before: u8,
+    },
 }
 
 /// The answer to a command.
@@ -532,10 +535,10 @@
             .as_ref()
             .is_some_and(|o| o.record.id == record.id);
         self.notice_lease(now, mine);
+        self.track(record, &outcomes);
         if mine {
             self.confirm(outcomes);
         }
-        self.track(record);
     }
 
     /// Compares the lease folded with the one held so far.
@@ -557,6 +560,7 @@
         self.held_since = now.at;
         if epoch.is_some() {
             self.queue = Queue::rebuild(self.shard.jobs());
+            self.fail_exhausted(now);
             return;
         }
         self.queue = Queue::default();
@@ -597,11 +601,12 @@
     }
 
     /// Follows what a record means for items that hosts run.
-    fn track(&mut self, record: &Record) {
+    fn track(&mut self, record: &Record, outcomes: &[Outcome]) {
         if self.held.is_none() {
             return;
         }
-        for entry in &record.entries {
+        let counted = record.entries.iter().zip(outcomes);
+        for (entry, _) in counted.filter(|(_, outcome)| outcome.is_ok()) {
             match entry {
                 Entry::Job(spec) => {
                     if let Some(job) = self.shard.jobs().get(&spec.id) {
@@ -611,13 +616,28 @@
                 Entry::Done { job, item, .. } | Entry::Failed { job, item, .. } => {
                     self.queue.settle(job, *item);
                 }
-                Entry::Attempt { job, item } => self.after_attempt(job, *item),
+                Entry::Attempt { job, item, .. } => self.after_attempt(job, *item),
                 Entry::Snapshot { .. } => self.records_since_snapshot = 0,
                 _ => {}
             }
         }
     }
 
+    /// Fails what the holder before this one could not any more.
+    fn fail_exhausted(&mut self, now: Now) {
+        let max = self.cfg.attempts_max;
+        let mut exhausted = Vec::new();
+        for (id, job) in self.shard.jobs() {
+            let items = (0..).zip(&job.items);
+            let spent = items.filter(|(_, i)| i.phase == Phase::Pending && i.attempts >= max);
+            exhausted.extend(spent.map(|(item, slot)| (id.clone(), item, slot.attempts)));
+        }
+        for (job, item, attempts) in exhausted {
+            let failure = Failure::AttemptsExhausted { attempts };
+            self.push(None, now.at, Entry::Failed { job, item, failure });
+        }
+    }
+
     fn after_attempt(&mut self, job: &str, item: ItemIndex) {
         let slot = self
             .shard
@@ -970,7 +990,7 @@
         Answered::After(match verdict {
             Verdict::Done(place) => Entry::Done { job, item, place },
             Verdict::Failed(failure) => Entry::Failed { job, item, failure },
-            Verdict::TargetFailed => Entry::Attempt { job, item },
+            Verdict::TargetFailed { before } => Entry::Attempt { job, item, before },
         })
     }
 
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -100,6 +100,9 @@
         job: JobId,
         /// The item.
         item: ItemIndex,
+        /// The number of attempts that failed before this one, so that a
+        /// report made twice counts once.
+        before: u8,
     },
     /// An item can never be done.
     Failed {
--- a/crates/ledger/src/shard.rs
+++ b/crates/ledger/src/shard.rs
@@ -224,7 +224,7 @@
             }
             Entry::Job(spec) => self.accept(spec),
             Entry::Done { job, item, place } => self.job(job)?.finish(*item, *place),
-            Entry::Attempt { job, item } => self.job(job)?.attempt(*item),
+            Entry::Attempt { job, item, before } => self.job(job)?.attempt(*item, *before),
             Entry::Failed { job, item, failure } => self.job(job)?.fail(*item, failure.clone()),
             Entry::Cancel { job } => self.cancel(job),
             Entry::KeyStart {
--- /dev/null
+++ b/crates/ledger/tests/fold.rs
@@ -0,0 +1,256 @@
+//! The rules of the fold, one by one and under arbitrary records.
+#![allow(clippy::unwrap_used, reason = "Tests fail by panicking.")]
+
+mod world;
+
+use notchwharf_ledger::error::Fold;
+use notchwharf_ledger::error::Ignored;
+use notchwharf_ledger::fleet;
+use notchwharf_ledger::fleet::Fleet;
+use notchwharf_ledger::job::Failure;
+use notchwharf_ledger::record::Entry;
+use notchwharf_ledger::record::Record;
+use notchwharf_ledger::record::RecordId;
+use notchwharf_ledger::record::decode;
+use notchwharf_ledger::record::encode;
+use notchwharf_ledger::shard::Shard;
+use proptest::prelude::*;
+use rstest::rstest;
+use world::place;
+use world::spec;
+
+fn id(host: &str, seq: u64) -> RecordId {
+    RecordId {
+        host: host.into(),
+        incarnation: 1,
+        seq,
+    }
+}
+
+fn record(host: &str, seq: u64, epoch: u64, entries: Vec<Entry>) -> Record {
+    Record {
+        id: id(host, seq),
+        epoch,
+        snapshot: None,
+        entries,
+    }
+}
+
+fn claim(host: &str, seq: u64, supersedes: Option<u64>, seen: u64) -> Record {
+    record(host, seq, 0, vec![Entry::Claim { supersedes, seen }])
+}
+
+fn done(job: &str, item: u32, at: u64) -> Entry {
+    Entry::Done {
+        job: job.into(),
+        item,
+        place: place(at),
+    }
+}
+
+/// A shard held by host `a` under epoch 1, with a job of two items.
+fn held() -> Shard {
+    let mut shard = Shard::default();
+    shard.apply(1, &claim("a", 1, None, 0)).unwrap();
+    let job = vec![Entry::Job(spec("job", 2))];
+    shard.apply(2, &record("a", 2, 1, job)).unwrap();
+    shard
+}
+
+#[rstest]
+#[case::second_copy(record("a", 2, 1, vec![Entry::Renew]), Err(Ignored::Copy))]
+#[case::older_epoch(record("a", 3, 0, vec![Entry::Renew]), Err(Ignored::Fenced))]
+#[case::own_claim_again(claim("a", 1, None, 0), Err(Ignored::Copy))]
+#[case::claim_on_held(claim("b", 1, None, 0), Err(Ignored::StaleClaim))]
+#[case::claim_on_other_epoch(claim("b", 1, Some(0), 9), Err(Ignored::StaleClaim))]
+#[case::claim_too_early(claim("b", 1, Some(1), 1), Err(Ignored::HolderAlive))]
+#[case::claim_in_time(claim("b", 1, Some(1), 2), Ok(()))]
+#[case::unknown_job(record("a", 3, 1, vec![done("none", 0, 1)]), Err(Ignored::Unknown))]
+#[case::unknown_item(record("a", 3, 1, vec![done("job", 2, 1)]), Err(Ignored::Unknown))]
+#[case::done(record("a", 3, 1, vec![done("job", 1, 1)]), Ok(()))]
+fn a_record_counts_or_is_ignored_for_a_reason(
+    #[case] record: Record,
+    #[case] expected: Result<(), Ignored>,
+) {
+    assert_eq!(held().apply(3, &record), Ok(vec![expected]));
+}
+
+#[rstest]
+fn the_first_final_answer_of_an_item_stands() {
+    let mut shard = held();
+    let failed = Entry::Failed {
+        job: "job".into(),
+        item: 0,
+        failure: Failure::Rejected { status: 400 },
+    };
+    let entries = vec![done("job", 0, 5), done("job", 0, 6), failed];
+    let outcomes = shard.apply(3, &record("a", 3, 1, entries)).unwrap();
+    assert_eq!(
+        outcomes,
+        [Ok(()), Err(Ignored::Settled), Err(Ignored::Settled)]
+    );
+    assert_eq!(shard.jobs()["job"].items[0].result, place(5));
+}
+
+#[rstest]
+fn a_missing_record_is_noticed() {
+    let expected = Err(Fold::Gap {
+        expected: 3,
+        found: 5,
+    });
+    assert_eq!(
+        held().apply(5, &record("a", 3, 1, vec![Entry::Renew])),
+        expected
+    );
+}
+
+#[rstest]
+fn a_record_folded_twice_changes_nothing() {
+    let mut shard = held();
+    let before = shard.clone();
+    let again = record("a", 2, 1, vec![Entry::Cancel { job: "job".into() }]);
+    assert_eq!(shard.apply(2, &again), Ok(Vec::new()));
+    assert_eq!(shard, before);
+}
+
+#[rstest]
+fn a_target_held_by_a_live_host_is_not_taken() {
+    let say = |host: &str, seq, entries| fleet::Record {
+        id: id(host, seq),
+        entries,
+    };
+    let claim = |seen| {
+        vec![fleet::Entry::Claim {
+            target: "t".into(),
+            seen,
+        }]
+    };
+    let mut fleet = Fleet::default();
+    assert_eq!(fleet.apply(1, &say("a", 1, claim(None))), [Ok(())]);
+    let (seen, over) = fleet.seen("t");
+    assert!(!over);
+    fleet.apply(2, &say("a", 2, Vec::new()));
+    let early = fleet.apply(3, &say("b", 1, claim(seen)));
+    assert_eq!(early, [Err(Ignored::HolderAlive)]);
+    let (seen, _) = fleet.seen("t");
+    assert_eq!(fleet.apply(4, &say("b", 2, claim(seen))), [Ok(())]);
+    assert_eq!(fleet.lease("t").unwrap().epoch, 4);
+    let stale = fleet::Entry::Keep {
+        target: "t".into(),
+        epoch: 1,
+    };
+    fleet.apply(5, &say("a", 3, vec![stale]));
+    assert_eq!(
+        fleet.lease("t").unwrap().epoch,
+        4,
+        "An old holder does not return."
+    );
+}
+
+#[rstest]
+fn a_restarted_host_has_lost_its_targets() {
+    let mut fleet = Fleet::default();
+    let claim = fleet::Entry::Claim {
+        target: "t".into(),
+        seen: None,
+    };
+    let first = fleet::Record {
+        id: id("a", 1),
+        entries: vec![claim],
+    };
+    fleet.apply(1, &first);
+    let mut next = id("a", 1);
+    next.incarnation = 2;
+    let entries = Vec::new();
+    fleet.apply(2, &fleet::Record { id: next, entries });
+    assert!(fleet.seen("t").1, "Nobody need wait for it.");
+}
+
+fn entry() -> impl Strategy<Value = Entry> {
+    let job = prop_oneof![Just("j1"), Just("j2")];
+    prop_oneof![
+        job.clone().prop_map(|j| Entry::Job(spec(j, 3))),
+        (job.clone(), 0..4_u32, 0..99_u64).prop_map(|(j, i, at)| done(j, i, at)),
+        (job.clone(), 0..4_u32).prop_map(|(j, item)| Entry::Attempt {
+            job: j.into(),
+            item,
+            before: 0
+        }),
+        job.prop_map(|j| Entry::Cancel { job: j.into() }),
+        "[ab]".prop_map(|key| Entry::KeyStart {
+            key,
+            digest: "d".into(),
+            at_unix_ms: 0
+        }),
+        Just(Entry::Renew),
+        Just(Entry::Release),
+    ]
+}
+
+fn any_record() -> impl Strategy<Value = Record> {
+    let host = prop_oneof![Just("a"), Just("b")];
+    let claims = (
+        host.clone(),
+        0..9_u64,
+        proptest::option::of(0..30_u64),
+        0..40_u64,
+    )
+        .prop_map(|(h, seq, supersedes, seen)| claim(h, seq, supersedes, seen));
+    let others = (
+        host,
+        0..60_u64,
+        0..30_u64,
+        proptest::collection::vec(entry(), 1..4),
+    )
+        .prop_map(|(h, seq, epoch, entries)| record(h, seq, epoch, entries));
+    prop_oneof![1 => claims, 4 => others]
+}
+
+proptest! {
+    /// A reader that starts from a snapshot agrees with one that read all.
+    #[test]
+    fn a_snapshot_and_the_tail_give_what_all_records_give(
+        records in proptest::collection::vec(any_record(), 1..60),
+        cut in 0..60_usize,
+    ) {
+        let mut whole = Shard::default();
+        let mut resumed = Shard::default();
+        for (i, record) in records.iter().enumerate() {
+            let offset = i as u64 + 1;
+            if i == cut {
+                resumed = Shard::restore(&resumed.save()).unwrap();
+            }
+            let a = whole.apply(offset, record);
+            let b = resumed.apply(offset, record);
+            prop_assert_eq!(a, b);
+        }
+        prop_assert_eq!(whole, resumed);
+    }
+
+    /// Counts are what counting would give, and a settled item never changes.
+    #[test]
+    fn settled_items_never_change(records in proptest::collection::vec(any_record(), 1..80)) {
+        let mut shard = Shard::default();
+        let mut settled = std::collections::HashMap::new();
+        for (i, record) in records.iter().enumerate() {
+            shard.apply(i as u64 + 1, record).unwrap();
+            for (id, job) in shard.jobs() {
+                let done = job.items.iter().filter(|i| i.phase == notchwharf_ledger::job::Phase::Done);
+                prop_assert_eq!(done.count(), job.counts.done as usize);
+                for (n, item) in job.items.iter().enumerate() {
+                    if item.phase != notchwharf_ledger::job::Phase::Pending {
+                        let first = settled.entry((id.clone(), n)).or_insert(*item);
+                        prop_assert_eq!(*first, *item);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Records survive their codec, and arbitrary bytes do no harm.
+    #[test]
+    fn records_survive_their_codec(record in any_record(), junk in proptest::collection::vec(any::<u8>(), 0..64)) {
+        prop_assert_eq!(decode::<Record>(&encode(&record)), Ok(record));
+        let _ = decode::<Record>(&junk);
+    }
+}
--- a/crates/server/src/item.rs
+++ b/crates/server/src/item.rs
@@ -158,7 +158,8 @@
         Broken::Refused(_) => return End::Parked(Box::new(item)),
         _ => {
             ctx.table().failed(target, Instant::now());
-            Verdict::TargetFailed
+            let before = item.handed.work.attempts;
+            Verdict::TargetFailed { before }
         }
     };
     tokio::spawn(report(Arc::clone(ctx), item.handed, verdict));
@@ -195,7 +196,7 @@
     let label = match verdict {
         Verdict::Done(_) => "done",
         Verdict::Failed(_) => "failed",
-        Verdict::TargetFailed => "target failed",
+        Verdict::TargetFailed { .. } => "target failed",
     };
     let _unsettled = ctx.unsettled.enter();
     let settle = Command::Settle {
