Make 'not run' true for a shard's first lease, and keep to the append budget

Cause: epoch zero meant 'no epoch' for records, but the first claim of a stream has offset zero and is an epoch like any other. Change: a record's epoch is optional. Second cause, second change: writers committed as fast as the shortest interval allows and ran into the log's limit, where refused renewals let leases lapse. Each shard and each host's blobs now take an equal part of the fleet's budget. Ruled out: backing off on refusals only, since it finds the limit by hitting it.

--- a/crates/ledger/src/owner.rs
+++ b/crates/ledger/src/owner.rs
@@ -149,6 +149,8 @@
     },
     /// Whether this host should hold the shard.
     Preferred(bool),
+    /// Least time between two appends, for the fleet to keep to its budget.
+    Pace(Duration),
     /// A host is dead or has started again.
     HostGone {
         /// The host.
@@ -412,6 +414,7 @@
     shard: Shard,
     queue: Queue,
     preferred: bool,
+    pace: Duration,
     caught_up: bool,
     held: Option<Epoch>,
     held_since: Instant,
@@ -440,6 +443,7 @@
             shard,
             queue: Queue::default(),
             preferred: false,
+            pace: Duration::ZERO,
             caught_up: false,
             held: None,
             held_since: now.at,
@@ -488,6 +492,7 @@
             Input::AppendLost => self.append_lost(now),
             Input::Ask { token, command } => self.ask(now, token, command),
             Input::Preferred(preferred) => self.preferred = preferred,
+            Input::Pace(pace) => self.pace = pace,
             Input::HostGone { host, incarnation } => {
                 self.queue.host_gone(self.shard.jobs(), &host, incarnation);
             }
@@ -689,8 +694,8 @@
     fn is_void(&self, outstanding: &Outstanding) -> bool {
         let epoch = outstanding.record.epoch;
         let current = self.shard.lease().map(|l| l.epoch);
-        if epoch != 0 {
-            return current != Some(epoch);
+        if epoch.is_some() {
+            return current != epoch;
         }
         match outstanding.record.entries.first() {
             Some(Entry::Claim { supersedes, seen }) => {
@@ -746,7 +751,7 @@
             None => (None, 0),
         };
         let claim = Entry::Claim { supersedes, seen };
-        self.send(now, 0, vec![None], vec![claim]);
+        self.send(now, None, vec![None], vec![claim]);
     }
 
     fn maybe_release(&mut self, now: Now) {
@@ -769,17 +774,23 @@
         if self.pending.is_empty() && due(self.cfg.renew) {
             self.push(None, now.at, Entry::Renew);
         }
-        if self.pending.is_empty() || !due(self.cfg.commit) {
+        if self.pending.is_empty() || !due(self.cfg.commit.max(self.pace)) {
             return;
         }
         let count = self.pending.len().min(ENTRIES_MAX);
         let batch: Vec<Pending> = self.pending.drain(..count).collect();
         let tokens = batch.iter().map(|p| p.token).collect();
         let entries = batch.into_iter().map(|p| p.entry).collect();
-        self.send(now, epoch, tokens, entries);
+        self.send(now, Some(epoch), tokens, entries);
     }
 
-    fn send(&mut self, now: Now, epoch: Epoch, tokens: Vec<Option<Token>>, entries: Vec<Entry>) {
+    fn send(
+        &mut self,
+        now: Now,
+        epoch: Option<Epoch>,
+        tokens: Vec<Option<Token>>,
+        entries: Vec<Entry>,
+    ) {
         debug_assert!(self.outstanding.is_none(), "One append at a time.");
         let record = Record {
             id: RecordId {
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -48,8 +48,8 @@
 pub struct Record {
     /// What makes the append idempotent.
     pub id: RecordId,
-    /// The lease under which it was written; zero for claims.
-    pub epoch: Epoch,
+    /// The lease under which it was written; none for claims.
+    pub epoch: Option<Epoch>,
     /// The offset of the newest snapshot that the writer knew of.
     pub snapshot: Option<Offset>,
     /// What it says, in order.
--- a/crates/ledger/src/shard.rs
+++ b/crates/ledger/src/shard.rs
@@ -10,7 +10,7 @@
 //! let id = |seq| RecordId { host: "a1".into(), incarnation: 1, seq };
 //! let claim = Entry::Claim { supersedes: None, seen: 0 };
 //! let mut shard = Shard::default();
-//! shard.apply(4, &Record { id: id(1), epoch: 0, snapshot: None, entries: vec![claim] }).unwrap();
+//! shard.apply(4, &Record { id: id(1), epoch: None, snapshot: None, entries: vec![claim] }).unwrap();
 //! assert_eq!(shard.lease().unwrap().epoch, 4);
 //! ```
 //!
@@ -197,7 +197,7 @@
 
     fn fence(&mut self, offset: Offset, record: &Record) -> Outcome {
         let lease = self.lease.as_mut().ok_or(Ignored::Fenced)?;
-        if record.epoch != lease.epoch {
+        if record.epoch != Some(lease.epoch) {
             return Err(Ignored::Fenced);
         }
         if record.id.seq <= lease.last_seq {
--- a/crates/ledger/tests/fold.rs
+++ b/crates/ledger/tests/fold.rs
@@ -27,17 +27,17 @@
     }
 }
 
-fn record(host: &str, seq: u64, epoch: u64, entries: Vec<Entry>) -> Record {
+fn record(host: &str, seq: u64, epoch: impl Into<Option<u64>>, entries: Vec<Entry>) -> Record {
     Record {
         id: id(host, seq),
-        epoch,
+        epoch: epoch.into(),
         snapshot: None,
         entries,
     }
 }
 
 fn claim(host: &str, seq: u64, supersedes: Option<u64>, seen: u64) -> Record {
-    record(host, seq, 0, vec![Entry::Claim { supersedes, seen }])
+    record(host, seq, None, vec![Entry::Claim { supersedes, seen }])
 }
 
 fn done(job: &str, item: u32, at: u64) -> Entry {
--- a/crates/ledger/tests/matrix.rs
+++ b/crates/ledger/tests/matrix.rs
@@ -290,6 +290,46 @@
     assert!(finished.clone().all(|i| i.phase == Phase::Pending));
 }
 
+#[rstest]
+fn a_refusal_that_says_not_run_is_true(
+    #[values(0, 1)] first_offset: usize,
+    #[values(Step::Accept, Step::Renew, Step::Claim, Step::Release)] step: Step,
+    #[values(
+        Fate::Taken,
+        Fate::LostBefore,
+        Fate::LostAfter,
+        Fate::Slow(30),
+        Fate::Slow(700),
+        Fate::Slow(PAST_LEASE_MS),
+        Fate::PausedAfter(PAST_LEASE_MS)
+    )]
+    fate: Fate,
+    #[values(0, 100, 700, 1_500)] outage_ms: u64,
+) {
+    let mut world = World::new(3);
+    // The first record of a stream has offset zero, like no other epoch.
+    world.log.extend(vec![world::void(); first_offset]);
+    world.run_for(300);
+    world.applies = step.applies();
+    world.fates.push_back(fate);
+    world.log_down_until_ms = world.now_ms + outage_ms;
+    for i in 0..6 {
+        let id = format!("job-{i}");
+        let res = world.ask(Command::CreateJob(spec(&id, 1)));
+        world.run_for(40);
+        let Err(refused) = res else { continue };
+        if !refused.not_run() {
+            continue;
+        }
+        let mut later = world.folded_after(3 * LEASE_MS);
+        later.retain(|job| *job == id);
+        assert!(
+            later.is_empty(),
+            "{id} was refused with {refused:?}, and ran."
+        );
+    }
+}
+
 #[rstest]
 fn a_leaving_owner_hands_over(
     #[values(
--- a/crates/ledger/tests/world/mod.rs
+++ b/crates/ledger/tests/world/mod.rs
@@ -30,6 +30,7 @@
 use notchwharf_ledger::record::BlobId;
 use notchwharf_ledger::record::Place;
 use notchwharf_ledger::record::Record;
+use notchwharf_ledger::record::RecordId;
 use notchwharf_ledger::shard::Shard;
 
 pub const STEP_MS: u64 = 10;
@@ -301,7 +302,13 @@
         shard
     }
 
-    /// Returns every reply that hosts gave and nobody has taken.
+    /// Lets time pass and returns the jobs that folding the whole log gives.
+    pub fn folded_after(&mut self, ms: u64) -> Vec<String> {
+        self.run_for(ms);
+        self.folded().jobs().keys().cloned().collect()
+    }
+
+    /// Ends all faults and lets everything come to rest.
     pub fn settle_down(&mut self) {
         self.log_down_until_ms = 0;
         self.fates.clear();
@@ -309,6 +316,21 @@
     }
 }
 
+/// Returns a record that says nothing.
+pub fn void() -> Record {
+    let id = RecordId {
+        host: String::new(),
+        incarnation: 0,
+        seq: 0,
+    };
+    Record {
+        id,
+        epoch: None,
+        snapshot: None,
+        entries: Vec::new(),
+    }
+}
+
 pub fn spec(id: &str, items: u16) -> Spec {
     let blob = BlobId {
         stream: 1,
--- a/crates/server/src/api/lot.rs
+++ b/crates/server/src/api/lot.rs
@@ -28,7 +28,7 @@
 
 /// The endpoint that lots are for.
 pub(crate) const ENDPOINT: &str = "/v1/chat/completions";
-const CHUNK_BYTES_MAX: usize = 256 << 10;
+const CHUNK_BYTES_MAX: usize = 512 << 10;
 const CHUNK_ITEMS_MAX: usize = 1_000;
 const CUSTOM_ID_BYTES_MAX: usize = 512;
 /// Tries of one append before an upload is given up.
@@ -190,7 +190,7 @@
         let len = u16::try_from(parts.len()).unwrap_or(u16::MAX);
         let blob = Blob { parts };
         for pause in budget::pauses(rand::random()).take(WRITE_TRIES) {
-            if let Ok(id) = self.ctx.blobs.write(&blob).await {
+            if let Ok(id) = self.ctx.write_blob(&blob).await {
                 let first = self.items - u32::from(len);
                 let blob = id;
                 self.chunks.push(Chunk { blob, first, len });
--- a/crates/server/src/context.rs
+++ b/crates/server/src/context.rs
@@ -19,6 +19,8 @@
 use notchwharf_config::settings::Settings;
 use notchwharf_config::settings::ms;
 use notchwharf_ledger::owner::Now;
+use notchwharf_ledger::record::Blob;
+use notchwharf_ledger::record::BlobId;
 use notchwharf_ledger::record::HostId;
 use notchwharf_ledger::record::Incarnation;
 use notchwharf_ledger::record::ShardId;
@@ -28,6 +30,7 @@
 use notchwharf_platform::hosts::Kind;
 use notchwharf_platform::hosts::Listed;
 use notchwharf_platform::http::Client;
+use notchwharf_platform::http::Res;
 use notchwharf_platform::log::Log;
 use notchwharf_platform::target::Targets;
 use notchwharf_routing::admission::Admission;
@@ -43,6 +46,7 @@
 use crate::dispatch::Dispatcher;
 use crate::members::Members;
 use crate::metrics::Metrics;
+use crate::pacer::Pacer;
 use crate::results::Results;
 use crate::shards::ShardActor;
 use crate::timer::Timer;
@@ -89,6 +93,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) phase: watch::Sender<Phase>,
     pub(crate) bundle: watch::Sender<Option<Arc<Active>>>,
+    pub(crate) pacer: Pacer,
     pub(crate) table: Mutex<Table>,
     pub(crate) admission: Mutex<Admission>,
     pub(crate) budget: Mutex<Budget>,
@@ -132,6 +137,7 @@
             metrics: Metrics::new(),
             phase: watch::Sender::new(Phase::Starting),
             bundle: watch::Sender::new(None),
+            pacer: Pacer::default(),
             table: Mutex::new(Table::new(cfg, rand::random())),
             admission: Mutex::new(Admission::new(in_flight_max)),
             budget: Mutex::new(Budget::new(settings.online.retry_share_percent)),
@@ -152,6 +158,12 @@
         }
     }
 
+    /// Writes a blob when it is this host's turn to append.
+    pub(crate) async fn write_blob(&self, blob: &Blob) -> Res<BlobId> {
+        self.pacer.turn().await;
+        self.blobs.write(blob).await
+    }
+
     pub(crate) fn host(&self) -> &HostId {
         &self.settings.host.name
     }
@@ -230,6 +242,14 @@
         });
     }
 
+    /// Drops what keeps actors alive, so that they end.
+    pub(crate) fn forget_actors(&self) {
+        let dispatchers = self.dispatchers.write();
+        dispatchers.unwrap_or_else(PoisonError::into_inner).clear();
+        let shards = self.shards.write();
+        shards.unwrap_or_else(PoisonError::into_inner).clear();
+    }
+
     /// Tells the fleet something.
     pub(crate) fn tell(&self, fact: fact::Fact) {
         if let Some(members) = self.members.get() {
--- a/crates/server/src/keyed.rs
+++ b/crates/server/src/keyed.rs
@@ -51,11 +51,12 @@
 /// Runs a call on the host that owns its key.
 pub(crate) async fn run(ctx: &Arc<Context>, call: KeyedCall) -> Result<KeyedAnswer, KeyedError> {
     let shard = ledger::shard_of(ctx, &key_id(&call));
-    let deadline = Instant::now() + Duration::from_millis(call.timeout_ms);
+    let time = Duration::from_millis(call.timeout_ms).min(ledger::SEARCH_TIME);
+    let deadline = Instant::now() + time;
     for pause in budget::pauses(rand::random()) {
         let res = run_once(ctx, shard, call.clone()).await;
         let retry = matches!(res, Err(KeyedError::NotRun(Refused::NotOwner { .. })));
-        if !retry || Instant::now() + pause + SLACK >= deadline {
+        if !retry || Instant::now() + pause >= deadline {
             return res;
         }
         tokio::time::sleep(pause).await;
--- a/crates/server/src/ledger.rs
+++ b/crates/server/src/ledger.rs
@@ -20,7 +20,7 @@
 use crate::shards::Ask;
 
 /// Time for which a command looks for the owner of a shard.
-const SEARCH_TIME: Duration = Duration::from_secs(2);
+pub(crate) const SEARCH_TIME: Duration = Duration::from_secs(2);
 /// Time that a call to another host may take.
 const PEER_TIMEOUT: Duration = Duration::from_secs(4);
 const PEER_BYTES_MAX: u32 = 64 << 20;
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -35,6 +35,7 @@
 mod members;
 mod metrics;
 mod online;
+mod pacer;
 mod peers;
 mod results;
 mod shards;
--- a/crates/server/src/life.rs
+++ b/crates/server/src/life.rs
@@ -163,6 +163,7 @@
     pub fn stop(self) {
         let ctx = self.ctx;
         ctx.phase.send_replace(Phase::Stopped);
+        ctx.forget_actors();
         // Stopping twice is no harm.
         let _ = self.peers.stop();
         slog::info!(ctx.logger, "stopped");
--- a/crates/server/src/online.rs
+++ b/crates/server/src/online.rs
@@ -19,6 +19,7 @@
 
 use crate::bundle::Route;
 use crate::context::Context;
+use crate::context::Phase;
 use crate::context::lock;
 use crate::context::post;
 use crate::dispatch::Online;
@@ -198,7 +199,7 @@
 /// Repeats the notices while streams are open, in case one was lost.
 pub(crate) async fn repeat_notices(ctx: Arc<Context>) {
     let mut ticks = ctx.timer.subscribe(NOTICE_PERIOD);
-    while ticks.recv().await.is_some() {
+    while ticks.recv().await.is_some() && ctx.phase() != Phase::Stopped {
         let busy = ctx.table().busy();
         for target in busy {
             tell_holder(&ctx, &target);
--- a/crates/server/src/results.rs
+++ b/crates/server/src/results.rs
@@ -63,7 +63,7 @@
     let blob = Blob { parts };
     let mut pause = ms(ctx.settings.ledger.commit_ms);
     let id = loop {
-        match ctx.blobs.write(&blob).await {
+        match ctx.write_blob(&blob).await {
             Ok(id) => break id,
             Err(_) => ctx.metrics.count(Counted::Log, "append lost"),
         }
--- a/crates/server/src/shards.rs
+++ b/crates/server/src/shards.rs
@@ -39,6 +39,7 @@
 use crate::context::post;
 use crate::ledger::shard_name;
 use crate::metrics::Counted;
+use crate::pacer;
 
 /// Hosts that read a shard's stream: the holder and one that stands by.
 const READERS: usize = 2;
@@ -249,7 +250,7 @@
         let blob = Blob {
             parts: vec![part.to_vec()],
         };
-        match shared.blobs.write(&blob).await {
+        match shared.write_blob(&blob).await {
             Ok(id) => parts.push(id),
             Err(_) => {
                 feed_weak(&address, Input::SaveFailed).await;
@@ -298,6 +299,8 @@
 
 fn rebalance(shared: &Arc<Shared>) {
     let wanted = wanted(shared);
+    let pace = pace(shared);
+    shared.pacer.set(pace);
     let held = shared.held_shards();
     let shards = shared.shards.write();
     let mut shards = shards.unwrap_or_else(PoisonError::into_inner);
@@ -308,12 +311,19 @@
         post(actor, Preferred(*first));
     }
     for (id, actor) in shards.iter() {
+        post(actor, Feed(vec![Input::Pace(pace)]));
         if !wanted.contains_key(id) {
             post(actor, Preferred(false));
         }
     }
 }
 
+fn pace(shared: &Shared) -> Duration {
+    let hosts = shared.view().live_hosts().len();
+    let ledger = &shared.settings.ledger;
+    pacer::pace(ledger.shards as usize + hosts, ledger.append_budget_per_s)
+}
+
 /// Returns the shards to read, and whether this host should hold each.
 fn wanted(shared: &Shared) -> HashMap<ShardId, bool> {
     let view = shared.view();
@@ -450,7 +460,7 @@
     };
     Record {
         id,
-        epoch: 0,
+        epoch: None,
         snapshot: None,
         entries: Vec::new(),
     }
@@ -513,7 +523,7 @@
     let mut ticks = shared.timer.subscribe(BACKLOG_PERIOD);
     let mut told = Vec::new();
     let mut seq = 0;
-    while ticks.recv().await.is_some() {
+    while ticks.recv().await.is_some() && shared.phase() != Phase::Stopped {
         let mut servings = Vec::new();
         for (_, actor) in shared.shard_actors() {
             servings.extend(actor.send(Backlog).await.unwrap_or_default());
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -226,6 +226,11 @@
         self.shared.lock().orders.clone()
     }
 
+    /// Cuts all streams, as a crash would.
+    pub fn kill_streams(&self) {
+        self.shared.lock().die();
+    }
+
     /// Returns the number of streams that run.
     pub fn streams(&self) -> usize {
         self.shared.lock().model.running()
