--- a/crates/ledger/tests/fold.rs
+++ b/crates/ledger/tests/fold.rs
@@ -75,6 +75,29 @@
     assert_eq!(held().apply(3, &record), Ok(vec![expected]));
 }
 
+#[rstest]
+fn nothing_of_a_cancelled_job_counts() {
+    let mut shard = held();
+    let cancel = Entry::Cancel { job: "job".into() };
+    let outcomes = shard.apply(3, &record("a", 3, 1, vec![cancel, done("job", 0, 5)]));
+    assert_eq!(outcomes, Ok(vec![Ok(()), Err(Ignored::Cancelled)]));
+    assert_eq!(shard.jobs()["job"].counts.done, 0);
+}
+
+#[rstest]
+#[case::same_call("d", Ignored::Started)]
+#[case::other_call("e", Ignored::OtherBody)]
+fn a_key_starts_once(#[case] digest: &str, #[case] expected: Ignored) {
+    let mut shard = held();
+    let start = |digest: &str| Entry::KeyStart {
+        key: "k".into(),
+        digest: digest.into(),
+        at_unix_ms: 0,
+    };
+    let outcomes = shard.apply(3, &record("a", 3, 1, vec![start("d"), start(digest)]));
+    assert_eq!(outcomes, Ok(vec![Ok(()), Err(expected)]));
+}
+
 #[rstest]
 fn the_first_final_answer_of_an_item_stands() {
     let mut shard = held();
--- a/crates/ledger/tests/matrix.rs
+++ b/crates/ledger/tests/matrix.rs
@@ -301,7 +301,8 @@
         Fate::Slow(30),
         Fate::Slow(700),
         Fate::Slow(PAST_LEASE_MS),
-        Fate::PausedAfter(PAST_LEASE_MS)
+        Fate::PausedAfter(PAST_LEASE_MS),
+        Fate::PausedAndLate(PAST_LEASE_MS, PAST_LEASE_MS + 100)
     )]
     fate: Fate,
     #[values(0, 100, 700, 1_500)] outage_ms: u64,
@@ -315,7 +316,7 @@
     world.log_down_until_ms = world.now_ms + outage_ms;
     for i in 0..6 {
         let id = format!("job-{i}");
-        let res = world.ask(Command::CreateJob(spec(&id, 1)));
+        let res = world.ask_host(0, Command::CreateJob(spec(&id, 1)));
         world.run_for(40);
         let Err(refused) = res else { continue };
         if !refused.not_run() {
--- a/crates/ledger/tests/world/mod.rs
+++ b/crates/ledger/tests/world/mod.rs
@@ -51,6 +51,9 @@
     KilledBefore,
     /// It takes effect, and the host stops for so long.
     PausedAfter(u64),
+    /// The host stops for the first time, and the append takes effect after
+    /// the second, when another may hold the shard.
+    PausedAndLate(u64, u64),
 }
 
 pub struct Host {
@@ -160,7 +163,9 @@
             self.late = late;
             self.log.extend(due.into_iter().map(|(_, record)| record));
         }
-        let preferred = self.hosts.iter().position(|h| h.alive);
+        // A host that is paused looks dead to the others.
+        let running = |h: &Host| h.alive && h.paused_until_ms <= self.now_ms;
+        let preferred = self.hosts.iter().position(running);
         for index in 0..self.hosts.len() {
             let host = &self.hosts[index];
             if host.alive && host.paused_until_ms <= self.now_ms {
@@ -243,10 +248,16 @@
             }
             Fate::KilledAfter | Fate::KilledBefore => host.alive = false,
             Fate::PausedAfter(ms) => host.paused_until_ms = self.now_ms + ms,
+            Fate::PausedAndLate(pause_ms, _) => {
+                host.paused_until_ms = self.now_ms + pause_ms;
+                host.lost_at_ms = Some(lost_at_ms);
+            }
         }
         match fate {
             Fate::LostBefore | Fate::KilledBefore => {}
-            Fate::Slow(ms) => self.late.push((self.now_ms + ms, record)),
+            Fate::Slow(ms) | Fate::PausedAndLate(_, ms) => {
+                self.late.push((self.now_ms + ms, record))
+            }
             _ => self.log.push(record),
         }
     }
--- /dev/null
+++ b/crates/server/tests/processes/mod.rs
@@ -0,0 +1,242 @@
+//! A fleet of host processes around stand-ins in the test's own process.
+#![allow(
+    dead_code,
+    unreachable_pub,
+    reason = "Each test binary uses a part of it."
+)]
+#![allow(clippy::unwrap_used, reason = "Tests fail by panicking.")]
+
+use std::process::Stdio;
+use std::time::Duration;
+
+use hyper::Method;
+use notchwharf_config::bundle::Bundle;
+use notchwharf_platform::hosts::Kind;
+use notchwharf_platform::hosts::Listed;
+use notchwharf_platform::http::Client;
+use notchwharf_standins::engine;
+use notchwharf_standins::engine::Engine;
+use notchwharf_standins::fleet;
+use notchwharf_standins::fleet::SCHOOL_KEY;
+use notchwharf_standins::fleet::Seen;
+use notchwharf_standins::fleet::school_bundle;
+use notchwharf_standins::platform;
+use notchwharf_standins::platform::Platform;
+use serde_json::Value;
+use serde_json::json;
+use tokio::io::AsyncBufReadExt as _;
+use tokio::io::BufReader;
+use tokio::process::Child;
+use tokio::process::Command;
+
+pub const WAIT_MAX: Duration = Duration::from_secs(60);
+
+/// A host that runs as a process.
+pub struct Process {
+    pub child: Child,
+    pub url: String,
+    pub admin: String,
+}
+
+/// A fleet of processes around stand-ins in the test's own process.
+pub struct Fleet {
+    pub platform: Platform,
+    pub engines: Vec<Engine>,
+    pub hosts: Vec<Process>,
+    pub client: Client,
+}
+
+impl Fleet {
+    pub async fn start(hosts: usize) -> Self {
+        let platform = Platform::start(platform::Config {
+            list_lag: Duration::from_millis(100),
+            ..platform::Config::default()
+        });
+        let mut fleet = Self {
+            platform: platform.await.unwrap(),
+            engines: Vec::new(),
+            hosts: Vec::new(),
+            client: Client::new(WAIT_MAX),
+        };
+        for i in 1..=4 {
+            fleet.start_engine(&format!("t{i}")).await;
+        }
+        for i in 1..=hosts {
+            fleet.start_host(&format!("a{i}")).await;
+        }
+        fleet.put_in_force(&school_bundle("1")).await;
+        for host in 0..hosts {
+            let url = format!("{}/admin/v1/targets", fleet.hosts[host].admin);
+            let held = |seen: Value| seen.to_string().matches("tutor/-/1").count() == 4;
+            until(|| async { fleet.get(&url).await.is_some_and(held) }).await;
+        }
+        fleet
+    }
+
+    pub async fn start_engine(&mut self, name: &str) {
+        let engine = Engine::start(engine::Config::default()).await.unwrap();
+        self.platform.list(Listed {
+            name: name.into(),
+            data_centre: "dc1".into(),
+            incarnation: 1,
+            leaving: false,
+            kind: Kind::Engine {
+                url: engine.url(),
+                checks_fencing: true,
+            },
+        });
+        self.engines.push(engine);
+    }
+
+    pub async fn start_host(&mut self, name: &str) {
+        let settings = json!({
+            "host": {"name": name, "data_centre": "dc1"},
+            "platform": {"log_url": self.platform.url(), "host_list_url": self.platform.url(),
+                "poll_ms": 100},
+            "lease": {"duration_ms": 1_500, "renew_ms": 400, "landing_ms": 200},
+            "ledger": {"shards": 6, "commit_ms": 5},
+            "membership": {"probe_ms": 200, "suspect_ms": 500},
+            "shutdown": {"notice_ms": 100},
+        });
+        let process = spawn(name, &settings).await;
+        self.platform.list(process.1);
+        self.hosts.push(process.0);
+    }
+
+    pub async fn get(&self, url: &str) -> Option<Value> {
+        self.client.get_json(url).await.ok()
+    }
+
+    pub async fn send(&self, method: Method, url: &str, body: String) -> Option<Seen> {
+        let auth = format!("Bearer {SCHOOL_KEY}");
+        let headers = [("authorization", auth.as_str())];
+        fleet::send(&self.client, method, url, &headers, body.into())
+            .await
+            .ok()
+    }
+
+    pub async fn put_in_force(&self, bundle: &Bundle) -> u64 {
+        let admin = &self.hosts[0].admin;
+        let base = self.get(&format!("{admin}/admin/v1/bundle")).await.unwrap();
+        let asked = json!({"base": base["version"], "author": "ana", "bundle": bundle});
+        let url = format!("{admin}/admin/v1/bundle");
+        let asked = self
+            .send(Method::POST, &url, asked.to_string())
+            .await
+            .unwrap()
+            .json();
+        let signed = json!({"version": asked["version"], "digest": asked["digest"],
+            "author": "rui"});
+        let url = format!("{admin}/admin/v1/sign-off");
+        let seen = self
+            .send(Method::POST, &url, signed.to_string())
+            .await
+            .unwrap();
+        assert_eq!(seen.status, 200, "{}", seen.body);
+        asked["version"].as_u64().unwrap()
+    }
+
+    /// Uploads a lot and creates its job, asking again as a caller would until
+    /// it is told that the job is accepted.
+    pub async fn submit(&self, host: usize, lot: &str) -> String {
+        let form = format!(
+            "--edge\r\ncontent-disposition: form-data; name=\"purpose\"\r\n\r\nbatch\r\n\
+             --edge\r\ncontent-disposition: form-data; name=\"file\"; filename=\"l.jsonl\"\
+             \r\n\r\n{lot}\r\n--edge--\r\n"
+        );
+        let auth = format!("Bearer {SCHOOL_KEY}");
+        let kind = "multipart/form-data; boundary=edge";
+        let headers = [("authorization", auth.as_str()), ("content-type", kind)];
+        let url = format!("{}/v1/files", self.hosts[host].url);
+        let sent = fleet::send(&self.client, Method::POST, &url, &headers, form.into());
+        let file = sent.await.unwrap();
+        assert_eq!(file.status, 200, "{}", file.body);
+        let body = json!({"input_file_id": file.json()["id"],
+            "endpoint": "/v1/chat/completions", "completion_window": "24h"});
+        let url = format!("{}/v1/batches", self.hosts[host].url);
+        let job = self
+            .send(Method::POST, &url, body.to_string())
+            .await
+            .unwrap();
+        assert_eq!(job.status, 200, "{}", job.body);
+        job.json()["id"].as_str().unwrap().to_owned()
+    }
+
+    pub async fn job(&self, host: usize, job: &str) -> Value {
+        let url = format!("{}/v1/batches/{job}", self.hosts[host].url);
+        let seen = self.send(Method::GET, &url, String::new()).await;
+        seen.filter(|s| s.status == 200)
+            .map(|s| s.json())
+            .unwrap_or_default()
+    }
+
+    pub async fn check_whole(&self, host: usize, job: &str, items: usize) {
+        until(|| async { self.job(host, job).await["status"] == "completed" }).await;
+        let ended = self.job(host, job).await;
+        assert_eq!(ended["request_counts"]["completed"], items, "{ended}");
+        let output = ended["output_file_id"].as_str().unwrap();
+        let url = format!("{}/v1/files/{output}/content", self.hosts[host].url);
+        let seen = self.send(Method::GET, &url, String::new()).await.unwrap();
+        let ids: std::collections::BTreeSet<String> = seen
+            .body
+            .lines()
+            .map(|l| serde_json::from_str::<Value>(l).unwrap()["custom_id"].to_string())
+            .collect();
+        assert_eq!((seen.body.lines().count(), ids.len()), (items, items));
+    }
+
+    pub async fn until_busy(&self) {
+        until(|| async { self.engines.iter().any(|e| e.streams() > 0) }).await;
+    }
+}
+
+pub async fn spawn(name: &str, settings: &Value) -> (Process, Listed) {
+    let dir = std::path::PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let id: u64 = rand::random();
+    let path = dir.join(format!("{name}-{id:x}.json"));
+    std::fs::write(&path, settings.to_string()).unwrap();
+    let mut child = Command::new(env!("CARGO_BIN_EXE_notchwharfd"))
+        .arg("--settings")
+        .arg(&path)
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .kill_on_drop(true)
+        .spawn()
+        .unwrap();
+    let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
+    let line = lines.next_line().await.unwrap().unwrap();
+    let told: Value = serde_json::from_str(&line).unwrap();
+    let listed: Listed = serde_json::from_value(told["listed"].clone()).unwrap();
+    let Kind::Entry { url, .. } = &listed.kind else {
+        panic!("A host is an entry host.");
+    };
+    let process = Process {
+        child,
+        url: url.clone(),
+        admin: format!("http://{}", told["admin"].as_str().unwrap()),
+    };
+    (process, listed)
+}
+
+pub fn signal(process: &Process, name: &str) {
+    let pid = process.child.id().unwrap().to_string();
+    let sent = std::process::Command::new("kill")
+        .args(["-s", name, &pid])
+        .status();
+    assert!(sent.unwrap().success());
+}
+
+pub async fn until<F, R>(mut so: F)
+where
+    F: FnMut() -> R,
+    R: Future<Output = bool>,
+{
+    let wait = async {
+        while !so().await {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(WAIT_MAX, wait)
+        .await
+        .expect("It becomes so within a minute.");
+}
