--- a/crates/routing/src/slots.rs
+++ b/crates/routing/src/slots.rs
@@ -42,9 +42,6 @@
     pub reserve_min: u32,
     /// The most that the reserve may grow to.
     pub reserve_max: u32,
-    /// The share of a target's limit that may run while online streams are
-    /// there, in percent.
-    pub shared_percent: u32,
 }
 
 impl Default for Config {
@@ -52,7 +49,6 @@
         Self {
             reserve_min: 1,
             reserve_max: 8,
-            shared_percent: 100,
         }
     }
 }
@@ -111,7 +107,6 @@
         if self.alone.is_some() {
             return 0;
         }
-        let limit = self.shared_limit(limit, now);
         let taken = self.online_streams(now) + self.reserve(now) + self.batch_streams();
         limit.saturating_sub(taken)
     }
@@ -146,7 +141,6 @@
     /// The reserve is not defended by cancelling: it is there to be used, and
     /// is full again as batch streams end.
     pub fn preempt(&self, limit: u32, now: Instant) -> Vec<StreamId> {
-        let limit = self.shared_limit(limit, now);
         let over = (self.online_streams(now) + self.batch_streams()).saturating_sub(limit);
         let mut streams: Vec<(Instant, StreamId)> =
             self.running.iter().map(|(id, at)| (*at, *id)).collect();
@@ -158,13 +152,6 @@
             .collect()
     }
 
-    fn shared_limit(&self, limit: u32, now: Instant) -> u32 {
-        if self.online_streams(now) == 0 {
-            return limit;
-        }
-        limit * self.cfg.shared_percent / 100
-    }
-
     fn reserve(&self, now: Instant) -> u32 {
         let fresh = now.saturating_duration_since(self.jump.1) < JUMP_WINDOW;
         let jump = if fresh { self.jump.0 } else { 0 };
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -38,10 +38,6 @@
 
 /// Time for which what a target told of its load counts.
 const TOLD_FRESH: Duration = Duration::from_secs(1);
-/// Time over which a host's own streams are averaged.
-const DEMAND_MEMORY: Duration = Duration::from_secs(2);
-/// Standard deviations above the mean at which a burst is suspected.
-const BURST_DEVIATIONS: f64 = 2.5;
 /// First pause after a target failed.
 const EJECT_MIN: Duration = Duration::from_millis(500);
 /// Longest pause after a target failed again and again.
@@ -59,10 +55,6 @@
     /// How much busier than the mean a target with the prefix may be, in
     /// percent.
     pub affinity_load_percent: u32,
-    /// How full of online streams the targets are meant to be that online work
-    /// uses, in percent of their limits; the others are left to batch work.
-    /// Zero spreads online work over all.
-    pub gather_percent: u32,
 }
 
 impl Default for Config {
@@ -74,7 +66,6 @@
             },
             streams_max: 32,
             affinity_load_percent: 125,
-            gather_percent: 0,
         }
     }
 }
@@ -125,9 +116,7 @@
 pub struct Table {
     cfg: Config,
     targets: HashMap<TargetId, Target>,
-    /// By fingerprint, in an order that is the same on every host.
     holders: HashMap<String, Vec<TargetId>>,
-    demand: Demand,
     rng: ChaCha8Rng,
 }
 
@@ -138,7 +127,6 @@
             cfg,
             targets: HashMap::new(),
             holders: HashMap::new(),
-            demand: Demand::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
     }
@@ -166,20 +154,15 @@
                 }
             }
             for held in &report.holds {
-                let ids = self.holders.entry(held.clone()).or_default();
-                ids.push(id.to_owned());
-                ids.sort_by_key(|id| xxh3_64_with_seed(id.as_bytes(), 0));
+                self.holders
+                    .entry(held.clone())
+                    .or_default()
+                    .push(id.to_owned());
             }
         }
         target.report = report;
     }
 
-    /// Takes in how many online streams the fleet has, and on how many hosts.
-    pub fn set_fleet(&mut self, streams: u32, hosts: u32) {
-        self.demand.fleet = f64::from(streams);
-        self.demand.hosts = f64::from(hosts.max(1));
-    }
-
     /// Returns whether a target may be given new online work.
     pub fn is_open(&self, id: &str, now: Instant) -> bool {
         self.targets.get(id).is_some_and(|t| t.is_open(now))
@@ -226,7 +209,6 @@
         let none = Refusal::NoTarget {
             retry_after: RETRY_AFTER,
         };
-        let wanted = self.wanted(now);
         let ids = self.holders.get(fingerprint).ok_or(none)?;
         let mut open = Vec::with_capacity(ids.len());
         let mut load = 0_u32;
@@ -239,7 +221,7 @@
             let score = target.hash ^ prefix;
             let score = score.wrapping_mul(0x9E37_79B9_7F4A_7C15);
             let score = score ^ (score >> 32);
-            if open.len() < wanted && best.is_none_or(|(top, _)| score > top) {
+            if best.is_none_or(|(top, _)| score > top) {
                 best = Some((score, open.len()));
             }
             let busy = target.load(now);
@@ -255,9 +237,8 @@
         if busy < bound && busy < limit {
             return Ok(id.clone());
         }
-        let near = open.len().min(wanted);
-        let a = self.rng.random_range(0..near);
-        let b = self.rng.random_range(0..near);
+        let a = self.rng.random_range(0..open.len());
+        let b = self.rng.random_range(0..open.len());
         let (id, busy, limit) = if open[a].1 <= open[b].1 {
             open[a]
         } else {
@@ -272,17 +253,6 @@
         })
     }
 
-    /// Returns how many targets online work needs now.
-    fn wanted(&mut self, now: Instant) -> usize {
-        if self.cfg.gather_percent == 0 {
-            return usize::MAX;
-        }
-        let own: u32 = self.targets.values().map(|t| t.own).sum();
-        let streams = self.demand.update(f64::from(own + 1), now);
-        let room = f64::from(self.cfg.streams_max * self.cfg.gather_percent) / 100.0;
-        (streams / room).ceil() as usize
-    }
-
     /// Notes that a request goes to a target.
     pub fn begin(&mut self, id: &str) {
         if let Some(target) = self.targets.get_mut(id) {
@@ -330,37 +300,6 @@
     }
 }
 
-/// Online streams of the whole fleet, as one host knows them.
-#[derive(Clone, Copy, Debug, Default)]
-struct Demand {
-    /// What hosts told last, together.
-    fleet: f64,
-    /// The number of hosts.
-    hosts: f64,
-    /// What this host carries, on average.
-    own_mean: f64,
-    at: Option<Instant>,
-}
-
-impl Demand {
-    /// Takes in what this host carries and returns the demand to plan for.
-    ///
-    /// What hosts told is late. A burst shows first in what this host carries
-    /// itself: the balancer spreads requests evenly, so what is far above this
-    /// host's mean is taken to happen at the others too.
-    fn update(&mut self, own: f64, now: Instant) -> f64 {
-        let at = self.at.replace(now).unwrap_or(now);
-        let passed = now.saturating_duration_since(at).as_secs_f64();
-        let keep = (-passed / DEMAND_MEMORY.as_secs_f64()).exp();
-        self.own_mean = self.own_mean * keep + own * (1.0 - keep);
-        let usual = self.own_mean + BURST_DEVIATIONS * self.own_mean.sqrt() + 1.0;
-        if own > usual {
-            return self.fleet.max(own * self.hosts);
-        }
-        self.fleet + 1.0
-    }
-}
-
 impl Target {
     fn is_open(&self, now: Instant) -> bool {
         let ejected = self.ejected_until.is_some_and(|until| now < until);
--- a/crates/standins/examples/policy.rs
+++ b/crates/standins/examples/policy.rs
@@ -41,13 +41,6 @@
         ("online alone", Policy::OnlineAlone),
         ("batch alone", Policy::BatchAlone),
         ("direct", Policy::Direct(direct)),
-        ("direct r1", Policy::Direct(small(100))),
-        ("gather 50/100", Policy::Gathered(small(100), 50)),
-        ("gather 50/75", Policy::Gathered(small(75), 50)),
-        ("gather 50/50", Policy::Gathered(small(50), 50)),
-        ("gather 50/0", Policy::Gathered(small(0), 50)),
-        ("gather 70/75", Policy::Gathered(small(75), 70)),
-        ("gather 70/50", Policy::Gathered(small(50), 70)),
         ("through holder", Policy::ThroughHolder(direct)),
         ("split 1/2", Policy::Split(usize::MAX)),
         ("none", Policy::None),
@@ -113,14 +106,6 @@
     }
 }
 
-fn small(percent: u32) -> slots::Config {
-    slots::Config {
-        reserve_max: 1,
-        shared_percent: percent,
-        ..slots::Config::default()
-    }
-}
-
 #[derive(Clone, Copy)]
 struct Row {
     first: (f64, f64),
--- a/crates/standins/src/lab.rs
+++ b/crates/standins/src/lab.rs
@@ -33,8 +33,6 @@
 /// Distinct prompts of batch items: a lot repeats its instructions.
 const BATCH_PREFIXES: u64 = 6;
 const SAMPLE_US: u64 = 1_000;
-/// Time between two tellings of what hosts carry.
-const TOLD_US: u64 = 500_000;
 
 /// A fleet and its load.
 #[derive(Clone, Copy, Debug)]
@@ -70,8 +68,6 @@
     BatchAlone,
     /// Online goes straight to targets; the holder fills what it leaves.
     Direct(slots::Config),
-    /// As direct, with online work gathered on as many targets as it needs.
-    Gathered(slots::Config, u32),
     /// All work to a target goes through its holder.
     ThroughHolder(slots::Config),
     /// So many targets are for batch work alone, the others for online.
@@ -184,20 +180,9 @@
     fn new(shape: Shape, policy: Policy, seed: u64) -> Self {
         let base = Instant::now();
         let cfg = match policy {
-            Policy::Direct(c)
-            | Policy::Gathered(c, _)
-            | Policy::ThroughHolder(c)
-            | Policy::Tokens(c) => c,
+            Policy::Direct(c) | Policy::ThroughHolder(c) | Policy::Tokens(c) => c,
             _ => slots::Config::default(),
         };
-        let gather_percent = match policy {
-            Policy::Gathered(_, percent) => percent,
-            _ => 0,
-        };
-        let routing = table::Config {
-            gather_percent,
-            ..table::Config::default()
-        };
         let target = |_| Target {
             model: Model::new(model::Config::default()),
             stepping: false,
@@ -215,7 +200,7 @@
             next_id: 1,
             rng: ChaCha8Rng::seed_from_u64(seed),
             tables: (0..shape.hosts as u64)
-                .map(|h| Table::new(routing, seed ^ h))
+                .map(|h| Table::new(table::Config::default(), seed ^ h))
                 .collect(),
             targets: (0..shape.targets).map(target).collect(),
             streams: HashMap::new(),
@@ -367,7 +352,7 @@
         slots.online(&host.to_string(), streams, now);
         let counts = matches!(
             self.policy,
-            Policy::Direct(_) | Policy::Gathered(..) | Policy::ThroughHolder(_) | Policy::Tokens(_)
+            Policy::Direct(_) | Policy::ThroughHolder(_) | Policy::Tokens(_)
         );
         if counts {
             let limit = self.limit(target);
@@ -549,16 +534,6 @@
 
     fn sample(&mut self) {
         self.at(self.now_us + SAMPLE_US, Event::Sample);
-        if self.now_us.is_multiple_of(TOLD_US) {
-            let own = |t: &Table| {
-                (0..self.shape.targets)
-                    .map(|i| t.own(&name(i)))
-                    .sum::<u32>()
-            };
-            let all: u32 = self.tables.iter().map(own).sum();
-            let hosts = u32::try_from(self.shape.hosts).unwrap_or(u32::MAX);
-            self.tables.iter_mut().for_each(|t| t.set_fleet(all, hosts));
-        }
         let online = self.streams.values().filter(|s| s.online).count();
         let batch = self.streams.len() - online;
         let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
