Let hosts that take a bundle from a peer agree with those that read the log

Cause: a property test found that a host which took a bundle from a peer, and read the log's older records after it, could accept a proposal on a base that was not in force yet when it was written; the host then put another bundle in force than all others. Change: a bundle in force carries the offset of its sign-off, and records up to there change nothing any more. Ruled out: forbidding copies from peers, which hosts cut off from the log need.

--- a/crates/config/src/bundle.rs
+++ b/crates/config/src/bundle.rs
@@ -27,6 +27,7 @@
 use crate::ServingName;
 use crate::TenantId;
 use crate::error;
+use crate::json;
 
 /// The greatest number of replicas of one serving.
 pub const REPLICAS_MAX: u32 = 10_000;
@@ -210,16 +211,8 @@
 ///
 /// Returns the first fault with the path of the field.
 pub fn parse(text: &[u8]) -> Result<Bundle, error::Bundle> {
-    let mut de = serde_json::Deserializer::from_slice(text);
     let bundle: Bundle =
-        serde_path_to_error::deserialize(&mut de).map_err(|err| error::Bundle::Shape {
-            path: err.path().to_string(),
-            detail: err.inner().to_string(),
-        })?;
-    de.end().map_err(|err| error::Bundle::Shape {
-        path: ".".into(),
-        detail: err.to_string(),
-    })?;
+        json::read(text).map_err(|(path, detail)| error::Bundle::Shape { path, detail })?;
     bundle.check()?;
     Ok(bundle)
 }
--- a/crates/config/src/error.rs
+++ b/crates/config/src/error.rs
@@ -159,6 +159,11 @@
         /// The version named.
         version: Version,
     },
+    /// The record was written before the bundle in force was signed off.
+    Past {
+        /// The version in force.
+        version: Version,
+    },
     /// The bundle in a proposal is not valid.
     Invalid(Bundle),
     /// The record is not one this version of the software knows.
@@ -181,6 +186,12 @@
                 f,
                 "the digest signed off is not that of version {version}: check it again"
             ),
+            Self::Past { version } => {
+                write!(
+                    f,
+                    "older than the sign-off of version {version}, which is in force"
+                )
+            }
             Self::Invalid(err) => write!(f, "invalid bundle: {err}"),
             Self::Unreadable => f.write_str("unreadable record"),
         }
--- a/crates/config/src/history.rs
+++ b/crates/config/src/history.rs
@@ -66,6 +66,8 @@
     Carried {
         /// The version in force.
         version: Version,
+        /// The offset of its sign-off.
+        since: u64,
         /// The content.
         bundle: Box<Bundle>,
     },
@@ -96,6 +98,9 @@
 pub struct InForce {
     /// The offset of its proposal.
     pub version: Version,
+    /// The offset of its sign-off. No record up to there can change what is in
+    /// force any more, whoever reads it how late.
+    pub since: u64,
     /// The digest of its content.
     pub digest: String,
     /// The content.
@@ -104,9 +109,10 @@
 
 impl InForce {
     /// Returns a bundle in force with the digest of its content.
-    pub fn new(version: Version, bundle: Bundle) -> Self {
+    pub fn new(version: Version, since: u64, bundle: Bundle) -> Self {
         Self {
             version,
+            since,
             digest: bundle.digest(),
             bundle: Arc::new(bundle),
         }
@@ -181,21 +187,32 @@
     /// # Errors
     ///
     /// Returns why the record does not count. Every reader refuses the same
-    /// records for the same reasons.
+    /// records, and for the same reasons unless it took a bundle from a peer
+    /// and now reads what led to it.
     pub fn apply(&mut self, offset: u64, record: Record) -> Result<(), Refusal> {
+        if let Some(in_force) = &self.in_force
+            && offset <= in_force.since
+        {
+            let version = in_force.version;
+            return Err(Refusal::Past { version });
+        }
         let (version, author) = match &record {
             Record::Proposal { author, .. } => (offset, author.clone()),
             Record::SignOff {
                 version, author, ..
             } => (*version, author.clone()),
-            Record::Carried { version, bundle } => {
-                self.adopt(InForce::new(*version, (**bundle).clone()));
+            Record::Carried {
+                version,
+                since,
+                bundle,
+            } => {
+                self.adopt(InForce::new(*version, *since, (**bundle).clone()));
                 return Ok(());
             }
         };
         let res = match record {
             Record::Proposal { base, bundle, .. } => self.propose(offset, base, *bundle),
-            Record::SignOff { digest, .. } => self.sign_off(version, &digest),
+            Record::SignOff { digest, .. } => self.sign_off(offset, version, &digest),
             Record::Carried { .. } => Ok(Outcome::Proposed),
         };
         let outcome = match &res {
@@ -231,6 +248,9 @@
         bundle: Bundle,
     ) -> Result<Outcome, Refusal> {
         self.check_base(base)?;
+        if base >= Some(offset) {
+            return Err(self.stale(base));
+        }
         bundle.check().map_err(Refusal::Invalid)?;
         if self.open.len() >= OPEN_MAX {
             self.open.pop_first();
@@ -244,7 +264,12 @@
         Ok(Outcome::Proposed)
     }
 
-    fn sign_off(&mut self, version: Version, digest: &str) -> Result<Outcome, Refusal> {
+    fn sign_off(
+        &mut self,
+        offset: u64,
+        version: Version,
+        digest: &str,
+    ) -> Result<Outcome, Refusal> {
         let open = self
             .open
             .get(&version)
@@ -255,6 +280,7 @@
         self.check_base(open.base)?;
         let in_force = InForce {
             version,
+            since: offset,
             digest: open.digest.clone(),
             bundle: Arc::clone(&open.bundle),
         };
@@ -264,11 +290,15 @@
     }
 
     fn check_base(&self, base: Option<Version>) -> Result<(), Refusal> {
-        let current = self.version();
-        if base == current {
+        if base == self.version() {
             return Ok(());
         }
-        Err(Refusal::StaleBase { base, current })
+        Err(self.stale(base))
+    }
+
+    fn stale(&self, base: Option<Version>) -> Refusal {
+        let current = self.version();
+        Refusal::StaleBase { base, current }
     }
 
     fn remember(&mut self, event: Event) {
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod bundle;
 pub mod error;
 pub mod history;
+mod json;
 pub mod settings;
 
 /// The name of a customer, as the bundle spells it.
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -24,6 +24,7 @@
 use crate::DataCentreId;
 use crate::bundle::is_name;
 use crate::error;
+use crate::json;
 
 /// Settings of one process.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -305,16 +306,8 @@
 ///
 /// Returns the first fault with the path of the field.
 pub fn parse(text: &[u8]) -> Result<Settings, error::Settings> {
-    let mut de = serde_json::Deserializer::from_slice(text);
     let settings: Settings =
-        serde_path_to_error::deserialize(&mut de).map_err(|err| error::Settings::Shape {
-            path: err.path().to_string(),
-            detail: err.inner().to_string(),
-        })?;
-    de.end().map_err(|err| error::Settings::Shape {
-        path: ".".into(),
-        detail: err.to_string(),
-    })?;
+        json::read(text).map_err(|(path, detail)| error::Settings::Shape { path, detail })?;
     check(&settings)?;
     Ok(settings)
 }
--- /dev/null
+++ b/crates/membership/tests/gossip.rs
@@ -0,0 +1,258 @@
+//! Hosts that gossip agree, notice deaths, and believe no old news.
+#![allow(clippy::unwrap_used, reason = "Tests fail by panicking.")]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use notchwharf_membership::fact::Address;
+use notchwharf_membership::fact::Backlog;
+use notchwharf_membership::fact::Fact;
+use notchwharf_membership::fact::Health;
+use notchwharf_membership::fact::Holder;
+use notchwharf_membership::fact::Host;
+use notchwharf_membership::fact::Target;
+use notchwharf_membership::gossip::Config;
+use notchwharf_membership::gossip::Gossip;
+use notchwharf_membership::gossip::Input;
+use proptest::prelude::*;
+use rstest::rstest;
+
+const STEP: Duration = Duration::from_millis(20);
+
+/// Hosts that exchange datagrams at once, with some lost.
+struct Net {
+    now: Instant,
+    hosts: Vec<Option<Gossip>>,
+    lose_every: usize,
+    sent: usize,
+}
+
+fn addr(index: usize) -> SocketAddr {
+    ([127, 0, 0, 1], u16::try_from(index + 1).unwrap()).into()
+}
+
+fn host(index: usize, incarnation: u64, now: Instant) -> Gossip {
+    let address = Address {
+        gossip: addr(index),
+        peer_url: String::new(),
+        data_centre: "dc".into(),
+    };
+    let cfg = Config::new(&format!("a{index}"));
+    Gossip::new(cfg, incarnation, address, index as u64, now)
+}
+
+impl Net {
+    fn new(count: usize, lose_every: usize) -> Self {
+        let now = Instant::now();
+        let mut net = Self {
+            now,
+            hosts: (0..count).map(|i| Some(host(i, 1, now))).collect(),
+            lose_every,
+            sent: 0,
+        };
+        // The list tells each host of one other; gossip must do the rest.
+        for i in 0..count {
+            let other = net.hosts[(i + 1) % count].as_ref().unwrap().me();
+            net.feed(i, Input::Heard(other));
+        }
+        net
+    }
+
+    fn feed(&mut self, index: usize, input: Input) {
+        let mut queue = vec![(index, input)];
+        while let Some((index, input)) = queue.pop() {
+            let Some(gossip) = self.hosts[index].as_mut() else {
+                continue;
+            };
+            for (to, bytes) in gossip.step(self.now, input).sends {
+                self.sent += 1;
+                let lost = self.lose_every > 0 && self.sent.is_multiple_of(self.lose_every);
+                if !lost {
+                    let to = usize::from(to.port()) - 1;
+                    queue.push((to, Input::Datagram(bytes)));
+                }
+            }
+        }
+    }
+
+    fn run(&mut self, time: Duration) {
+        let until = self.now + time;
+        while self.now < until {
+            self.now += STEP;
+            for i in 0..self.hosts.len() {
+                self.feed(i, Input::Tick);
+            }
+        }
+    }
+
+    fn health(&self, at: usize, of: usize) -> Option<Health> {
+        let gossip = self.hosts[at].as_ref()?;
+        let name = format!("a{of}");
+        let found = gossip.hosts().find(|(id, _)| **id == name);
+        found.map(|(_, host)| host.health)
+    }
+
+    fn all_see(&self, of: usize, health: Health) -> bool {
+        let alive = (0..self.hosts.len()).filter(|i| self.hosts[*i].is_some() && *i != of);
+        alive
+            .into_iter()
+            .all(|at| self.health(at, of) == Some(health))
+    }
+}
+
+#[rstest]
+#[case::no_loss(0)]
+#[case::one_in_five_lost(5)]
+fn all_hosts_come_to_know_all_and_call_no_live_host_dead(#[case] lose_every: usize) {
+    let mut net = Net::new(12, lose_every);
+    net.run(Duration::from_secs(30));
+    for of in 0..12 {
+        for at in 0..12 {
+            assert_ne!(net.health(at, of), None, "a{at} knows a{of}");
+            assert_ne!(net.health(at, of), Some(Health::Down), "a{at} on a{of}");
+        }
+    }
+}
+
+#[rstest]
+fn a_dead_host_is_noticed_and_a_restarted_one_believed() {
+    let mut net = Net::new(9, 0);
+    net.run(Duration::from_secs(5));
+    net.hosts[3] = None;
+    net.run(Duration::from_secs(20));
+    assert!(net.all_see(3, Health::Down));
+    net.hosts[3] = Some(host(3, 2, net.now));
+    let other = net.hosts[0].as_ref().unwrap().me();
+    net.feed(3, Input::Heard(other));
+    net.run(Duration::from_secs(5));
+    assert!(net.all_see(3, Health::Alive));
+}
+
+#[rstest]
+fn news_reaches_all_hosts_long_before_the_next_probes() {
+    let mut net = Net::new(12, 0);
+    net.run(Duration::from_secs(10));
+    net.feed(0, Input::Heard(Fact::Bundle(7)));
+    net.run(Duration::from_millis(500));
+    for at in 0..12 {
+        let gossip = net.hosts[at].as_ref().unwrap();
+        let known = gossip.get(&notchwharf_membership::fact::Key::Bundle);
+        assert_eq!(known, Some(&Fact::Bundle(7)), "a{at}");
+    }
+}
+
+#[rstest]
+fn a_host_that_leaves_is_not_brought_back_by_stale_news() {
+    let mut net = Net::new(5, 0);
+    net.run(Duration::from_secs(3));
+    let stale = net.hosts[2].as_ref().unwrap().me();
+    net.feed(2, Input::Leave);
+    net.run(Duration::from_secs(1));
+    net.feed(0, Input::Heard(stale));
+    net.run(Duration::from_secs(1));
+    for at in 0..5 {
+        let gossip = net.hosts[at].as_ref().unwrap();
+        let (_, host) = gossip.hosts().find(|(id, _)| **id == "a2").unwrap();
+        assert!(host.leaving, "a{at}");
+    }
+}
+
+#[rstest]
+fn quiet_hosts_tell_little() {
+    let mut net = Net::new(12, 0);
+    net.run(Duration::from_secs(30));
+    net.sent = 0;
+    net.run(Duration::from_secs(10));
+    // A probe and its answer a second for each host, and nothing else.
+    assert!(net.sent <= 12 * 10 * 2 + 24, "{} datagrams", net.sent);
+}
+
+fn any_fact() -> impl Strategy<Value = Fact> {
+    let health = prop_oneof![
+        Just(Health::Alive),
+        Just(Health::Suspect),
+        Just(Health::Down)
+    ];
+    let host = (0..3_u64, any::<bool>(), 0..3_u32, health);
+    let target = (0..3_u64, any::<bool>(), 0..3_u64, "[xy]");
+    prop_oneof![
+        host.prop_map(|(incarnation, leaving, beat, health)| {
+            let host = Host {
+                incarnation,
+                leaving,
+                beat,
+                health,
+                addr: None,
+            };
+            Fact::Host("h".into(), host)
+        }),
+        target.prop_map(|(incarnation, leaving, epoch, held)| {
+            // One reporter writes one thing under one order.
+            let holds = vec![format!("{held}{epoch}").replace('y', "x")];
+            let target = Target {
+                incarnation,
+                leaving,
+                order: (epoch, 0),
+                holds,
+                ..Target::default()
+            };
+            Fact::Target("t".into(), target)
+        }),
+        (0..4_u64).prop_map(|epoch| Fact::Shard(
+            1,
+            Holder {
+                epoch,
+                host: format!("h{epoch}")
+            }
+        )),
+        (0..4_u64).prop_map(|seq| Fact::Backlog(
+            "h".into(),
+            Backlog {
+                order: (1, seq),
+                servings: vec![seq.to_string()]
+            }
+        )),
+        (0..9_u64).prop_map(Fact::Bundle),
+    ]
+}
+
+fn merged(facts: &[Fact]) -> Vec<Fact> {
+    let mut known: std::collections::BTreeMap<_, Fact> = std::collections::BTreeMap::new();
+    for fact in facts {
+        let entry = known.entry(fact.key());
+        entry
+            .and_modify(|k| {
+                k.merge(fact);
+            })
+            .or_insert_with(|| fact.clone());
+    }
+    known.into_values().collect()
+}
+
+proptest! {
+    /// Order and repetition do not matter, and a leaving mark stays.
+    #[test]
+    fn merging_is_the_same_in_any_order(
+        facts in proptest::collection::vec(any_fact(), 1..12),
+        seed in any::<u64>(),
+    ) {
+        let once = merged(&facts);
+        let mut shuffled: Vec<Fact> = facts.iter().chain(&facts).cloned().collect();
+        let len = shuffled.len() as u64;
+        for i in (1..shuffled.len()).rev() {
+            let j = (seed.wrapping_mul(i as u64 + 7) >> 7) % len % (i as u64 + 1);
+            shuffled.swap(i, usize::try_from(j).unwrap());
+        }
+        prop_assert_eq!(&merged(&shuffled), &once);
+        let left = facts.iter().filter_map(|f| match f {
+            Fact::Host(_, h) if h.leaving => Some(h.incarnation),
+            _ => None,
+        }).max();
+        for fact in &once {
+            if let (Fact::Host(_, h), Some(left)) = (fact, left) {
+                prop_assert!(h.leaving || h.incarnation > left);
+            }
+        }
+    }
+}
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -13,7 +13,8 @@
 //! let serving = |name: &str| Serving {
 //!     name: name.into(), model: name.into(), adapter: None, version: "1".into(), replicas: 1,
 //! };
-//! let plan = plan(&[serving("a"), serving("b")], &["t1", "t2"]);
+//! let servings = [serving("a"), serving("b")];
+//! let plan = plan(&servings, &["t1", "t2"]);
 //! assert_eq!(plan.len(), 2);
 //! assert!(plan.values().all(|servings| servings.len() == 1));
 //! ```
--- a/crates/proto/src/peer.rs
+++ b/crates/proto/src/peer.rs
@@ -20,6 +20,8 @@
 pub struct BundleCopy {
     /// The version.
     pub version: u64,
+    /// The offset of its sign-off.
+    pub since: u64,
     /// The content.
     pub bundle: Bundle,
 }
--- a/crates/server/src/bundle.rs
+++ b/crates/server/src/bundle.rs
@@ -39,6 +39,7 @@
 #[derive(Debug)]
 pub(crate) struct Active {
     pub(crate) version: Version,
+    pub(crate) since: u64,
     pub(crate) bundle: Arc<Bundle>,
     by_name: HashMap<TenantId, usize>,
     by_key: HashMap<String, usize>,
@@ -69,6 +70,7 @@
             .collect();
         Self {
             version: in_force.version,
+            since: in_force.since,
             by_name,
             by_key,
             routes,
@@ -154,9 +156,9 @@
     }
 
     /// Takes the bundle in force from a peer, if it is newer.
-    pub(crate) fn adopt(&self, ctx: &Context, version: Version, bundle: Bundle) {
+    pub(crate) fn adopt(&self, ctx: &Context, in_force: InForce) {
         let mut history = lock(&self.history);
-        if history.adopt(InForce::new(version, bundle)) {
+        if history.adopt(in_force) {
             put_in_force(ctx, &history);
         }
     }
--- a/crates/server/src/members.rs
+++ b/crates/server/src/members.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use notchwharf_config::history::InForce;
 use notchwharf_config::settings::ms;
 use notchwharf_membership::fact;
 use notchwharf_membership::fact::Address as HostAddress;
@@ -185,7 +186,8 @@
             continue;
         };
         if let Ok(Some(copy)) = client.bundle().await {
-            feed.adopt(shared, copy.version, copy.bundle);
+            let in_force = InForce::new(copy.version, copy.since, copy.bundle);
+            feed.adopt(shared, in_force);
         }
     }
 }
--- a/crates/server/src/peers.rs
+++ b/crates/server/src/peers.rs
@@ -47,6 +47,7 @@
         let active = self.ctx.active();
         Ok(active.map(|active| BundleCopy {
             version: active.version,
+            since: active.since,
             bundle: (*active.bundle).clone(),
         }))
     }
--- a/crates/standins/examples/policy.rs
+++ b/crates/standins/examples/policy.rs
@@ -37,10 +37,19 @@
 
 fn main() {
     let direct = slots::Config::default();
+    let small = slots::Config {
+        reserve_max: 1,
+        ..direct
+    };
     let policies = [
         ("online alone", Policy::OnlineAlone),
         ("batch alone", Policy::BatchAlone),
-        ("direct", Policy::Direct(direct)),
+        ("direct 32", Policy::Direct(direct, 32)),
+        ("direct 24", Policy::Direct(direct, 24)),
+        ("direct 20", Policy::Direct(direct, 20)),
+        ("direct 16", Policy::Direct(direct, 16)),
+        ("reserve of 1", Policy::Direct(small, 32)),
+        ("reserve of 1, 24", Policy::Direct(small, 24)),
         ("through holder", Policy::ThroughHolder(direct)),
         ("split 1/2", Policy::Split(usize::MAX)),
         ("none", Policy::None),
@@ -49,7 +58,7 @@
     for shape in [SCHOOL, PERMITS] {
         println!("\n{}: medians of {} runs", shape.name, SEEDS.len());
         println!(
-            "{:15} {:>9} {:>9} {:>9} {:>9} {:>7} {:>7} {:>9} {:>9} {:>6} {:>8} {:>8}",
+            "{:16} {:>9} {:>9} {:>9} {:>9} {:>7} {:>7} {:>9} {:>9} {:>6} {:>8} {:>8}",
             "policy",
             "ft p50",
             "ft p99",
@@ -79,7 +88,7 @@
             let ratio = |a: f64, b: f64| if b > 0.0 { a / b } else { 0.0 };
             let all = ratio(row.batch, batch_alone);
             println!(
-                "{label:15} {:9.2} {:9.2} {:9.2} {:9.2} {:6.1}% {:6.1}% {:9.0} {:9.0} {:5.1}% {:6.1}ms {:6.0}ms",
+                "{label:16} {:9.2} {:9.2} {:9.2} {:9.2} {:6.1}% {:6.1}% {:9.0} {:9.0} {:5.1}% {:6.1}ms {:6.0}ms",
                 ratio(row.first.0, base.first.0),
                 ratio(row.first.1, base.first.1),
                 ratio(row.inter.0, base.inter.0),
--- a/crates/standins/src/lab.rs
+++ b/crates/standins/src/lab.rs
@@ -66,8 +66,9 @@
     OnlineAlone,
     /// There is no online work.
     BatchAlone,
-    /// Online goes straight to targets; the holder fills what it leaves.
-    Direct(slots::Config),
+    /// Online goes straight to targets; the holder fills what it leaves of so
+    /// many streams.
+    Direct(slots::Config, u32),
     /// All work to a target goes through its holder.
     ThroughHolder(slots::Config),
     /// So many targets are for batch work alone, the others for online.
@@ -180,9 +181,17 @@
     fn new(shape: Shape, policy: Policy, seed: u64) -> Self {
         let base = Instant::now();
         let cfg = match policy {
-            Policy::Direct(c) | Policy::ThroughHolder(c) | Policy::Tokens(c) => c,
+            Policy::Direct(c, _) | Policy::ThroughHolder(c) | Policy::Tokens(c) => c,
             _ => slots::Config::default(),
         };
+        let streams_max = match policy {
+            Policy::Direct(_, max) => max,
+            _ => table::Config::default().streams_max,
+        };
+        let routing = table::Config {
+            streams_max,
+            ..table::Config::default()
+        };
         let target = |_| Target {
             model: Model::new(model::Config::default()),
             stepping: false,
@@ -200,7 +209,7 @@
             next_id: 1,
             rng: ChaCha8Rng::seed_from_u64(seed),
             tables: (0..shape.hosts as u64)
-                .map(|h| Table::new(table::Config::default(), seed ^ h))
+                .map(|h| Table::new(routing, seed ^ h))
                 .collect(),
             targets: (0..shape.targets).map(target).collect(),
             streams: HashMap::new(),
@@ -352,7 +361,7 @@
         slots.online(&host.to_string(), streams, now);
         let counts = matches!(
             self.policy,
-            Policy::Direct(_) | Policy::ThroughHolder(_) | Policy::Tokens(_)
+            Policy::Direct(..) | Policy::ThroughHolder(_) | Policy::Tokens(_)
         );
         if counts {
             let limit = self.limit(target);
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -25,11 +25,13 @@
     pub streams_max: usize,
 }
 
+/// Defaults follow the size to design for: 2.2 million tokens a second from
+/// 1,400 runners at 26 ms between tokens is 41 streams a runner.
 impl Default for Config {
     fn default() -> Self {
         Self {
-            step_base: Duration::from_millis(6),
-            step_per_stream: Duration::from_micros(600),
+            step_base: Duration::from_millis(16),
+            step_per_stream: Duration::from_micros(200),
             prefill_per_token: Duration::from_micros(40),
             memory_tokens: 120_000,
             streams_max: 256,
