--- a/crates/server/src/bundle.rs
+++ b/crates/server/src/bundle.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
+use std::time::Instant;
 
 use notchwharf_config::TenantId;
 use notchwharf_config::Version;
@@ -19,6 +20,8 @@
 use notchwharf_config::history::History;
 use notchwharf_config::history::InForce;
 use notchwharf_config::history::Record;
+use notchwharf_config::settings::ms;
+use notchwharf_ledger::record::ShardId;
 use notchwharf_membership::fact::Fact;
 use notchwharf_platform::error::Read;
 use notchwharf_platform::target::Held;
@@ -34,6 +37,9 @@
 pub(crate) const STREAM: &str = "bundle";
 const PAGE_RECORDS: u32 = 100;
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
+const CARRY_PERIOD: Duration = Duration::from_millis(250);
+/// The shard whose holder repeats the bundle in force.
+const CARRIER: ShardId = 0;
 
 /// The bundle in force, indexed for routing.
 #[derive(Debug)]
@@ -124,6 +130,8 @@
 pub(crate) struct Feed {
     history: Mutex<History>,
     folded: watch::Sender<u64>,
+    /// When the log was last seen to hold the bundle in force.
+    renewed: Mutex<Option<Instant>>,
 }
 
 impl Feed {
@@ -132,8 +140,10 @@
         let feed = Arc::new(Self {
             history: Mutex::default(),
             folded: watch::Sender::new(0),
+            renewed: Mutex::default(),
         });
         tokio::spawn(follow(Arc::clone(ctx), Arc::clone(&feed)));
+        tokio::spawn(carry(Arc::clone(ctx), Arc::clone(&feed)));
         feed
     }
 
@@ -167,8 +177,13 @@
         let mut history = lock(&self.history);
         let before = history.version();
         let record = serde_json::from_slice::<Record>(bytes);
+        let is_carried = matches!(record, Ok(Record::Carried { .. }));
         // What came of the record is kept with the history's events.
         let _ = record.map(|record| history.apply(offset, record));
+        let carried = is_carried && history.version().is_some();
+        if history.version() != before || carried {
+            *lock(&self.renewed) = Some(Instant::now());
+        }
         if history.version() != before {
             put_in_force(ctx, &history);
         }
@@ -214,3 +229,33 @@
         }
     }
 }
+
+/// Repeats the bundle in force before the log drops it.
+///
+/// The holder of one shard does it, so that usually one host does. A host that
+/// has just taken that shard cannot know how old the records are and repeats
+/// the bundle at once: one record too many for each change of holder.
+async fn carry(ctx: Arc<Context>, feed: Arc<Feed>) {
+    let ledger = &ctx.settings.ledger;
+    let after = ms(ledger.retention_ms - ledger.carry_margin_ms);
+    let mut ticks = ctx.timer.subscribe(CARRY_PERIOD);
+    while ticks.recv().await.is_some() && ctx.phase() != Phase::Stopped {
+        let renewed = *lock(&feed.renewed);
+        let fresh = renewed.is_some_and(|at| at.elapsed() < after);
+        if fresh || !ctx.held_shards().contains(&CARRIER) {
+            continue;
+        }
+        let Some(active) = ctx.active() else {
+            continue;
+        };
+        let record = Record::Carried {
+            version: active.version,
+            since: active.since,
+            bundle: Box::new((*active.bundle).clone()),
+        };
+        let bytes = serde_json::to_vec(&record).unwrap_or_default();
+        if ctx.log.append(STREAM, bytes).await.is_ok() {
+            *lock(&feed.renewed) = Some(Instant::now());
+        }
+    }
+}
