Show that a call without a key is not repeated on another target

Cause: with one target of the service the test passed with the check switched off, since the target that broke was passed over anyway. Change: two targets; the test now fails with the check off and passes with it.

--- a/crates/server/tests/services.rs
+++ b/crates/server/tests/services.rs
@@ -45,7 +45,7 @@
 }
 
 fn filings(fleet: &Fleet) -> usize {
-    let taken = fleet.service.taken();
+    let taken = fleet.taken();
     taken.iter().filter(|t| t.path == "/permits").count()
 }
 
@@ -71,7 +71,7 @@
 #[tokio::test]
 async fn a_lost_answer_is_unknown_and_the_call_not_repeated(#[case] key: Option<&str>) {
     let fleet = ready().await;
-    fleet.service.lose_answers(1);
+    fleet.services.iter().for_each(|s| s.lose_answers(1));
     let lost = call(&fleet, "a1", Method::POST, key, "permit").await;
     assert_eq!(lost.status, 502);
     assert_eq!(lost.json()["error"]["outcome"], "unknown");
@@ -86,15 +86,15 @@
 #[tokio::test]
 async fn an_idempotent_call_is_repeated() {
     let fleet = ready().await;
-    fleet.service.lose_answers(1);
+    fleet.services.iter().for_each(|s| s.lose_answers(1));
     let seen = call(&fleet, "a1", Method::PUT, None, "permit").await;
-    // The only target is passed over for a while after it broke, so the
-    // second try may find none; then nobody claims to know the outcome.
-    if seen.status == 201 {
-        assert_eq!(filings(&fleet), 2);
-    } else {
-        assert_eq!(seen.json()["error"]["outcome"], "unknown");
-    }
+    // Both targets lose an answer and are passed over for a while, and then
+    // nobody claims to know the outcome.
+    assert_eq!(seen.json()["error"]["outcome"], "unknown");
+    assert_eq!(filings(&fleet), 2);
+    fleet
+        .until(|fleet| async { call(fleet, "a1", Method::PUT, None, "p").await.status == 201 })
+        .await;
 }
 
 #[tokio::test]
--- a/crates/standins/examples/demo.rs
+++ b/crates/standins/examples/demo.rs
@@ -56,10 +56,7 @@
             seen.status, seen.replayed
         ));
     }
-    said(format!(
-        "the service ran it {} time",
-        fleet.service.taken().len()
-    ));
+    said(format!("the service ran it {} time", fleet.taken().len()));
 
     let lot = fleet::lot("note", ITEMS, 16);
     let job = fleet.submit("a1", SCHOOL_KEY, &lot).await;
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -28,11 +28,13 @@
 use crate::platform;
 use crate::platform::Platform;
 use crate::service::Service;
+use crate::service::Taken;
 
 /// The API key of the school in [`bundle`].
 pub const SCHOOL_KEY: &str = "school-key";
 /// The API key of the permit office in [`bundle`].
 pub const PERMITS_KEY: &str = "permits-key";
+const SERVICES: usize = 2;
 const WAIT_MAX: Duration = Duration::from_secs(60);
 const POLL: Duration = Duration::from_millis(20);
 
@@ -76,8 +78,8 @@
     pub platform: Platform,
     /// The engines, by name.
     pub engines: BTreeMap<String, Engine>,
-    /// A plain service named `filing`.
-    pub service: Service,
+    /// The targets of a plain service named `filing`.
+    pub services: Vec<Service>,
     /// The hosts that run, by name.
     pub hosts: BTreeMap<String, Server>,
     cfg: Config,
@@ -114,16 +116,19 @@
         let platform = Platform::start(cfg.platform.clone()).await;
         let platform = platform.expect("The platform starts.");
         let listen = ([127, 0, 0, 1], 0).into();
-        let service = Service::start(listen).await.expect("The service starts.");
+        let mut services = Vec::new();
+        for _ in 0..SERVICES {
+            services.push(Service::start(listen).await.expect("The service starts."));
+        }
         let mut fleet = Self {
             platform,
             engines: BTreeMap::new(),
-            service,
+            services,
             hosts: BTreeMap::new(),
             client: Client::new(WAIT_MAX),
             cfg,
         };
-        fleet.list_service();
+        fleet.list_services();
         for i in 1..=fleet.cfg.engines {
             fleet.start_engine(&format!("t{i}")).await;
         }
@@ -445,17 +450,24 @@
         holding.count() == self.engines.len()
     }
 
-    fn list_service(&self) {
-        self.platform.list(Listed {
-            name: "s1".into(),
-            data_centre: "dc1".into(),
-            incarnation: 1,
-            leaving: false,
-            kind: Kind::Service {
-                url: self.service.url(),
-                service: "filing".into(),
-            },
-        });
+    /// Returns the calls that took effect at any target of the service.
+    pub fn taken(&self) -> Vec<Taken> {
+        self.services.iter().flat_map(Service::taken).collect()
+    }
+
+    fn list_services(&self) {
+        for (i, service) in self.services.iter().enumerate() {
+            self.platform.list(Listed {
+                name: format!("s{}", i + 1),
+                data_centre: "dc1".into(),
+                incarnation: 1,
+                leaving: false,
+                kind: Kind::Service {
+                    url: service.url(),
+                    service: "filing".into(),
+                },
+            });
+        }
     }
 
     fn data_centre(&self, name: &str) -> String {
