--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -105,7 +105,8 @@
     let hosts = json(&run(&admin, &["hosts", "--json"]).await);
     assert_eq!(hosts["hosts"].as_array().unwrap().len(), 3);
     let targets = json(&run(&admin, &["targets", "--json"]).await);
-    assert_eq!(targets["targets"].as_array().unwrap().len(), 5);
+    // Four engines and the two targets of a plain service.
+    assert_eq!(targets["targets"].as_array().unwrap().len(), 6);
     let jobs = String::from_utf8(run(&admin, &["jobs"]).await.stdout).unwrap();
     assert!(jobs.contains(&job), "{jobs}");
     let cancelled = run(&admin, &["cancel", &job]).await;
--- a/crates/server/src/api/chat.rs
+++ b/crates/server/src/api/chat.rs
@@ -1,6 +1,5 @@
 //! Chat completions, plain and streamed.
 
-use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -14,18 +13,13 @@
 use hyper::Request;
 use hyper::StatusCode;
 use hyper::body::Incoming;
-use hyper::header::CONTENT_TYPE;
-use hyper::header::HeaderValue;
 use notchwharf_config::bundle::Class;
 use notchwharf_proto::peer::Callee;
 use notchwharf_proto::peer::KeyedCall;
 use notchwharf_routing::table::Refusal;
-use serde::Serialize;
 use serde_json::Map;
 use serde_json::Value;
 use serde_json::json;
-use sse_stream::Sse;
-use sse_stream::SseBody;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use xxhash_rust::xxh3::xxh3_64;
@@ -34,10 +28,13 @@
 use super::auth;
 use super::auth::Caller;
 use super::body;
-use super::body::Body;
 use super::body::Response;
 use super::error::Problem;
 use super::services;
+use super::sse::Teller;
+use super::sse::Telling;
+use super::sse::ended_stream;
+use super::sse::sse;
 use crate::context::Context;
 use crate::context::Gauge;
 use crate::context::lock;
@@ -51,7 +48,6 @@
 const TIMEOUT_HEADER: &str = "x-timeout-ms";
 /// Bytes of the first message that decide which prompts are alike.
 const PREFIX_BYTES: usize = 512;
-const DONE: &str = "[DONE]";
 
 /// A request that the host carries; it ends when this is dropped.
 struct Admitted {
@@ -228,157 +224,6 @@
     Ok(sse(stream::unfold(state, |state| state.next())))
 }
 
-/// A piece of a streamed answer as callers know it.
-#[derive(Serialize)]
-struct Chunk<'a> {
-    id: &'a str,
-    object: &'static str,
-    created: u64,
-    model: &'a str,
-    choices: [Choice<'a>; 1],
-}
-
-#[derive(Serialize)]
-struct Choice<'a> {
-    index: u32,
-    delta: Delta<'a>,
-    finish_reason: Option<&'a str>,
-}
-
-#[derive(Serialize)]
-struct Delta<'a> {
-    #[serde(skip_serializing_if = "Option::is_none")]
-    role: Option<&'static str>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    content: Option<&'a str>,
-}
-
-struct Teller {
-    id: String,
-    serving: String,
-    created: u64,
-}
-
-impl Teller {
-    fn chunk(&self, content: Option<&str>, finish: Option<&str>) -> Sse {
-        let delta = Delta {
-            role: content.map(|_| "assistant"),
-            content,
-        };
-        let chunk = Chunk {
-            id: &self.id,
-            object: "chat.completion.chunk",
-            created: self.created,
-            model: &self.serving,
-            choices: [Choice {
-                index: 0,
-                delta,
-                finish_reason: finish,
-            }],
-        };
-        let text = serde_json::to_string(&chunk).unwrap_or_default();
-        Sse::default().data(text)
-    }
-}
-
-type Told = Result<Sse, io::Error>;
-
-/// A streamed answer on its way to the caller.
-enum Telling {
-    Pieces {
-        first: Option<String>,
-        pieces: mpsc::UnboundedReceiver<String>,
-        end: oneshot::Receiver<Result<Progress, Failure>>,
-        teller: Teller,
-    },
-    Done,
-    Cut,
-    Over,
-}
-
-impl Telling {
-    async fn next(self) -> Option<(Told, Self)> {
-        match self {
-            Self::Pieces {
-                first,
-                mut pieces,
-                end,
-                teller,
-            } => {
-                let piece = match first {
-                    Some(piece) => Some(piece),
-                    None => pieces.recv().await,
-                };
-                if let Some(text) = piece {
-                    let told = Ok(teller.chunk(Some(&text), None));
-                    let next = Self::Pieces {
-                        first: None,
-                        pieces,
-                        end,
-                        teller,
-                    };
-                    return Some((told, next));
-                }
-                Some(Self::finish(end.await, &teller))
-            }
-            Self::Done => Some((Ok(Sse::default().data(DONE)), Self::Over)),
-            // A stream that is not whole must not look whole: no end mark, and
-            // the connection is cut after the error was told.
-            Self::Cut => Some((Err(io::ErrorKind::ConnectionAborted.into()), Self::Over)),
-            Self::Over => None,
-        }
-    }
-
-    fn finish(
-        end: Result<Result<Progress, Failure>, oneshot::error::RecvError>,
-        teller: &Teller,
-    ) -> (Told, Self) {
-        match end {
-            Ok(Ok(progress)) => {
-                let finish = progress.finish_reason.as_deref();
-                (Ok(teller.chunk(None, finish)), Self::Done)
-            }
-            Ok(Err(failure)) => {
-                let body = problem(failure).body();
-                (Ok(Sse::default().data(body.to_string())), Self::Cut)
-            }
-            Err(_) => {
-                let body = Problem::Broken.body();
-                (Ok(Sse::default().data(body.to_string())), Self::Cut)
-            }
-        }
-    }
-}
-
-fn ended_stream(
-    id: String,
-    serving: String,
-    progress: Progress,
-) -> impl futures_util::Stream<Item = Told> + Send {
-    let teller = Teller {
-        id,
-        serving,
-        created: unix_ms() / 1_000,
-    };
-    let finish = progress.finish_reason.as_deref();
-    stream::iter([
-        Ok(teller.chunk(Some(&progress.text), None)),
-        Ok(teller.chunk(None, finish)),
-        Ok(Sse::default().data(DONE)),
-    ])
-}
-
-fn sse(events: impl futures_util::Stream<Item = Told> + Send + 'static) -> Response {
-    let body: Body = SseBody::new(events)
-        .map_err(|_| io::ErrorKind::ConnectionAborted.into())
-        .boxed_unsync();
-    let mut resp = Response::new(body);
-    let headers = resp.headers_mut();
-    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
-    headers.insert("cache-control", HeaderValue::from_static("no-cache"));
-    resp
-}
-
 /// Turns a kept whole answer into a stream of one piece.
 async fn one_piece(answer: Response, serving: &str) -> Answer {
     let text = answer.into_body().collect().await;
--- a/crates/server/src/api/lot.rs
+++ b/crates/server/src/api/lot.rs
@@ -29,7 +29,7 @@
 /// The endpoint that lots are for.
 pub(crate) const ENDPOINT: &str = "/v1/chat/completions";
 const CHUNK_BYTES_MAX: usize = 512 << 10;
-const CHUNK_ITEMS_MAX: usize = 1_000;
+const CHUNK_ITEMS_MAX: usize = 4_000;
 const CUSTOM_ID_BYTES_MAX: usize = 512;
 /// Tries of one append before an upload is given up.
 const WRITE_TRIES: usize = 5;
--- a/crates/server/src/api/mod.rs
+++ b/crates/server/src/api/mod.rs
@@ -10,6 +10,7 @@
 mod listen;
 mod lot;
 mod services;
+mod sse;
 
 use std::sync::Arc;
 
--- a/crates/server/src/dispatch.rs
+++ b/crates/server/src/dispatch.rs
@@ -5,6 +5,9 @@
 //! it batch work: it fills what online work leaves and gives it back the
 //! moment online work comes.
 
+mod orders;
+mod pull;
+
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -12,23 +15,14 @@
 use std::time::Instant;
 
 use notchwharf_config::settings::ms;
-use notchwharf_ledger::owner::Command;
 use notchwharf_ledger::record::Epoch;
 use notchwharf_ledger::record::TargetId;
 use notchwharf_membership::fact;
 use notchwharf_membership::fact::Fact;
-use notchwharf_placement::plan;
-use notchwharf_placement::reconcile;
-use notchwharf_placement::reconcile::Seen;
-use notchwharf_placement::reconcile::Step;
-use notchwharf_platform::target::Action;
 use notchwharf_platform::target::Held;
-use notchwharf_platform::target::Order;
 use notchwharf_platform::target::Role;
 use notchwharf_platform::target::Status;
 use notchwharf_proto::peer::Handed;
-use notchwharf_proto::peer::PeerClient as _;
-use notchwharf_proto::peer::Take;
 use notchwharf_routing::slots;
 use notchwharf_routing::slots::Slots;
 use notchwharf_routing::slots::StreamId;
@@ -36,7 +30,6 @@
 use xtra::prelude::*;
 use xtra::refcount::Weak;
 
-use crate::bundle::held_of;
 use crate::context::Context as Shared;
 use crate::context::Phase;
 use crate::context::post;
@@ -44,10 +37,8 @@
 use crate::item::End;
 use crate::item::Item;
 use crate::members;
-use crate::metrics::Counted;
 
 const STATUS_PERIOD: Duration = Duration::from_millis(500);
-const PEER_TIMEOUT: Duration = Duration::from_secs(4);
 /// Reports not yet taken by owners above which no more work is pulled.
 const UNSETTLED_MAX: usize = 4_096;
 /// Failed reads of the report after which the target counts as not answering.
@@ -293,7 +284,7 @@
         let shared = Arc::clone(&self.shared);
         let address = ctx.mailbox().address();
         tokio::spawn(async move {
-            let handed = take(&shared, &host, &serving, max).await;
+            let handed = pull::take(&shared, &host, &serving, max).await;
             let lost = deliver(&address, Pulled(serving.clone(), handed)).await;
             if let Err(Pulled(_, handed)) = lost {
                 let items = handed.into_iter().map(|h| Item::new(h, &serving));
@@ -325,80 +316,6 @@
         sources.into_iter().nth(at)
     }
 
-    /// Gives the next order that brings the target to the bundle in force.
-    fn reconcile(&mut self) {
-        let Some(status) = &self.status else {
-            return;
-        };
-        let Some(active) = self.shared.active() else {
-            return;
-        };
-        if Instant::now() < self.orders_from || status.leaving {
-            return;
-        }
-        let mut wanted: Vec<Held> = Vec::new();
-        {
-            let view = self.shared.view();
-            let mut engines: Vec<&str> = view.engines().iter().map(|l| l.name.as_str()).collect();
-            engines.sort_unstable();
-            let plan = plan::plan(&active.bundle.servings, &engines);
-            let mine = plan.get(self.target.as_str()).into_iter().flatten();
-            wanted.extend(mine.map(|s| held_of(s)));
-        }
-        let names = |all: &[Held]| all.iter().map(Held::fingerprint).collect::<Vec<_>>();
-        let seen = Seen {
-            holds: names(&status.holds),
-            loading: names(&status.loading),
-        };
-        let others = |fingerprint: &str| self.others_holding(fingerprint);
-        let step = reconcile::next(&names(&wanted), &seen, others, |f| active.is_in_force(f));
-        let action = match step {
-            None => return,
-            Some(Step::Load(f)) => {
-                let found = wanted.into_iter().find(|h| h.fingerprint() == f);
-                found.map(Action::Load)
-            }
-            Some(Step::Unload(f)) => {
-                let found = status.holds.iter().find(|h| h.fingerprint() == f);
-                found.cloned().map(Action::Unload)
-            }
-        };
-        if let Some(action) = action {
-            self.order(action);
-        }
-    }
-
-    fn others_holding(&self, fingerprint: &str) -> usize {
-        let view = self.shared.view();
-        let holds = |(id, t): &(&String, &fact::Target)| {
-            **id != self.target
-                && !t.leaving
-                && t.answers
-                && t.holds.iter().any(|h| h == fingerprint)
-        };
-        view.targets.iter().filter(holds).count()
-    }
-
-    fn order(&self, action: Action) {
-        let Some(url) = self.shared.target_url(&self.target) else {
-            return;
-        };
-        let order = Order {
-            fence: self.epoch,
-            action,
-        };
-        let shared = Arc::clone(&self.shared);
-        tokio::spawn(async move {
-            let res = shared.targets.order(&url, &order).await;
-            let outcome = if res.is_ok() {
-                "taken"
-            } else {
-                "refused or lost"
-            };
-            shared.metrics.count(Counted::Orders, outcome);
-        });
-    }
-
     /// Tells the fleet what the target reports, on changes.
     fn tell(&mut self) {
         let Some(status) = &self.status else {
@@ -433,46 +350,6 @@
     }
 }
 
-/// Asks a host for items and confirms those that came.
-async fn take(shared: &Arc<Shared>, host: &str, serving: &str, max: u32) -> Vec<Handed> {
-    let asked = Take {
-        serving: serving.to_owned(),
-        max,
-        host: shared.host().clone(),
-        incarnation: shared.incarnation,
-    };
-    let handed = if host == shared.host() {
-        crate::peers::take_here(shared, &asked).await
-    } else {
-        let url = shared.view().peer_url(host);
-        let client = url.and_then(|url| shared.peer_client(&url, PEER_TIMEOUT));
-        match client {
-            Some(client) => client.take(asked).await.unwrap_or_default(),
-            None => Vec::new(),
-        }
-    };
-    confirm(shared, &handed).await;
-    handed
-}
-
-async fn confirm(shared: &Arc<Shared>, handed: &[Handed]) {
-    let mut by_shard: HashMap<u32, Vec<_>> = HashMap::new();
-    for one in handed {
-        let key = (one.work.job.clone(), one.work.item);
-        by_shard.entry(one.shard).or_default().push(key);
-    }
-    for (shard, items) in by_shard {
-        let running = Command::Running {
-            items,
-            host: shared.host().clone(),
-            incarnation: shared.incarnation,
-        };
-        // Unconfirmed, they are handed out again: a second run, no second
-        // result.
-        let _ = crate::ledger::ask(shared, shard, running).await;
-    }
-}
-
 /// Sends an actor a message; gives it back if the actor has stopped.
 async fn deliver<M>(address: &Address<Dispatcher, Weak>, message: M) -> Result<(), M>
 where
@@ -501,7 +378,7 @@
             .cloned()
             .collect();
         let shared = Arc::clone(&self.shared);
-        tokio::spawn(async move { confirm(&shared, &handed).await });
+        tokio::spawn(async move { pull::confirm(&shared, &handed).await });
     }
 }
 
--- a/crates/server/src/shards.rs
+++ b/crates/server/src/shards.rs
@@ -4,6 +4,8 @@
 //! shard's stream and feeds it. A host stands by for a shard when it is among
 //! the two that should hold it, so that a takeover finds the stream read.
 
+mod read;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::PoisonError;
@@ -21,20 +23,17 @@
 use notchwharf_ledger::record;
 use notchwharf_ledger::record::Blob;
 use notchwharf_ledger::record::BlobId;
-use notchwharf_ledger::record::Entry;
 use notchwharf_ledger::record::Offset;
 use notchwharf_ledger::record::Record;
 use notchwharf_ledger::record::ShardId;
 use notchwharf_ledger::rendezvous;
 use notchwharf_ledger::shard::Shard;
 use notchwharf_membership::fact;
-use notchwharf_platform::error::Read;
 use tokio::sync::oneshot;
 use xtra::prelude::*;
 use xtra::refcount::Weak;
 
 use crate::context::Context as Shared;
-use crate::context::LOG_WAIT;
 use crate::context::Phase;
 use crate::context::post;
 use crate::ledger::shard_name;
@@ -46,8 +45,6 @@
 const REBALANCE_PERIOD: Duration = Duration::from_millis(250);
 const OWNER_PERIOD: Duration = Duration::from_millis(10);
 const BACKLOG_PERIOD: Duration = Duration::from_millis(50);
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
-const PAGE_RECORDS: u32 = 1_000;
 const SNAPSHOT_PART_BYTES: usize = 512 << 10;
 
 /// A command for the owner.
@@ -348,7 +345,11 @@
         waiting: HashMap::new(),
     };
     let address = xtra::spawn_tokio(actor, Mailbox::unbounded());
-    tokio::spawn(read_stream(Arc::clone(shared), shard, address.downgrade()));
+    tokio::spawn(read::read_stream(
+        Arc::clone(shared),
+        shard,
+        address.downgrade(),
+    ));
     tokio::spawn(tick(Arc::clone(shared), address.downgrade()));
     address
 }
@@ -389,57 +390,6 @@
     }
 }
 
-/// Feeds the actor with its shard's stream, from the newest snapshot on.
-async fn read_stream(shared: Arc<Shared>, shard: ShardId, address: Address<ShardActor, Weak>) {
-    let name = shard_name(shard);
-    let mut next = loop {
-        match begin(&shared, &name, &address).await {
-            Ok(next) => break next,
-            Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
-        }
-        if !address.is_connected() {
-            return;
-        }
-    };
-    let mut wait = Duration::ZERO;
-    loop {
-        let page = match shared.log.read(&name, next, PAGE_RECORDS, wait).await {
-            Ok(page) => page,
-            Err(Read::Expired { .. }) => {
-                // This reader fell behind the log's retention; the actor is
-                // started afresh from a snapshot.
-                shared.metrics.count(Counted::Log, "reader expired");
-                let _ = address.send(Quit).await;
-                return;
-            }
-            Err(_) => {
-                shared.metrics.count(Counted::Log, "read failed");
-                tokio::time::sleep(RETRY_PAUSE).await;
-                if !address.is_connected() {
-                    return;
-                }
-                continue;
-            }
-        };
-        let mut inputs = Vec::with_capacity(page.records.len() + 1);
-        for stored in &page.records {
-            let bytes = stored.bytes().unwrap_or_default();
-            let offset = stored.offset;
-            next = offset + 1;
-            // A record that is not ours is skipped by every reader alike.
-            let record = record::decode(&bytes).unwrap_or_else(|_| void());
-            inputs.push(Input::Tail { offset, record });
-        }
-        if next >= page.next {
-            inputs.push(Input::CaughtUp);
-            wait = LOG_WAIT;
-        }
-        if address.send(Feed(inputs)).await.is_err() {
-            return;
-        }
-    }
-}
-
 /// Tells the actor to stop.
 struct Quit;
 
@@ -451,73 +401,6 @@
     }
 }
 
-/// Returns a record that says nothing.
-fn void() -> Record {
-    let id = record::RecordId {
-        host: String::new(),
-        incarnation: 0,
-        seq: 0,
-    };
-    Record {
-        id,
-        epoch: None,
-        snapshot: None,
-        entries: Vec::new(),
-    }
-}
-
-/// Loads the newest snapshot and returns the offset to read from.
-async fn begin(
-    shared: &Shared,
-    name: &str,
-    address: &Address<ShardActor, Weak>,
-) -> Result<Offset, Read> {
-    let bounds = shared.log.bounds(name).await?;
-    if bounds.next == bounds.first {
-        return Ok(bounds.first);
-    }
-    match load_snapshot(shared, name, bounds.next - 1).await {
-        Ok(Some(state)) => {
-            let next = state.next();
-            let _ = address.send(Restored(state)).await;
-            Ok(next)
-        }
-        Ok(None) => {
-            if bounds.first > 0 {
-                shared.metrics.count(Counted::Log, "records lost");
-                slog::error!(shared.logger, "records expired without a snapshot"; "stream" => name);
-            }
-            Ok(bounds.first)
-        }
-        Err(err) => Err(err),
-    }
-}
-
-async fn load_snapshot(shared: &Shared, name: &str, last: Offset) -> Result<Option<Shard>, Read> {
-    let newest = read_record(shared, name, last).await?;
-    let Some(offset) = newest.snapshot else {
-        return Ok(None);
-    };
-    let record = read_record(shared, name, offset).await?;
-    let parts = record.entries.into_iter().find_map(|entry| match entry {
-        Entry::Snapshot { parts, .. } => Some(parts),
-        _ => None,
-    });
-    let mut bytes = Vec::new();
-    for part in parts.unwrap_or_default() {
-        let blob = shared.blobs.read(part).await?;
-        blob.parts.iter().for_each(|p| bytes.extend_from_slice(p));
-    }
-    let state = Shard::restore(&bytes).map_err(|_| Read::Undecodable)?;
-    Ok(Some(state))
-}
-
-async fn read_record(shared: &Shared, name: &str, offset: Offset) -> Result<Record, Read> {
-    let page = shared.log.read(name, offset, 1, Duration::ZERO).await?;
-    let stored = page.records.first().ok_or(Read::Undecodable)?;
-    record::decode(&stored.bytes()?).map_err(|_| Read::Undecodable)
-}
-
 /// Tells the fleet which servings this host has items for, on changes.
 async fn tell_backlog(shared: Arc<Shared>) {
     let mut ticks = shared.timer.subscribe(BACKLOG_PERIOD);
--- /dev/null
+++ b/crates/server/src/shards/read.rs
@@ -0,0 +1,149 @@
+//! Reading of a shard's stream, from the newest snapshot on.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use notchwharf_ledger::owner::Input;
+use notchwharf_ledger::record;
+use notchwharf_ledger::record::Entry;
+use notchwharf_ledger::record::Offset;
+use notchwharf_ledger::record::Record;
+use notchwharf_ledger::record::ShardId;
+use notchwharf_ledger::shard::Shard;
+use notchwharf_platform::error::Read;
+use xtra::prelude::*;
+use xtra::refcount::Weak;
+
+use super::Feed;
+use super::Quit;
+use super::Restored;
+use super::ShardActor;
+use crate::context::Context as Shared;
+use crate::context::LOG_WAIT;
+use crate::ledger::shard_name;
+use crate::metrics::Counted;
+
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+const PAGE_RECORDS: u32 = 1_000;
+
+/// Feeds the actor with its shard's stream, from the newest snapshot on.
+pub(super) async fn read_stream(
+    shared: Arc<Shared>,
+    shard: ShardId,
+    address: Address<ShardActor, Weak>,
+) {
+    let name = shard_name(shard);
+    let mut next = loop {
+        match begin(&shared, &name, &address).await {
+            Ok(next) => break next,
+            Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
+        }
+        if !address.is_connected() {
+            return;
+        }
+    };
+    let mut wait = Duration::ZERO;
+    loop {
+        let page = match shared.log.read(&name, next, PAGE_RECORDS, wait).await {
+            Ok(page) => page,
+            Err(Read::Expired { .. }) => {
+                // This reader fell behind the log's retention; the actor is
+                // started afresh from a snapshot.
+                shared.metrics.count(Counted::Log, "reader expired");
+                let _ = address.send(Quit).await;
+                return;
+            }
+            Err(_) => {
+                shared.metrics.count(Counted::Log, "read failed");
+                tokio::time::sleep(RETRY_PAUSE).await;
+                if !address.is_connected() {
+                    return;
+                }
+                continue;
+            }
+        };
+        let mut inputs = Vec::with_capacity(page.records.len() + 1);
+        for stored in &page.records {
+            let bytes = stored.bytes().unwrap_or_default();
+            let offset = stored.offset;
+            next = offset + 1;
+            // A record that is not ours is skipped by every reader alike.
+            let record = record::decode(&bytes).unwrap_or_else(|_| void());
+            inputs.push(Input::Tail { offset, record });
+        }
+        if next >= page.next {
+            inputs.push(Input::CaughtUp);
+            wait = LOG_WAIT;
+        }
+        if address.send(Feed(inputs)).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Returns a record that says nothing.
+fn void() -> Record {
+    let id = record::RecordId {
+        host: String::new(),
+        incarnation: 0,
+        seq: 0,
+    };
+    Record {
+        id,
+        epoch: None,
+        snapshot: None,
+        entries: Vec::new(),
+    }
+}
+
+/// Loads the newest snapshot and returns the offset to read from.
+async fn begin(
+    shared: &Shared,
+    name: &str,
+    address: &Address<ShardActor, Weak>,
+) -> Result<Offset, Read> {
+    let bounds = shared.log.bounds(name).await?;
+    if bounds.next == bounds.first {
+        return Ok(bounds.first);
+    }
+    match load_snapshot(shared, name, bounds.next - 1).await {
+        Ok(Some(state)) => {
+            let next = state.next();
+            let _ = address.send(Restored(state)).await;
+            Ok(next)
+        }
+        Ok(None) => {
+            if bounds.first > 0 {
+                shared.metrics.count(Counted::Log, "records lost");
+                slog::error!(shared.logger, "records expired without a snapshot"; "stream" => name);
+            }
+            Ok(bounds.first)
+        }
+        Err(err) => Err(err),
+    }
+}
+
+async fn load_snapshot(shared: &Shared, name: &str, last: Offset) -> Result<Option<Shard>, Read> {
+    let newest = read_record(shared, name, last).await?;
+    let Some(offset) = newest.snapshot else {
+        return Ok(None);
+    };
+    let record = read_record(shared, name, offset).await?;
+    let parts = record.entries.into_iter().find_map(|entry| match entry {
+        Entry::Snapshot { parts, .. } => Some(parts),
+        _ => None,
+    });
+    let mut bytes = Vec::new();
+    for part in parts.unwrap_or_default() {
+        let blob = shared.blobs.read(part).await?;
+        blob.parts.iter().for_each(|p| bytes.extend_from_slice(p));
+    }
+    let state = Shard::restore(&bytes).map_err(|_| Read::Undecodable)?;
+    Ok(Some(state))
+}
+
+async fn read_record(shared: &Shared, name: &str, offset: Offset) -> Result<Record, Read> {
+    let page = shared.log.read(name, offset, 1, Duration::ZERO).await?;
+    let stored = page.records.first().ok_or(Read::Undecodable)?;
+    record::decode(&stored.bytes()?).map_err(|_| Read::Undecodable)
+}
