Start stand-ins as processes, and show fencing through a change of holder

Cause: the path could be tried by hand only inside one process, and no test saw orders of two holders. The setting for the weight store's rate is gone: nothing read it.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -97,8 +97,6 @@
     pub log_url: String,
     /// Base URL of the list of live and leaving hosts.
     pub host_list_url: String,
-    /// Rate of the weight store, shared by all loads. From 1 to 1_000_000_000_000_000; 2_000_000_000 by default.
-    pub weight_store_bytes_per_s: u64,
     /// Time between two readings of the host list. From 10 to 60_000; 500 by default.
     pub poll_ms: u64,
     /// Time after which a call to the platform counts as lost. From 10 to 60_000; 2_000 by default.
@@ -110,7 +108,6 @@
         Self {
             log_url: "http://127.0.0.1:7700".into(),
             host_list_url: "http://127.0.0.1:7700".into(),
-            weight_store_bytes_per_s: 2_000_000_000,
             poll_ms: 500,
             timeout_ms: 2_000,
         }
--- a/crates/config/src/settings/check.rs
+++ b/crates/config/src/settings/check.rs
@@ -16,12 +16,6 @@
 }
 
 fn check_ranges(settings: &Settings) -> Result<(), error::Settings> {
-    range(
-        "platform.weight_store_bytes_per_s",
-        settings.platform.weight_store_bytes_per_s,
-        1,
-        1_000_000_000_000_000,
-    )?;
     range("platform.poll_ms", settings.platform.poll_ms, 10, 60_000)?;
     range(
         "platform.timeout_ms",
--- /dev/null
+++ b/crates/server/tests/placement.rs
@@ -0,0 +1,39 @@
+//! Orders to targets: one holder, growing fencing numbers, nothing lost.
+#![allow(clippy::unwrap_used, reason = "Tests fail by panicking.")]
+
+use notchwharf_standins::engine;
+use notchwharf_standins::fleet::Config;
+use notchwharf_standins::fleet::Fleet;
+use notchwharf_standins::fleet::school_bundle;
+use rstest::rstest;
+
+#[rstest]
+#[case::targets_that_check(true)]
+#[case::targets_that_do_not(false)]
+#[tokio::test]
+async fn orders_carry_growing_fencing_numbers_through_a_change_of_holder(
+    #[case] checks_fencing: bool,
+) {
+    let config = Config {
+        hosts: 2,
+        engine: engine::Config {
+            checks_fencing,
+            ..engine::Config::default()
+        },
+        ..Config::default()
+    };
+    let mut fleet = Fleet::ready(config).await;
+    fleet.kill_host("a2");
+    fleet.put_in_force(&school_bundle("2")).await;
+    fleet.settled("tutor/-/2").await;
+    fleet.start_host("a3").await;
+    fleet.put_in_force(&school_bundle("3")).await;
+    fleet.settled("tutor/-/3").await;
+    let mut changed = 0;
+    for engine in fleet.engines.values() {
+        let fences: Vec<u64> = engine.orders().iter().map(|o| o.fence).collect();
+        assert!(fences.is_sorted(), "{fences:?}");
+        changed += usize::from(fences.first() != fences.last());
+    }
+    assert!(changed > 0, "Some target changed its holder.");
+}
--- /dev/null
+++ b/crates/standins/examples/platform.rs
@@ -0,0 +1,56 @@
+//! The platform stand-in as a process: log service, host list, weight store.
+//!
+//! ```sh
+//! cargo run -p notchwharf-standins --example platform -- --listen 127.0.0.1:7700
+//! ```
+//!
+//! Each line on standard input that is a listing, as a host prints it when it
+//! starts, is put on the host list. Faults are set by `PUT /v1/faults`.
+
+use std::net::SocketAddr;
+
+use lexopt::Arg::Long;
+use lexopt::ValueExt as _;
+use notchwharf_platform::hosts::Listed;
+use notchwharf_standins::platform::Config;
+use notchwharf_standins::platform::Platform;
+use serde::Deserialize;
+use tokio::io::AsyncBufReadExt as _;
+use tokio::io::BufReader;
+
+#[derive(Deserialize)]
+struct Line {
+    listed: Listed,
+}
+
+fn parse() -> Result<SocketAddr, lexopt::Error> {
+    let mut parser = lexopt::Parser::from_env();
+    let mut listen = SocketAddr::from(([127, 0, 0, 1], 7700));
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Long("listen") => listen = parser.value()?.parse()?,
+            _ => return Err(arg.unexpected()),
+        }
+    }
+    Ok(listen)
+}
+
+#[tokio::main]
+async fn main() -> Result<(), lexopt::Error> {
+    let config = Config {
+        listen: parse()?,
+        ..Config::default()
+    };
+    let platform = Platform::start(config).await;
+    let platform = platform.map_err(|err| err.to_string())?;
+    println!("{}", platform.url());
+    let mut lines = BufReader::new(tokio::io::stdin()).lines();
+    while let Ok(Some(line)) = lines.next_line().await {
+        match serde_json::from_str::<Line>(&line) {
+            Ok(line) => platform.list(line.listed),
+            Err(err) => eprintln!("not a listing: {err}"),
+        }
+    }
+    std::future::pending::<()>().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/standins/examples/target.rs
@@ -0,0 +1,81 @@
+//! A target stand-in as a process: a model engine or a plain service.
+//!
+//! ```sh
+//! cargo run -p notchwharf-standins --example target -- \
+//!     --name t1 --platform http://127.0.0.1:7700 [--service NAME] [--ignores-fencing]
+//! ```
+
+use lexopt::Arg::Long;
+use lexopt::ValueExt as _;
+use notchwharf_platform::hosts::Kind;
+use notchwharf_platform::hosts::Listed;
+use notchwharf_standins::engine;
+use notchwharf_standins::engine::Engine;
+use notchwharf_standins::listing;
+use notchwharf_standins::service::Service;
+
+struct Args {
+    name: String,
+    platform: String,
+    service: Option<String>,
+    checks_fencing: bool,
+}
+
+fn parse() -> Result<Args, lexopt::Error> {
+    let mut parser = lexopt::Parser::from_env();
+    let mut args = Args {
+        name: "t1".into(),
+        platform: "http://127.0.0.1:7700".into(),
+        service: None,
+        checks_fencing: true,
+    };
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Long("name") => args.name = parser.value()?.string()?,
+            Long("platform") => args.platform = parser.value()?.string()?,
+            Long("service") => args.service = Some(parser.value()?.string()?),
+            Long("ignores-fencing") => args.checks_fencing = false,
+            _ => return Err(arg.unexpected()),
+        }
+    }
+    Ok(args)
+}
+
+#[tokio::main]
+async fn main() -> Result<(), lexopt::Error> {
+    let args = parse()?;
+    let failed = |err: std::io::Error| lexopt::Error::from(err.to_string());
+    let (mut engine, mut plain) = (None, None);
+    let kind = match args.service {
+        Some(service) => {
+            let running = Service::start(([127, 0, 0, 1], 0).into()).await;
+            let url = plain.insert(running.map_err(failed)?).url();
+            Kind::Service { url, service }
+        }
+        None => {
+            let running = Engine::start(engine::Config {
+                checks_fencing: args.checks_fencing,
+                weights_url: Some(args.platform.clone()),
+                ..engine::Config::default()
+            });
+            let url = engine.insert(running.await.map_err(failed)?).url();
+            Kind::Engine {
+                url,
+                checks_fencing: args.checks_fencing,
+            }
+        }
+    };
+    let listed = Listed {
+        name: args.name,
+        data_centre: "dc1".into(),
+        incarnation: 1,
+        leaving: false,
+        kind,
+    };
+    listing::list(&args.platform, &listed)
+        .await
+        .map_err(failed)?;
+    println!("{} is listed", listed.name);
+    std::future::pending::<()>().await;
+    Ok(())
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod fleet;
 pub mod http;
 pub mod lab;
+pub mod listing;
 pub mod model;
 pub mod platform;
 pub mod service;
