--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -56,6 +56,23 @@
     pub entries: Vec<Entry>,
 }
 
+impl Record {
+    /// Returns a record that says nothing, in whose stead a reader folds one
+    /// that it cannot decode.
+    pub fn void() -> Self {
+        Self {
+            id: RecordId {
+                host: HostId::new(),
+                incarnation: 0,
+                seq: 0,
+            },
+            epoch: None,
+            snapshot: None,
+            entries: Vec::new(),
+        }
+    }
+}
+
 /// The place of a payload or result in the blob streams.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Place {
--- a/crates/ledger/tests/matrix.rs
+++ b/crates/ledger/tests/matrix.rs
@@ -309,7 +309,7 @@
 ) {
     let mut world = World::new(3);
     // The first record of a stream has offset zero, like no other epoch.
-    world.log.extend(vec![world::void(); first_offset]);
+    world.log.extend(vec![Record::void(); first_offset]);
     world.run_for(300);
     world.applies = step.applies();
     world.fates.push_back(fate);
--- a/crates/ledger/tests/world/mod.rs
+++ b/crates/ledger/tests/world/mod.rs
@@ -30,7 +30,6 @@
 use notchwharf_ledger::record::BlobId;
 use notchwharf_ledger::record::Place;
 use notchwharf_ledger::record::Record;
-use notchwharf_ledger::record::RecordId;
 use notchwharf_ledger::shard::Shard;
 
 pub const STEP_MS: u64 = 10;
@@ -327,21 +326,6 @@
     }
 }
 
-/// Returns a record that says nothing.
-pub fn void() -> Record {
-    let id = RecordId {
-        host: String::new(),
-        incarnation: 0,
-        seq: 0,
-    };
-    Record {
-        id,
-        epoch: None,
-        snapshot: None,
-        entries: Vec::new(),
-    }
-}
-
 pub fn spec(id: &str, items: u16) -> Spec {
     let blob = BlobId {
         stream: 1,
--- a/crates/server/src/bundle.rs
+++ b/crates/server/src/bundle.rs
@@ -254,7 +254,7 @@
             bundle: Box::new((*active.bundle).clone()),
         };
         let bytes = serde_json::to_vec(&record).unwrap_or_default();
-        if ctx.log.append(STREAM, bytes).await.is_ok() {
+        if ctx.append(STREAM, bytes).await {
             *lock(&feed.renewed) = Some(Instant::now());
         }
     }
--- a/crates/server/src/context.rs
+++ b/crates/server/src/context.rs
@@ -45,6 +45,7 @@
 use crate::bundle::Feed;
 use crate::dispatch::Dispatcher;
 use crate::members::Members;
+use crate::metrics::Counted;
 use crate::metrics::Metrics;
 use crate::pacer::Pacer;
 use crate::results::Results;
@@ -158,6 +159,15 @@
         }
     }
 
+    /// Appends a record, and counts how that went; returns whether an offset
+    /// came back. Without one the record may stand in the stream.
+    pub(crate) async fn append(&self, stream: &str, record: Vec<u8>) -> bool {
+        let taken = self.log.append(stream, record).await.is_ok();
+        let outcome = if taken { "append taken" } else { "append lost" };
+        self.metrics.count(Counted::Log, outcome);
+        taken
+    }
+
     /// Writes a blob when it is this host's turn to append.
     pub(crate) async fn write_blob(&self, blob: &Blob) -> Res<BlobId> {
         self.pacer.turn().await;
--- a/crates/server/src/fleet.rs
+++ b/crates/server/src/fleet.rs
@@ -191,14 +191,7 @@
         let address = ctx.mailbox().address();
         let shared = Arc::clone(&self.shared);
         tokio::spawn(async move {
-            let res = shared.log.append(STREAM, record::encode(&record)).await;
-            let outcome = if res.is_ok() {
-                "append taken"
-            } else {
-                "append lost"
-            };
-            shared.metrics.count(Counted::Log, outcome);
-            if res.is_err() {
+            if !shared.append(STREAM, record::encode(&record)).await {
                 let _ = address.send(Lost).await;
             }
         });
--- a/crates/server/src/shards.rs
+++ b/crates/server/src/shards.rs
@@ -224,14 +224,7 @@
     address: Address<ShardActor, Weak>,
 ) {
     let name = shard_name(shard);
-    let res = shared.log.append(&name, record::encode(&record)).await;
-    let outcome = if res.is_ok() {
-        "append taken"
-    } else {
-        "append lost"
-    };
-    shared.metrics.count(Counted::Log, outcome);
-    if res.is_err() {
+    if !shared.append(&name, record::encode(&record)).await {
         feed_weak(&address, Input::AppendLost).await;
     }
 }
--- a/crates/server/src/shards/read.rs
+++ b/crates/server/src/shards/read.rs
@@ -68,7 +68,7 @@
             let offset = stored.offset;
             next = offset + 1;
             // A record that is not ours is skipped by every reader alike.
-            let record = record::decode(&bytes).unwrap_or_else(|_| void());
+            let record = record::decode(&bytes).unwrap_or_else(|_| Record::void());
             inputs.push(Input::Tail { offset, record });
         }
         if next >= page.next {
@@ -81,21 +81,6 @@
     }
 }
 
-/// Returns a record that says nothing.
-fn void() -> Record {
-    let id = record::RecordId {
-        host: String::new(),
-        incarnation: 0,
-        seq: 0,
-    };
-    Record {
-        id,
-        epoch: None,
-        snapshot: None,
-        entries: Vec::new(),
-    }
-}
-
 /// Loads the newest snapshot and returns the offset to read from.
 async fn begin(
     shared: &Shared,
--- a/crates/server/tests/processes/mod.rs
+++ b/crates/server/tests/processes/mod.rs
@@ -139,14 +139,12 @@
     /// Uploads a lot and creates its job, asking again as a caller would until
     /// it is told that the job is accepted.
     pub async fn submit(&self, host: usize, lot: &str) -> String {
-        let form = format!(
-            "--edge\r\ncontent-disposition: form-data; name=\"purpose\"\r\n\r\nbatch\r\n\
-             --edge\r\ncontent-disposition: form-data; name=\"file\"; filename=\"l.jsonl\"\
-             \r\n\r\n{lot}\r\n--edge--\r\n"
-        );
+        let form = fleet::lot_form(lot);
         let auth = format!("Bearer {SCHOOL_KEY}");
-        let kind = "multipart/form-data; boundary=edge";
-        let headers = [("authorization", auth.as_str()), ("content-type", kind)];
+        let headers = [
+            ("authorization", auth.as_str()),
+            ("content-type", fleet::LOT_FORM_TYPE),
+        ];
         let url = format!("{}/v1/files", self.hosts[host].url);
         let sent = fleet::send(&self.client, Method::POST, &url, &headers, form.into());
         let file = sent.await.unwrap();
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -338,14 +338,12 @@
     /// Panics if no answer comes.
     pub async fn upload(&self, host: &str, key: &str, lot: &str) -> Seen {
         let url = format!("{}/v1/files", self.url(host));
-        let form = format!(
-            "--edge\r\ncontent-disposition: form-data; name=\"purpose\"\r\n\r\nbatch\r\n\
-             --edge\r\ncontent-disposition: form-data; name=\"file\"; filename=\"lot.jsonl\"\
-             \r\n\r\n{lot}\r\n--edge--\r\n"
-        );
+        let form = lot_form(lot);
         let auth = format!("Bearer {key}");
-        let kind = "multipart/form-data; boundary=edge";
-        let headers = [("authorization", auth.as_str()), ("content-type", kind)];
+        let headers = [
+            ("authorization", auth.as_str()),
+            ("content-type", LOT_FORM_TYPE),
+        ];
         let seen = self.send(Method::POST, &url, &headers, form).await;
         seen.expect("An answer comes.")
     }
@@ -504,6 +502,18 @@
     (0..items).map(line).collect()
 }
 
+/// The content type of [`lot_form`].
+pub const LOT_FORM_TYPE: &str = "multipart/form-data; boundary=edge";
+
+/// Returns the form that uploads a lot.
+pub fn lot_form(lot: &str) -> String {
+    format!(
+        "--edge\r\ncontent-disposition: form-data; name=\"purpose\"\r\n\r\nbatch\r\n\
+         --edge\r\ncontent-disposition: form-data; name=\"file\"; filename=\"lot.jsonl\"\
+         \r\n\r\n{lot}\r\n--edge--\r\n"
+    )
+}
+
 /// Sends a request and returns the answer.
 ///
 /// # Errors
