Prove filings and lots under repeated deaths of real hosts

Cause: the proofs listed no kill between the start of a keyed call and its answer, and no fleet whose hosts die again and again. Change: twelve filings are held at the service while two of three hosts are killed; four kills in a row while a lot of 600 runs and online requests are answered.

--- a/crates/server/tests/process.rs
+++ b/crates/server/tests/process.rs
@@ -4,6 +4,7 @@
 mod processes;
 
 use hyper::Method;
+use notchwharf_platform::http::Client;
 use notchwharf_standins::fleet;
 use notchwharf_standins::fleet::SCHOOL_KEY;
 use notchwharf_standins::fleet::Seen;
@@ -29,6 +30,82 @@
     fleet.check_whole(0, &job, 300).await;
 }
 
+#[tokio::test]
+async fn hosts_that_die_again_and_again_lose_and_double_nothing() {
+    let mut fleet = Fleet::start(3).await;
+    let job = fleet.submit(0, &fleet::lot("n", 600, TOKENS)).await;
+    for round in 0..4 {
+        fleet.until_busy().await;
+        let victim = 1 + round % 2;
+        fleet.hosts[victim].child.start_kill().unwrap();
+        // Online requests at the host that stays are answered meanwhile.
+        let url = format!("{}/v1/chat/completions", fleet.hosts[0].url);
+        for i in 0..5 {
+            let ask = json!({"model": "hints", "max_tokens": TOKENS,
+                "messages": [{"role": "user", "content": format!("{round} {i}")}]});
+            let seen = fleet
+                .send(Method::POST, &url, ask.to_string())
+                .await
+                .unwrap();
+            assert_eq!(seen.status, 200, "{}", seen.body);
+        }
+        fleet.start_host(&format!("b{round}")).await;
+        let fresh = fleet.hosts.pop().unwrap();
+        fleet.hosts[victim] = fresh;
+    }
+    fleet.check_whole(0, &job, 600).await;
+}
+
+/// Files a permit under a key; returns the answer's status and outcome.
+async fn file(client: &Client, url: &str, key: &str) -> (u16, Value) {
+    let auth = format!("Bearer {SCHOOL_KEY}");
+    let headers = [("authorization", auth.as_str()), ("idempotency-key", key)];
+    let url = format!("{url}/services/filing/{key}");
+    let seen = fleet::send(client, Method::POST, &url, &headers, "permit".into()).await;
+    let seen = seen.unwrap();
+    (seen.status, seen.json()["error"]["outcome"].clone())
+}
+
+#[tokio::test]
+async fn a_filing_whose_host_dies_in_the_middle_is_unknown_and_never_filed_again() {
+    const KEYS: usize = 12;
+    let mut fleet = Fleet::start(3).await;
+    fleet.service.hold_answers(true);
+    let url = fleet.hosts[0].url.clone();
+    let open: Vec<_> = (0..KEYS)
+        .map(|i| {
+            let (client, url) = (fleet.client.clone(), url.clone());
+            tokio::spawn(async move { file(&client, &url, &format!("k{i}")).await })
+        })
+        .collect();
+    until(|| async { fleet.service.taken().len() == KEYS }).await;
+    for host in 1..3 {
+        fleet.hosts[host].child.start_kill().unwrap();
+    }
+    fleet.start_host("a4").await;
+    fleet.service.hold_answers(false);
+    let mut told = Vec::new();
+    for one in open {
+        told.push(one.await.unwrap());
+    }
+    assert!(
+        told.iter().any(|(status, _)| *status != 201),
+        "Some owner died: {told:?}"
+    );
+    for (status, outcome) in &told {
+        assert!(*status == 201 || *outcome == "unknown", "{told:?}");
+    }
+    // A caller that asks again, as often as it likes, hears the same.
+    for (i, (first, _)) in told.iter().enumerate() {
+        let key = format!("k{i}");
+        let settled = |(status, outcome): (u16, Value)| {
+            status == 201 || (*first != 201 && outcome == "unknown")
+        };
+        until(|| async { settled(file(&fleet.client, &url, &key).await) }).await;
+    }
+    assert_eq!(fleet.service.taken().len(), KEYS, "Each was filed once.");
+}
+
 #[tokio::test]
 async fn a_job_acknowledged_by_a_host_that_dies_at_once_is_done() {
     let mut fleet = Fleet::start(3).await;
--- a/crates/server/tests/processes/mod.rs
+++ b/crates/server/tests/processes/mod.rs
@@ -22,6 +22,7 @@
 use notchwharf_standins::fleet::school_bundle;
 use notchwharf_standins::platform;
 use notchwharf_standins::platform::Platform;
+use notchwharf_standins::service::Service;
 use serde_json::Value;
 use serde_json::json;
 use tokio::io::AsyncBufReadExt as _;
@@ -42,6 +43,7 @@
 pub struct Fleet {
     pub platform: Platform,
     pub engines: Vec<Engine>,
+    pub service: Service,
     pub hosts: Vec<Process>,
     pub client: Client,
 }
@@ -55,9 +57,20 @@
         let mut fleet = Self {
             platform: platform.await.unwrap(),
             engines: Vec::new(),
+            service: Service::start(([127, 0, 0, 1], 0).into()).await.unwrap(),
             hosts: Vec::new(),
             client: Client::new(WAIT_MAX),
         };
+        fleet.platform.list(Listed {
+            name: "s1".into(),
+            data_centre: "dc1".into(),
+            incarnation: 1,
+            leaving: false,
+            kind: Kind::Service {
+                url: fleet.service.url(),
+                service: "filing".into(),
+            },
+        });
         for i in 1..=4 {
             fleet.start_engine(&format!("t{i}")).await;
         }
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -12,6 +12,7 @@
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use serde::Serialize;
+use tokio::sync::watch;
 
 use crate::http;
 use crate::http::Running;
@@ -38,6 +39,7 @@
 struct Shared {
     taken: Mutex<Vec<Taken>>,
     lose_answers: AtomicU32,
+    held: watch::Sender<bool>,
 }
 
 impl Service {
@@ -67,6 +69,11 @@
         self.shared.lose_answers.store(count, Ordering::SeqCst);
     }
 
+    /// Holds answers back, after the calls have taken effect, until told not to.
+    pub fn hold_answers(&self, hold: bool) {
+        self.shared.held.send_replace(hold);
+    }
+
     /// Returns the calls that took effect.
     pub fn taken(&self) -> Vec<Taken> {
         let taken = self.shared.taken.lock();
@@ -85,6 +92,8 @@
             taken.push(call.clone());
             taken.len()
         };
+        // The sender lives as long as this does.
+        let _ = self.held.subscribe().wait_for(|held| !held).await;
         let lose = |left: u32| left.checked_sub(1);
         let order = Ordering::SeqCst;
         if self.lose_answers.fetch_update(order, order, lose).is_ok() {
