Call a refused connection between hosts not run, not unknown

Cause: the client's error type hides its cause behind wrappers that skip it, so a connection that was never made passed for a call that may have run; callers of keyed calls were told 'unknown' for the second in which an owner's death is noticed. Found by switching the check of started keys off and seeing the test of killed hosts pass.

--- a/crates/server/src/ledger.rs
+++ b/crates/server/src/ledger.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use jsonrpsee::core::client::Error as RpcError;
 use jsonrpsee::http_client::HttpClient;
 use jsonrpsee::http_client::HttpClientBuilder;
 use notchwharf_ledger::error::Refused;
@@ -82,9 +83,14 @@
     let Some(client) = url.and_then(|url| ctx.peer_client(&url, PEER_TIMEOUT)) else {
         return Err(Refused::NotOwner { holder: None });
     };
-    // A call that fails may have reached the owner.
-    let called = client.ledger(shard, command).await;
-    called.unwrap_or(Err(Refused::Unknown))
+    match client.ledger(shard, command).await {
+        Ok(res) => res,
+        Err(RpcError::Transport(err)) if is_connect(&*err) => {
+            Err(Refused::NotOwner { holder: None })
+        }
+        // Any other call that fails may have reached the owner.
+        Err(_) => Err(Refused::Unknown),
+    }
 }
 
 /// Asks the owner of a shard on this host.
@@ -119,11 +125,15 @@
 }
 
 /// Returns whether a failed call never connected, so that nothing was sent.
+///
+/// The client's own error type is hidden behind transparent wrappers, which
+/// skip it in the chain of causes; the system's error at the end is not. Only
+/// a connection attempt is ever refused.
 pub(crate) fn is_connect(err: &(dyn std::error::Error + 'static)) -> bool {
     let mut cause = Some(err);
     while let Some(err) = cause {
-        if let Some(err) = err.downcast_ref::<hyper_util::client::legacy::Error>() {
-            return err.is_connect();
+        if let Some(err) = err.downcast_ref::<std::io::Error>() {
+            return err.kind() == std::io::ErrorKind::ConnectionRefused;
         }
         cause = err.source();
     }
--- a/crates/server/tests/process.rs
+++ b/crates/server/tests/process.rs
@@ -56,6 +56,15 @@
     fleet.check_whole(0, &job, 600).await;
 }
 
+/// Returns whether hosts that answer hold every shard.
+fn all_shards_held(seen: &Value) -> bool {
+    let hosts = seen["hosts"].as_array().cloned().unwrap_or_default();
+    let shards = hosts
+        .iter()
+        .filter_map(|h| h["report"]["shards"].as_array());
+    shards.map(Vec::len).sum::<usize>() == 6
+}
+
 /// Files a permit under a key; returns the answer's status and outcome.
 async fn file(client: &Client, url: &str, key: &str) -> (u16, Value) {
     let auth = format!("Bearer {SCHOOL_KEY}");
@@ -82,6 +91,7 @@
     for host in 1..3 {
         fleet.hosts[host].child.start_kill().unwrap();
     }
+    let hosts = format!("{}/admin/v1/hosts", fleet.hosts[0].admin);
     fleet.start_host("a4").await;
     fleet.service.hold_answers(false);
     let mut told = Vec::new();
@@ -95,6 +105,7 @@
     for (status, outcome) in &told {
         assert!(*status == 201 || *outcome == "unknown", "{told:?}");
     }
+    until(|| async { fleet.get(&hosts).await.is_some_and(|h| all_shards_held(&h)) }).await;
     // A caller that asks again, as often as it likes, hears the same.
     for (i, (first, _)) in told.iter().enumerate() {
         let key = format!("k{i}");
@@ -122,14 +133,7 @@
     signal(&fleet.hosts[1], "STOP");
     // Its shards and targets are held by others before it goes on.
     let url = format!("{}/admin/v1/hosts", fleet.hosts[0].admin);
-    let held = |seen: Value| {
-        let hosts = seen["hosts"].as_array().cloned().unwrap_or_default();
-        let shards = hosts
-            .iter()
-            .filter_map(|h| h["report"]["shards"].as_array());
-        shards.map(Vec::len).sum::<usize>() == 6
-    };
-    until(|| async { fleet.get(&url).await.is_some_and(held) }).await;
+    until(|| async { fleet.get(&url).await.is_some_and(|h| all_shards_held(&h)) }).await;
     signal(&fleet.hosts[1], "CONT");
     fleet.check_whole(0, &job, 300).await;
     fleet.check_whole(1, &job, 300).await;
--- a/crates/server/tests/services.rs
+++ b/crates/server/tests/services.rs
@@ -136,6 +136,23 @@
     assert_eq!(filings(&fleet), 8);
 }
 
+#[tokio::test]
+async fn a_fresh_key_whose_owner_just_died_is_not_called_unknown() {
+    let mut fleet = ready().await;
+    // The stopped host's port is closed once this is refused.
+    let peer = fleet.hosts["a3"].addrs().peer;
+    fleet.kill_host("a3");
+    fleet
+        .until(|_| async { tokio::net::TcpStream::connect(peer).await.is_err() })
+        .await;
+    for i in 0..12 {
+        let key = format!("fresh-{i}");
+        let seen = call(&fleet, "a1", Method::POST, Some(&key), "permit").await;
+        let refused = seen.status == 503 && seen.json()["error"]["outcome"] == "not-run";
+        assert!(seen.status == 201 || refused, "{seen:?}");
+    }
+}
+
 #[tokio::test]
 async fn a_service_that_is_not_in_the_bundle_is_not_found() {
     let fleet = ready().await;
