Send hosts' reports to new owners, and pull few items at a time

Cause: a dispatcher's report of what it runs was written and never sent, so after an owner's death 48 of 48 items that other hosts were running ran twice (no result doubled). Found by reading; the test fails with the report off and passes with it. Second cause, found by that test: one target pulled a whole job of 40 while three idled. Change: the report goes out when a shard's holder changes; a pull takes at most 8 items and is repeated at once. The test's first form waited for all four targets to be busy and met a spread in which they were not; it now waits for 60 of 80 streams. Also: typed refusals in the bundle's history, typed failures at start.

--- a/crates/config/src/error.rs
+++ b/crates/config/src/error.rs
@@ -2,6 +2,9 @@
 
 use std::fmt;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::Version;
 
 /// Why settings were refused.
@@ -72,7 +75,8 @@
 impl std::error::Error for Settings {}
 
 /// Why a bundle document was refused.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Bundle {
     /// The JSON does not fit the bundle's shape.
     Shape {
@@ -140,7 +144,8 @@
 impl std::error::Error for Bundle {}
 
 /// Why a proposal or a sign-off does not count.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Refusal {
     /// The proposal is not based on the bundle in force.
     StaleBase {
--- a/crates/config/src/history.rs
+++ b/crates/config/src/history.rs
@@ -141,7 +141,7 @@
     /// The bundle came into force.
     InForce,
     /// The record was ignored, for this reason.
-    Refused(String),
+    Refused(Refusal),
 }
 
 #[derive(Clone, Debug)]
@@ -217,7 +217,7 @@
         };
         let outcome = match &res {
             Ok(outcome) => outcome.clone(),
-            Err(err) => Outcome::Refused(err.to_string()),
+            Err(err) => Outcome::Refused(err.clone()),
         };
         self.remember(Event {
             offset,
--- a/crates/server/src/api/admin.rs
+++ b/crates/server/src/api/admin.rs
@@ -139,7 +139,7 @@
 fn refusal(why: &Refusal) -> Problem {
     match why {
         Refusal::Invalid(err) => Problem::MalformedJson(err.to_string()),
-        why => Problem::StaleBase(why.to_string()),
+        why => Problem::StaleBase(why.clone()),
     }
 }
 
--- a/crates/server/src/api/error.rs
+++ b/crates/server/src/api/error.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
+use notchwharf_config::error::Refusal;
 use serde_json::Value;
 use serde_json::json;
 
@@ -63,7 +64,7 @@
     NotFound(&'static str),
     MethodNotAllowed,
     KeyReused,
-    StaleBase(String),
+    StaleBase(Refusal),
     Starting,
     Leaving,
     Shed {
@@ -207,7 +208,7 @@
             Self::NotFound(what) => write!(f, "There is no such {what}."),
             Self::MethodNotAllowed => f.write_str("The path does not take this method."),
             Self::KeyReused => f.write_str("The idempotency key was used with another request."),
-            Self::StaleBase(why) => f.write_str(why),
+            Self::StaleBase(why) => why.fmt(f),
             Self::Starting => f.write_str("The host has no bundle yet."),
             Self::Leaving => f.write_str("The host is leaving."),
             Self::Shed { .. } => f.write_str("Overloaded; the request was not run."),
--- a/crates/server/src/context.rs
+++ b/crates/server/src/context.rs
@@ -221,6 +221,12 @@
         all.get(target).cloned()
     }
 
+    pub(crate) fn all_dispatchers(&self) -> Vec<xtra::Address<Dispatcher>> {
+        let all = self.dispatchers.read();
+        let all = all.unwrap_or_else(PoisonError::into_inner);
+        all.values().cloned().collect()
+    }
+
     /// Returns a client of another host, the same for each call.
     pub(crate) fn peer_client(&self, url: &str, timeout: Duration) -> Option<HttpClient> {
         let mut peers = lock(&self.peers);
--- a/crates/server/src/dispatch.rs
+++ b/crates/server/src/dispatch.rs
@@ -41,6 +41,10 @@
 const STATUS_PERIOD: Duration = Duration::from_millis(500);
 /// Reports not yet taken by owners above which no more work is pulled.
 const UNSETTLED_MAX: usize = 4_096;
+/// Items taken in one pull.
+const PULL_MAX: u32 = 8;
+/// The part of a target's limit that stands ready beside what runs.
+const READY_SHARE: u32 = 8;
 /// Failed reads of the report after which the target counts as not answering.
 const MISSES_MAX: u32 = 2;
 
@@ -152,8 +156,12 @@
         self.pulling = false;
         let Pulled(serving, handed) = pulled;
         let items = handed.into_iter().map(|h| Item::new(h, &serving));
+        let came = items.len() > 0;
         self.ready.extend(items);
         self.fill(Instant::now(), ctx);
+        if came {
+            self.pull(ctx);
+        }
     }
 }
 
@@ -270,13 +278,15 @@
         }
         let limit = self.shared.table().limit(&self.target);
         let room = self.slots.room(limit, now);
-        // Half a target's worth stands ready, so that a freed slot is filled
-        // without asking first.
-        let enough = room + limit / 2;
+        // A few stand ready, so that a freed slot is filled without asking
+        // first. Few are taken at a time: a target that took all it could run
+        // would leave others idle beside a small job.
+        let enough = room + limit / READY_SHARE;
         let ready = u32::try_from(self.ready.len()).unwrap_or(u32::MAX);
         let Some(max) = enough.checked_sub(ready).filter(|max| *max > 0) else {
             return;
         };
+        let max = max.min(PULL_MAX);
         let Some((host, serving)) = self.source() else {
             return;
         };
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -1,8 +1,10 @@
 //! The server's command line.
 
+use std::fmt;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use notchwharf_config::error;
 use notchwharf_config::settings;
 use notchwharf_config::settings::Settings;
 use notchwharf_server::Server;
@@ -77,8 +79,8 @@
     };
     let settings = match load(&args) {
         Ok(settings) => settings,
-        Err(message) => {
-            eprintln!("notchwharfd: {}: {message}", args.settings.display());
+        Err(unusable) => {
+            eprintln!("notchwharfd: {}: {unusable}", args.settings.display());
             return ExitCode::from(EXIT_USAGE);
         }
     };
@@ -98,9 +100,25 @@
     }
 }
 
-fn load(args: &Args) -> Result<Settings, String> {
-    let text = std::fs::read(&args.settings).map_err(|err| err.to_string())?;
-    settings::parse(&text).map_err(|err| err.to_string())
+/// Why there are no settings to run with.
+#[derive(Debug)]
+enum Unusable {
+    Unread(std::io::Error),
+    Wrong(error::Settings),
+}
+
+impl fmt::Display for Unusable {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unread(err) => err.fmt(f),
+            Self::Wrong(err) => err.fmt(f),
+        }
+    }
+}
+
+fn load(args: &Args) -> Result<Settings, Unusable> {
+    let text = std::fs::read(&args.settings).map_err(Unusable::Unread)?;
+    settings::parse(&text).map_err(Unusable::Wrong)
 }
 
 async fn run(settings: Settings) -> ExitCode {
--- a/crates/server/src/members.rs
+++ b/crates/server/src/members.rs
@@ -1,6 +1,5 @@
 //! The fleet as this host sees it, kept by gossip, the list and observation.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -29,6 +28,7 @@
 use crate::context::Phase;
 use crate::context::post;
 use crate::dispatch::Online;
+use crate::dispatch::Reannounce;
 use crate::metrics::Counted;
 use crate::shards::HostGone;
 
@@ -118,6 +118,9 @@
             Fact::Host(id, host) => self.note_host(id, host),
             Fact::Shard(shard, holder) => {
                 shared.view_mut().shard_holders.insert(shard, holder);
+                for dispatcher in shared.all_dispatchers() {
+                    post(&dispatcher, Reannounce(shard));
+                }
             }
             Fact::Backlog(host, backlog) => {
                 shared.view_mut().backlogs.insert(host, backlog);
@@ -279,14 +282,14 @@
             received = socket.recv_from(&mut buf) => received,
             _ = phase.wait_for(|p| *p == Phase::Stopped) => return,
         };
-        let Ok((len, from)) = received else {
+        let Ok((len, _)) = received else {
             continue;
         };
-        handle(&shared, &members, &buf[..len], from);
+        handle(&shared, &members, &buf[..len]);
     }
 }
 
-fn handle(shared: &Shared, members: &Address<Members>, bytes: &[u8], _from: SocketAddr) {
+fn handle(shared: &Shared, members: &Address<Members>, bytes: &[u8]) {
     let len = bytes.len() as u64;
     shared.metrics.add(Counted::GossipBytes, "received", len);
     match datagram::decode(bytes) {
--- a/crates/server/tests/batch.rs
+++ b/crates/server/tests/batch.rs
@@ -229,6 +229,56 @@
     check_results(&fleet, &ended, "n", 400).await;
 }
 
+#[tokio::test]
+async fn a_new_owner_hands_out_nothing_that_hosts_still_run() {
+    let mut fleet = Fleet::ready(Config::default()).await;
+    // Items that outlast the takeover, and enough for every target.
+    let job = fleet
+        .submit("a1", SCHOOL_KEY, &fleet::lot("n", 80, 300))
+        .await;
+    fleet
+        .until(|fleet| async { fleet.engines.values().map(|e| e.streams()).sum::<usize>() >= 60 })
+        .await;
+    let url = format!("{}/admin/v1/hosts", fleet.admin_url("a1"));
+    let hosts = fleet.get_json(&url).await;
+    let shard = notchwharf_ledger::rendezvous::shard_of(&job, 6);
+    let holds = |host: &Value| {
+        let shards = host["report"]["shards"].as_array().unwrap();
+        shards.iter().any(|s| *s == shard)
+    };
+    let owner = hosts["hosts"]
+        .as_array()
+        .unwrap()
+        .iter()
+        .find(|h| holds(h))
+        .unwrap();
+    let lost = owner["report"]["targets"].to_string();
+    let kept = |name: &str| !lost.contains(&format!("{name:?}"));
+    let running: Vec<String> = fleet
+        .engines
+        .iter()
+        .filter(|(name, _)| kept(name))
+        .flat_map(|(_, engine)| engine.runs().into_keys())
+        .collect();
+    fleet.kill_host(owner["host"].as_str().unwrap());
+    let ended = fleet.job_ended(SCHOOL_KEY, &job).await;
+    assert_eq!(counts(&ended), (80, 80, 0));
+    let runs = |prompt: &str| {
+        let runs = fleet
+            .engines
+            .values()
+            .filter_map(|e| e.runs().get(prompt).copied());
+        runs.sum::<u32>()
+    };
+    let again: Vec<&String> = running.iter().filter(|p| runs(p) > 1).collect();
+    assert!(
+        again.is_empty(),
+        "{} of {} ran again",
+        again.len(),
+        running.len()
+    );
+}
+
 #[tokio::test]
 async fn a_job_ends_after_the_log_was_down_and_lost_answers() {
     let fleet = Fleet::ready(Config::default()).await;
