Let only a copy of the bundle in force put off the next copy

Cause, found by reading the change again: any copy of a bundle, also of an older version by a host that lags, reset the time after which the bundle in force is repeated; twice in a row that could outlast the log's retention. Change: the copy must be of the version in force; this also drops a check that was always true. The retention, process, session, placement and client tests pass. No test causes the lagging copy itself yet.

--- a/crates/server/src/bundle.rs
+++ b/crates/server/src/bundle.rs
@@ -177,10 +177,14 @@
         let mut history = lock(&self.history);
         let before = history.version();
         let record = serde_json::from_slice::<Record>(bytes);
-        let is_carried = matches!(record, Ok(Record::Carried { .. }));
+        let repeated = match &record {
+            Ok(Record::Carried { version, .. }) => Some(*version),
+            _ => None,
+        };
         // What came of the record is kept with the history's events.
         let _ = record.map(|record| history.apply(offset, record));
-        let carried = is_carried && history.version().is_some();
+        // A copy of an older version, from a host that lags, renews nothing.
+        let carried = repeated.is_some() && repeated == history.version();
         if history.version() != before || carried {
             *lock(&self.renewed) = Some(Instant::now());
         }
