Give the clients package a name of its own, and the timer a package

Cause: 'platform' is about to mean the adapter for the users' platform, and a second program part needs the timer service. Change: crates/platform becomes crates/clients; the timer moves out of the server and sleeps until the next tick is due instead of waking every 5 ms. Ruled out: a second timer beside the first.

--- a/crates/cli/src/call.rs
+++ b/crates/cli/src/call.rs
@@ -6,10 +6,10 @@
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use hyper::Method;
+use notchwharf_clients::error::Call;
+use notchwharf_clients::http;
+use notchwharf_clients::http::Client;
 use notchwharf_config::error;
-use notchwharf_platform::error::Call;
-use notchwharf_platform::http;
-use notchwharf_platform::http::Client;
 use serde_json::Value;
 
 const TIMEOUT: Duration = Duration::from_secs(15);
--- a/crates/platform/src/http.rs
+++ b/crates/clients/src/http.rs
@@ -1,9 +1,9 @@
 //! A small HTTP client whose failures say whether the request was sent.
 //!
 //! ```no_run
-//! # async fn example() -> Result<(), error_stack::Report<notchwharf_platform::error::Call>> {
+//! # async fn example() -> Result<(), error_stack::Report<notchwharf_clients::error::Call>> {
 //! use std::time::Duration;
-//! use notchwharf_platform::http::Client;
+//! use notchwharf_clients::http::Client;
 //!
 //! let client = Client::new(Duration::from_secs(2));
 //! let hosts: Vec<String> = client.get_json("http://127.0.0.1:7700/v1/names").await?;
--- a/crates/server/src/api/admin.rs
+++ b/crates/server/src/api/admin.rs
@@ -7,12 +7,12 @@
 use hyper::Request;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use notchwharf_clients::error::Call;
 use notchwharf_config::Version;
 use notchwharf_config::bundle;
 use notchwharf_config::error::Refusal;
 use notchwharf_config::history::Outcome;
 use notchwharf_config::history::Record;
-use notchwharf_platform::error::Call;
 use notchwharf_proto::peer::HostReport;
 use notchwharf_proto::peer::PeerClient as _;
 use serde::Deserialize;
@@ -191,7 +191,7 @@
     names.sort_by(|a, b| a.name.cmp(&b.name));
     let shown: Vec<Value> = names
         .into_iter()
-        .filter(|l| !matches!(l.kind, notchwharf_platform::hosts::Kind::Entry { .. }))
+        .filter(|l| !matches!(l.kind, notchwharf_clients::hosts::Kind::Entry { .. }))
         .map(|listed| {
             let known = view.targets.get(&listed.name);
             json!({
--- a/crates/server/src/bundle.rs
+++ b/crates/server/src/bundle.rs
@@ -10,6 +10,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use notchwharf_clients::error::Read;
+use notchwharf_clients::target::Held;
 use notchwharf_config::TenantId;
 use notchwharf_config::Version;
 use notchwharf_config::bundle::Bundle;
@@ -23,8 +25,6 @@
 use notchwharf_config::settings::ms;
 use notchwharf_ledger::record::ShardId;
 use notchwharf_membership::fact::Fact;
-use notchwharf_platform::error::Read;
-use notchwharf_platform::target::Held;
 use tokio::sync::watch;
 
 use crate::context::Context;
--- a/crates/server/src/context.rs
+++ b/crates/server/src/context.rs
@@ -16,6 +16,13 @@
 
 use futures_util::FutureExt as _;
 use jsonrpsee::http_client::HttpClient;
+use notchwharf_clients::blob::Blobs;
+use notchwharf_clients::hosts::Kind;
+use notchwharf_clients::hosts::Listed;
+use notchwharf_clients::http::Client;
+use notchwharf_clients::http::Res;
+use notchwharf_clients::log::Log;
+use notchwharf_clients::target::Targets;
 use notchwharf_config::settings::Settings;
 use notchwharf_config::settings::ms;
 use notchwharf_ledger::owner::Now;
@@ -26,13 +33,6 @@
 use notchwharf_ledger::record::ShardId;
 use notchwharf_ledger::record::TargetId;
 use notchwharf_membership::fact;
-use notchwharf_platform::blob::Blobs;
-use notchwharf_platform::hosts::Kind;
-use notchwharf_platform::hosts::Listed;
-use notchwharf_platform::http::Client;
-use notchwharf_platform::http::Res;
-use notchwharf_platform::log::Log;
-use notchwharf_platform::target::Targets;
 use notchwharf_routing::admission::Admission;
 use notchwharf_routing::budget::Budget;
 use notchwharf_routing::limit::Objectives;
@@ -50,7 +50,7 @@
 use crate::pacer::Pacer;
 use crate::results::Results;
 use crate::shards::ShardActor;
-use crate::timer::Timer;
+use notchwharf_timer::Timer;
 
 /// Time that a waiting read of the log waits.
 pub(crate) const LOG_WAIT: Duration = Duration::from_secs(2);
--- a/crates/server/src/dispatch.rs
+++ b/crates/server/src/dispatch.rs
@@ -14,14 +14,14 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use notchwharf_clients::target::Held;
+use notchwharf_clients::target::Role;
+use notchwharf_clients::target::Status;
 use notchwharf_config::settings::ms;
 use notchwharf_ledger::record::Epoch;
 use notchwharf_ledger::record::TargetId;
 use notchwharf_membership::fact;
 use notchwharf_membership::fact::Fact;
-use notchwharf_platform::target::Held;
-use notchwharf_platform::target::Role;
-use notchwharf_platform::target::Status;
 use notchwharf_proto::peer::Handed;
 use notchwharf_routing::slots;
 use notchwharf_routing::slots::Slots;
--- a/crates/server/src/dispatch/orders.rs
+++ b/crates/server/src/dispatch/orders.rs
@@ -7,14 +7,14 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use notchwharf_clients::target::Action;
+use notchwharf_clients::target::Held;
+use notchwharf_clients::target::Order;
 use notchwharf_membership::fact;
 use notchwharf_placement::plan;
 use notchwharf_placement::reconcile;
 use notchwharf_placement::reconcile::Seen;
 use notchwharf_placement::reconcile::Step;
-use notchwharf_platform::target::Action;
-use notchwharf_platform::target::Held;
-use notchwharf_platform::target::Order;
 
 use super::Dispatcher;
 use crate::bundle::held_of;
--- a/crates/server/src/exchange.rs
+++ b/crates/server/src/exchange.rs
@@ -8,13 +8,13 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use notchwharf_platform::error::Call;
-use notchwharf_platform::target::Chunk;
-use notchwharf_platform::target::Event;
-use notchwharf_platform::target::Load;
-use notchwharf_platform::target::Resume;
-use notchwharf_platform::target::Targets;
-use notchwharf_platform::target::Usage;
+use notchwharf_clients::error::Call;
+use notchwharf_clients::target::Chunk;
+use notchwharf_clients::target::Event;
+use notchwharf_clients::target::Load;
+use notchwharf_clients::target::Resume;
+use notchwharf_clients::target::Targets;
+use notchwharf_clients::target::Usage;
 use serde_json::Map;
 use serde_json::Value;
 
--- a/crates/server/src/fleet.rs
+++ b/crates/server/src/fleet.rs
@@ -10,6 +10,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use notchwharf_clients::error::Read;
+use notchwharf_clients::hosts::Kind;
 use notchwharf_config::settings::ms;
 use notchwharf_ledger::fleet::Entry;
 use notchwharf_ledger::fleet::Fleet;
@@ -21,8 +23,6 @@
 use notchwharf_ledger::record::RecordId;
 use notchwharf_ledger::record::TargetId;
 use notchwharf_ledger::rendezvous;
-use notchwharf_platform::error::Read;
-use notchwharf_platform::hosts::Kind;
 use xtra::prelude::*;
 use xtra::refcount::Weak;
 
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -39,7 +39,6 @@
 mod peers;
 mod results;
 mod shards;
-mod timer;
 
 pub use self::life::Addrs;
 pub use self::life::Server;
--- a/crates/server/src/life.rs
+++ b/crates/server/src/life.rs
@@ -7,11 +7,11 @@
 use error_stack::Report;
 use error_stack::ResultExt as _;
 use jsonrpsee::server::ServerHandle;
+use notchwharf_clients::hosts::Kind;
+use notchwharf_clients::hosts::Listed;
 use notchwharf_config::settings::Settings;
 use notchwharf_config::settings::ms;
 use notchwharf_membership::fact::Address as HostAddress;
-use notchwharf_platform::hosts::Kind;
-use notchwharf_platform::hosts::Listed;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 
--- a/crates/server/src/shards/read.rs
+++ b/crates/server/src/shards/read.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use notchwharf_clients::error::Read;
 use notchwharf_ledger::owner::Input;
 use notchwharf_ledger::record;
 use notchwharf_ledger::record::Entry;
@@ -10,7 +11,6 @@
 use notchwharf_ledger::record::Record;
 use notchwharf_ledger::record::ShardId;
 use notchwharf_ledger::shard::Shard;
-use notchwharf_platform::error::Read;
 use xtra::prelude::*;
 use xtra::refcount::Weak;
 
--- a/crates/server/tests/batch.rs
+++ b/crates/server/tests/batch.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 use hyper::Method;
-use notchwharf_platform::target::Held;
+use notchwharf_clients::target::Held;
 use notchwharf_standins::engine;
 use notchwharf_standins::engine::expected_text;
 use notchwharf_standins::fleet;
--- a/crates/server/tests/online.rs
+++ b/crates/server/tests/online.rs
@@ -2,7 +2,7 @@
 #![allow(clippy::unwrap_used, reason = "Tests fail by panicking.")]
 
 use hyper::Method;
-use notchwharf_platform::target::Held;
+use notchwharf_clients::target::Held;
 use notchwharf_standins::engine;
 use notchwharf_standins::engine::expected_text;
 use notchwharf_standins::fleet::Config;
@@ -132,7 +132,7 @@
         Ok(seen) => assert!(seen.status >= 500, "{seen:?}"),
         Err(report) => {
             let cut = report.current_context();
-            assert_eq!(*cut, notchwharf_platform::error::Call::Lost);
+            assert_eq!(*cut, notchwharf_clients::error::Call::Lost);
         }
     }
 }
--- a/crates/server/tests/process.rs
+++ b/crates/server/tests/process.rs
@@ -4,7 +4,7 @@
 mod processes;
 
 use hyper::Method;
-use notchwharf_platform::http::Client;
+use notchwharf_clients::http::Client;
 use notchwharf_standins::fleet;
 use notchwharf_standins::fleet::SCHOOL_KEY;
 use notchwharf_standins::fleet::Seen;
--- a/crates/server/tests/processes/mod.rs
+++ b/crates/server/tests/processes/mod.rs
@@ -10,10 +10,10 @@
 use std::time::Duration;
 
 use hyper::Method;
+use notchwharf_clients::hosts::Kind;
+use notchwharf_clients::hosts::Listed;
+use notchwharf_clients::http::Client;
 use notchwharf_config::bundle::Bundle;
-use notchwharf_platform::hosts::Kind;
-use notchwharf_platform::hosts::Listed;
-use notchwharf_platform::http::Client;
 use notchwharf_standins::engine;
 use notchwharf_standins::engine::Engine;
 use notchwharf_standins::fleet;
--- a/crates/standins/examples/platform.rs
+++ b/crates/standins/examples/platform.rs
@@ -11,7 +11,7 @@
 
 use lexopt::Arg::Long;
 use lexopt::ValueExt as _;
-use notchwharf_platform::hosts::Listed;
+use notchwharf_clients::hosts::Listed;
 use notchwharf_standins::platform::Config;
 use notchwharf_standins::platform::Platform;
 use serde::Deserialize;
--- a/crates/standins/examples/target.rs
+++ b/crates/standins/examples/target.rs
@@ -7,8 +7,8 @@
 
 use lexopt::Arg::Long;
 use lexopt::ValueExt as _;
-use notchwharf_platform::hosts::Kind;
-use notchwharf_platform::hosts::Listed;
+use notchwharf_clients::hosts::Kind;
+use notchwharf_clients::hosts::Listed;
 use notchwharf_standins::engine;
 use notchwharf_standins::engine::Engine;
 use notchwharf_standins::listing;
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -25,19 +25,19 @@
 use hyper::StatusCode;
 use hyper::body::Frame;
 use hyper::body::Incoming;
-use notchwharf_platform::http::Client;
-use notchwharf_platform::target;
-use notchwharf_platform::target::Ack;
-use notchwharf_platform::target::Action;
-use notchwharf_platform::target::Choice;
-use notchwharf_platform::target::Chunk;
-use notchwharf_platform::target::Delta;
-use notchwharf_platform::target::Held;
-use notchwharf_platform::target::Order;
-use notchwharf_platform::target::Resume;
-use notchwharf_platform::target::Role;
-use notchwharf_platform::target::Status;
-use notchwharf_platform::target::Usage;
+use notchwharf_clients::http::Client;
+use notchwharf_clients::target;
+use notchwharf_clients::target::Ack;
+use notchwharf_clients::target::Action;
+use notchwharf_clients::target::Choice;
+use notchwharf_clients::target::Chunk;
+use notchwharf_clients::target::Delta;
+use notchwharf_clients::target::Held;
+use notchwharf_clients::target::Order;
+use notchwharf_clients::target::Resume;
+use notchwharf_clients::target::Role;
+use notchwharf_clients::target::Status;
+use notchwharf_clients::target::Usage;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::sync::Notify;
@@ -390,7 +390,7 @@
     if let Some(url) = &shared.cfg.weights_url {
         let client = Client::new(Duration::from_secs(600));
         let url = format!("{url}/v1/weights/{}", held.model);
-        if let Ok(req) = notchwharf_platform::http::request(Method::GET, &url, Bytes::new()) {
+        if let Ok(req) = notchwharf_clients::http::request(Method::GET, &url, Bytes::new()) {
             let _ = client.fetch(req).await;
         }
     }
--- a/crates/standins/src/listing.rs
+++ b/crates/standins/src/listing.rs
@@ -5,9 +5,9 @@
 
 use bytes::Bytes;
 use hyper::Method;
-use notchwharf_platform::hosts::Listed;
-use notchwharf_platform::http;
-use notchwharf_platform::http::Client;
+use notchwharf_clients::hosts::Listed;
+use notchwharf_clients::http;
+use notchwharf_clients::http::Client;
 
 const TIMEOUT: Duration = Duration::from_secs(5);
 
--- a/crates/server/src/timer.rs
+++ b/crates/timer/src/lib.rs
@@ -1,19 +1,34 @@
-//! The timer service: parts of the server subscribe to ticks.
+//! The timer service: parts of a process subscribe to ticks.
 //!
-//! One task keeps all periods. A subscriber that is busy misses ticks rather
-//! than queueing them, and one that drops its receiver is forgotten.
+//! One task keeps all periods and sleeps until the next is due. A subscriber
+//! that is busy misses ticks rather than queueing them, and one that drops its
+//! receiver is forgotten. Use it for work that recurs; for the deadline of a
+//! single request, `tokio::time` is cheaper.
+//!
+//! ```
+//! # #[tokio::main(flavor = "current_thread")]
+//! # async fn main() {
+//! use std::time::Duration;
+//! use notchwharf_timer::Timer;
+//!
+//! let timer = Timer::start();
+//! let mut ticks = timer.subscribe(Duration::from_millis(1));
+//! assert!(ticks.recv().await.is_some());
+//! # }
+//! ```
 
 use std::time::Duration;
 use std::time::Instant;
 
 use tokio::sync::mpsc;
 
-/// The finest period that can be had.
-const RESOLUTION: Duration = Duration::from_millis(5);
+/// Time after which the service looks for subscribers that have gone, if no
+/// tick is due before: they cost nothing but their entry in a list.
+const SWEEP: Duration = Duration::from_secs(1);
 
 /// Gives out subscriptions to ticks.
 #[derive(Clone, Debug)]
-pub(crate) struct Timer {
+pub struct Timer {
     subscribe: mpsc::UnboundedSender<Subscription>,
 }
 
@@ -26,14 +41,18 @@
 
 impl Timer {
     /// Starts the service; it ends when the last handle is dropped.
-    pub(crate) fn start() -> Self {
+    ///
+    /// # Panics
+    ///
+    /// Panics outside a runtime.
+    pub fn start() -> Self {
         let (subscribe, requests) = mpsc::unbounded_channel();
         tokio::spawn(run(requests));
         Self { subscribe }
     }
 
     /// Returns a receiver of ticks.
-    pub(crate) fn subscribe(&self, period: Duration) -> mpsc::Receiver<Instant> {
+    pub fn subscribe(&self, period: Duration) -> mpsc::Receiver<Instant> {
         let (ticks, receiver) = mpsc::channel(1);
         let due = Instant::now() + period;
         // A service that has ended sends no ticks; the receiver is closed then.
@@ -44,15 +63,15 @@
 
 async fn run(mut requests: mpsc::UnboundedReceiver<Subscription>) {
     let mut subscriptions: Vec<Subscription> = Vec::new();
-    let mut interval = tokio::time::interval(RESOLUTION);
-    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
+        let next = subscriptions.iter().map(|s| s.due).min();
+        let wake = next.unwrap_or_else(|| Instant::now() + SWEEP);
         tokio::select! {
             request = requests.recv() => match request {
                 Some(subscription) => subscriptions.push(subscription),
                 None => return,
             },
-            _ = interval.tick() => {
+            () = tokio::time::sleep_until(wake.into()) => {
                 let now = Instant::now();
                 subscriptions.retain_mut(|s| s.tick(now));
             }
