--- /dev/null
+++ b/crates/config/src/gateway.rs
@@ -0,0 +1,298 @@
+//! Settings of a host that serves through an adapter, in JSON.
+//!
+//! They differ from [`crate::settings`] where the users' platform keeps what
+//! that file describes: routes and targets come from the platform's store.
+//!
+//! ```
+//! use notchwharf_config::gateway;
+//!
+//! let text = br#"{"host": {"name": "a1", "data_centre": "cluj-1"}, "batch": {"reserve": 99}}"#;
+//! let err = gateway::parse(text).unwrap_err();
+//! assert_eq!(err.to_string(), "batch.reserve: 99 is not between 0 and 64");
+//! ```
+//!
+//! Fields carry their unit as a suffix. All but the host's name and data
+//! centre have defaults.
+
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::DataCentreId;
+use crate::check::below;
+use crate::check::name;
+use crate::check::range;
+use crate::error;
+use crate::json;
+
+/// Settings of one process.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Who this host is and where it listens.
+    pub host: Host,
+    /// The platform's store.
+    #[serde(default)]
+    pub store: Store,
+    /// Online requests.
+    #[serde(default)]
+    pub online: Online,
+    /// Jobs and their items.
+    #[serde(default)]
+    pub batch: Batch,
+    /// What hosts tell one another.
+    #[serde(default)]
+    pub peers: Peers,
+    /// Leaving.
+    #[serde(default)]
+    pub shutdown: Shutdown,
+    /// Logs.
+    #[serde(default)]
+    pub logs: Logs,
+}
+
+/// Who this host is and where it listens.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Host {
+    /// The name of the host, unique in the fleet.
+    pub name: String,
+    /// The data centre that the host stands in.
+    pub data_centre: DataCentreId,
+    /// Where callers connect.
+    #[serde(default = "any_port")]
+    pub listen: SocketAddr,
+    /// Where the balancer asks whether the host takes requests.
+    #[serde(default = "any_port")]
+    pub ready_listen: SocketAddr,
+    /// Where other hosts connect and send datagrams; the same port on all.
+    #[serde(default = "any_port")]
+    pub peer_listen: SocketAddr,
+    /// Where metrics are read; none if absent.
+    #[serde(default)]
+    pub metrics_listen: Option<SocketAddr>,
+    /// Hosts to ask first; they may be down.
+    #[serde(default)]
+    pub seeds: Vec<IpAddr>,
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+/// The platform's store.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Store {
+    /// Where the store answers.
+    pub addr: SocketAddr,
+    /// Time after which a call without an answer counts as lost. From 10 to
+    /// 60_000; 700 by default: some forty times a usual answer, and short
+    /// enough for a second try within a caller's objective for a job.
+    pub timeout_ms: u64,
+    /// Time between two readings of the job records while any are expected.
+    /// From 10 to 60_000; 350 by default: results may be read by callers at
+    /// any host within a second.
+    pub poll_ms: u64,
+    /// Bytes of one record at most. From 1_024 to 16_777_216; 262_144 by default.
+    pub record_bytes_max: u64,
+    /// Bytes of the records of one call at most. From 1_024 to 134_217_728;
+    /// 2_097_152 by default.
+    pub call_bytes_max: u64,
+}
+
+impl Default for Store {
+    fn default() -> Self {
+        Self {
+            addr: any_port(),
+            timeout_ms: 700,
+            poll_ms: 350,
+            record_bytes_max: 262_144,
+            call_bytes_max: 2_097_152,
+        }
+    }
+}
+
+/// Online requests.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Online {
+    /// Time after which an attempt to connect to a target has failed. From 1
+    /// to 60_000; 250 by default: less than the usual objective, many times
+    /// the way between data centres.
+    pub connect_timeout_ms: u64,
+    /// Time for which an idle connection to a target is used again. From 1 to
+    /// 600_000; 4_000 by default; a target that names less is believed.
+    pub idle_ms: u64,
+    /// Pause between two events after which a stream that may be resumed is
+    /// taken to another target. From 10 to 600_000; 700 by default: four
+    /// times the pause that callers accept.
+    pub stall_ms: u64,
+}
+
+impl Default for Online {
+    fn default() -> Self {
+        Self {
+            connect_timeout_ms: 250,
+            idle_ms: 4_000,
+            stall_ms: 700,
+        }
+    }
+}
+
+/// Jobs and their items.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Batch {
+    /// Places of each target that items leave free for online requests. From
+    /// 0 to 64; 1 by default.
+    pub reserve: u32,
+    /// Time between two starts of items at one host. From 1 to 1_000; 4 by
+    /// default: longer than news between hosts take, so that hosts seldom
+    /// fill the same place.
+    pub start_gap_ms: u64,
+    /// Time after which an item's silent run is given up. From 10 to 600_000;
+    /// 1_500 by default.
+    pub stall_ms: u64,
+    /// Items that one host runs at once. From 1 to 100_000; 128 by default.
+    pub running_max: u32,
+    /// Time for which an ended job stays readable. From 1_000 to 86_400_000;
+    /// 120_000 by default.
+    pub readable_ms: u64,
+}
+
+impl Default for Batch {
+    fn default() -> Self {
+        Self {
+            reserve: 1,
+            start_gap_ms: 4,
+            stall_ms: 1_500,
+            running_max: 128,
+            readable_ms: 120_000,
+        }
+    }
+}
+
+/// What hosts tell one another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Peers {
+    /// Least time between two datagrams to each peer. From 1 to 10_000; 2 by
+    /// default.
+    pub news_ms: u64,
+    /// Time after which a host speaks without news. From 10 to 60_000; 300 by
+    /// default.
+    pub beat_ms: u64,
+    /// Time after which a silent host counts as down. From 20 to 600_000;
+    /// 1_200 by default, four beats.
+    pub down_ms: u64,
+}
+
+impl Default for Peers {
+    fn default() -> Self {
+        Self {
+            news_ms: 2,
+            beat_ms: 300,
+            down_ms: 1_200,
+        }
+    }
+}
+
+/// Leaving.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Shutdown {
+    /// Time that the balancer needs to notice that the host leaves. From 0 to
+    /// 60_000; 2_500 by default: it asks each second and believes two misses.
+    pub notice_ms: u64,
+    /// Time after which the host ends with work unfinished. From 10 to
+    /// 3_600_000; 7_500 by default.
+    pub drain_timeout_ms: u64,
+}
+
+impl Default for Shutdown {
+    fn default() -> Self {
+        Self {
+            notice_ms: 2_500,
+            drain_timeout_ms: 7_500,
+        }
+    }
+}
+
+/// Logs.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Logs {
+    /// Lines a second at most; more are dropped and counted. From 1 to
+    /// 1_000_000; 400 by default.
+    pub lines_per_s_max: u32,
+}
+
+impl Default for Logs {
+    fn default() -> Self {
+        Self {
+            lines_per_s_max: 400,
+        }
+    }
+}
+
+/// Reads settings and checks them.
+///
+/// # Errors
+///
+/// Returns the first field at fault.
+pub fn parse(text: &[u8]) -> Result<Settings, error::Settings> {
+    let settings: Settings =
+        json::read(text).map_err(|(path, detail)| error::Settings::Shape { path, detail })?;
+    check(&settings)?;
+    Ok(settings)
+}
+
+fn check(s: &Settings) -> Result<(), error::Settings> {
+    const MINUTE_MS: u64 = 60_000;
+    const TEN_MINUTES_MS: u64 = 600_000;
+    name("host.name", &s.host.name)?;
+    name("host.data_centre", &s.host.data_centre)?;
+    range("store.timeout_ms", s.store.timeout_ms, 10, MINUTE_MS)?;
+    range("store.poll_ms", s.store.poll_ms, 10, MINUTE_MS)?;
+    let record_bytes_max = s.store.record_bytes_max;
+    range("store.record_bytes_max", record_bytes_max, 1_024, 16 << 20)?;
+    let call_bytes_max = s.store.call_bytes_max;
+    range("store.call_bytes_max", call_bytes_max, 1_024, 128 << 20)?;
+    let connect_timeout_ms = s.online.connect_timeout_ms;
+    range(
+        "online.connect_timeout_ms",
+        connect_timeout_ms,
+        1,
+        MINUTE_MS,
+    )?;
+    range("online.idle_ms", s.online.idle_ms, 1, TEN_MINUTES_MS)?;
+    range("online.stall_ms", s.online.stall_ms, 10, TEN_MINUTES_MS)?;
+    range("batch.reserve", s.batch.reserve, 0, 64)?;
+    range("batch.start_gap_ms", s.batch.start_gap_ms, 1, 1_000)?;
+    range("batch.stall_ms", s.batch.stall_ms, 10, TEN_MINUTES_MS)?;
+    range("batch.running_max", s.batch.running_max, 1, 100_000)?;
+    range("batch.readable_ms", s.batch.readable_ms, 1_000, 86_400_000)?;
+    range("peers.news_ms", s.peers.news_ms, 1, 10_000)?;
+    range("peers.beat_ms", s.peers.beat_ms, 10, MINUTE_MS)?;
+    range("peers.down_ms", s.peers.down_ms, 20, TEN_MINUTES_MS)?;
+    range("shutdown.notice_ms", s.shutdown.notice_ms, 0, MINUTE_MS)?;
+    let drain_timeout_ms = s.shutdown.drain_timeout_ms;
+    range("shutdown.drain_timeout_ms", drain_timeout_ms, 10, 3_600_000)?;
+    range("logs.lines_per_s_max", s.logs.lines_per_s_max, 1, 1_000_000)?;
+    below(
+        ("store.record_bytes_max", record_bytes_max),
+        ("store.call_bytes_max", call_bytes_max.saturating_add(1)),
+    )?;
+    below(
+        ("peers.beat_ms", s.peers.beat_ms),
+        ("peers.down_ms", s.peers.down_ms),
+    )?;
+    below(
+        ("shutdown.notice_ms", s.shutdown.notice_ms),
+        ("shutdown.drain_timeout_ms", drain_timeout_ms),
+    )
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -2,12 +2,17 @@
 //!
 //! [`settings`] is what one process is told at start. [`bundle`] is what the
 //! whole fleet serves, and [`history`] is the fold that says which bundle is
-//! in force. None of it does any I/O.
+//! in force. Where the users' platform keeps the configuration, [`routes`] is
+//! what the fleet serves and [`gateway`] what one process is told. None of it
+//! does any I/O.
 
 pub mod bundle;
+mod check;
 pub mod error;
+pub mod gateway;
 pub mod history;
 mod json;
+pub mod routes;
 pub mod settings;
 
 /// The name of a customer, as the bundle spells it.
--- a/crates/config/src/settings/check.rs
+++ b/crates/config/src/settings/check.rs
@@ -5,7 +5,9 @@
 //! whoever reads or searches them.
 
 use super::Settings;
-use crate::bundle::is_name;
+use crate::check::below;
+use crate::check::name;
+use crate::check::range;
 use crate::error;
 
 pub(super) fn check(settings: &Settings) -> Result<(), error::Settings> {
@@ -201,43 +203,3 @@
         ("shutdown.drain_timeout_ms", s.shutdown.drain_timeout_ms),
     )
 }
-
-fn below(low: (&'static str, u64), high: (&'static str, u64)) -> Result<(), error::Settings> {
-    if low.1 < high.1 {
-        return Ok(());
-    }
-    Err(error::Settings::Order {
-        path: low.0,
-        found: low.1,
-        other: high.0,
-        limit: high.1,
-    })
-}
-
-fn range(
-    path: &'static str,
-    found: impl Into<u64>,
-    min: u64,
-    max: u64,
-) -> Result<(), error::Settings> {
-    let found = found.into();
-    if (min..=max).contains(&found) {
-        return Ok(());
-    }
-    Err(error::Settings::Range {
-        path,
-        found,
-        min,
-        max,
-    })
-}
-
-fn name(path: &'static str, found: &str) -> Result<(), error::Settings> {
-    if is_name(found) {
-        return Ok(());
-    }
-    Err(error::Settings::Name {
-        path,
-        found: found.into(),
-    })
-}
--- /dev/null
+++ b/crates/gateway/src/backlog.rs
@@ -0,0 +1,158 @@
+//! Which items this host has to run, and in which order.
+//!
+//! A host runs the items of the jobs that it owns by the job records; the
+//! oldest job comes first. An item is here until it is listed, unless its job
+//! has ended or another host has taken the job over.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use notchwharf_ledger::jobs::Accepted;
+use notchwharf_ledger::jobs::JobId;
+use notchwharf_ledger::jobs::Jobs;
+use notchwharf_ledger::jobs::Offset;
+
+use crate::ports::Forward;
+
+/// What identifies an item: its job and its place in the caller's order.
+pub(crate) type ItemKey = (JobId, u32);
+
+/// An item to run.
+#[derive(Clone, Debug)]
+pub(crate) struct Item {
+    /// What identifies it.
+    pub(crate) key: ItemKey,
+    /// The host that its requests name.
+    pub(crate) host: String,
+    /// The request.
+    pub(crate) forward: Arc<Forward>,
+    /// The data of the events that are here, joined by line feeds.
+    pub(crate) text: Vec<u8>,
+    /// The number of the last event that is here.
+    pub(crate) last_event: Option<u64>,
+    /// Runs that failed for the item's own sake.
+    pub(crate) failures: u32,
+    /// When its job was submitted.
+    pub(crate) submitted_unix_ms: u64,
+}
+
+#[derive(Debug)]
+struct Lot {
+    epoch: Offset,
+    /// Nothing while its items are being read.
+    waiting: Option<HashSet<u32>>,
+}
+
+/// Items of the jobs that this host owns.
+#[derive(Debug, Default)]
+pub(crate) struct Backlog {
+    queue: BTreeMap<(u64, JobId, u32), Item>,
+    lots: HashMap<JobId, Lot>,
+}
+
+impl Backlog {
+    /// Takes in what the job records say; returns the jobs whose items are to
+    /// be read and given to [`Self::loaded`].
+    pub(crate) fn sync(&mut self, jobs: &Jobs, host: &str) -> Vec<(Offset, Arc<Accepted>)> {
+        self.lots.retain(|job, lot| {
+            let known = jobs.get(job);
+            known.is_some_and(|j| j.is_open() && j.owner == host && j.epoch == lot.epoch)
+        });
+        let lots = &self.lots;
+        self.queue.retain(|(_, job, item), _| {
+            lots.contains_key(job) && !jobs.get(job).is_none_or(|j| j.is_listed(*item))
+        });
+        let mut missing = Vec::new();
+        for job in jobs.open().filter(|job| job.owner == host) {
+            let id = &job.accepted.job;
+            if self.lots.contains_key(id) {
+                continue;
+            }
+            let lot = Lot {
+                epoch: job.epoch,
+                waiting: None,
+            };
+            self.lots.insert(id.clone(), lot);
+            missing.push((job.epoch, Arc::clone(&job.accepted)));
+        }
+        missing
+    }
+
+    /// Takes in the items of a job.
+    pub(crate) fn loaded(&mut self, epoch: Offset, job: &str, items: Vec<Item>, jobs: &Jobs) {
+        let Some(lot) = self.lots.get_mut(job) else {
+            return;
+        };
+        if lot.epoch != epoch || lot.waiting.is_some() {
+            return;
+        }
+        let Some(known) = jobs.get(job) else {
+            return;
+        };
+        let items = items
+            .into_iter()
+            .filter(|item| !known.is_listed(item.key.1));
+        let mut waiting = HashSet::new();
+        for item in items {
+            waiting.insert(item.key.1);
+            self.queue.insert(place(&item), item);
+        }
+        lot.waiting = Some(waiting);
+    }
+
+    /// Gives up reading a job's items for now; they are asked for again.
+    pub(crate) fn not_loaded(&mut self, job: &str) {
+        self.lots.remove(job);
+    }
+
+    /// Returns the item to run next without taking it.
+    pub(crate) fn peek(&self) -> Option<&Item> {
+        self.queue.values().next()
+    }
+
+    /// Takes the item to run next.
+    pub(crate) fn take(&mut self) -> Option<Item> {
+        self.queue.pop_first().map(|(_, item)| item)
+    }
+
+    /// Puts back an item that is to go on later.
+    pub(crate) fn put_back(&mut self, item: Item) {
+        let lot = self.lots.get(&item.key.0);
+        let is_wanted = lot.is_some_and(|lot| lot.is_waiting(item.key.1));
+        if is_wanted {
+            self.queue.insert(place(&item), item);
+        }
+    }
+
+    /// Notes that an item's end is about to be recorded.
+    pub(crate) fn settled(&mut self, key: &ItemKey) {
+        let lot = self.lots.get_mut(&key.0);
+        if let Some(waiting) = lot.and_then(|lot| lot.waiting.as_mut()) {
+            waiting.remove(&key.1);
+        }
+    }
+
+    /// Returns whether an item is still this host's to run.
+    pub(crate) fn is_wanted(&self, key: &ItemKey) -> bool {
+        self.lots
+            .get(&key.0)
+            .is_some_and(|lot| lot.is_waiting(key.1))
+    }
+
+    /// Returns the number of items that wait.
+    pub(crate) fn len(&self) -> usize {
+        self.queue.len()
+    }
+}
+
+impl Lot {
+    fn is_waiting(&self, item: u32) -> bool {
+        self.waiting.as_ref().is_some_and(|w| w.contains(&item))
+    }
+}
+
+fn place(item: &Item) -> (u64, JobId, u32) {
+    (item.submitted_unix_ms, item.key.0.clone(), item.key.1)
+}
--- /dev/null
+++ b/crates/gateway/src/context.rs
@@ -0,0 +1,175 @@
+//! What all parts of one host share.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use notchwharf_config::gateway::Settings;
+use notchwharf_config::routes::Table;
+use notchwharf_routing::budget::Budget;
+use notchwharf_routing::places;
+use notchwharf_routing::places::Places;
+use notchwharf_telemetry::gauge::Gauge;
+use notchwharf_timer::Timer;
+use tokio::sync::watch;
+
+use crate::blobs::Blobs;
+use crate::catalog::Catalog;
+use crate::items::Items;
+use crate::journal::Journal;
+use crate::metrics::Metrics;
+use crate::peers::Peers;
+use crate::ports::Decode;
+use crate::ports::Ports;
+use crate::ports::Targets;
+use crate::store::Store;
+
+/// Offers beyond the first that are made, as a share of successes: enough for
+/// a crash of a fifth of the targets, too few to double the load of all.
+const RETRY_SHARE_PERCENT: u32 = 30;
+
+/// Where a process is in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// It has no configuration yet.
+    Starting,
+    /// It takes requests.
+    Ready,
+    /// It finishes what it has.
+    Leaving,
+    /// It closes connections as they fall idle.
+    Closing,
+    /// It ends now.
+    Stopped,
+}
+
+/// What all parts of one host share.
+pub struct Context {
+    /// The settings.
+    pub settings: Settings,
+    /// The logger.
+    pub logger: slog::Logger,
+    /// Counters and histograms.
+    pub metrics: Arc<Metrics>,
+    /// The timer service.
+    pub timer: Timer,
+    /// Where the process is in its life.
+    pub phase: watch::Sender<Phase>,
+    /// The routes in force.
+    pub routes: watch::Sender<Option<Arc<Table>>>,
+    /// Requests and calls that are not answered yet.
+    pub in_flight: Gauge,
+    /// Connections of callers.
+    pub connections: Gauge,
+    /// When the process started.
+    pub started: Instant,
+    /// The time of day at which the process started, in milliseconds.
+    pub incarnation: u64,
+    pub(crate) store: Store,
+    pub(crate) targets: Targets,
+    pub(crate) decode: Decode,
+    pub(crate) places: Mutex<Places>,
+    pub(crate) budget: Mutex<Budget>,
+    pub(crate) catalog: Mutex<Catalog>,
+    pub(crate) journal: Journal,
+    pub(crate) blobs: Blobs,
+    pub(crate) peers: Peers,
+    pub(crate) items: Items,
+}
+
+impl std::fmt::Debug for Context {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let host = &self.settings.host.name;
+        f.debug_struct("Context")
+            .field("host", host)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Context {
+    pub(crate) fn new(settings: Settings, ports: Ports, logger: slog::Logger) -> Self {
+        let metrics = Arc::new(Metrics::default());
+        let store = Store::new(ports.store, Arc::clone(&metrics), logger.clone());
+        let cfg = places::Config {
+            reserve: settings.batch.reserve,
+            ..places::Config::default()
+        };
+        Self {
+            timer: Timer::start(),
+            phase: watch::Sender::new(Phase::Starting),
+            routes: watch::Sender::new(None),
+            in_flight: Gauge::default(),
+            connections: Gauge::default(),
+            started: Instant::now(),
+            incarnation: unix_ms(),
+            targets: ports.targets,
+            decode: ports.decode,
+            places: Mutex::new(Places::new(cfg, rand::random())),
+            budget: Mutex::new(Budget::new(RETRY_SHARE_PERCENT)),
+            catalog: Mutex::default(),
+            journal: Journal::default(),
+            blobs: Blobs::new(store.clone(), &settings.store),
+            peers: Peers::default(),
+            items: Items::default(),
+            store,
+            metrics,
+            settings,
+            logger,
+        }
+    }
+
+    /// Returns this host's name.
+    pub fn host(&self) -> &str {
+        &self.settings.host.name
+    }
+
+    /// Returns where the process is in its life.
+    pub fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    /// Returns the routes in force.
+    pub fn table(&self) -> Option<Arc<Table>> {
+        self.routes.borrow().clone()
+    }
+
+    /// Moves on to a phase; never back.
+    pub(crate) fn enter(&self, phase: Phase) {
+        self.phase.send_if_modified(|now| {
+            let later = phase > *now;
+            if later {
+                *now = phase;
+            }
+            later
+        });
+    }
+
+    /// Waits until the process stops.
+    pub(crate) async fn stopped(&self) {
+        let mut phase = self.phase.subscribe();
+        // The sender lives as long as the context.
+        let _ = phase.wait_for(|p| *p == Phase::Stopped).await;
+    }
+}
+
+/// Locks a mutex; what it guards is consistent between any two statements.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Returns the time of day in milliseconds.
+pub(crate) fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    // A clock before 1970 is wrong whatever is made of it; only order counts.
+    since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
+}
+
+/// Returns a setting as a time.
+pub(crate) fn ms(value: u64) -> Duration {
+    Duration::from_millis(value)
+}
--- /dev/null
+++ b/crates/gateway/src/error.rs
@@ -0,0 +1,120 @@
+//! Why a request or a job was not answered as its caller hoped.
+
+use std::fmt;
+use std::time::Duration;
+
+use hyper::StatusCode;
+
+/// Why an online request has no answer of a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// No configuration is known yet; nothing ran.
+    NotReady {
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// No route leads there.
+    NoRoute,
+    /// Nothing ran and nothing will.
+    NotRun {
+        /// When to come back.
+        retry_after: Duration,
+        /// Why.
+        reason: &'static str,
+    },
+    /// A target found fault with the request; nothing ran.
+    Rejected(StatusCode),
+    /// It may have run.
+    Unknown {
+        /// What was seen last.
+        reason: &'static str,
+    },
+    /// Its time is over; it may have run.
+    TimedOut,
+}
+
+impl Failure {
+    /// Returns the outcome as logs and metrics name it.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::NotReady { .. } => "not ready",
+            Self::NoRoute => "no route",
+            Self::NotRun { .. } => "not run",
+            Self::Rejected(_) => "rejected",
+            Self::Unknown { .. } => "unknown",
+            Self::TimedOut => "timed out",
+        }
+    }
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotReady { .. } => f.write_str("no configuration is known yet; come back later"),
+            Self::NoRoute => f.write_str("no route leads there"),
+            Self::NotRun { reason, .. } => write!(f, "not run ({reason}); come back later"),
+            Self::Rejected(status) => write!(f, "the target answered {status} and ran nothing"),
+            Self::Unknown { reason } => write!(f, "it may have run ({reason})"),
+            Self::TimedOut => f.write_str("it took longer than it may; it may have run"),
+        }
+    }
+}
+
+impl std::error::Error for Failure {}
+
+/// Why a call about a job was not done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lot {
+    /// The request is malformed.
+    Malformed(&'static str),
+    /// No route leads there.
+    NoRoute,
+    /// The route's limit leaves no room; nothing of the job runs.
+    OverQuota {
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// The host cannot tell or do it now; nothing of the job runs by this try.
+    NotNow {
+        /// When to come back.
+        retry_after: Duration,
+        /// Why.
+        reason: &'static str,
+    },
+    /// The job may have been accepted, or the end recorded.
+    Unknown,
+    /// There is no such job or item.
+    NotFound,
+}
+
+impl fmt::Display for Lot {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Malformed(what) => write!(f, "malformed: {what}"),
+            Self::NoRoute => f.write_str("no route leads there"),
+            Self::OverQuota { .. } => f.write_str("too many tokens wait; nothing of the job runs"),
+            Self::NotNow { reason, .. } => write!(f, "not now ({reason}); come back later"),
+            Self::Unknown => f.write_str("unknown whether it was done; send it again"),
+            Self::NotFound => f.write_str("not found"),
+        }
+    }
+}
+
+impl std::error::Error for Lot {}
+
+/// Why a host could not start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Start {
+    /// An address cannot be listened on.
+    Listen,
+}
+
+impl fmt::Display for Start {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Listen => f.write_str("an address cannot be listened on"),
+        }
+    }
+}
+
+impl std::error::Error for Start {}
--- /dev/null
+++ b/crates/gateway/src/items.rs
@@ -0,0 +1,370 @@
+//! Runs the items of this host's jobs in places that online requests leave.
+//!
+//! An item is cut the moment an online request needs its place. What it
+//! generated is kept, and it goes on at whatever target has room next.
+
+mod run;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use notchwharf_config::routes::Route;
+use notchwharf_ledger::jobs::Accepted;
+use notchwharf_ledger::jobs::JobId;
+use notchwharf_ledger::jobs::Offset;
+use notchwharf_ledger::jobs::Outcome;
+use notchwharf_ledger::jobs::Reason;
+use notchwharf_ledger::jobs::Record;
+use notchwharf_ledger::rendezvous::hash;
+use notchwharf_routing::places::TargetId;
+use notchwharf_routing::places::Want;
+use notchwharf_telemetry::gauge::Gauge;
+use tokio::sync::Notify;
+use tokio::sync::oneshot;
+
+use crate::backlog::Backlog;
+use crate::backlog::Item;
+use crate::backlog::ItemKey;
+use crate::context::Context;
+use crate::context::Phase;
+use crate::context::lock;
+use crate::context::ms;
+use crate::lots::Payload;
+use crate::metrics::Counted;
+use crate::ports::Forward;
+use crate::ports::Topic;
+use crate::target::Class;
+use crate::target::Running;
+
+/// Time between two looks at the backlog without news, and at overfull targets.
+const TICK: Duration = Duration::from_millis(50);
+/// Time between two looks at jobs whose owners are gone.
+const TAKE_OVER_TICK: Duration = Duration::from_millis(250);
+/// Pause before a job's items are read again.
+const LOAD_PAUSE: Duration = Duration::from_millis(200);
+/// Time for which a record of an item is tried; the store may be down long.
+const RECORD_TIMEOUT: Duration = Duration::from_secs(120);
+
+/// Items that run at this host.
+#[derive(Debug, Default)]
+pub(crate) struct Items {
+    backlog: Mutex<Backlog>,
+    running: Mutex<Registry>,
+    wake: Notify,
+    /// Items whose end is not recorded yet.
+    pub(crate) unsettled: Gauge,
+}
+
+#[derive(Debug, Default)]
+struct Registry {
+    number: u64,
+    by_target: HashMap<TargetId, Vec<Entry>>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    number: u64,
+    key: ItemKey,
+    /// Counts the item at its target as long as it is here.
+    _running: Running,
+    _cancel: oneshot::Sender<()>,
+}
+
+impl Registry {
+    fn len(&self) -> usize {
+        self.by_target.values().map(Vec::len).sum()
+    }
+}
+
+impl Items {
+    /// Lets the host look whether an item can start.
+    pub(crate) fn wake(&self) {
+        self.wake.notify_one();
+    }
+
+    /// Cuts the youngest item at a target; returns whether there was one.
+    pub(crate) fn cut_one(&self, target: &str) -> bool {
+        let mut running = lock(&self.running);
+        let entry = running.by_target.get_mut(target).and_then(Vec::pop);
+        drop(running);
+        // Dropping the entry ends the count at once and tells the item's task.
+        entry.is_some()
+    }
+
+    fn register(&self, target: &TargetId, key: ItemKey, running: Running) -> Ticket {
+        let (cancel, cancelled) = oneshot::channel();
+        let mut registry = lock(&self.running);
+        registry.number += 1;
+        let number = registry.number;
+        let entry = Entry {
+            number,
+            key,
+            _running: running,
+            _cancel: cancel,
+        };
+        let at_target = registry.by_target.entry(target.clone()).or_default();
+        at_target.push(entry);
+        Ticket { number, cancelled }
+    }
+
+    fn unregister(&self, target: &str, number: u64) {
+        let mut running = lock(&self.running);
+        let at_target = running.by_target.get_mut(target);
+        let entry = at_target.and_then(|entries| {
+            let place = entries.iter().position(|e| e.number == number)?;
+            Some(entries.remove(place))
+        });
+        drop(running);
+        drop(entry);
+    }
+
+    /// Cuts items that are not wanted any more.
+    fn cut_unwanted(&self, is_wanted: impl Fn(&ItemKey) -> bool) {
+        let mut cut = Vec::new();
+        for entries in lock(&self.running).by_target.values_mut() {
+            let (wanted, unwanted) = entries.drain(..).partition(|e| is_wanted(&e.key));
+            *entries = wanted;
+            cut.push(unwanted);
+        }
+    }
+}
+
+/// What a running item holds: its number, and word when it is cut.
+struct Ticket {
+    number: u64,
+    cancelled: oneshot::Receiver<()>,
+}
+
+/// Starts to run items.
+pub(crate) fn start(ctx: &Arc<Context>) {
+    tokio::spawn(schedule(Arc::clone(ctx)));
+    tokio::spawn(take_over(Arc::clone(ctx)));
+}
+
+async fn schedule(ctx: Arc<Context>) {
+    let mut changed = ctx.journal.subscribe();
+    let mut ticks = ctx.timer.subscribe(TICK);
+    while ctx.phase() < Phase::Leaving {
+        tokio::select! {
+            _ = changed.changed() => sync(&ctx),
+            () = ctx.items.wake.notified() => {}
+            tick = ticks.recv() => {
+                if tick.is_none() {
+                    return;
+                }
+                relieve(&ctx);
+            }
+        }
+        start_items(&ctx).await;
+    }
+    // Others take the jobs over.
+    ctx.items.cut_unwanted(|_| false);
+}
+
+/// Takes in what the job records say.
+fn sync(ctx: &Arc<Context>) {
+    let missing = {
+        let jobs = ctx.journal.jobs();
+        lock(&ctx.items.backlog).sync(&jobs, ctx.host())
+    };
+    for (epoch, accepted) in missing {
+        tokio::spawn(load(Arc::clone(ctx), epoch, accepted));
+    }
+    let backlog = lock(&ctx.items.backlog);
+    ctx.items.cut_unwanted(|key| backlog.is_wanted(key));
+    ctx.metrics.set("items_waiting", backlog.len());
+}
+
+/// Reads the items of a job.
+async fn load(ctx: Arc<Context>, epoch: Offset, accepted: Arc<Accepted>) {
+    let job = &accepted.job;
+    match Payload::read(&ctx, &accepted).await {
+        Ok(payload) => {
+            let items = to_items(&accepted, payload);
+            let jobs = ctx.journal.jobs();
+            lock(&ctx.items.backlog).loaded(epoch, job, items, &jobs);
+        }
+        Err(err) => {
+            slog::warn!(ctx.logger, "job's items not read"; "job" => job.as_str(),
+                "error" => err.to_string());
+            tokio::time::sleep(LOAD_PAUSE).await;
+            lock(&ctx.items.backlog).not_loaded(job);
+            sync(&ctx);
+        }
+    }
+    ctx.items.wake();
+}
+
+fn to_items(accepted: &Accepted, payload: Payload) -> Vec<Item> {
+    let host = payload.host;
+    let specs = accepted.items.iter();
+    let both = specs.zip(payload.items).zip(0..);
+    let items = both.map(|((spec, item), number)| Item {
+        key: (accepted.job.clone(), number),
+        host: host.clone(),
+        forward: Arc::new(Forward {
+            id: spec.id.clone(),
+            method: hyper::Method::POST,
+            headers: item.headers(),
+            path: item.path,
+            body: item.body.into(),
+        }),
+        text: Vec::new(),
+        last_event: None,
+        failures: 0,
+        submitted_unix_ms: accepted.submitted_unix_ms,
+    });
+    items.collect()
+}
+
+/// Cuts an item at each target that has more than it can run.
+fn relieve(ctx: &Arc<Context>) {
+    let overfull = lock(&ctx.places).overfull(ctx.host());
+    for target in overfull {
+        if ctx.items.cut_one(&target) {
+            ctx.metrics.count(Counted::Items, "cut, target overfull");
+        }
+    }
+}
+
+/// Starts items while there is room for them.
+async fn start_items(ctx: &Arc<Context>) {
+    let gap = ms(ctx.settings.batch.start_gap_ms);
+    let most = ctx.settings.batch.running_max as usize;
+    while ctx.phase() == Phase::Ready && lock(&ctx.items.running).len() < most {
+        let Some(next) = next(ctx) else {
+            return;
+        };
+        match next {
+            Next::Run(item, route, target) => {
+                let running = Running::begin(ctx, &target, Class::Batch);
+                let ticket = ctx.items.register(&target, item.key.clone(), running);
+                tokio::spawn(run::run(Arc::clone(ctx), item, route, target, ticket));
+                tokio::time::sleep(gap).await;
+            }
+            Next::GiveUp(item, reason) => give_up(ctx, &item, reason),
+        }
+    }
+}
+
+/// What to do with an item.
+enum Next {
+    Run(Item, Arc<Route>, TargetId),
+    GiveUp(Item, Reason),
+}
+
+fn next(ctx: &Context) -> Option<Next> {
+    let table = ctx.table()?;
+    let mut backlog = lock(&ctx.items.backlog);
+    let item = backlog.peek()?;
+    let path = item.forward.path.split('?').next().unwrap_or_default();
+    let Some(route) = table.find(&item.host, path).cloned() else {
+        let item = backlog.take()?;
+        return Some(Next::GiveUp(item, Reason::NoRoute));
+    };
+    let service = route.service(hash(&item.forward.id))?;
+    let want = Want {
+        service,
+        data_centre: &ctx.settings.host.data_centre,
+        affinity: 0,
+        tried: &[],
+    };
+    let target = lock(&ctx.places).choose_batch(&want, Instant::now())?;
+    let item = backlog.take()?;
+    Some(Next::Run(item, route, target))
+}
+
+/// Lists an item as failed.
+fn give_up(ctx: &Arc<Context>, item: &Item, reason: Reason) {
+    slog::info!(ctx.logger, "item given up"; "job" => item.key.0.as_str(),
+        "id" => item.forward.id.as_str(), "reason" => ?reason, "failures" => item.failures);
+    lock(&ctx.items.backlog).settled(&item.key);
+    let record = Record::Listed {
+        job: item.key.0.clone(),
+        item: item.key.1,
+        outcome: Outcome::Failed(reason),
+    };
+    ctx.metrics.count(Counted::Items, "given up");
+    tokio::spawn(list(Arc::clone(ctx), record));
+}
+
+/// Records the end of an item.
+async fn list(ctx: Arc<Context>, record: Record) {
+    let _unsettled = ctx.items.unsettled.enter();
+    let job = record.job().clone();
+    let deadline = Instant::now() + RECORD_TIMEOUT;
+    if let Err(err) = ctx.journal.append(record, deadline).await {
+        slog::error!(ctx.logger, "end of an item not recorded"; "job" => job, "error" => ?err);
+    }
+}
+
+/// Writes an item's text and records its end.
+async fn complete(ctx: Arc<Context>, item: Item) {
+    let _unsettled = ctx.items.unsettled.enter();
+    let (job, number) = &item.key;
+    let key = format!("{job}/{number}/{}.{:x}", ctx.host(), ctx.incarnation);
+    let text = bytes::Bytes::from(item.text);
+    let deadline = Instant::now() + RECORD_TIMEOUT;
+    let blobs = loop {
+        if text.is_empty() {
+            break Vec::new();
+        }
+        match ctx
+            .blobs
+            .write(Topic::Results, job, &key, text.clone())
+            .await
+        {
+            Ok(blobs) => break blobs,
+            Err(err) if Instant::now() >= deadline || ctx.phase() == Phase::Stopped => {
+                slog::error!(ctx.logger, "result not written"; "job" => job.as_str(),
+                    "id" => item.forward.id.as_str(), "error" => err.to_string());
+                return;
+            }
+            Err(_) => tokio::time::sleep(LOAD_PAUSE).await,
+        }
+    };
+    let record = Record::Listed {
+        job: job.clone(),
+        item: *number,
+        outcome: Outcome::Completed(blobs),
+    };
+    list(Arc::clone(&ctx), record).await;
+}
+
+/// Takes over jobs whose owners are down, leave, or do not reach the store.
+async fn take_over(ctx: Arc<Context>) {
+    let mut ticks = ctx.timer.subscribe(TAKE_OVER_TICK);
+    // Peers make themselves heard in this time.
+    let settled = ctx.started + 2 * ms(ctx.settings.peers.down_ms);
+    while ticks.recv().await.is_some() && ctx.phase() < Phase::Leaving {
+        if Instant::now() < settled || !ctx.store.is_up() || !ctx.journal.is_loaded() {
+            continue;
+        }
+        for (job, epoch, owner) in orphans(&ctx) {
+            slog::info!(ctx.logger, "taking a job over"; "job" => job.as_str(),
+                "owner" => owner, "epoch" => epoch);
+            let record = Record::Taken {
+                job,
+                epoch,
+                host: ctx.host().to_owned(),
+            };
+            let deadline = Instant::now() + TAKE_OVER_TICK;
+            // Not done, it is tried again; done by another host, it is theirs.
+            let _ = ctx.journal.append(record, deadline).await;
+        }
+    }
+}
+
+fn orphans(ctx: &Context) -> Vec<(JobId, Offset, String)> {
+    let jobs = ctx.journal.jobs();
+    let orphans = jobs.open().filter(|job| {
+        job.owner != ctx.host()
+            && !ctx.peers.is_able(&job.owner)
+            && ctx.peers.is_successor(ctx.host(), &job.accepted.job)
+    });
+    let orphans = orphans.map(|job| (job.accepted.job.clone(), job.epoch, job.owner.clone()));
+    orphans.collect()
+}
--- /dev/null
+++ b/crates/gateway/src/items/run.rs
@@ -0,0 +1,183 @@
+//! One run of an item at a target.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use http_body_util::BodyExt as _;
+use hyper::StatusCode;
+use notchwharf_config::routes::Route;
+use notchwharf_ledger::jobs::Reason;
+use notchwharf_routing::places::TargetId;
+
+use super::Ticket;
+use super::complete;
+use super::give_up;
+use crate::backlog::Item;
+use crate::context::Context;
+use crate::context::lock;
+use crate::context::ms;
+use crate::metrics::Counted;
+use crate::ports::Call;
+use crate::ports::NoReply;
+use crate::ports::Reply;
+use crate::splice::Events;
+
+/// Time that a target is given for an item: far more than any takes, so that
+/// only silence or the job's end stops it.
+const RUN_TIMEOUT: Duration = Duration::from_secs(60);
+/// Pause before an item that failed goes on, so that a fault that repeats at
+/// once does not keep a target busy.
+const FAILED_PAUSE: Duration = Duration::from_millis(50);
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ended {
+    /// The whole answer is here.
+    Whole,
+    /// It was cut for an online request or since it is not wanted.
+    Cut,
+    /// The target failed at it.
+    Failed,
+    /// It can never be done.
+    Impossible,
+    /// Nothing was run.
+    NotRun(NoReply),
+    /// The target broke off, fell silent or sent something else.
+    Broken(&'static str),
+}
+
+pub(super) async fn run(
+    ctx: Arc<Context>,
+    mut item: Item,
+    route: Arc<Route>,
+    target: TargetId,
+    ticket: Ticket,
+) {
+    let started = Instant::now();
+    let had = item.last_event;
+    let Ticket { number, cancelled } = ticket;
+    let ended = tokio::select! {
+        ended = exchange(&ctx, &mut item, &target) => ended,
+        _ = cancelled => Ended::Cut,
+    };
+    ctx.items.unregister(&target, number);
+    ctx.metrics.count(Counted::Items, label(ended));
+    slog::info!(ctx.logger, "item run"; "job" => item.key.0.as_str(),
+        "id" => item.forward.id.as_str(), "target" => target.as_str(), "ended" => label(ended),
+        "from_event" => had, "last_event" => item.last_event, "failures" => item.failures,
+        "took_ms" => u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX));
+    note(&ctx, &target, ended);
+    match ended {
+        Ended::Whole => {
+            lock(&ctx.items.backlog).settled(&item.key);
+            complete(Arc::clone(&ctx), item).await;
+        }
+        Ended::Impossible => give_up(&ctx, &item, Reason::Impossible),
+        Ended::Failed => {
+            item.failures += 1;
+            if item.failures >= route.attempts_max.max(1) {
+                give_up(&ctx, &item, Reason::Attempts);
+            } else {
+                put_back(&ctx, item).await;
+            }
+        }
+        Ended::Cut => lock(&ctx.items.backlog).put_back(item),
+        Ended::NotRun(_) | Ended::Broken(_) => put_back(&ctx, item).await,
+    }
+    ctx.items.wake();
+}
+
+async fn put_back(ctx: &Context, item: Item) {
+    tokio::time::sleep(FAILED_PAUSE).await;
+    lock(&ctx.items.backlog).put_back(item);
+}
+
+fn label(ended: Ended) -> &'static str {
+    match ended {
+        Ended::Whole => "whole",
+        Ended::Cut => "cut",
+        Ended::Failed => "failed",
+        Ended::Impossible => "impossible",
+        Ended::NotRun(err) => err.reason(),
+        Ended::Broken(reason) => reason,
+    }
+}
+
+fn note(ctx: &Context, target: &TargetId, ended: Ended) {
+    let now = Instant::now();
+    let mut places = lock(&ctx.places);
+    match ended {
+        Ended::Whole | Ended::Failed | Ended::Impossible => places.answered(target, None),
+        Ended::NotRun(NoReply::Full) => places.refused(target, now),
+        Ended::NotRun(NoReply::Rejected(_)) | Ended::Cut => {}
+        Ended::NotRun(_) | Ended::Broken(_) => places.failed(target, now),
+    }
+}
+
+async fn exchange(ctx: &Context, item: &mut Item, target: &TargetId) -> Ended {
+    let Some(addr) = lock(&ctx.places).spec(target).map(|spec| spec.addr) else {
+        return Ended::NotRun(NoReply::NotSent("target gone"));
+    };
+    let call = Call {
+        forward: Arc::clone(&item.forward),
+        target: target.clone(),
+        addr,
+        left: RUN_TIMEOUT,
+        resume_after: item.last_event,
+    };
+    let stall = ms(ctx.settings.batch.stall_ms);
+    let replied = tokio::time::timeout(stall, (ctx.targets.call)(call)).await;
+    let reply = match replied {
+        Err(_) => return Ended::Broken("silent"),
+        Ok(Err(NoReply::Unknown(reason))) => return Ended::Broken(reason),
+        Ok(Err(err)) => return Ended::NotRun(err),
+        Ok(Ok(reply)) => reply,
+    };
+    match reply.status {
+        StatusCode::UNPROCESSABLE_ENTITY => Ended::Impossible,
+        StatusCode::INTERNAL_SERVER_ERROR => Ended::Failed,
+        status if !status.is_success() => Ended::Broken("other status"),
+        _ if !reply.is_signed => Ended::Broken("unsigned success"),
+        _ => read(reply, item, stall).await,
+    }
+}
+
+/// Reads an answer; whole events are kept however it ends.
+async fn read(mut reply: Reply, item: &mut Item, stall: Duration) -> Ended {
+    let mut events = Events::default();
+    loop {
+        let Ok(frame) = tokio::time::timeout(stall, reply.body.frame()).await else {
+            return Ended::Broken("silent");
+        };
+        let frame = match frame {
+            Some(Ok(frame)) => frame,
+            Some(Err(_)) => return Ended::Broken("broke off"),
+            None if events.is_clean() => return Ended::Whole,
+            None => return Ended::Broken("ended in an event"),
+        };
+        let Ok(bytes) = frame.into_data() else {
+            continue;
+        };
+        events.push(&bytes);
+        for event in events.by_ref() {
+            if !follows(item.last_event, event.id) {
+                return Ended::Broken("event out of order");
+            }
+            if item.last_event.is_some() {
+                item.text.push(b'\n');
+            }
+            item.text.extend_from_slice(&event.data());
+            item.last_event = event.id;
+        }
+    }
+}
+
+/// Returns whether an event comes right after another.
+fn follows(last: Option<u64>, id: Option<u64>) -> bool {
+    match (last, id) {
+        (_, None) => false,
+        (None, Some(_)) => true,
+        (Some(last), Some(id)) => id == last + 1,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/journal.rs
@@ -0,0 +1,425 @@
+//! The stream of job records: reads it, folds it, appends to it.
+//!
+//! Every record has a key of its own, so the store keeps all of them for good
+//! and a host that starts lists them, in the order of their offsets, and goes on
+//! from there. An append without an answer is made again under another key; the
+//! fold counts the first copy.
+//!
+//! Waiting reads were rejected: with a record every few milliseconds each would
+//! return at once, on every host. Hosts read a few times a second, at once when
+//! somebody asks for what they do not know, and sooner when a peer is ahead.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::OnceLock;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use notchwharf_ledger::jobs::Applied;
+use notchwharf_ledger::jobs::Ignored;
+use notchwharf_ledger::jobs::Jobs;
+use notchwharf_ledger::jobs::Offset;
+use notchwharf_ledger::jobs::Record;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
+use crate::context::Context;
+use crate::context::Phase;
+use crate::context::lock;
+use crate::context::ms;
+use crate::ports::Entry;
+use crate::ports::Read;
+use crate::ports::StoreError;
+use crate::ports::Stored;
+use crate::ports::Topic;
+
+/// The only partition: one order for all jobs, a few records a second.
+const PART: u32 = 0;
+/// Bytes read at once.
+const READ_BYTES: u64 = 1 << 20;
+/// Records in one append: well below the bytes that a call may carry.
+const APPEND_RECORDS_MAX: usize = 256;
+/// Pause after an append that failed.
+const APPEND_PAUSE: Duration = Duration::from_millis(60);
+/// Age of a reading after which another is due although no peer is ahead:
+/// what one host has shown, all must show within a second.
+const READ_AGE_MAX: Duration = Duration::from_millis(650);
+/// Outcomes of records that are remembered: more than any host appends while
+/// one of its appends is under way.
+const RECENT_MAX: usize = 4_096;
+
+/// Why a record is not known to be in the stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotAppended {
+    /// It is not there and will not be.
+    NotDone(StoreError),
+    /// It may be there, or come there.
+    Unknown,
+}
+
+/// The stream as this host knows it.
+#[derive(Debug)]
+pub struct Journal {
+    state: Mutex<State>,
+    changed: watch::Sender<Offset>,
+    told_end: AtomicU64,
+    appends: OnceLock<mpsc::UnboundedSender<Append>>,
+    asks: OnceLock<mpsc::UnboundedSender<Ask>>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    jobs: Jobs,
+    recent: VecDeque<(Offset, Applied)>,
+    read_at: Option<Instant>,
+    is_loaded: bool,
+}
+
+type Ask = oneshot::Sender<Result<(), StoreError>>;
+
+#[derive(Debug)]
+struct Append {
+    record: Record,
+    deadline: Instant,
+    may_be_done: bool,
+    done: oneshot::Sender<Result<Applied, NotAppended>>,
+}
+
+impl Default for Journal {
+    fn default() -> Self {
+        Self {
+            state: Mutex::default(),
+            changed: watch::Sender::new(0),
+            told_end: AtomicU64::new(0),
+            appends: OnceLock::new(),
+            asks: OnceLock::new(),
+        }
+    }
+}
+
+/// Jobs, while they are looked at.
+pub struct View<'a>(MutexGuard<'a, State>);
+
+impl std::fmt::Debug for View<'_> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("View")
+            .field("end", &self.0.jobs.end())
+            .finish()
+    }
+}
+
+impl std::ops::Deref for View<'_> {
+    type Target = Jobs;
+
+    fn deref(&self) -> &Jobs {
+        &self.0.jobs
+    }
+}
+
+impl Journal {
+    /// Returns the jobs as far as the stream is known.
+    pub fn jobs(&self) -> View<'_> {
+        View(lock(&self.state))
+    }
+
+    /// Returns whether the stream has been read from its beginning.
+    pub fn is_loaded(&self) -> bool {
+        lock(&self.state).is_loaded
+    }
+
+    /// Returns how long ago the stream was read to its end.
+    pub fn age(&self) -> Option<Duration> {
+        lock(&self.state).read_at.map(|at| at.elapsed())
+    }
+
+    /// Returns a receiver of the stream's end as it becomes known.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<Offset> {
+        self.changed.subscribe()
+    }
+
+    /// Notes how far a peer knows the stream.
+    pub(crate) fn told(&self, end: Offset) {
+        self.told_end.fetch_max(end, Ordering::Relaxed);
+    }
+
+    /// Reads the stream to its end, as of now or later.
+    ///
+    /// # Errors
+    ///
+    /// Returns the store's failure.
+    pub async fn sync(&self) -> Result<(), StoreError> {
+        const STOPPED: StoreError = StoreError::Refused("the host stops");
+        let (done, answer) = oneshot::channel();
+        let asks = self.asks.get().ok_or(STOPPED)?;
+        asks.send(done).map_err(|_| STOPPED)?;
+        answer.await.unwrap_or(Err(STOPPED))
+    }
+
+    /// Appends a record; returns what it did at its place in the stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns whether it may be there if that is not known at the deadline.
+    pub async fn append(&self, record: Record, deadline: Instant) -> Result<Applied, NotAppended> {
+        let stopped = NotAppended::NotDone(StoreError::Refused("the host stops"));
+        let (done, answer) = oneshot::channel();
+        let append = Append {
+            record,
+            deadline,
+            may_be_done: false,
+            done,
+        };
+        let appends = self.appends.get().ok_or(stopped)?;
+        appends.send(append).map_err(|_| stopped)?;
+        answer.await.unwrap_or(Err(NotAppended::Unknown))
+    }
+
+    fn apply(&self, ctx: &Context, records: Vec<Stored>) {
+        if records.is_empty() {
+            return;
+        }
+        let end = {
+            let mut state = lock(&self.state);
+            for record in records {
+                state.apply(ctx, record);
+            }
+            state.jobs.end()
+        };
+        self.changed.send_replace(end);
+    }
+
+    fn rebuild(&self, ctx: &Context, end: Offset, records: Vec<Stored>) {
+        let mut fresh = State::default();
+        let count = records.len();
+        for record in records {
+            fresh.apply(ctx, record);
+        }
+        fresh.jobs.advance(end);
+        fresh.is_loaded = true;
+        slog::info!(ctx.logger, "job records loaded"; "records" => count, "end" => end,
+            "jobs" => fresh.jobs.iter().count());
+        *lock(&self.state) = fresh;
+        self.changed.send_replace(end);
+    }
+
+    fn outcome(&self, offset: Offset) -> Option<Applied> {
+        let state = lock(&self.state);
+        let found = state
+            .recent
+            .iter()
+            .rev()
+            .find(|(known, _)| *known == offset);
+        found.map(|(_, applied)| *applied)
+    }
+}
+
+impl State {
+    fn apply(&mut self, ctx: &Context, record: Stored) {
+        let offset = record.offset;
+        if offset < self.jobs.end() {
+            return;
+        }
+        self.jobs.advance(offset + 1);
+        // A dropped key: its job was forgotten.
+        let Some(value) = record.entry.value else {
+            return;
+        };
+        let Some(record) = Record::decode(&value) else {
+            slog::error!(ctx.logger, "unreadable job record"; "offset" => offset);
+            return;
+        };
+        let job = record.job().clone();
+        let applied = self.jobs.apply(offset, record);
+        if let Applied::Ignored(why) = applied
+            && why != Ignored::AlreadyListed
+        {
+            slog::info!(ctx.logger, "job record ignored"; "job" => job, "offset" => offset,
+                "why" => ?why);
+        }
+        self.recent.push_back((offset, applied));
+        if self.recent.len() > RECENT_MAX {
+            self.recent.pop_front();
+        }
+    }
+}
+
+/// Starts to read and append.
+pub(crate) fn start(ctx: &Arc<Context>) {
+    let (asks, asked) = mpsc::unbounded_channel();
+    let (appends, appended) = mpsc::unbounded_channel();
+    // The context is new, so nothing was set in it before.
+    let _ = ctx.journal.asks.set(asks);
+    let _ = ctx.journal.appends.set(appends);
+    tokio::spawn(read_loop(Arc::clone(ctx), asked));
+    tokio::spawn(append_loop(Arc::clone(ctx), appended));
+}
+
+async fn read_loop(ctx: Arc<Context>, mut asked: mpsc::UnboundedReceiver<Ask>) {
+    let mut ticks = ctx.timer.subscribe(ms(ctx.settings.store.poll_ms));
+    while ctx.phase() != Phase::Stopped {
+        let mut asks = Vec::new();
+        if ctx.journal.is_loaded() {
+            tokio::select! {
+                ask = asked.recv() => asks.extend(ask),
+                _ = ticks.recv() => {
+                    if !is_due(&ctx.journal) {
+                        continue;
+                    }
+                }
+            }
+        } else if lock(&ctx.journal.state).read_at.is_none() && !ctx.store.is_up() {
+            let _ = ticks.recv().await;
+        }
+        while let Ok(ask) = asked.try_recv() {
+            asks.push(ask);
+        }
+        let res = catch_up(&ctx).await;
+        for ask in asks {
+            // Whoever asked may have gone.
+            let _ = ask.send(res);
+        }
+    }
+}
+
+fn is_due(journal: &Journal) -> bool {
+    let (end, age) = {
+        let state = lock(&journal.state);
+        (state.jobs.end(), state.read_at.map(|at| at.elapsed()))
+    };
+    let is_behind = journal.told_end.load(Ordering::Relaxed) > end;
+    is_behind || age.is_none_or(|age| age >= READ_AGE_MAX)
+}
+
+async fn catch_up(ctx: &Context) -> Result<(), StoreError> {
+    let journal = &ctx.journal;
+    let started = Instant::now();
+    if !journal.is_loaded() {
+        let (end, records) = ctx.store.all_newest(Topic::Jobs, PART).await?;
+        journal.rebuild(ctx, end, records);
+    }
+    loop {
+        let from = journal.jobs().end();
+        let read = Read {
+            topic: Topic::Jobs,
+            part: PART,
+            from,
+            bytes_max: READ_BYTES,
+            wait: Duration::ZERO,
+        };
+        let tail = ctx.store.read(read).await;
+        if tail == Err(StoreError::Expired) {
+            slog::warn!(ctx.logger, "job records expired unread, loading anew"; "from" => from);
+            lock(&journal.state).is_loaded = false;
+        }
+        let tail = tail?;
+        let is_end = tail.records.last().is_none_or(|r| r.offset + 1 >= tail.end);
+        journal.apply(ctx, tail.records);
+        if is_end {
+            lock(&journal.state).read_at = Some(started);
+            return Ok(());
+        }
+    }
+}
+
+async fn append_loop(ctx: Arc<Context>, mut appended: mpsc::UnboundedReceiver<Append>) {
+    let mut queue: VecDeque<Append> = VecDeque::new();
+    let mut number = 0;
+    loop {
+        if queue.is_empty() {
+            match appended.recv().await {
+                Some(append) => queue.push_back(append),
+                None => return,
+            }
+        }
+        while let Ok(append) = appended.try_recv() {
+            queue.push_back(append);
+        }
+        let count = queue.len().min(APPEND_RECORDS_MAX);
+        let batch: Vec<Append> = queue.drain(..count).collect();
+        let entries = batch.iter().map(|append| {
+            number += 1;
+            let key = format!("{}.{:x}.{number:x}", ctx.host(), ctx.incarnation);
+            let value = Some(append.record.encode().into());
+            Entry { key, value }
+        });
+        match ctx.store.append(Topic::Jobs, PART, entries.collect()).await {
+            Ok(offset) => settle(&ctx, offset, batch),
+            Err(err) => {
+                for append in retried(batch, err).into_iter().rev() {
+                    queue.push_front(append);
+                }
+                tokio::time::sleep(APPEND_PAUSE).await;
+            }
+        }
+        if ctx.phase() == Phase::Stopped {
+            return;
+        }
+    }
+}
+
+/// Answers those whose time is over, and returns the others.
+fn retried(batch: Vec<Append>, err: StoreError) -> Vec<Append> {
+    let now = Instant::now();
+    let mut again = Vec::new();
+    for mut append in batch {
+        append.may_be_done |= matches!(err, StoreError::Unknown(_));
+        if now < append.deadline && !append.done.is_closed() {
+            again.push(append);
+            continue;
+        }
+        let failure = if append.may_be_done {
+            NotAppended::Unknown
+        } else {
+            NotAppended::NotDone(err)
+        };
+        // Whoever appended may have gone.
+        let _ = append.done.send(Err(failure));
+    }
+    again
+}
+
+/// Tells those who appended what their records did.
+fn settle(ctx: &Arc<Context>, offset: Offset, batch: Vec<Append>) {
+    let journal = &ctx.journal;
+    let is_next = journal.jobs().end() == offset && journal.is_loaded();
+    if is_next {
+        // Nobody wrote in between: what the records do is known already.
+        let records = batch.iter().zip(offset..).map(|(append, offset)| Stored {
+            offset,
+            entry: Entry {
+                key: String::new(),
+                value: Some(append.record.encode().into()),
+            },
+        });
+        journal.apply(ctx, records.collect());
+        ctx.peers.tell();
+    }
+    let ctx = Arc::clone(ctx);
+    tokio::spawn(async move {
+        for (append, offset) in batch.into_iter().zip(offset..) {
+            let applied = read_back(&ctx, offset, append.deadline).await;
+            // Whoever appended may have gone.
+            let _ = append.done.send(applied.ok_or(NotAppended::Unknown));
+        }
+    });
+}
+
+async fn read_back(ctx: &Context, offset: Offset, deadline: Instant) -> Option<Applied> {
+    loop {
+        let applied = ctx.journal.outcome(offset);
+        if applied.is_some() {
+            return applied;
+        }
+        if ctx.journal.sync().await.is_err() {
+            tokio::time::sleep(APPEND_PAUSE).await;
+        }
+        if Instant::now() >= deadline {
+            return ctx.journal.outcome(offset);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,32 @@
+//! Serves routed requests and jobs on hosts that keep nothing.
+//!
+//! [`ports`] is what an adapter fills: a store of ordered topics, targets that
+//! run requests, and the meaning of configuration and target records. An
+//! adapter calls [`online::serve`] for requests and the functions of [`lots`]
+//! for jobs, and answers callers in its own protocol. [`life::Host`] starts and
+//! stops it all.
+//!
+//! Everything that lasts lies in the store: [`journal`] folds the job records,
+//! `catalog` follows routes and targets. What a host knows beside that comes
+//! from its peers by datagram and is lost without harm.
+
+mod backlog;
+pub mod blobs;
+mod catalog;
+pub mod context;
+pub mod error;
+mod follow;
+mod items;
+pub mod journal;
+pub mod life;
+pub mod lots;
+pub mod metrics;
+pub mod online;
+mod peers;
+pub mod ports;
+mod splice;
+mod store;
+mod target;
+
+/// The name of a request, chosen by its caller.
+pub type RequestId = String;
--- /dev/null
+++ b/crates/gateway/src/life.rs
@@ -0,0 +1,107 @@
+//! The life of a host: start, leave, stop.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use error_stack::Report;
+use error_stack::ResultExt as _;
+use notchwharf_config::gateway::Settings;
+use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
+
+use crate::catalog;
+use crate::context::Context;
+use crate::context::Phase;
+use crate::context::ms;
+use crate::error::Start;
+use crate::items;
+use crate::journal;
+use crate::peers;
+use crate::ports::Ports;
+
+const DRAIN_PERIOD: Duration = Duration::from_millis(20);
+/// Time for the host's entry to be dropped when it leaves.
+const LEAVE_LIST_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// A running host.
+#[derive(Debug)]
+pub struct Host {
+    ctx: Arc<Context>,
+}
+
+impl Host {
+    /// Starts a host; the adapter starts to listen for callers itself.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Start`] if the peers' address cannot be listened on.
+    pub async fn start(
+        settings: Settings,
+        ports: Ports,
+        logger: slog::Logger,
+    ) -> Result<Self, Report<Start>> {
+        let addr = settings.host.peer_listen;
+        let socket = UdpSocket::bind(addr).await.change_context(Start::Listen);
+        let socket = socket.attach_with(|| addr.to_string())?;
+        let listener = bind(addr).await?;
+        let ctx = Arc::new(Context::new(settings, ports, logger));
+        catalog::start(&ctx);
+        journal::start(&ctx);
+        peers::start(&ctx, socket, listener);
+        items::start(&ctx);
+        slog::info!(ctx.logger, "started"; "incarnation" => ctx.incarnation,
+            "peer_listen" => addr.to_string(),
+            "data_centre" => ctx.settings.host.data_centre.as_str());
+        Ok(Self { ctx })
+    }
+
+    /// Returns what all parts of the host share.
+    pub fn context(&self) -> &Arc<Context> {
+        &self.ctx
+    }
+
+    /// Leaves: turns not ready, finishes what it has, stops.
+    ///
+    /// Returns whether everything was finished within the settings' time.
+    pub async fn leave(self) -> bool {
+        let ctx = &self.ctx;
+        ctx.enter(Phase::Leaving);
+        ctx.peers.tell();
+        slog::info!(ctx.logger, "leaving"; "in_flight" => ctx.in_flight.count(),
+            "connections" => ctx.connections.count());
+        let timeout = ms(ctx.settings.shutdown.drain_timeout_ms);
+        let drained = tokio::time::timeout(timeout, self.drain()).await;
+        let in_flight = ctx.in_flight.count();
+        ctx.enter(Phase::Stopped);
+        slog::info!(ctx.logger, "stopped"; "clean" => drained.is_ok(), "in_flight" => in_flight);
+        drained.is_ok()
+    }
+
+    async fn drain(&self) {
+        let ctx = &self.ctx;
+        let mut ticks = ctx.timer.subscribe(DRAIN_PERIOD);
+        // A host that could not drop its entry is found out by its silence.
+        let _ = tokio::time::timeout(LEAVE_LIST_TIMEOUT, peers::leave_list(ctx)).await;
+        tokio::time::sleep(ms(ctx.settings.shutdown.notice_ms)).await;
+        while ctx.in_flight.count() + ctx.items.unsettled.count() > 0 {
+            if ticks.recv().await.is_none() {
+                return;
+            }
+        }
+        ctx.enter(Phase::Closing);
+        while ctx.connections.count() > 0 && ticks.recv().await.is_some() {}
+    }
+}
+
+/// Listens on an address.
+///
+/// # Errors
+///
+/// Returns [`Start::Listen`] with the address.
+pub async fn bind(addr: SocketAddr) -> Result<TcpListener, Report<Start>> {
+    let listener = TcpListener::bind(addr).await;
+    listener
+        .change_context(Start::Listen)
+        .attach_with(|| addr.to_string())
+}
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,104 @@
+//! What a host counts and times.
+
+use std::time::Duration;
+
+use notchwharf_telemetry::metrics;
+use notchwharf_telemetry::metrics::Counter;
+use notchwharf_telemetry::metrics::Timing;
+
+/// What is counted, with one label.
+#[derive(Clone, Copy, Debug)]
+pub enum Counted {
+    /// Online requests by outcome.
+    Requests,
+    /// Offers of requests to targets by what came of them.
+    Offers,
+    /// Items by event.
+    Items,
+    /// Calls about jobs by outcome.
+    Jobs,
+    /// Calls of the store by outcome.
+    Store,
+    /// Datagrams between hosts by direction.
+    Datagrams,
+    /// Changes of what the host believes, by kind.
+    Changes,
+}
+
+const COUNTERS: [Counter; 7] = [
+    counter("notchwharf_requests_total", "Online requests.", "outcome"),
+    counter("notchwharf_offers_total", "Offers to targets.", "outcome"),
+    counter("notchwharf_items_total", "Items of jobs.", "event"),
+    counter("notchwharf_job_calls_total", "Calls about jobs.", "outcome"),
+    counter(
+        "notchwharf_store_calls_total",
+        "Calls of the store.",
+        "outcome",
+    ),
+    counter("notchwharf_datagrams_total", "Datagrams.", "direction"),
+    counter("notchwharf_changes_total", "Changes of belief.", "kind"),
+];
+
+/// What is timed.
+#[derive(Clone, Copy, Debug)]
+pub enum Timed {
+    /// Time to an answer's first event, by route.
+    FirstEvent,
+    /// Time to a whole answer, by route.
+    Whole,
+    /// Time of calls of the store, by call.
+    StoreCall,
+}
+
+const TIMINGS: [Timing; 3] = [
+    timing("notchwharf_first_event_seconds", "By route."),
+    timing("notchwharf_whole_answer_seconds", "By route."),
+    timing("notchwharf_store_call_seconds", "By call."),
+];
+
+const fn counter(name: &'static str, help: &'static str, label: &'static str) -> Counter {
+    Counter { name, help, label }
+}
+
+const fn timing(name: &'static str, help: &'static str) -> Timing {
+    Timing { name, help }
+}
+
+/// The figures of one host.
+#[derive(Debug)]
+pub struct Metrics(metrics::Metrics);
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self(metrics::Metrics::new(&COUNTERS, &TIMINGS))
+    }
+}
+
+impl Metrics {
+    /// Counts one.
+    pub fn count(&self, what: Counted, label: &str) {
+        self.0.add(what as usize, label, 1);
+    }
+
+    /// Returns what was counted.
+    pub fn counted(&self, what: Counted, label: &str) -> u64 {
+        self.0.counted(what as usize, label)
+    }
+
+    /// Records a time under a route's or call's name.
+    pub fn time(&self, what: Timed, name: &str, took: Duration) {
+        self.0
+            .histogram(what as usize, &[("name", name)])
+            .record(took);
+    }
+
+    /// Sets a gauge.
+    pub fn set(&self, name: &str, value: usize) {
+        self.0.set(name, value);
+    }
+
+    /// Returns everything in the Prometheus text format.
+    pub fn text(&self) -> String {
+        self.0.text()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/online.rs
@@ -0,0 +1,314 @@
+//! Online requests: from a route to a target and back.
+//!
+//! Three outcomes stay apart to the end: a request that did not run may be
+//! offered to another target or refused; one that may have run is sent again
+//! only if it may run twice; one whose answer has begun is passed on as it
+//! comes. A stream that may be resumed goes on at another target within the
+//! same answer, after its last whole event.
+
+mod flow;
+mod trace;
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use hyper::HeaderMap;
+use hyper::StatusCode;
+use notchwharf_config::routes::Route;
+use notchwharf_ledger::rendezvous::hash;
+use notchwharf_routing::places::Choice;
+use notchwharf_routing::places::Refusal;
+use notchwharf_routing::places::Room;
+use notchwharf_routing::places::TargetId;
+use notchwharf_routing::places::Want;
+use notchwharf_routing::places::key_of;
+
+use crate::context::Context;
+use crate::context::lock;
+use crate::error::Failure;
+use crate::metrics::Counted;
+use crate::ports::Body;
+use crate::ports::Call;
+use crate::ports::Forward;
+use crate::ports::NoReply;
+use crate::ports::Reply;
+use crate::target::Class;
+use crate::target::Running;
+
+use self::flow::Flow;
+use self::trace::Trace;
+
+/// Targets that one request is offered to before it is refused.
+const OFFERS_MAX: u32 = 4;
+/// When to come back while no configuration is known.
+const NOT_READY_RETRY: Duration = Duration::from_millis(500);
+/// Time left below which an offer makes no sense: an answer takes longer.
+const LEFT_MIN: Duration = Duration::from_millis(20);
+
+/// A request of a caller.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// The request as it is passed on.
+    pub forward: Forward,
+    /// The host that it names.
+    pub host: String,
+    /// Time that the caller waits.
+    pub deadline: Option<Duration>,
+    /// A hash of the prompt's shared beginning.
+    pub affinity: u64,
+}
+
+/// A target's answer on its way to the caller.
+pub struct Answer {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Body,
+}
+
+impl std::fmt::Debug for Answer {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Answer")
+            .field("status", &self.status)
+            .finish_non_exhaustive()
+    }
+}
+
+/// Serves a request. Dropping the future or the answer's body stops it.
+///
+/// # Errors
+///
+/// Returns why there is no answer of a target, and whether it may have run.
+pub async fn serve(ctx: &Arc<Context>, req: Request, arrived: Instant) -> Result<Answer, Failure> {
+    let table = ctx.table().ok_or(Failure::NotReady {
+        retry_after: NOT_READY_RETRY,
+    })?;
+    let path = req.forward.path.split('?').next().unwrap_or_default();
+    let Some(route) = table.find(&req.host, path).cloned() else {
+        trace::no_route(ctx, &req, table.version());
+        return Err(Failure::NoRoute);
+    };
+    let wait = req.deadline.map_or(route.timeout, |d| d.min(route.timeout));
+    let service = route
+        .service(hash(&req.forward.id))
+        .cloned()
+        .unwrap_or_default();
+    let mut sending = Sending {
+        trace: Trace::new(ctx, &req.forward.id, &route, table.version(), arrived),
+        ctx: Arc::clone(ctx),
+        forward: Arc::new(req.forward),
+        affinity: req.affinity,
+        deadline: arrived + wait,
+        service,
+        route,
+        tried: Vec::new(),
+        runs: 0,
+    };
+    let answered = sending.answer().await;
+    match answered {
+        Ok(flow) => flow.start().await,
+        Err(failure) => {
+            sending.trace.failed(&failure);
+            Err(failure)
+        }
+    }
+}
+
+/// A request on its way to a target.
+struct Sending {
+    ctx: Arc<Context>,
+    forward: Arc<Forward>,
+    route: Arc<Route>,
+    service: String,
+    affinity: u64,
+    deadline: Instant,
+    tried: Vec<TargetId>,
+    /// Targets that ran the request or may have.
+    runs: u32,
+    trace: Trace,
+}
+
+/// A target's answer whose body is to come.
+struct Begun {
+    reply: Reply,
+    running: Running,
+    sent: Instant,
+}
+
+impl Sending {
+    /// Sends the request until a target answers.
+    async fn answer(&mut self) -> Result<Flow, Failure> {
+        let begun = self.send(None).await?;
+        let sending = Sending {
+            trace: self.trace.take(),
+            ctx: Arc::clone(&self.ctx),
+            forward: Arc::clone(&self.forward),
+            route: Arc::clone(&self.route),
+            service: self.service.clone(),
+            tried: std::mem::take(&mut self.tried),
+            ..*self
+        };
+        Ok(Flow::new(sending, begun))
+    }
+
+    /// Offers the request to targets until one answers.
+    async fn send(&mut self, resume_after: Option<u64>) -> Result<Begun, Failure> {
+        let mut offers = 0;
+        loop {
+            let choice = self.choose(offers)?;
+            offers += 1;
+            let err = match self.offer(&choice, resume_after).await {
+                Ok(begun) => match self.judge(begun) {
+                    Ok(begun) => return Ok(begun),
+                    Err(err) => err,
+                },
+                Err(err) => err,
+            };
+            self.note(&choice.target, err);
+            if err.may_have_run() {
+                self.runs += 1;
+            }
+            self.tried.push(choice.target);
+            self.may_go_on(err, offers)?;
+        }
+    }
+
+    fn choose(&mut self, offers: u32) -> Result<Choice, Failure> {
+        let now = Instant::now();
+        if self.deadline.saturating_duration_since(now) < LEFT_MIN {
+            return Err(self.given_up("no time left"));
+        }
+        let want = Want {
+            service: &self.service,
+            data_centre: &self.ctx.settings.host.data_centre,
+            affinity: self.affinity,
+            tried: &self.tried,
+        };
+        let chosen = lock(&self.ctx.places).choose_online(&want, now);
+        let choice = match chosen {
+            Ok(choice) => choice,
+            Err(refusal) if offers == 0 && self.runs == 0 => return Err(refused(refusal)),
+            Err(_) => return Err(self.given_up("no other target")),
+        };
+        self.trace.chose(&choice);
+        match &choice.room {
+            Room::CutOwn => {
+                self.ctx.items.cut_one(&choice.target);
+            }
+            Room::CutPeer(host) => self.ctx.peers.ask_cut(host, key_of(&choice.target)),
+            Room::Free | Room::Queue => {}
+        }
+        Ok(choice)
+    }
+
+    /// Returns how to answer when no further offer is made.
+    fn given_up(&self, reason: &'static str) -> Failure {
+        if self.runs > 0 {
+            return Failure::Unknown { reason };
+        }
+        Failure::NotRun {
+            retry_after: RETRY_AFTER,
+            reason,
+        }
+    }
+
+    async fn offer(&self, choice: &Choice, resume_after: Option<u64>) -> Result<Begun, NoReply> {
+        let running = Running::begin(&self.ctx, &choice.target, Class::Online);
+        let sent = Instant::now();
+        let call = Call {
+            forward: Arc::clone(&self.forward),
+            target: choice.target.clone(),
+            addr: choice.addr,
+            left: self.deadline.saturating_duration_since(sent),
+            resume_after,
+        };
+        let replied = (self.ctx.targets.call)(call);
+        let until = tokio::time::Instant::from_std(self.deadline);
+        let reply = match tokio::time::timeout_at(until, replied).await {
+            Ok(reply) => reply?,
+            Err(_) => return Err(NoReply::Unknown(TIMED_OUT)),
+        };
+        Ok(Begun {
+            reply,
+            running,
+            sent,
+        })
+    }
+
+    /// Returns an answer that may be passed on, or what it amounts to.
+    fn judge(&self, begun: Begun) -> Result<Begun, NoReply> {
+        let status = begun.reply.status;
+        if status.is_success() && !begun.reply.is_signed {
+            return Err(NoReply::Unknown("unsigned success"));
+        }
+        // These statuses promise that nothing ran, and the target has not
+        // said so.
+        let promises = [
+            StatusCode::SERVICE_UNAVAILABLE,
+            StatusCode::TOO_MANY_REQUESTS,
+            StatusCode::REQUEST_TIMEOUT,
+            StatusCode::MISDIRECTED_REQUEST,
+        ];
+        if promises.contains(&status) {
+            return Err(NoReply::Unknown("refused without saying so"));
+        }
+        let runs_left = self.runs + 1 < self.route.attempts_max;
+        if status.is_server_error() && self.route.is_repeatable() && runs_left {
+            return Err(NoReply::Unknown("target failed"));
+        }
+        Ok(begun)
+    }
+
+    fn note(&mut self, target: &TargetId, err: NoReply) {
+        let now = Instant::now();
+        self.ctx.metrics.count(Counted::Offers, err.reason());
+        self.trace.offer_failed(target, err);
+        let mut places = lock(&self.ctx.places);
+        match err {
+            NoReply::Full => places.refused(target, now),
+            NoReply::NotSent(_) | NoReply::OtherTarget => places.failed(target, now),
+            NoReply::Unknown(TIMED_OUT) => {}
+            NoReply::Unknown(_) => places.failed(target, now),
+            NoReply::Rejected(_) => {}
+        }
+    }
+
+    /// Returns whether the request may be offered to another target.
+    fn may_go_on(&mut self, err: NoReply, offers: u32) -> Result<(), Failure> {
+        match err {
+            NoReply::Rejected(status) => return Err(Failure::Rejected(status)),
+            NoReply::Unknown(TIMED_OUT) => return Err(Failure::TimedOut),
+            NoReply::Unknown(reason) if !self.route.is_repeatable() => {
+                return Err(Failure::Unknown { reason });
+            }
+            _ => {}
+        }
+        if self.runs >= self.route.attempts_max || offers >= OFFERS_MAX {
+            return Err(self.given_up(err.reason()));
+        }
+        if !lock(&self.ctx.budget).spend() {
+            return Err(self.given_up("too many retries"));
+        }
+        Ok(())
+    }
+}
+
+/// Why an offer ended when the request's time was over.
+const TIMED_OUT: &str = "timed out";
+/// When to come back after targets refused or could not be reached: about the
+/// time in which a place falls free.
+const RETRY_AFTER: Duration = Duration::from_millis(150);
+
+fn refused(refusal: Refusal) -> Failure {
+    let (retry_after, reason) = match refusal {
+        Refusal::NoTarget { retry_after } => (retry_after, "no target"),
+        Refusal::Full { retry_after } => (retry_after, "all targets full"),
+    };
+    Failure::NotRun {
+        retry_after,
+        reason,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/online/flow.rs
@@ -0,0 +1,229 @@
+//! The body of an answer, passed on as it comes.
+
+use std::io;
+use std::time::Instant;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use futures_util::stream;
+use http_body_util::BodyExt as _;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
+use hyper::header::CONTENT_LENGTH;
+use notchwharf_config::routes::Kind;
+
+use super::Answer;
+use super::Begun;
+use super::Sending;
+use crate::context::lock;
+use crate::context::ms;
+use crate::error::Failure;
+use crate::ports::Body;
+use crate::splice::Events;
+
+/// An answer that has begun.
+pub(super) struct Flow {
+    sending: Sending,
+    begun: Option<Begun>,
+    /// Whole events, where the stream may go on elsewhere.
+    events: Option<Events>,
+    last_event: Option<u64>,
+    first: Option<Bytes>,
+    is_done: bool,
+}
+
+/// Why a body went no further.
+enum Stop {
+    /// The target broke off or fell silent.
+    Broken(&'static str),
+    /// The time of the request is over.
+    TimedOut,
+}
+
+impl Flow {
+    pub(super) fn new(sending: Sending, begun: Begun) -> Self {
+        let route = &sending.route;
+        let is_spliced =
+            route.kind == Kind::Stream && route.resumable && begun.reply.status.is_success();
+        Self {
+            events: is_spliced.then(Events::default),
+            sending,
+            begun: Some(begun),
+            last_event: None,
+            first: None,
+            is_done: false,
+        }
+    }
+
+    /// Returns the answer. One that may go on elsewhere is returned with its
+    /// first event only, for until then nothing of it is known to the caller.
+    pub(super) async fn start(mut self) -> Result<Answer, Failure> {
+        if self.events.is_some() {
+            match self.next().await {
+                Some(Ok(bytes)) => self.first = Some(bytes),
+                Some(Err(_)) => return Err(self.sending.trace.failure()),
+                None => {}
+            }
+        }
+        let Some(begun) = &mut self.begun else {
+            return Ok(self.empty());
+        };
+        let status = begun.reply.status;
+        let mut headers = std::mem::take(&mut begun.reply.headers);
+        if self.events.is_some() {
+            // What follows may come from another target.
+            headers.remove(CONTENT_LENGTH);
+        }
+        self.sending.trace.begun(status);
+        Ok(Answer {
+            status,
+            headers,
+            body: self.into_body(),
+        })
+    }
+
+    fn empty(self) -> Answer {
+        Answer {
+            status: hyper::StatusCode::OK,
+            headers: hyper::HeaderMap::new(),
+            body: self.into_body(),
+        }
+    }
+
+    fn into_body(self) -> Body {
+        let frames = stream::unfold(self, |mut flow| async move {
+            let next = match flow.first.take() {
+                Some(bytes) => Ok(bytes),
+                None => flow.next().await?,
+            };
+            Some((next.map(Frame::data), flow))
+        });
+        StreamBody::new(frames).boxed_unsync()
+    }
+
+    /// Returns the next bytes for the caller; nothing at the answer's end.
+    async fn next(&mut self) -> Option<Result<Bytes, io::Error>> {
+        loop {
+            if self.is_done {
+                return None;
+            }
+            let stop = match self.read().await {
+                Ok(Some(bytes)) if bytes.is_empty() => continue,
+                Ok(Some(bytes)) => return Some(Ok(bytes)),
+                Ok(None) => {
+                    self.end();
+                    return None;
+                }
+                Err(stop) => stop,
+            };
+            if let Err(failure) = self.go_on(stop).await {
+                self.is_done = true;
+                self.begun = None;
+                self.sending.trace.failed(&failure);
+                return Some(Err(io::Error::other(failure)));
+            }
+        }
+    }
+
+    /// Reads from the target; returns no bytes while an event is not whole.
+    async fn read(&mut self) -> Result<Option<Bytes>, Stop> {
+        let Some(begun) = &mut self.begun else {
+            return Ok(None);
+        };
+        let until = self.sending.deadline;
+        let stall = ms(self.sending.ctx.settings.online.stall_ms);
+        let wait = match self.events {
+            Some(_) => until.min(Instant::now() + stall),
+            None => until,
+        };
+        let frame = tokio::time::timeout_at(wait.into(), begun.reply.body.frame()).await;
+        let Ok(frame) = frame else {
+            if Instant::now() >= until {
+                return Err(Stop::TimedOut);
+            }
+            return Err(Stop::Broken("silent"));
+        };
+        let frame = match frame {
+            Some(Ok(frame)) => frame,
+            Some(Err(_)) => return Err(Stop::Broken("broke off")),
+            None => return self.ended(),
+        };
+        // Trailers are nothing that callers are promised.
+        let Ok(bytes) = frame.into_data() else {
+            return Ok(Some(Bytes::new()));
+        };
+        if self.sending.trace.first_event().is_none() && !bytes.is_empty() {
+            let took = begun.sent.elapsed();
+            self.sending.trace.note_first_event(took);
+            lock(&self.sending.ctx.places).answered(begun.running.target(), Some(took));
+        }
+        let Some(events) = &mut self.events else {
+            return Ok(Some(bytes));
+        };
+        events.push(&bytes);
+        let mut whole = BytesMut::new();
+        for event in events {
+            if event.id.is_some() {
+                self.last_event = event.id;
+            }
+            whole.extend_from_slice(&event.raw);
+        }
+        Ok(Some(whole.freeze()))
+    }
+
+    fn ended(&self) -> Result<Option<Bytes>, Stop> {
+        match &self.events {
+            Some(events) if !events.is_clean() => Err(Stop::Broken("ended in an event")),
+            _ => Ok(None),
+        }
+    }
+
+    fn end(&mut self) {
+        self.is_done = true;
+        if let Some(begun) = self.begun.take() {
+            lock(&self.sending.ctx.places).answered(begun.running.target(), None);
+        }
+        lock(&self.sending.ctx.budget).earn();
+        self.sending.trace.whole();
+    }
+
+    /// Takes the stream to another target, if it may go on there.
+    async fn go_on(&mut self, stop: Stop) -> Result<(), Failure> {
+        let reason = match stop {
+            Stop::TimedOut => return Err(Failure::TimedOut),
+            Stop::Broken(reason) => reason,
+        };
+        let Some(begun) = self.begun.take() else {
+            return Err(Failure::Unknown { reason });
+        };
+        let target = begun.running.target().clone();
+        let (status, headers) = (begun.reply.status, begun.reply.headers.clone());
+        // The target stops as soon as its connection is closed.
+        drop(begun);
+        self.sending
+            .trace
+            .broke_off(&target, reason, self.last_event);
+        lock(&self.sending.ctx.places).failed(&target, Instant::now());
+        self.sending.runs += 1;
+        self.sending.tried.push(target);
+        let Some(events) = &mut self.events else {
+            return Err(Failure::Unknown { reason });
+        };
+        events.clear();
+        if self.sending.runs >= self.sending.route.attempts_max {
+            return Err(Failure::Unknown { reason });
+        }
+        let mut next = self.sending.send(self.last_event).await?;
+        if !next.reply.status.is_success() {
+            return Err(Failure::Unknown {
+                reason: "not resumed",
+            });
+        }
+        if self.last_event.is_some() {
+            next.reply.status = status;
+            next.reply.headers = headers;
+        }
+        self.begun = Some(next);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/online/trace.rs
@@ -0,0 +1,192 @@
+//! What happened to one request, told in one line at its end.
+//!
+//! A line for each event of a stream was rejected: forty lines for each
+//! request would be dropped by the rate just when they matter.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use hyper::StatusCode;
+use notchwharf_config::routes::Route;
+use notchwharf_routing::places::Choice;
+use notchwharf_routing::places::Room;
+use notchwharf_routing::places::TargetId;
+
+use super::Request;
+use crate::RequestId;
+use crate::context::Context;
+use crate::context::lock;
+use crate::error::Failure;
+use crate::metrics::Counted;
+use crate::metrics::Timed;
+use crate::ports::NoReply;
+
+/// What happened to a request so far; dropped untold, its caller has left.
+pub(super) struct Trace {
+    told: Option<Told>,
+    failure: Option<Failure>,
+}
+
+struct Told {
+    ctx: Arc<Context>,
+    id: RequestId,
+    route: Arc<Route>,
+    version: u64,
+    arrived: Instant,
+    target: Option<TargetId>,
+    room: &'static str,
+    load: u32,
+    offers: u32,
+    first_event: Option<Duration>,
+    first_at: Option<Instant>,
+    status: Option<StatusCode>,
+}
+
+/// Tells of a request that no route fits.
+pub(super) fn no_route(ctx: &Context, req: &Request, version: u64) {
+    ctx.metrics.count(Counted::Requests, "no route");
+    slog::info!(ctx.logger, "request"; "id" => req.forward.id.as_str(), "outcome" => "no route",
+        "host" => req.host.as_str(), "path" => req.forward.path.as_str(), "routes_version" => version);
+}
+
+impl Trace {
+    pub(super) fn new(
+        ctx: &Arc<Context>,
+        id: &RequestId,
+        route: &Arc<Route>,
+        version: u64,
+        arrived: Instant,
+    ) -> Self {
+        let told = Told {
+            ctx: Arc::clone(ctx),
+            id: id.clone(),
+            route: Arc::clone(route),
+            version,
+            arrived,
+            target: None,
+            room: "none",
+            load: 0,
+            offers: 0,
+            first_event: None,
+            first_at: None,
+            status: None,
+        };
+        Self {
+            told: Some(told),
+            failure: None,
+        }
+    }
+
+    /// Moves the trace on; what is left behind tells nothing.
+    pub(super) fn take(&mut self) -> Self {
+        Self {
+            told: self.told.take(),
+            failure: self.failure,
+        }
+    }
+
+    pub(super) fn chose(&mut self, choice: &Choice) {
+        let Some(told) = &mut self.told else {
+            return;
+        };
+        told.offers += 1;
+        told.load = lock(&told.ctx.places).load(&choice.target).total();
+        told.target = Some(choice.target.clone());
+        told.room = match choice.room {
+            Room::Free => "free",
+            Room::CutOwn => "own item cut",
+            Room::CutPeer(_) => "peer's item cut",
+            Room::Queue => "queue",
+        };
+    }
+
+    pub(super) fn offer_failed(&self, target: &TargetId, err: NoReply) {
+        let Some(told) = &self.told else {
+            return;
+        };
+        slog::info!(told.ctx.logger, "offer failed"; "id" => told.id.as_str(),
+            "target" => target.as_str(), "reason" => err.reason(),
+            "may_have_run" => err.may_have_run(), "offers" => told.offers,
+            "after_ms" => millis(told.arrived.elapsed()));
+    }
+
+    pub(super) fn broke_off(&self, target: &TargetId, reason: &'static str, last: Option<u64>) {
+        let Some(told) = &self.told else {
+            return;
+        };
+        told.ctx.metrics.count(Counted::Offers, reason);
+        slog::info!(told.ctx.logger, "stream broke off"; "id" => told.id.as_str(),
+            "target" => target.as_str(), "reason" => reason, "last_event" => last,
+            "resumable" => told.route.resumable, "after_ms" => millis(told.arrived.elapsed()));
+    }
+
+    pub(super) fn first_event(&self) -> Option<Duration> {
+        self.told.as_ref().and_then(|told| told.first_event)
+    }
+
+    pub(super) fn note_first_event(&mut self, took: Duration) {
+        if let Some(told) = &mut self.told {
+            told.first_event = Some(took);
+            told.first_at = Some(Instant::now());
+        }
+    }
+
+    pub(super) fn begun(&mut self, status: StatusCode) {
+        if let Some(told) = &mut self.told {
+            told.status = Some(status);
+        }
+    }
+
+    pub(super) fn whole(&mut self) {
+        if let Some(told) = self.told.take() {
+            told.tell("whole", None);
+        }
+    }
+
+    pub(super) fn failed(&mut self, failure: &Failure) {
+        self.failure = Some(*failure);
+        if let Some(told) = self.told.take() {
+            told.tell(failure.label(), Some(failure));
+        }
+    }
+
+    /// Returns why the request failed.
+    pub(super) fn failure(&self) -> Failure {
+        let reason = "broke off";
+        self.failure.unwrap_or(Failure::Unknown { reason })
+    }
+}
+
+impl Told {
+    fn tell(&self, outcome: &'static str, failure: Option<&Failure>) {
+        let metrics = &self.ctx.metrics;
+        metrics.count(Counted::Requests, outcome);
+        let first = self.first_at.map(|at| at.duration_since(self.arrived));
+        if let Some(first) = first {
+            metrics.time(Timed::FirstEvent, &self.route.name, first);
+        }
+        if failure.is_none() {
+            metrics.time(Timed::Whole, &self.route.name, self.arrived.elapsed());
+        }
+        slog::info!(self.ctx.logger, "request"; "id" => self.id.as_str(), "outcome" => outcome,
+            "why" => failure.map(ToString::to_string),
+            "route" => self.route.name.as_str(), "routes_version" => self.version,
+            "target" => self.target.as_deref(), "room" => self.room, "load" => self.load,
+            "offers" => self.offers, "status" => self.status.map(|s| s.as_u16()),
+            "first_ms" => first.map(millis), "target_first_ms" => self.first_event.map(millis),
+            "whole_ms" => millis(self.arrived.elapsed()));
+    }
+}
+
+impl Drop for Trace {
+    fn drop(&mut self) {
+        if let Some(told) = self.told.take() {
+            told.tell("caller left", None);
+        }
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/gateway/src/peers.rs
@@ -0,0 +1,475 @@
+//! Other hosts: who they are, what they run, and what they know.
+//!
+//! Hosts find one another in the store and then speak by datagram: each tells
+//! all others what it runs as soon as that changes. A host that is cut from the
+//! store takes routes and targets from a peer that knows newer ones.
+//!
+//! The gossip of the membership package was rejected here: it spreads news in
+//! rounds, and a place that was taken must be known within milliseconds. Calls
+//! between hosts use plain HTTP and not JSON-RPC, since the one there is hands
+//! over bytes as they came.
+
+use std::collections::HashMap;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::OnceLock;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use http_body_util::Empty;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use notchwharf_ledger::rendezvous;
+use notchwharf_proto::news;
+use notchwharf_proto::news::Cut;
+use notchwharf_proto::news::News;
+use notchwharf_proto::news::Status;
+use notchwharf_routing::places::HostId;
+use notchwharf_routing::places::Load;
+use notchwharf_routing::places::TargetKey;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+
+use crate::catalog;
+use crate::catalog::Snapshot;
+use crate::catalog::Versions;
+use crate::context::Context;
+use crate::context::Phase;
+use crate::context::lock;
+use crate::context::ms;
+use crate::follow::Seen;
+use crate::follow::follow;
+use crate::metrics::Counted;
+use crate::ports::Entry;
+use crate::ports::Topic;
+
+/// Bytes of a datagram at most: what UDP carries.
+const DATAGRAM_BYTES_MAX: usize = 65_536;
+/// Time that a waiting read of the list of hosts waits; it changes seldom.
+const LIST_WAIT: Duration = Duration::from_secs(10);
+/// Time for which a peer may know newer routes before it is asked for them:
+/// the store usually tells everyone within milliseconds.
+const AHEAD_MAX: Duration = Duration::from_millis(250);
+/// Time for a call of a peer.
+const PULL_TIMEOUT: Duration = Duration::from_millis(600);
+/// Pause before the host's own entry is written again.
+const ENTRY_PAUSE: Duration = Duration::from_millis(300);
+/// Time between two datagrams to a peer that is down.
+const DOWN_BEAT: Duration = Duration::from_secs(1);
+/// Time between two looks at who is down.
+const SWEEP: Duration = Duration::from_millis(100);
+
+/// A host's entry in the store.
+#[derive(Debug, Serialize, Deserialize)]
+struct Listing {
+    addr: SocketAddr,
+}
+
+/// Other hosts.
+#[derive(Debug, Default)]
+pub(crate) struct Peers {
+    known: Mutex<HashMap<HostId, Peer>>,
+    dirty: Notify,
+    socket: OnceLock<UdpSocket>,
+}
+
+#[derive(Debug)]
+struct Peer {
+    addr: SocketAddr,
+    heard: Option<Instant>,
+    is_alive: bool,
+    told: Option<Instant>,
+    ahead_since: Option<Instant>,
+    status: Status,
+}
+
+impl Peer {
+    fn new(addr: SocketAddr) -> Self {
+        Self {
+            addr,
+            heard: None,
+            is_alive: false,
+            told: None,
+            ahead_since: None,
+            status: Status::default(),
+        }
+    }
+}
+
+impl Peers {
+    /// Lets peers know soon that something has changed.
+    pub(crate) fn tell(&self) {
+        self.dirty.notify_one();
+    }
+
+    /// Asks a peer to cut an item at a target.
+    pub(crate) fn ask_cut(&self, host: &str, target: TargetKey) {
+        let addr = lock(&self.known).get(host).map(|p| p.addr);
+        if let (Some(addr), Some(socket)) = (addr, self.socket.get()) {
+            let bytes = news::encode(&News::Cut(Cut { target }));
+            // Lost, the target is overfull and its hosts notice that too.
+            let _ = socket.try_send_to(&bytes, addr);
+        }
+    }
+
+    /// Returns the hosts that can run jobs' items, without this one: they are
+    /// alive, stay, and reach the store.
+    fn able(&self) -> Vec<HostId> {
+        let known = lock(&self.known);
+        let able = known
+            .iter()
+            .filter(|(_, peer)| peer.is_alive && !peer.status.leaving && peer.status.store_up);
+        able.map(|(host, _)| host.clone()).collect()
+    }
+
+    /// Returns whether a peer can run jobs' items.
+    pub(crate) fn is_able(&self, host: &str) -> bool {
+        let known = lock(&self.known);
+        known
+            .get(host)
+            .is_some_and(|peer| peer.is_alive && !peer.status.leaving && peer.status.store_up)
+    }
+
+    /// Returns whether this host is the one that should take a job over.
+    pub(crate) fn is_successor(&self, own: &str, job: &str) -> bool {
+        let able = self.able();
+        let mut hosts: Vec<&str> = able.iter().map(String::as_str).collect();
+        hosts.push(own);
+        rendezvous::best(job, &hosts, 1) == [own]
+    }
+}
+
+/// Starts to speak with other hosts.
+pub(crate) fn start(ctx: &Arc<Context>, socket: UdpSocket, listener: TcpListener) {
+    // The context is new, so nothing was set in it before.
+    let _ = ctx.peers.socket.set(socket);
+    tokio::spawn(enter_list(Arc::clone(ctx)));
+    tokio::spawn(follow(Arc::clone(ctx), Topic::Hosts, LIST_WAIT, take_list));
+    tokio::spawn(send(Arc::clone(ctx)));
+    tokio::spawn(receive(Arc::clone(ctx)));
+    tokio::spawn(sweep(Arc::clone(ctx)));
+    tokio::spawn(serve(Arc::clone(ctx), listener));
+}
+
+/// Writes this host's entry.
+async fn enter_list(ctx: Arc<Context>) {
+    let addr = ctx.settings.host.peer_listen;
+    let value = postcard::to_stdvec(&Listing { addr }).expect("Listings are representable.");
+    let entry = Entry {
+        key: ctx.host().to_owned(),
+        value: Some(value.into()),
+    };
+    while ctx.phase() < Phase::Leaving {
+        let res = ctx.store.append(Topic::Hosts, 0, vec![entry.clone()]).await;
+        if res.is_ok() {
+            return;
+        }
+        tokio::time::sleep(ENTRY_PAUSE).await;
+    }
+}
+
+/// Drops this host's entry; without it others find out by its silence.
+pub(crate) async fn leave_list(ctx: &Context) {
+    let entry = Entry {
+        key: ctx.host().to_owned(),
+        value: None,
+    };
+    if let Err(err) = ctx.store.append(Topic::Hosts, 0, vec![entry]).await {
+        slog::warn!(ctx.logger, "host's entry not dropped"; "error" => err.to_string());
+    }
+}
+
+fn take_list(ctx: &Arc<Context>, seen: Seen) {
+    let (Seen::All(_, records) | Seen::More(_, records)) = seen;
+    for record in records {
+        let host = record.entry.key;
+        if host == ctx.host() {
+            continue;
+        }
+        let Some(value) = record.entry.value else {
+            slog::info!(ctx.logger, "host left the list"; "peer" => host.as_str());
+            forget(ctx, &host);
+            continue;
+        };
+        match postcard::from_bytes::<Listing>(&value) {
+            Ok(listing) => know(ctx, host, listing.addr),
+            Err(err) => slog::error!(ctx.logger, "unreadable host entry";
+                "peer" => host, "error" => err.to_string()),
+        }
+    }
+    ctx.peers.tell();
+}
+
+fn know(ctx: &Context, host: HostId, addr: SocketAddr) {
+    let mut known = lock(&ctx.peers.known);
+    let peer = known.entry(host.clone()).or_insert_with(|| {
+        slog::info!(ctx.logger, "host known"; "peer" => host, "addr" => addr.to_string());
+        Peer::new(addr)
+    });
+    peer.addr = addr;
+}
+
+fn forget(ctx: &Context, host: &str) {
+    let is_silent = lock(&ctx.peers.known)
+        .get(host)
+        .is_some_and(|p| !p.is_alive);
+    if is_silent {
+        lock(&ctx.peers.known).remove(host);
+    }
+}
+
+fn own_status(ctx: &Context, number: u64) -> Status {
+    let versions = lock(&ctx.catalog).versions();
+    let loads = {
+        let places = lock(&ctx.places);
+        let loads = places.own().map(|(target, load)| news::Load {
+            target,
+            online: load.online,
+            batch: load.batch,
+        });
+        loads.collect()
+    };
+    Status {
+        host: ctx.host().to_owned(),
+        incarnation: ctx.incarnation,
+        number,
+        leaving: ctx.phase() >= Phase::Leaving,
+        store_up: ctx.store.is_up() && ctx.journal.is_loaded(),
+        config: versions.config,
+        targets: versions.targets,
+        jobs: ctx.journal.jobs().end(),
+        loads,
+    }
+}
+
+/// Tells peers what this host runs, when that changes and in each beat.
+async fn send(ctx: Arc<Context>) {
+    let settings = &ctx.settings.peers;
+    let beat = ms(settings.beat_ms);
+    let gap = ms(settings.news_ms);
+    let mut number = 0;
+    while ctx.phase() != Phase::Stopped {
+        // Whether news or the beat ends the wait is all the same.
+        let _ = tokio::time::timeout(beat, ctx.peers.dirty.notified()).await;
+        number += 1;
+        let bytes = news::encode(&News::Status(own_status(&ctx, number)));
+        for addr in receivers(&ctx) {
+            let Some(socket) = ctx.peers.socket.get() else {
+                return;
+            };
+            // Lost, the next one makes up for it.
+            let _ = socket.try_send_to(&bytes, addr);
+            ctx.metrics.count(Counted::Datagrams, "sent");
+        }
+        tokio::time::sleep(gap).await;
+    }
+}
+
+/// Returns where to send: to peers that live, and now and then to the others
+/// and to the hosts that the settings name.
+fn receivers(ctx: &Context) -> Vec<SocketAddr> {
+    let now = Instant::now();
+    let mut known = lock(&ctx.peers.known);
+    let due = known.values_mut().filter(|peer| {
+        let rested = peer
+            .told
+            .is_none_or(|at| now.duration_since(at) >= DOWN_BEAT);
+        peer.is_alive || rested
+    });
+    let mut addrs: Vec<SocketAddr> = due
+        .map(|peer| {
+            peer.told = Some(now);
+            peer.addr
+        })
+        .collect();
+    if !known.values().any(|peer| peer.is_alive) {
+        let own = ctx.settings.host.peer_listen;
+        let seeds = ctx.settings.host.seeds.iter();
+        let seeds = seeds.map(|ip: &IpAddr| SocketAddr::new(*ip, own.port()));
+        addrs.extend(seeds.filter(|addr| *addr != own));
+    }
+    addrs
+}
+
+async fn receive(ctx: Arc<Context>) {
+    let Some(socket) = ctx.peers.socket.get() else {
+        return;
+    };
+    let mut buf = vec![0; DATAGRAM_BYTES_MAX];
+    loop {
+        let received = tokio::select! {
+            received = socket.recv_from(&mut buf) => received,
+            () = ctx.stopped() => return,
+        };
+        // An error tells of an earlier datagram that found no receiver.
+        let Ok((len, addr)) = received else {
+            continue;
+        };
+        ctx.metrics.count(Counted::Datagrams, "received");
+        match news::decode(&buf[..len]) {
+            Some(News::Status(status)) => take_status(&ctx, addr, status),
+            Some(News::Cut(cut)) => take_cut(&ctx, cut),
+            None => ctx.metrics.count(Counted::Datagrams, "unreadable"),
+        }
+    }
+}
+
+fn take_cut(ctx: &Arc<Context>, cut: Cut) {
+    let target = lock(&ctx.places).id_of(cut.target).cloned();
+    if let Some(target) = target {
+        ctx.items.cut_one(&target);
+    }
+}
+
+fn take_status(ctx: &Arc<Context>, addr: SocketAddr, status: Status) {
+    let host = status.host.clone();
+    if host == ctx.host() {
+        return;
+    }
+    let now = Instant::now();
+    let own = lock(&ctx.catalog).versions();
+    let theirs = Versions {
+        config: status.config,
+        targets: status.targets,
+    };
+    let (is_new, pull_from) = {
+        let mut known = lock(&ctx.peers.known);
+        let peer = known.entry(host.clone()).or_insert_with(|| Peer::new(addr));
+        let order = (status.incarnation, status.number);
+        if order <= (peer.status.incarnation, peer.status.number) {
+            return;
+        }
+        peer.addr = addr;
+        peer.heard = Some(now);
+        let is_new = !std::mem::replace(&mut peer.is_alive, true);
+        if theirs.is_ahead_of(own) {
+            let since = *peer.ahead_since.get_or_insert(now);
+            let is_due = !ctx.store.is_up() || now.duration_since(since) >= AHEAD_MAX;
+            if is_due {
+                peer.ahead_since = None;
+            }
+            peer.status = status.clone();
+            (is_new, is_due.then_some(addr))
+        } else {
+            peer.ahead_since = None;
+            peer.status = status.clone();
+            (is_new, None)
+        }
+    };
+    let loads = status.loads.iter().map(|load| {
+        let counted = Load {
+            online: load.online,
+            batch: load.batch,
+        };
+        (load.target, counted)
+    });
+    lock(&ctx.places).peer_runs(&host, loads);
+    ctx.journal.told(status.jobs);
+    ctx.items.wake();
+    if is_new {
+        slog::info!(ctx.logger, "host up"; "peer" => host.as_str(),
+            "incarnation" => status.incarnation, "addr" => addr.to_string());
+        ctx.metrics.count(Counted::Changes, "host up");
+        ctx.peers.tell();
+    }
+    if let Some(addr) = pull_from {
+        tokio::spawn(pull(Arc::clone(ctx), addr));
+    }
+}
+
+/// Notes peers that have fallen silent.
+async fn sweep(ctx: Arc<Context>) {
+    let down = ms(ctx.settings.peers.down_ms);
+    let mut ticks = ctx.timer.subscribe(SWEEP);
+    while ticks.recv().await.is_some() && ctx.phase() != Phase::Stopped {
+        let mut lost = Vec::new();
+        for (host, peer) in lock(&ctx.peers.known).iter_mut() {
+            let silence = peer.heard.map(|at| at.elapsed());
+            if peer.is_alive && silence.is_some_and(|s| s >= down) {
+                peer.is_alive = false;
+                lost.push((host.clone(), silence));
+            }
+        }
+        for (host, silence) in lost {
+            slog::warn!(ctx.logger, "host down"; "peer" => host.as_str(),
+                "silent_ms" => silence.map(|s| s.as_millis()));
+            ctx.metrics.count(Counted::Changes, "host down");
+            lock(&ctx.places).peer_down(&host);
+            ctx.items.wake();
+        }
+    }
+}
+
+/// Takes routes and targets from a peer.
+async fn pull(ctx: Arc<Context>, addr: SocketAddr) {
+    let pulled = tokio::time::timeout(PULL_TIMEOUT, fetch(addr)).await;
+    match pulled {
+        Ok(Ok(snapshot)) => catalog::take_snapshot(&ctx, snapshot),
+        Ok(Err(detail)) => slog::warn!(ctx.logger, "peer not asked";
+            "addr" => addr.to_string(), "error" => detail),
+        Err(_) => slog::warn!(ctx.logger, "peer not asked";
+            "addr" => addr.to_string(), "error" => "timed out"),
+    }
+}
+
+async fn fetch(addr: SocketAddr) -> Result<Snapshot, String> {
+    let socket = TcpStream::connect(addr)
+        .await
+        .map_err(|err| err.to_string())?;
+    let conn = hyper::client::conn::http1::handshake(TokioIo::new(socket)).await;
+    let (mut sender, conn) = conn.map_err(|err| err.to_string())?;
+    tokio::spawn(conn);
+    let req = Request::get("/snapshot").header("host", "peer");
+    let req = req
+        .body(Empty::<Bytes>::new())
+        .map_err(|err| err.to_string())?;
+    let resp = sender
+        .send_request(req)
+        .await
+        .map_err(|err| err.to_string())?;
+    let body = resp
+        .into_body()
+        .collect()
+        .await
+        .map_err(|err| err.to_string())?;
+    postcard::from_bytes(&body.to_bytes()).map_err(|err| err.to_string())
+}
+
+/// Answers peers that ask for routes and targets.
+async fn serve(ctx: Arc<Context>, listener: TcpListener) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = ctx.stopped() => return,
+        };
+        // Running out of descriptors must not end the service.
+        let Ok((socket, _)) = accepted else {
+            tokio::task::yield_now().await;
+            continue;
+        };
+        let shared = Arc::clone(&ctx);
+        let service = service_fn(move |_: Request<Incoming>| {
+            let snapshot = lock(&shared.catalog).snapshot();
+            let bytes = postcard::to_stdvec(&snapshot).expect("Snapshots are representable.");
+            let body = Full::new(Bytes::from(bytes));
+            async move { Ok::<_, std::convert::Infallible>(Response::new(body)) }
+        });
+        tokio::spawn(async move {
+            let conn = hyper::server::conn::http1::Builder::new();
+            // A peer that goes away in between asks again.
+            let _ = conn.serve_connection(TokioIo::new(socket), service).await;
+        });
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/ports.rs
@@ -0,0 +1,274 @@
+//! What the gateway needs of an adapter.
+//!
+//! Each port is a plain struct of closures, so that an adapter and a test fill
+//! it alike. Requests and answers pass through as they are: the gateway reads
+//! neither their bodies nor headers of the adapter's protocol.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::StatusCode;
+use notchwharf_config::routes::Table;
+use notchwharf_routing::places::Spec;
+use notchwharf_routing::places::TargetId;
+
+use crate::RequestId;
+
+/// The body of an answer; an error in it means that the answer is not whole.
+pub type Body = UnsyncBoxBody<Bytes, io::Error>;
+
+/// A request as its caller sent it.
+#[derive(Clone, Debug)]
+pub struct Forward {
+    /// The request's name.
+    pub id: RequestId,
+    /// The method.
+    pub method: Method,
+    /// The path with its query.
+    pub path: String,
+    /// Headers that concern the whole way to the target.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// A request to one target.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// The request.
+    pub forward: Arc<Forward>,
+    /// The target's incarnation; another one at the address must not run it.
+    pub target: TargetId,
+    /// Where the target answers.
+    pub addr: SocketAddr,
+    /// Time that the caller still waits.
+    pub left: Duration,
+    /// The number of the last event that is here already.
+    pub resume_after: Option<u64>,
+}
+
+/// A target's answer.
+pub struct Reply {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its headers that concern the whole way to the caller.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Body,
+    /// Whether the target has signed it; only then a success is one.
+    pub is_signed: bool,
+}
+
+impl fmt::Debug for Reply {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Reply")
+            .field("status", &self.status)
+            .field("is_signed", &self.is_signed)
+            .finish_non_exhaustive()
+    }
+}
+
+/// Why a target gave no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoReply {
+    /// No byte of the request can have reached it.
+    NotSent(&'static str),
+    /// It says that it ran nothing of the request, since it is full or late.
+    Full,
+    /// It says that it ran nothing of the request, for a fault of the request.
+    Rejected(StatusCode),
+    /// Another incarnation answers at the address; it ran nothing.
+    OtherTarget,
+    /// It may have run the request, or runs it still.
+    Unknown(&'static str),
+}
+
+impl NoReply {
+    /// Returns whether the request may have run.
+    pub fn may_have_run(self) -> bool {
+        matches!(self, Self::Unknown(_))
+    }
+
+    /// Returns the reason in a word or two.
+    pub fn reason(self) -> &'static str {
+        match self {
+            Self::NotSent(reason) | Self::Unknown(reason) => reason,
+            Self::Full => "target full",
+            Self::Rejected(_) => "rejected",
+            Self::OtherTarget => "other target at address",
+        }
+    }
+}
+
+/// Targets.
+#[derive(Clone)]
+pub struct Targets {
+    /// Sends a request and returns the head of the answer. Dropping the future
+    /// or the body of the answer makes the target stop.
+    pub call: Arc<dyn Fn(Call) -> BoxFuture<'static, Result<Reply, NoReply>> + Send + Sync>,
+}
+
+/// A topic of the store. Records have keys, and the newest record of each key
+/// is kept for good.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Topic {
+    /// The configuration, written by operators.
+    Config,
+    /// Targets, written by themselves.
+    Targets,
+    /// Hosts of this system.
+    Hosts,
+    /// Records of jobs.
+    Jobs,
+    /// What items say.
+    Payloads,
+    /// What items led to.
+    Results,
+}
+
+/// A record to append.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// The key.
+    pub key: String,
+    /// The value; nothing drops the key.
+    pub value: Option<Bytes>,
+}
+
+/// A record that was read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Stored {
+    /// Its place in the partition.
+    pub offset: u64,
+    /// The record.
+    pub entry: Entry,
+}
+
+/// Records read from a place on.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Tail {
+    /// The offset that follows the newest record of the partition.
+    pub end: u64,
+    /// The records.
+    pub records: Vec<Stored>,
+}
+
+/// Newest records of keys.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Page {
+    /// The offset that follows the newest record of the partition.
+    pub end: u64,
+    /// The records, by key.
+    pub records: Vec<Stored>,
+    /// Whether more keys follow the last one.
+    pub has_more: bool,
+}
+
+/// What to read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Read {
+    /// The topic.
+    pub topic: Topic,
+    /// The partition.
+    pub part: u32,
+    /// The first offset.
+    pub from: u64,
+    /// Bytes to read at most; at least one record is read.
+    pub bytes_max: u64,
+    /// Time to wait if there is no record yet.
+    pub wait: Duration,
+}
+
+/// Why a call of the store failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreError {
+    /// The store did nothing.
+    Refused(&'static str),
+    /// The store may have done it, or may do it yet.
+    Unknown(&'static str),
+    /// The records asked for are gone; later ones remain.
+    Expired,
+    /// The store has no room.
+    NoRoom,
+}
+
+impl fmt::Display for StoreError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Refused(why) => write!(f, "refused: {why}"),
+            Self::Unknown(why) => write!(f, "no answer: {why}"),
+            Self::Expired => f.write_str("the records are gone"),
+            Self::NoRoom => f.write_str("the store is full"),
+        }
+    }
+}
+
+impl std::error::Error for StoreError {}
+
+/// What a call of the store leads to.
+pub type StoreFuture<T> = BoxFuture<'static, Result<T, StoreError>>;
+/// Appends records to a partition, all or none; returns the first offset.
+pub type Append = dyn Fn(Topic, u32, Vec<Entry>) -> StoreFuture<u64> + Send + Sync;
+/// Reads records in their order.
+pub type ReadRecords = dyn Fn(Read) -> StoreFuture<Tail> + Send + Sync;
+/// Reads the newest record of each key that follows another.
+pub type ReadNewest = dyn Fn(Topic, u32, Option<String>) -> StoreFuture<Page> + Send + Sync;
+
+/// A store of ordered topics.
+#[derive(Clone)]
+pub struct Store {
+    /// Appends records.
+    pub append: Arc<Append>,
+    /// Reads records in their order.
+    pub read: Arc<ReadRecords>,
+    /// Reads newest records by key.
+    pub newest: Arc<ReadNewest>,
+}
+
+/// Reads a configuration's record; nothing if the key is that of another.
+pub type DecodeConfig = fn(key: &str, value: &[u8]) -> Option<Result<Table, Unreadable>>;
+/// Reads a target's record.
+pub type DecodeTarget = fn(value: &[u8]) -> Result<Spec, Unreadable>;
+
+/// What configuration and target records mean.
+#[derive(Clone, Copy)]
+pub struct Decode {
+    /// Reads a configuration.
+    pub config: DecodeConfig,
+    /// Reads a target's record.
+    pub target: DecodeTarget,
+}
+
+/// A record that does not say what it should.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Unreadable {
+    /// What is wrong, with the place in the record.
+    pub detail: String,
+}
+
+impl fmt::Display for Unreadable {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "unreadable record: {}", self.detail)
+    }
+}
+
+impl std::error::Error for Unreadable {}
+
+/// All ports.
+#[derive(Clone)]
+pub struct Ports {
+    /// The store.
+    pub store: Store,
+    /// Targets.
+    pub targets: Targets,
+    /// The meaning of records.
+    pub decode: Decode,
+}
--- /dev/null
+++ b/crates/ledger/src/jobs.rs
@@ -0,0 +1,406 @@
+//! Jobs in one ordered stream that every host folds alike.
+//!
+//! A job is accepted, an item listed, a job ended or taken over by a record;
+//! what counts is its place in the stream. The first of two that contradict
+//! each other holds, so hosts agree without asking one another, and a record
+//! that was appended twice counts once.
+//!
+//! ```
+//! use notchwharf_ledger::jobs::{Accepted, Applied, ItemSpec, Jobs, Record};
+//!
+//! let mut jobs = Jobs::default();
+//! let accepted = Accepted {
+//!     job: "j1".into(), attempt: 1, host: "a1".into(), route: "r".into(),
+//!     tokens_max: Some(100), submitted_unix_ms: 0,
+//!     items: vec![ItemSpec { id: "i1".into(), tokens: 90 }], payload: vec![],
+//! };
+//! assert_eq!(jobs.apply(0, Record::Accepted(accepted.clone())), Applied::Accepted);
+//! let more = Accepted { job: "j2".into(), attempt: 2, ..accepted };
+//! assert_eq!(jobs.apply(1, Record::Accepted(more)), Applied::OverQuota { waiting: 90 });
+//! ```
+//!
+//! [`crate::shard`] shards jobs among lease holders, which a log without
+//! conditions and without lasting keys needs. Here the store orders all hosts'
+//! appends and loses no newest record, so neither leases nor snapshots remain.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// The name of a job, chosen by its caller.
+pub type JobId = String;
+/// The name of a host.
+pub type HostId = String;
+/// The number of one try to have a job accepted; unique in the fleet.
+pub type AttemptId = u64;
+/// A place in the stream.
+pub type Offset = u64;
+
+/// Tries that were refused and may still stand in the stream a second time.
+/// Appends land seconds late at most, and refusals are rarer than one a
+/// millisecond.
+const REFUSED_MAX: usize = 4_096;
+
+/// Where bytes lie that are too many for the stream.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Blob {
+    /// The partition.
+    pub part: u32,
+    /// The beginning of the records' keys, which no other blob shares.
+    pub key: String,
+    /// The offset of the first record.
+    pub offset: Offset,
+    /// The number of records, which follow one another.
+    pub records: u32,
+    /// The bytes in all of them.
+    pub bytes: u32,
+}
+
+/// An item as its job's acceptance names it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ItemSpec {
+    /// The item's name, unique in its job.
+    pub id: String,
+    /// The tokens of its prompt and its longest answer.
+    pub tokens: u32,
+}
+
+/// A job that a host took in.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Accepted {
+    /// The job.
+    pub job: JobId,
+    /// The try that this record belongs to.
+    pub attempt: AttemptId,
+    /// The host, which runs the job's items until it is taken over.
+    pub host: HostId,
+    /// The name of the route.
+    pub route: String,
+    /// Tokens that may wait on the route, with this job's; nothing for no limit.
+    pub tokens_max: Option<u64>,
+    /// The host's time of day, for the order in which jobs run.
+    pub submitted_unix_ms: u64,
+    /// The items, in the caller's order.
+    pub items: Vec<ItemSpec>,
+    /// What the items say, in as many blobs as it takes.
+    pub payload: Vec<Blob>,
+}
+
+/// How an item ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// It was done; its whole answer lies here.
+    Completed(Vec<Blob>),
+    /// It was given up, for this reason.
+    Failed(Reason),
+}
+
+/// Why an item was given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reason {
+    /// A target said that it can never be done.
+    Impossible,
+    /// It failed at as many targets as its route allows.
+    Attempts,
+    /// Its time was over.
+    Expired,
+    /// Its route is gone.
+    NoRoute,
+}
+
+/// A record of the stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Record {
+    /// A job was taken in.
+    Accepted(Accepted),
+    /// A host takes over a job's items.
+    Taken {
+        /// The job.
+        job: JobId,
+        /// The epoch that ends by it.
+        epoch: Offset,
+        /// The host.
+        host: HostId,
+    },
+    /// An item has ended.
+    Listed {
+        /// The job.
+        job: JobId,
+        /// The item's place in the caller's order.
+        item: u32,
+        /// How it ended.
+        outcome: Outcome,
+    },
+    /// The caller ended the job.
+    Ended {
+        /// The job.
+        job: JobId,
+    },
+}
+
+impl Record {
+    /// Returns the record's bytes.
+    ///
+    /// # Panics
+    ///
+    /// Never: the type holds nothing that the codec cannot represent.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).expect("Records are always representable.")
+    }
+
+    /// Reads a record; returns nothing for anything else.
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        postcard::from_bytes(bytes).ok()
+    }
+
+    /// Returns the job that the record is about.
+    pub fn job(&self) -> &JobId {
+        match self {
+            Self::Accepted(accepted) => &accepted.job,
+            Self::Taken { job, .. } | Self::Listed { job, .. } | Self::Ended { job } => job,
+        }
+    }
+}
+
+/// What a record did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Applied {
+    /// The job was accepted by it, or by an earlier copy of it.
+    Accepted,
+    /// The job had been accepted before, by another try.
+    Repeated,
+    /// The job does not fit the route's limit; it never runs by this try.
+    OverQuota {
+        /// Tokens that wait on the route already.
+        waiting: u64,
+    },
+    /// The host runs the job's items from now on.
+    Taken,
+    /// The item is listed by it.
+    Listed,
+    /// The job is ended.
+    Ended,
+    /// It changed nothing.
+    Ignored(Ignored),
+}
+
+/// Why a record changed nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ignored {
+    /// No such job was accepted.
+    NoJob,
+    /// Another host had taken over first.
+    StaleEpoch,
+    /// The item was listed before.
+    AlreadyListed,
+    /// The job has no such item.
+    NoItem,
+    /// The job had been ended before.
+    AlreadyEnded,
+}
+
+/// An item that has ended, in the order in which items ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Listed {
+    /// Its place in the caller's order.
+    pub item: u32,
+    /// How it ended.
+    pub outcome: Outcome,
+}
+
+/// A job as the stream tells it.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// Its acceptance.
+    pub accepted: Arc<Accepted>,
+    /// The host that runs its items.
+    pub owner: HostId,
+    /// The offset of the record by which the owner became it.
+    pub epoch: Offset,
+    /// Whether the caller ended it.
+    pub ended: bool,
+    /// Its items that have ended, each at its position for good.
+    pub listed: Vec<Listed>,
+    is_listed: Vec<bool>,
+    waiting_tokens: u64,
+}
+
+impl Job {
+    /// Returns whether items of the job are still to be run.
+    pub fn is_open(&self) -> bool {
+        !self.ended && self.listed.len() < self.accepted.items.len()
+    }
+
+    /// Returns whether an item has ended.
+    pub fn is_listed(&self, item: u32) -> bool {
+        self.is_listed.get(item as usize).copied().unwrap_or(true)
+    }
+
+    /// Returns the place of an item in the caller's order.
+    pub fn item(&self, id: &str) -> Option<u32> {
+        let place = self.accepted.items.iter().position(|item| item.id == id)?;
+        u32::try_from(place).ok()
+    }
+}
+
+/// The state that the stream's records lead to.
+#[derive(Clone, Debug, Default)]
+pub struct Jobs {
+    jobs: HashMap<JobId, Job>,
+    open: BTreeSet<JobId>,
+    waiting: HashMap<String, u64>,
+    refused: VecDeque<AttemptId>,
+    end: Offset,
+}
+
+impl Jobs {
+    /// Returns the offset that follows the last record applied.
+    pub fn end(&self) -> Offset {
+        self.end
+    }
+
+    /// Notes that the stream is known up to an offset, also where records
+    /// before it are gone.
+    pub fn advance(&mut self, end: Offset) {
+        self.end = self.end.max(end);
+    }
+
+    /// Returns a job.
+    pub fn get(&self, job: &str) -> Option<&Job> {
+        self.jobs.get(job)
+    }
+
+    /// Returns all jobs.
+    pub fn iter(&self) -> impl Iterator<Item = (&JobId, &Job)> {
+        self.jobs.iter()
+    }
+
+    /// Returns the jobs with items that are still to be run.
+    pub fn open(&self) -> impl Iterator<Item = &Job> {
+        self.open.iter().filter_map(|job| self.jobs.get(job))
+    }
+
+    /// Returns the tokens of items that wait on a route.
+    pub fn waiting_tokens(&self, route: &str) -> u64 {
+        self.waiting.get(route).copied().unwrap_or(0)
+    }
+
+    /// Forgets a job whose records were removed from the stream.
+    pub fn forget(&mut self, job: &str) {
+        self.open.remove(job);
+        if let Some(job) = self.jobs.remove(job) {
+            self.release(&job.accepted.route, job.waiting_tokens);
+        }
+    }
+
+    /// Applies the record at an offset.
+    pub fn apply(&mut self, offset: Offset, record: Record) -> Applied {
+        self.advance(offset + 1);
+        match record {
+            Record::Accepted(accepted) => self.accept(offset, accepted),
+            Record::Taken { job, epoch, host } => self.take(offset, &job, epoch, host),
+            Record::Listed { job, item, outcome } => self.list(&job, item, outcome),
+            Record::Ended { job } => self.end_job(&job),
+        }
+    }
+
+    fn accept(&mut self, offset: Offset, accepted: Accepted) -> Applied {
+        if let Some(known) = self.jobs.get(&accepted.job) {
+            if known.accepted.attempt == accepted.attempt {
+                return Applied::Accepted;
+            }
+            return Applied::Repeated;
+        }
+        let waiting = self.waiting_tokens(&accepted.route);
+        if self.refused.contains(&accepted.attempt) {
+            return Applied::OverQuota { waiting };
+        }
+        let tokens: u64 = accepted.items.iter().map(|i| u64::from(i.tokens)).sum();
+        if accepted
+            .tokens_max
+            .is_some_and(|max| waiting + tokens > max)
+        {
+            self.refused.push_back(accepted.attempt);
+            if self.refused.len() > REFUSED_MAX {
+                self.refused.pop_front();
+            }
+            return Applied::OverQuota { waiting };
+        }
+        *self.waiting.entry(accepted.route.clone()).or_default() += tokens;
+        let job = Job {
+            owner: accepted.host.clone(),
+            epoch: offset,
+            ended: false,
+            listed: Vec::new(),
+            is_listed: vec![false; accepted.items.len()],
+            waiting_tokens: tokens,
+            accepted: Arc::new(accepted),
+        };
+        let id = job.accepted.job.clone();
+        if job.is_open() {
+            self.open.insert(id.clone());
+        }
+        self.jobs.insert(id, job);
+        Applied::Accepted
+    }
+
+    fn take(&mut self, offset: Offset, job: &str, epoch: Offset, host: HostId) -> Applied {
+        let Some(job) = self.jobs.get_mut(job) else {
+            return Applied::Ignored(Ignored::NoJob);
+        };
+        if job.epoch != epoch {
+            return Applied::Ignored(Ignored::StaleEpoch);
+        }
+        job.owner = host;
+        job.epoch = offset;
+        Applied::Taken
+    }
+
+    fn list(&mut self, job: &str, item: u32, outcome: Outcome) -> Applied {
+        let Some(job) = self.jobs.get_mut(job) else {
+            return Applied::Ignored(Ignored::NoJob);
+        };
+        let place = item as usize;
+        let Some(is_listed) = job.is_listed.get_mut(place) else {
+            return Applied::Ignored(Ignored::NoItem);
+        };
+        if std::mem::replace(is_listed, true) {
+            return Applied::Ignored(Ignored::AlreadyListed);
+        }
+        job.listed.push(Listed { item, outcome });
+        let tokens = u64::from(job.accepted.items[place].tokens);
+        let tokens = tokens.min(job.waiting_tokens);
+        job.waiting_tokens -= tokens;
+        let route = job.accepted.route.clone();
+        if !job.is_open() {
+            self.open.remove(&job.accepted.job);
+        }
+        self.release(&route, tokens);
+        Applied::Listed
+    }
+
+    fn end_job(&mut self, job: &str) -> Applied {
+        let Some(job) = self.jobs.get_mut(job) else {
+            return Applied::Ignored(Ignored::NoJob);
+        };
+        if std::mem::replace(&mut job.ended, true) {
+            return Applied::Ignored(Ignored::AlreadyEnded);
+        }
+        let tokens = std::mem::take(&mut job.waiting_tokens);
+        let route = job.accepted.route.clone();
+        self.open.remove(&job.accepted.job);
+        self.release(&route, tokens);
+        Applied::Ended
+    }
+
+    fn release(&mut self, route: &str, tokens: u64) {
+        if let Some(waiting) = self.waiting.get_mut(route) {
+            debug_assert!(*waiting >= tokens, "Only what waits is released.");
+            *waiting = waiting.saturating_sub(tokens);
+        }
+    }
+}
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -7,12 +7,16 @@
 //! host that holds a shard's lease decides. [`rendezvous`] says which host
 //! should try to hold what.
 //!
+//! Where the platform's store orders records and keeps the newest of each key
+//! for good, [`jobs`] is the fold over one stream that needs no leases.
+//!
 //! Nothing here does I/O, reads a clock or uses global randomness: time and
 //! records come in as inputs, and appends and answers go out as effects.
 
 pub mod error;
 pub mod fleet;
 pub mod job;
+pub mod jobs;
 pub mod owner;
 mod queue;
 pub mod record;
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! [`peer`] is what one host calls on another, over JSON-RPC. [`datagram`] is
 //! what hosts send over UDP: gossip, and notices too short-lived to be worth
-//! an answer.
+//! an answer. [`news`] takes the place of both where hosts share all targets.
 
 pub mod datagram;
+pub mod news;
 pub mod peer;
--- /dev/null
+++ b/crates/proto/src/news.rs
@@ -0,0 +1,79 @@
+//! What hosts that share all targets send one another over UDP.
+//!
+//! News is the sender's whole state in short and not a difference, so that a
+//! lost datagram does no harm and an old one is told by its number.
+//!
+//! ```
+//! use notchwharf_proto::news::{decode, encode, News, Status};
+//!
+//! let news = News::Status(Status { host: "a1".into(), ..Status::default() });
+//! assert_eq!(decode(&encode(&news)), Some(news));
+//! assert_eq!(decode(b"?"), None);
+//! ```
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A datagram.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum News {
+    /// How a host is, and what it runs.
+    Status(Status),
+    /// The receiver is asked to make room.
+    Cut(Cut),
+}
+
+/// How a host is, and what it runs.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Status {
+    /// The host.
+    pub host: String,
+    /// A number that grows with each start of the host.
+    pub incarnation: u64,
+    /// A number that grows with each status of the incarnation.
+    pub number: u64,
+    /// Whether the host is leaving.
+    pub leaving: bool,
+    /// Whether the host reaches the store.
+    pub store_up: bool,
+    /// How new its configuration is; higher is newer.
+    pub config: u64,
+    /// How new its list of targets is; higher is newer.
+    pub targets: u64,
+    /// How far it knows the job records.
+    pub jobs: u64,
+    /// What it runs.
+    pub loads: Vec<Load>,
+}
+
+/// What a host runs at a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// The short form of the target's name.
+    pub target: u32,
+    /// Online requests.
+    pub online: u32,
+    /// Items of jobs.
+    pub batch: u32,
+}
+
+/// An online request needs the place of an item.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Cut {
+    /// The short form of the target's name.
+    pub target: u32,
+}
+
+/// Encodes a datagram.
+///
+/// # Panics
+///
+/// Never: the type holds nothing that the codec cannot represent.
+pub fn encode(news: &News) -> Vec<u8> {
+    postcard::to_stdvec(news).expect("News is always representable.")
+}
+
+/// Decodes a datagram; returns nothing for anything else.
+pub fn decode(bytes: &[u8]) -> Option<News> {
+    postcard::from_bytes(bytes).ok()
+}
--- /dev/null
+++ b/crates/routing/src/places.rs
@@ -0,0 +1,538 @@
+//! Places of targets, as hosts that share all targets see them.
+//!
+//! A target runs so many requests at once, its places, and queues the rest in
+//! the order of arrival. Every host counts what it runs itself and is told what
+//! its peers run, so each knows within milliseconds where places are free, and
+//! nobody asks targets. Online requests go where a place is free; where none is,
+//! an item of a job is cut to make one, since it can go on elsewhere later.
+//!
+//! ```
+//! use std::time::Instant;
+//! use notchwharf_routing::places::{Config, Places, Room, Spec, Want};
+//!
+//! let now = Instant::now();
+//! let mut places = Places::new(Config { reserve: 0, ..Config::default() }, 7);
+//! let spec = Spec { service: "s".into(), data_centre: "d".into(), slots: 1, ..Spec::default() };
+//! places.upsert("t1", spec);
+//! let want = Want { service: "s", data_centre: "d", affinity: 0, tried: &[] };
+//! let item = places.choose_batch(&want, now).unwrap();
+//! places.begin_batch(&item);
+//! let choice = places.choose_online(&want, now).unwrap();
+//! assert_eq!(choice.room, Room::CutOwn);
+//! ```
+//!
+//! Asking targets for their load was rejected: what they report is some hundred
+//! milliseconds old, and each question is a request. A holder for each target,
+//! as [`crate::slots`] has it, was rejected for this use: a place that it gives
+//! away costs a message there and back before the request goes out.
+
+mod health;
+
+use std::collections::HashMap;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use self::health::Health;
+
+/// The name of a target's incarnation.
+pub type TargetId = String;
+/// The name of a host.
+pub type HostId = String;
+/// A short form of a target's name, for messages between hosts.
+pub type TargetKey = u32;
+
+/// Cost of taking the last free place: another host may take it just now.
+const LAST_PLACE_COST: f64 = 1.0;
+/// Cost of a target in another data centre, where places are equal: a way of
+/// about a millisecond, and bytes between data centres.
+const REMOTE_COST: f64 = 0.6;
+/// Greatest cost of a target that is unlikely to have the prompt's beginning.
+const AFFINITY_COST: f64 = 0.5;
+/// Cost of a target that answers much slower than the others of its service.
+const SLOW_COST: f64 = 5.0;
+/// Cost of cutting an item, above any free place.
+const CUT_COST: f64 = 10.0;
+/// Cost of waiting in a target's queue, above any item to cut.
+const QUEUE_COST: f64 = 100.0;
+/// Cost of each online request that the target has already, beside the above.
+const ONLINE_COST: f64 = 0.05;
+/// When to come back if no target takes the request: about the time in which
+/// a place falls free.
+const RETRY_AFTER: Duration = Duration::from_millis(150);
+
+/// How places are given away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Config {
+    /// Places of each target that items leave free for online requests.
+    pub reserve: u32,
+    /// Requests that may wait in a target's queue, for each of its places,
+    /// before more are refused. 3 by default: a place falls free several
+    /// times a second, so a longer queue outlasts any objective.
+    pub queue_per_slot: u32,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            reserve: 1,
+            queue_per_slot: 3,
+        }
+    }
+}
+
+/// What is known of a target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Spec {
+    /// The service that it offers.
+    pub service: String,
+    /// Where it stands.
+    pub data_centre: String,
+    /// Where it answers.
+    pub addr: SocketAddr,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it must get nothing new.
+    pub leaving: bool,
+}
+
+impl Default for Spec {
+    fn default() -> Self {
+        Self {
+            service: String::new(),
+            data_centre: String::new(),
+            addr: SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)),
+            slots: 1,
+            leaving: false,
+        }
+    }
+}
+
+/// Requests that run at a target or wait there.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Online requests.
+    pub online: u32,
+    /// Items of jobs.
+    pub batch: u32,
+}
+
+impl Load {
+    /// Returns the sum.
+    pub fn total(self) -> u32 {
+        self.online + self.batch
+    }
+
+    fn add(&mut self, other: Self) {
+        self.online += other.online;
+        self.batch += other.batch;
+    }
+
+    fn sub(&mut self, other: Self) {
+        self.online = self.online.saturating_sub(other.online);
+        self.batch = self.batch.saturating_sub(other.batch);
+    }
+}
+
+/// What is wanted of a target.
+#[derive(Clone, Copy, Debug)]
+pub struct Want<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// Where the host stands.
+    pub data_centre: &'a str,
+    /// A hash of the prompt's shared beginning.
+    pub affinity: u64,
+    /// Targets that were tried already.
+    pub tried: &'a [TargetId],
+}
+
+/// How the request finds room.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Room {
+    /// A place is free.
+    Free,
+    /// An item of this host is to be cut.
+    CutOwn,
+    /// An item of that peer is to be cut.
+    CutPeer(HostId),
+    /// It waits in the target's queue.
+    Queue,
+}
+
+/// The target for an online request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// The target.
+    pub target: TargetId,
+    /// Where it answers.
+    pub addr: SocketAddr,
+    /// How the request finds room there.
+    pub room: Room,
+}
+
+/// Why no target was chosen; nothing was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// No target offers the service.
+    NoTarget {
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// Every target that offers it is full.
+    Full {
+        /// When to come back.
+        retry_after: Duration,
+    },
+}
+
+#[derive(Debug)]
+struct Target {
+    key: TargetKey,
+    spec: Spec,
+    own: Load,
+    others: Load,
+    health: Health,
+}
+
+impl Target {
+    fn load(&self) -> Load {
+        let mut load = self.own;
+        load.add(self.others);
+        load
+    }
+
+    fn free(&self) -> u32 {
+        self.spec.slots.saturating_sub(self.load().total())
+    }
+}
+
+#[derive(Debug, Default)]
+struct Peer {
+    loads: HashMap<TargetKey, Load>,
+}
+
+/// Places as one host sees them.
+#[derive(Debug)]
+pub struct Places {
+    cfg: Config,
+    targets: HashMap<TargetId, Target>,
+    keys: HashMap<TargetKey, TargetId>,
+    peers: HashMap<HostId, Peer>,
+    rng: ChaCha8Rng,
+}
+
+/// Returns the short form of a target's name.
+pub fn key_of(id: &str) -> TargetKey {
+    // The low half is as good a hash as the whole.
+    xxh3_64(id.as_bytes()) as TargetKey
+}
+
+impl Places {
+    /// Returns places without targets.
+    pub fn new(cfg: Config, seed: u64) -> Self {
+        Self {
+            cfg,
+            targets: HashMap::new(),
+            keys: HashMap::new(),
+            peers: HashMap::new(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Takes in what is known of a target.
+    pub fn upsert(&mut self, id: &str, spec: Spec) {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.spec = spec;
+            return;
+        }
+        let key = key_of(id);
+        let mut others = Load::default();
+        for load in self.peers.values().filter_map(|p| p.loads.get(&key)) {
+            others.add(*load);
+        }
+        let target = Target {
+            key,
+            spec,
+            own: Load::default(),
+            others,
+            health: Health::default(),
+        };
+        self.keys.insert(key, id.to_owned());
+        self.targets.insert(id.to_owned(), target);
+    }
+
+    /// Forgets a target.
+    pub fn remove(&mut self, id: &str) {
+        if let Some(target) = self.targets.remove(id) {
+            self.keys.remove(&target.key);
+        }
+    }
+
+    /// Returns what is known of a target.
+    pub fn spec(&self, id: &str) -> Option<&Spec> {
+        self.targets.get(id).map(|t| &t.spec)
+    }
+
+    /// Returns the name behind the short form of a target.
+    pub fn id_of(&self, key: TargetKey) -> Option<&TargetId> {
+        self.keys.get(&key)
+    }
+
+    /// Returns the names of all targets.
+    pub fn ids(&self) -> impl Iterator<Item = &TargetId> {
+        self.targets.keys()
+    }
+
+    /// Returns what this host runs, target by target.
+    pub fn own(&self) -> impl Iterator<Item = (TargetKey, Load)> {
+        let busy = self.targets.values().filter(|t| t.own.total() > 0);
+        busy.map(|t| (t.key, t.own))
+    }
+
+    /// Returns what all hosts run at a target, as far as known.
+    pub fn load(&self, id: &str) -> Load {
+        self.targets.get(id).map(Target::load).unwrap_or_default()
+    }
+
+    /// Takes in what a peer runs; it replaces what the peer ran before.
+    pub fn peer_runs(&mut self, host: &str, loads: impl IntoIterator<Item = (TargetKey, Load)>) {
+        let loads: HashMap<TargetKey, Load> = loads.into_iter().collect();
+        let before = self.peers.remove(host).unwrap_or_default();
+        self.subtract(&before);
+        for (key, load) in &loads {
+            if let Some(target) = self.target_by_key(*key) {
+                target.others.add(*load);
+            }
+        }
+        self.peers.insert(host.to_owned(), Peer { loads });
+    }
+
+    /// Forgets what a peer runs: it is down, and its connections with it.
+    pub fn peer_down(&mut self, host: &str) {
+        if let Some(peer) = self.peers.remove(host) {
+            self.subtract(&peer);
+        }
+    }
+
+    fn subtract(&mut self, peer: &Peer) {
+        for (key, load) in &peer.loads {
+            if let Some(target) = self.target_by_key(*key) {
+                target.others.sub(*load);
+            }
+        }
+    }
+
+    fn target_by_key(&mut self, key: TargetKey) -> Option<&mut Target> {
+        let id = self.keys.get(&key)?;
+        self.targets.get_mut(id)
+    }
+
+    /// Counts an online request at a target.
+    pub fn begin_online(&mut self, id: &str) {
+        self.count(id, |own| own.online += 1);
+    }
+
+    /// Counts the end of an online request.
+    pub fn end_online(&mut self, id: &str) {
+        self.count(id, |own| own.online = own.online.saturating_sub(1));
+    }
+
+    /// Counts an item at a target.
+    pub fn begin_batch(&mut self, id: &str) {
+        self.count(id, |own| own.batch += 1);
+    }
+
+    /// Counts the end of an item's run.
+    pub fn end_batch(&mut self, id: &str) {
+        self.count(id, |own| own.batch = own.batch.saturating_sub(1));
+    }
+
+    fn count(&mut self, id: &str, change: impl FnOnce(&mut Load)) {
+        // A target that has left in the meantime counts nothing any more.
+        if let Some(target) = self.targets.get_mut(id) {
+            change(&mut target.own);
+        }
+    }
+
+    /// Notes that a target could not be reached or broke off.
+    pub fn failed(&mut self, id: &str, now: Instant) {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.health.failed(now);
+        }
+    }
+
+    /// Notes that a target was full and ran nothing of the request.
+    pub fn refused(&mut self, id: &str, now: Instant) {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.health.refused(now);
+        }
+    }
+
+    /// Notes that a target answered, and the time to its first event if there
+    /// was nothing else in the request's way.
+    pub fn answered(&mut self, id: &str, first_event: Option<Duration>) {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.health.answered(first_event);
+        }
+    }
+
+    /// Chooses the target of an online request.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if no target is to be asked.
+    pub fn choose_online(&mut self, want: &Want<'_>, now: Instant) -> Result<Choice, Refusal> {
+        let pace = self.usual_pace(want.service);
+        let best = self
+            .best(want, now, false, |t| online_cost(t, want, pace, self.cfg))
+            .or_else(|| self.best(want, now, true, |t| online_cost(t, want, pace, self.cfg)));
+        let Some(id) = best else {
+            let retry_after = RETRY_AFTER;
+            let mut targets = self.targets.values();
+            if targets.any(|t| t.spec.service == want.service && !t.spec.leaving) {
+                return Err(Refusal::Full { retry_after });
+            }
+            return Err(Refusal::NoTarget { retry_after });
+        };
+        let id = id.clone();
+        let target = &self.targets[&id];
+        Ok(Choice {
+            addr: target.spec.addr,
+            room: self.room(target),
+            target: id,
+        })
+    }
+
+    /// Chooses the target of an item: one with places beyond the reserve.
+    pub fn choose_batch(&mut self, want: &Want<'_>, now: Instant) -> Option<TargetId> {
+        let pace = self.usual_pace(want.service);
+        let reserve = self.cfg.reserve;
+        let draw: u64 = self.rng.random();
+        let best = self.best(want, now, false, |t| {
+            let spare = t.free().saturating_sub(reserve);
+            if spare == 0 {
+                return None;
+            }
+            let slow = if t.health.is_slow(pace) {
+                SLOW_COST
+            } else {
+                0.0
+            };
+            let chance = unit(xxh3_64_with_seed(&t.key.to_le_bytes(), draw));
+            Some(slow - f64::from(spare) + remote(t, want) + chance)
+        });
+        best.cloned()
+    }
+
+    /// Returns the targets at which this host should cut an item: there are
+    /// more requests than places, and no host has more items there.
+    pub fn overfull(&self, host: &str) -> Vec<TargetId> {
+        let mine = self.targets.iter().filter(|(_, t)| t.own.batch > 0);
+        let over = mine
+            .filter(|(_, t)| t.load().total() > t.spec.slots && self.most_items(t, host).is_none());
+        over.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Returns the peer that has more items at a target than this host, if any.
+    fn most_items(&self, target: &Target, host: &str) -> Option<&HostId> {
+        let own = (target.own.batch, host);
+        let peers = self.peers.iter().filter_map(|(id, peer)| {
+            let load = peer.loads.get(&target.key)?;
+            Some((load.batch, id))
+        });
+        let most = peers.max()?;
+        ((most.0, most.1.as_str()) > own).then_some(most.1)
+    }
+
+    fn room(&self, target: &Target) -> Room {
+        let load = target.load();
+        let kept = target.spec.slots.saturating_sub(self.cfg.reserve);
+        if load.batch == 0 || load.total() < kept.max(1) {
+            if load.total() < target.spec.slots {
+                return Room::Free;
+            }
+            return Room::Queue;
+        }
+        if target.own.batch > 0 {
+            return Room::CutOwn;
+        }
+        match self.most_items(target, "") {
+            Some(host) => Room::CutPeer(host.clone()),
+            None => Room::Free,
+        }
+    }
+
+    fn best(
+        &self,
+        want: &Want<'_>,
+        now: Instant,
+        with_ejected: bool,
+        cost: impl Fn(&Target) -> Option<f64>,
+    ) -> Option<&TargetId> {
+        let open = self.targets.iter().filter(|(id, t)| {
+            t.spec.service == want.service
+                && !t.spec.leaving
+                && (with_ejected || !t.health.is_ejected(now))
+                && !want.tried.contains(id)
+        });
+        let costs = open.filter_map(|(id, t)| Some((cost(t)?, id)));
+        let least = costs.min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1)));
+        least.map(|(_, id)| id)
+    }
+
+    /// Returns the usual time to a first event at a service's targets.
+    fn usual_pace(&self, service: &str) -> Option<Duration> {
+        let of_service = self.targets.values().filter(|t| t.spec.service == service);
+        let mut paces: Vec<Duration> = of_service.filter_map(|t| t.health.pace()).collect();
+        let middle = paces.len() / 2;
+        let (_, median, _) = (!paces.is_empty()).then(|| paces.select_nth_unstable(middle))?;
+        Some(*median)
+    }
+}
+
+fn online_cost(
+    target: &Target,
+    want: &Want<'_>,
+    pace: Option<Duration>,
+    cfg: Config,
+) -> Option<f64> {
+    let load = target.load();
+    let slots = target.spec.slots;
+    if load.online >= slots * (1 + cfg.queue_per_slot) {
+        return None;
+    }
+    let spread = [target.key.to_le_bytes()].concat();
+    let likely = unit(xxh3_64_with_seed(&spread, want.affinity));
+    let mut cost = likely * AFFINITY_COST + remote(target, want);
+    cost += f64::from(load.online) * ONLINE_COST;
+    if target.health.is_slow(pace) {
+        cost += SLOW_COST;
+    }
+    cost += match target.free() {
+        0 if load.online < slots => CUT_COST,
+        0 => QUEUE_COST * f64::from(load.total() + 1 - slots),
+        1 => LAST_PLACE_COST,
+        _ => 0.0,
+    };
+    Some(cost)
+}
+
+fn remote(target: &Target, want: &Want<'_>) -> f64 {
+    if target.spec.data_centre == want.data_centre {
+        return 0.0;
+    }
+    REMOTE_COST
+}
+
+/// Returns a hash as a fraction from zero to one.
+fn unit(hash: u64) -> f64 {
+    hash as f64 / u64::MAX as f64
+}
--- a/crates/server/src/context.rs
+++ b/crates/server/src/context.rs
@@ -50,6 +50,7 @@
 use crate::pacer::Pacer;
 use crate::results::Results;
 use crate::shards::ShardActor;
+use notchwharf_telemetry::gauge::Gauge;
 use notchwharf_timer::Timer;
 
 /// Time that a waiting read of the log waits.
@@ -294,22 +295,6 @@
     }
 }
 
-/// A count of things under way.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Gauge(Arc<()>);
-
-impl Gauge {
-    /// Counts one more until what is returned is dropped.
-    pub(crate) fn enter(&self) -> Self {
-        self.clone()
-    }
-
-    /// Returns how many are under way.
-    pub(crate) fn count(&self) -> usize {
-        Arc::strong_count(&self.0) - 1
-    }
-}
-
 /// Sends an actor a message without waiting for it to be handled.
 pub(crate) fn post<A, M>(address: &xtra::Address<A>, message: M)
 where
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -5,6 +5,7 @@
 use std::process::ExitCode;
 
 use notchwharf_config::error;
+use notchwharf_config::gateway;
 use notchwharf_config::settings;
 use notchwharf_config::settings::Settings;
 use notchwharf_server::Server;
@@ -15,10 +16,12 @@
 const HELP: &str = "\
 notchwharfd: serves online and batch inference as one of a fleet of hosts
 
-Usage: notchwharfd --settings FILE [--check]
+Usage: notchwharfd --settings FILE [--adapter NAME] [--check]
 
 Options:
   --settings FILE  read settings, in JSON, from FILE
+  --adapter NAME   serve through this adapter: own (the default), with the
+                   product's own interface, or platform, on the users' platform
   --check          check the settings and exit
   --help           print this help
   --version        print the version
@@ -35,9 +38,29 @@
 
 struct Args {
     settings: PathBuf,
+    adapter: Adapter,
     check: bool,
 }
 
+/// Through which interface the host serves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Adapter {
+    Own,
+    Platform,
+}
+
+impl std::str::FromStr for Adapter {
+    type Err = String;
+
+    fn from_str(name: &str) -> Result<Self, String> {
+        match name {
+            "own" => Ok(Self::Own),
+            "platform" => Ok(Self::Platform),
+            _ => Err(format!("there is no adapter {name:?}: use own or platform")),
+        }
+    }
+}
+
 enum Parsed {
     Run(Args),
     Print(String),
@@ -48,10 +71,12 @@
     use lexopt::prelude::ValueExt as _;
     let mut parser = lexopt::Parser::from_env();
     let mut settings = None;
+    let mut adapter = Adapter::Own;
     let mut check = false;
     while let Some(arg) = parser.next()? {
         match arg {
             Long("settings") => settings = Some(parser.value()?.parse()?),
+            Long("adapter") => adapter = parser.value()?.parse()?,
             Long("check") => check = true,
             Long("help") => return Ok(Parsed::Print(HELP.into())),
             Long("version") => {
@@ -62,7 +87,11 @@
         }
     }
     let settings = settings.ok_or("--settings FILE is missing; see --help")?;
-    Ok(Parsed::Run(Args { settings, check }))
+    Ok(Parsed::Run(Args {
+        settings,
+        adapter,
+        check,
+    }))
 }
 
 fn main() -> ExitCode {
@@ -77,8 +106,8 @@
             return ExitCode::from(EXIT_USAGE);
         }
     };
-    let settings = match load(&args) {
-        Ok(settings) => settings,
+    let loaded = match load(&args) {
+        Ok(loaded) => loaded,
         Err(unusable) => {
             eprintln!("notchwharfd: {}: {unusable}", args.settings.display());
             return ExitCode::from(EXIT_USAGE);
@@ -88,11 +117,8 @@
         println!("{}: ok", args.settings.display());
         return ExitCode::SUCCESS;
     }
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build();
-    match runtime {
-        Ok(runtime) => runtime.block_on(run(settings)),
+    match start(loaded, &args) {
+        Ok(code) => code,
         Err(err) => {
             eprintln!("notchwharfd: {err}");
             ExitCode::from(EXIT_FAILED)
@@ -100,6 +126,29 @@
     }
 }
 
+/// Settings of either kind of host.
+enum Loaded {
+    Own(Settings),
+    Platform(gateway::Settings),
+}
+
+/// Runs the host until it ends.
+fn start(loaded: Loaded, args: &Args) -> std::io::Result<ExitCode> {
+    let code = match loaded {
+        Loaded::Own(settings) => {
+            let mut builder = tokio::runtime::Builder::new_multi_thread();
+            builder.enable_all().build()?.block_on(run(settings))
+        }
+        Loaded::Platform(settings) => {
+            // Its machines have one core; one thread takes less memory.
+            let mut builder = tokio::runtime::Builder::new_current_thread();
+            let runtime = builder.enable_all().build()?;
+            runtime.block_on(notchwharf_platform::run(settings, &args.settings))
+        }
+    };
+    Ok(code)
+}
+
 /// Why there are no settings to run with.
 #[derive(Debug)]
 enum Unusable {
@@ -116,9 +165,13 @@
     }
 }
 
-fn load(args: &Args) -> Result<Settings, Unusable> {
+fn load(args: &Args) -> Result<Loaded, Unusable> {
     let text = std::fs::read(&args.settings).map_err(Unusable::Unread)?;
-    settings::parse(&text).map_err(Unusable::Wrong)
+    let loaded = match args.adapter {
+        Adapter::Own => settings::parse(&text).map(Loaded::Own),
+        Adapter::Platform => gateway::parse(&text).map(Loaded::Platform),
+    };
+    loaded.map_err(Unusable::Wrong)
 }
 
 async fn run(settings: Settings) -> ExitCode {
