Doubt a target's missing entry only around an outage of the store

Change: a missing entry is doubtful until 2.2 s after the host's last failed call or the store's return, whichever is later; after that it counts at once. Ruled out: the waiting read answering late (the record was read 5 ms after it was written). Conclusion: lapses happen to all entries around an outage, never later.

--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -27,10 +27,8 @@
 
 /// Time that a waiting read waits; also how soon an outage is noticed.
 const WAIT: Duration = Duration::from_secs(2);
-/// Time within which a failed call of the store makes a missing entry doubtful.
-const DOUBT: Duration = Duration::from_secs(5);
-/// Time for which a target stays in use without its entry after an outage:
-/// entries of living targets are back about two seconds after the store is.
+/// Time after an outage of the store within which a missing entry may only
+/// have lapsed: those of living targets are back about two seconds after it.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
 /// Time between two looks at targets whose entries are missing.
 const SWEEP: Duration = Duration::from_millis(200);
@@ -256,22 +254,24 @@
 }
 
 fn remove(ctx: &Arc<Context>, id: &str, offset: u64) {
-    let is_doubtful = ctx.store.failed_within(DOUBT);
+    let until = ctx.store.troubled_until(LAPSE_GRACE);
     {
         let mut catalog = lock(&ctx.catalog);
         if !catalog.targets.contains_key(id) {
             return;
         }
-        if is_doubtful {
-            let until = Instant::now() + LAPSE_GRACE;
-            catalog.doubtful.entry(id.to_owned()).or_insert(until);
-        } else {
-            catalog.targets.remove(id);
+        match until {
+            Some(until) => {
+                catalog.doubtful.entry(id.to_owned()).or_insert(until);
+            }
+            None => {
+                catalog.targets.remove(id);
+            }
         }
     }
     slog::info!(ctx.logger, "target's entry is gone"; "target" => id, "offset" => offset,
-        "kept_for_now" => is_doubtful);
-    if !is_doubtful {
+        "kept_for_now" => until.is_some());
+    if until.is_none() {
         drop_target(ctx, id);
     }
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -37,6 +37,7 @@
 struct Health {
     failures: u32,
     lost_since: Option<Instant>,
+    regained_at: Option<Instant>,
     last_failure: Option<Instant>,
     last_answer: Option<Instant>,
 }
@@ -56,10 +57,16 @@
         lock(&self.health).lost_since.is_none()
     }
 
-    /// Returns whether a call failed within a time before now.
-    pub(crate) fn failed_within(&self, time: Duration) -> bool {
-        let last = lock(&self.health).last_failure;
-        last.is_some_and(|at| at.elapsed() < time)
+    /// Returns until when an outage of the store has effects that last a time
+    /// beyond it; nothing if there are none now.
+    pub(crate) fn troubled_until(&self, time: Duration) -> Option<Instant> {
+        let now = Instant::now();
+        let health = lock(&self.health);
+        let until = match health.lost_since {
+            Some(_) => now + time,
+            None => health.last_failure.max(health.regained_at)? + time,
+        };
+        (until > now).then_some(until)
     }
 
     pub(crate) async fn append(
@@ -140,6 +147,7 @@
         health.failures = 0;
         health.last_answer = Some(Instant::now());
         if let Some(since) = health.lost_since.take() {
+            health.regained_at = Some(Instant::now());
             drop(health);
             slog::info!(self.logger, "store regained"; "lost_ms" => since.elapsed().as_millis());
         }
