Test the gateway against a scripted store and targets; catch streams that end in an event

Cause: the new parts had no tests; the first run of them showed that a stream that may not be resumed, and whose target ended it in the middle of an event without an error, was passed on as whole. Ruled out: parsing every event of streams that cannot be resumed (the last two bytes tell as much).

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -76,7 +76,8 @@
     pub(crate) places: Mutex<Places>,
     pub(crate) budget: Mutex<Budget>,
     pub(crate) catalog: Mutex<Catalog>,
-    pub(crate) journal: Journal,
+    /// The job records.
+    pub journal: Journal,
     pub(crate) blobs: Blobs,
     pub(crate) peers: Peers,
     pub(crate) items: Items,
@@ -138,6 +139,33 @@
         self.routes.borrow().clone()
     }
 
+    /// Returns the number of targets that are in use.
+    pub fn targets_known(&self) -> usize {
+        lock(&self.places).ids().count()
+    }
+
+    /// Returns what all hosts run at a target, as far as known.
+    pub fn load_of(&self, target: &str) -> places::Load {
+        lock(&self.places).load(target)
+    }
+
+    /// Returns whether a target is known to leave.
+    pub fn is_leaving(&self, target: &str) -> bool {
+        lock(&self.places)
+            .spec(target)
+            .is_some_and(|spec| spec.leaving)
+    }
+
+    /// Returns the number of other hosts that are alive.
+    pub fn peers_alive(&self) -> usize {
+        self.peers.alive()
+    }
+
+    /// Returns whether the store answers, as far as known.
+    pub fn is_store_up(&self) -> bool {
+        self.store.is_up()
+    }
+
     /// Moves on to a phase; never back.
     pub(crate) fn enter(&self, phase: Phase) {
         self.phase.send_if_modified(|now| {
--- a/crates/gateway/src/online/flow.rs
+++ b/crates/gateway/src/online/flow.rs
@@ -21,13 +21,19 @@
 use crate::ports::Body;
 use crate::splice::Events;
 
+/// The bytes with which an event ends, as targets send them.
+const EVENT_END: [u8; 2] = *b"\n\n";
+
 /// An answer that has begun.
 pub(super) struct Flow {
     sending: Sending,
     begun: Option<Begun>,
+    is_stream: bool,
     /// Whole events, where the stream may go on elsewhere.
     events: Option<Events>,
     last_event: Option<u64>,
+    /// The last two bytes that were passed on; nothing passed on ends an event.
+    last_bytes: [u8; 2],
     first: Option<Bytes>,
     is_done: bool,
 }
@@ -43,13 +49,15 @@
 impl Flow {
     pub(super) fn new(sending: Sending, begun: Begun) -> Self {
         let route = &sending.route;
-        let is_spliced =
-            route.kind == Kind::Stream && route.resumable && begun.reply.status.is_success();
+        let is_stream = route.kind == Kind::Stream && begun.reply.status.is_success();
+        let is_spliced = is_stream && route.resumable;
         Self {
+            is_stream,
             events: is_spliced.then(Events::default),
             sending,
             begun: Some(begun),
             last_event: None,
+            last_bytes: EVENT_END,
             first: None,
             is_done: false,
         }
@@ -158,6 +166,7 @@
             lock(&self.sending.ctx.places).answered(begun.running.target(), Some(took));
         }
         let Some(events) = &mut self.events else {
+            self.note_end(&bytes);
             return Ok(Some(bytes));
         };
         events.push(&bytes);
@@ -171,11 +180,23 @@
         Ok(Some(whole.freeze()))
     }
 
+    /// Notes how the bytes that are passed on end.
+    fn note_end(&mut self, bytes: &[u8]) {
+        let newest = bytes.len().saturating_sub(EVENT_END.len());
+        for byte in &bytes[newest..] {
+            self.last_bytes = [self.last_bytes[1], *byte];
+        }
+    }
+
     fn ended(&self) -> Result<Option<Bytes>, Stop> {
-        match &self.events {
-            Some(events) if !events.is_clean() => Err(Stop::Broken("ended in an event")),
-            _ => Ok(None),
+        let is_whole = match &self.events {
+            Some(events) => events.is_clean(),
+            None => !self.is_stream || self.last_bytes == EVENT_END,
+        };
+        if !is_whole {
+            return Err(Stop::Broken("ended in an event"));
         }
+        Ok(None)
     }
 
     fn end(&mut self) {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -109,6 +109,12 @@
 }
 
 impl Peers {
+    /// Returns the number of other hosts that are alive.
+    pub(crate) fn alive(&self) -> usize {
+        let known = lock(&self.known);
+        known.values().filter(|peer| peer.is_alive).count()
+    }
+
     /// Lets peers know soon that something has changed.
     pub(crate) fn tell(&self) {
         self.dirty.notify_one();
--- /dev/null
+++ b/crates/gateway/tests/catalog.rs
@@ -0,0 +1,126 @@
+//! Routes and targets, as hosts learn of them.
+#![allow(clippy::unwrap_used, reason = "Tests fail by panicking.")]
+
+mod world;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use world::Running;
+use world::World;
+use world::until;
+
+fn version(host: &Running) -> Option<u64> {
+    host.ctx().table().map(|t| t.version())
+}
+
+#[tokio::test]
+async fn a_target_that_leaves_or_is_gone_gets_nothing_new() {
+    let world = World::new(&["t1", "t2", "t3"]);
+    let host = world.start_ready("a1").await;
+    until("all are known", || host.ctx().targets_known() == 3).await;
+    world.store.put_target("t1", "leaving");
+    world.store.drop_target("t2");
+    until("one is gone", || host.ctx().targets_known() == 2).await;
+    until("one is leaving", || host.ctx().is_leaving("t1")).await;
+    for number in 0..6 {
+        let id = format!("r{number}");
+        host.ask(world::ONCE, &id).await.unwrap();
+        assert_eq!(world.engines.runs(&id)[0].0, "t3");
+    }
+}
+
+/// Regression: a host that had been cut from the store some seconds before
+/// kept a target in use after its entry was gone (vantu-lectii, scale-2).
+#[tokio::test]
+async fn an_entry_that_goes_well_after_an_outage_counts_at_once() {
+    let world = World::new(&["t1", "t2"]);
+    let host = world.start_ready("a1").await;
+    until("all are known", || host.ctx().targets_known() == 2).await;
+    world.store.close(true);
+    until("the store is lost", || !host.ctx().is_store_up()).await;
+    world.store.close(false);
+    until("the store is back", || host.ctx().is_store_up()).await;
+    let back = Instant::now();
+    let grace = Duration::from_millis(2_300);
+    until("the outage is over", || back.elapsed() > grace).await;
+    let gone = Instant::now();
+    world.store.drop_target("t1");
+    until("it is gone", || host.ctx().targets_known() == 1).await;
+    assert!(gone.elapsed() < Duration::from_millis(1_500));
+}
+
+#[tokio::test]
+async fn an_entry_that_lapsed_in_an_outage_is_kept_until_it_is_back() {
+    let world = World::new(&["t1", "t2"]);
+    let host = world.start_ready("a1").await;
+    until("all are known", || host.ctx().targets_known() == 2).await;
+    world.store.close(true);
+    until("the store is lost", || !host.ctx().is_store_up()).await;
+    world.store.drop_target("t1");
+    world.store.drop_target("t2");
+    world.store.close(false);
+    until("the store is back", || host.ctx().is_store_up()).await;
+    world.store.put_target("t1", "up");
+    host.ask(world::ONCE, "r1").await.unwrap();
+    until("the other is taken for gone", || {
+        host.ctx().targets_known() == 1
+    })
+    .await;
+    assert!(!host.ctx().is_leaving("t1"));
+}
+
+#[tokio::test]
+async fn a_host_that_is_cut_from_the_store_takes_routes_and_targets_from_a_peer() {
+    let world = World::new(&["t1"]);
+    let door = world.store.door();
+    let cut = world.start_apart("a1", door.clone(), |_| {}).await;
+    cut.until_ready().await;
+    let whole = world.start_ready("a2").await;
+    until("both know each other", || {
+        cut.ctx().peers_alive() == 1 && whole.ctx().peers_alive() == 1
+    })
+    .await;
+    door.close(true);
+    world.configure(5, true);
+    world.store.put_target("t2", "up");
+    until("the routes came from the peer", || version(&cut) == Some(5)).await;
+    until("the target came from the peer", || {
+        cut.ctx().targets_known() == 2
+    })
+    .await;
+    door.close(false);
+    until("the store is back", || cut.ctx().is_store_up()).await;
+    assert_eq!(version(&cut), Some(5));
+    world.configure(9, true);
+    until("the store tells again", || version(&cut) == Some(9)).await;
+}
+
+#[tokio::test]
+async fn an_unreadable_configuration_changes_nothing() {
+    let world = World::new(&["t1"]);
+    let host = world.start_ready("a1").await;
+    world.store.put_config("nonsense");
+    world.configure(3, true);
+    until("the next one is in force", || version(&host) == Some(3)).await;
+}
+
+#[tokio::test]
+async fn after_its_history_is_gone_the_store_s_newest_entries_count() {
+    let world = World::new(&["t1"]);
+    let door = world.store.door();
+    let host = world.start_apart("a1", door.clone(), |_| {}).await;
+    host.until_ready().await;
+    door.close(true);
+    until("the store is lost", || !host.ctx().is_store_up()).await;
+    world.configure(2, true);
+    world.configure(4, true);
+    world.store.put_target("t2", "up");
+    world.store.expire();
+    door.close(false);
+    until("the newest is in force", || version(&host) == Some(4)).await;
+    until("the new target is known", || {
+        host.ctx().targets_known() == 2
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/gateway/tests/world/mod.rs
@@ -0,0 +1,326 @@
+//! A scripted store and scripted targets around whole hosts.
+//!
+//! Hosts are real and speak to one another on loopback; what they meet behind
+//! the ports is here, and does what the test says. Nothing sleeps for a fixed
+//! time: tests wait until something is so.
+#![allow(
+    dead_code,
+    unreachable_pub,
+    reason = "Each test binary uses a part of it."
+)]
+
+pub mod store;
+pub mod targets;
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::StatusCode;
+use notchwharf_config::gateway;
+use notchwharf_config::gateway::Settings;
+use notchwharf_config::routes::JobTerms;
+use notchwharf_config::routes::Kind;
+use notchwharf_config::routes::Limits;
+use notchwharf_config::routes::Route;
+use notchwharf_config::routes::Share;
+use notchwharf_config::routes::Table;
+use notchwharf_gateway::context::Context;
+use notchwharf_gateway::error::Failure;
+use notchwharf_gateway::error::Lot;
+use notchwharf_gateway::life::Host;
+use notchwharf_gateway::lots;
+use notchwharf_gateway::lots::ItemResult;
+use notchwharf_gateway::lots::PayloadItem;
+use notchwharf_gateway::lots::Submission;
+use notchwharf_gateway::online;
+use notchwharf_gateway::ports::Decode;
+use notchwharf_gateway::ports::Forward;
+use notchwharf_gateway::ports::Ports;
+use notchwharf_gateway::ports::Unreadable;
+use notchwharf_ledger::jobs::ItemSpec;
+use notchwharf_routing::places::Spec;
+
+use self::store::ScriptedStore;
+use self::targets::Engines;
+
+/// How long a test waits for something to be so.
+pub const WAIT_MAX: Duration = Duration::from_secs(20);
+/// The host that requests name.
+pub const HOST: &str = "a.example";
+/// A stream that may be resumed.
+pub const RESUMABLE: &str = "/resumable/";
+/// A stream that may not.
+pub const ONCE: &str = "/once/";
+/// Jobs.
+pub const JOBS: &str = "/jobs/";
+/// Tokens that may wait on the route of jobs.
+pub const TOKENS_MAX: u64 = 1_000;
+/// The longest time of a stream that may not be resumed.
+pub const ONCE_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// What hosts have in common.
+#[derive(Clone, Default)]
+pub struct World {
+    pub store: ScriptedStore,
+    pub engines: Engines,
+}
+
+impl World {
+    /// Returns a world with a configuration and targets of two places each.
+    pub fn new(targets: &[&str]) -> Self {
+        let world = Self::default();
+        world.configure(1, true);
+        for target in targets {
+            world.store.put_target(target, "up");
+        }
+        world
+    }
+
+    /// Puts a configuration in force; without jobs it has no route for them.
+    pub fn configure(&self, version: u64, with_jobs: bool) {
+        self.store.put_config(&format!("{version} {with_jobs}"));
+    }
+
+    /// Starts a host.
+    pub async fn start(&self, name: &str) -> Running {
+        self.start_with(name, |_| {}).await
+    }
+
+    /// Starts a host with other settings.
+    pub async fn start_with(&self, name: &str, change: impl FnOnce(&mut Settings)) -> Running {
+        self.start_apart(name, self.store.clone(), change).await
+    }
+
+    /// Starts a host that reaches the store through another door.
+    pub async fn start_apart(
+        &self,
+        name: &str,
+        store: ScriptedStore,
+        change: impl FnOnce(&mut Settings),
+    ) -> Running {
+        let text = format!(r#"{{"host": {{"name": "{name}", "data_centre": "d"}}}}"#);
+        let mut settings = gateway::parse(text.as_bytes()).unwrap();
+        settings.host.peer_listen = free_addr();
+        settings.store.poll_ms = 20;
+        settings.peers.beat_ms = 20;
+        settings.peers.down_ms = 200;
+        settings.shutdown.notice_ms = 0;
+        settings.shutdown.drain_timeout_ms = 5_000;
+        settings.batch.stall_ms = 300;
+        settings.online.stall_ms = 300;
+        change(&mut settings);
+        let ports = Ports {
+            store: store.port(),
+            targets: self.engines.port(),
+            decode: Decode {
+                config: decode_config,
+                target: decode_target,
+            },
+        };
+        let logger = slog::Logger::root(slog::Discard, slog::o!());
+        let host = Host::start(settings, ports, logger).await.unwrap();
+        Running { host }
+    }
+
+    /// Starts a host and waits until it serves.
+    pub async fn start_ready(&self, name: &str) -> Running {
+        let running = self.start(name).await;
+        running.until_ready().await;
+        running
+    }
+}
+
+/// A host that runs.
+pub struct Running {
+    host: Host,
+}
+
+impl Running {
+    pub fn ctx(&self) -> &Arc<Context> {
+        self.host.context()
+    }
+
+    pub async fn leave(self) -> bool {
+        self.host.leave().await
+    }
+
+    /// Ends the host without a word.
+    pub fn kill(self) {
+        use notchwharf_gateway::context::Phase;
+        self.ctx().phase.send_replace(Phase::Stopped);
+    }
+
+    pub async fn until_ready(&self) {
+        until("the host serves", || {
+            let ctx = self.ctx();
+            ctx.table().is_some() && ctx.journal.is_loaded() && ctx.targets_known() > 0
+        })
+        .await;
+    }
+
+    /// Sends a request and returns its whole answer.
+    pub async fn ask(&self, path: &str, id: &str) -> Result<Whole, Failure> {
+        let answer = online::serve(self.ctx(), request(path, id), Instant::now()).await?;
+        let body = answer.body.collect().await;
+        Ok(Whole {
+            status: answer.status,
+            headers: answer.headers,
+            body: body.ok().map(http_body_util::Collected::to_bytes),
+        })
+    }
+
+    pub async fn submit(&self, job: &str, items: u32, tokens: u32) -> Result<(), Lot> {
+        lots::submit(self.ctx(), submission(job, items, tokens)).await
+    }
+
+    /// Reads all results of a job once it has so many.
+    pub async fn results(&self, job: &str, count: usize) -> Vec<ItemResult> {
+        let started = Instant::now();
+        loop {
+            let read = lots::read(self.ctx(), job, 0, Duration::from_millis(200)).await;
+            if let Ok(read) = &read
+                && read.results.len() >= count
+            {
+                return read.results.clone();
+            }
+            // A reading that finds something does not wait.
+            tokio::time::sleep(Duration::from_millis(2)).await;
+            let took = started.elapsed();
+            assert!(took < WAIT_MAX, "{count} results of {job}: {read:?}");
+        }
+    }
+}
+
+/// A whole answer; without a body it broke off.
+#[derive(Debug)]
+pub struct Whole {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Option<Bytes>,
+}
+
+impl Whole {
+    pub fn text(&self) -> Option<String> {
+        let body = self.body.as_ref()?;
+        Some(String::from_utf8(body.to_vec()).unwrap())
+    }
+}
+
+pub fn request(path: &str, id: &str) -> online::Request {
+    online::Request {
+        forward: Forward {
+            id: id.to_owned(),
+            method: Method::POST,
+            path: path.to_owned(),
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+        },
+        host: HOST.to_owned(),
+        deadline: Some(Duration::from_secs(10)),
+        affinity: 0,
+    }
+}
+
+pub fn submission(job: &str, items: u32, tokens: u32) -> Submission {
+    let items = (0..items).map(|number| {
+        let spec = ItemSpec {
+            id: format!("{job}-{number}"),
+            tokens,
+        };
+        let item = PayloadItem {
+            path: format!("{JOBS}{number}"),
+            headers: vec![("x-number".into(), number.to_string())],
+            body: format!("body of {number}").into_bytes(),
+        };
+        (spec, item)
+    });
+    Submission {
+        job: job.to_owned(),
+        host: HOST.to_owned(),
+        path: JOBS.to_owned(),
+        items: items.collect(),
+    }
+}
+
+/// Waits until something is so.
+pub async fn until(what: &str, mut is_so: impl FnMut() -> bool) {
+    let started = Instant::now();
+    while !is_so() {
+        assert!(started.elapsed() < WAIT_MAX, "waited in vain until {what}");
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
+/// Returns an address that was free a moment ago.
+pub fn free_addr() -> SocketAddr {
+    let listener = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    listener.local_addr().unwrap()
+}
+
+fn decode_config(key: &str, value: &[u8]) -> Option<Result<Table, Unreadable>> {
+    (key == store::CONFIG_KEY).then(|| {
+        let text = String::from_utf8_lossy(value);
+        let fields: Vec<&str> = text.split(' ').collect();
+        let [version, with_jobs] = fields[..] else {
+            let detail = text.to_string();
+            return Err(Unreadable { detail });
+        };
+        let mut routes = vec![stream(RESUMABLE, true), stream(ONCE, false)];
+        routes[1].timeout = ONCE_TIMEOUT;
+        if with_jobs == "true" {
+            routes.push(jobs());
+        }
+        Ok(Table::new(
+            version.parse().unwrap(),
+            routes,
+            vec![],
+            Limits::default(),
+        ))
+    })
+}
+
+fn stream(prefix: &str, resumable: bool) -> Route {
+    Route {
+        name: prefix.to_owned(),
+        host: HOST.to_owned(),
+        prefix: prefix.to_owned(),
+        kind: Kind::Stream,
+        timeout: Duration::from_secs(10),
+        attempts_max: if resumable { 3 } else { 1 },
+        shares: vec![Share {
+            service: "s".into(),
+            weight: 1,
+        }],
+        resumable,
+        ..Route::default()
+    }
+}
+
+fn jobs() -> Route {
+    Route {
+        kind: Kind::Batch,
+        attempts_max: 3,
+        jobs: JobTerms {
+            tokens_max: Some(TOKENS_MAX),
+            ..JobTerms::default()
+        },
+        ..stream(JOBS, true)
+    }
+}
+
+fn decode_target(value: &[u8]) -> Result<Spec, Unreadable> {
+    Ok(Spec {
+        service: "s".into(),
+        data_centre: "d".into(),
+        slots: 2,
+        leaving: value == b"leaving",
+        ..Spec::default()
+    })
+}
--- /dev/null
+++ b/crates/gateway/tests/world/store.rs
@@ -0,0 +1,225 @@
+//! A store that does what the test says.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use futures_util::FutureExt as _;
+use notchwharf_gateway::ports::Entry;
+use notchwharf_gateway::ports::Page;
+use notchwharf_gateway::ports::Read;
+use notchwharf_gateway::ports::Store;
+use notchwharf_gateway::ports::StoreError;
+use notchwharf_gateway::ports::Stored;
+use notchwharf_gateway::ports::Tail;
+use notchwharf_gateway::ports::Topic;
+
+pub const CONFIG_KEY: &str = "configuration";
+/// Keys in one page; small, so that tests turn pages.
+const PAGE: usize = 3;
+
+/// What happens to an append.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    /// It is done and answered.
+    Done,
+    /// It is refused.
+    Refused,
+    /// It is not done, and nobody says so.
+    LostBefore,
+    /// It is done, and nobody says so.
+    LostAfter,
+    /// It is done later, and nobody says so.
+    Late(Duration),
+}
+
+#[derive(Default)]
+struct Part {
+    records: Vec<Stored>,
+    first: u64,
+}
+
+#[derive(Default)]
+struct State {
+    parts: HashMap<(Topic, u32), Part>,
+    fates: HashMap<Topic, VecDeque<Fate>>,
+}
+
+/// The store, or one door to it.
+#[derive(Clone, Default)]
+pub struct ScriptedStore {
+    state: Arc<Mutex<State>>,
+    /// Closed, it refuses every call that comes through it.
+    is_closed: Arc<Mutex<bool>>,
+}
+
+impl ScriptedStore {
+    /// Returns another door to the same store.
+    pub fn door(&self) -> Self {
+        Self {
+            state: Arc::clone(&self.state),
+            is_closed: Arc::default(),
+        }
+    }
+
+    pub fn close(&self, is_closed: bool) {
+        *self.is_closed.lock().unwrap() = is_closed;
+    }
+
+    /// Sets what happens to the next appends to a topic.
+    pub fn script(&self, topic: Topic, fates: &[Fate]) {
+        let mut state = self.state.lock().unwrap();
+        state.fates.insert(topic, fates.iter().copied().collect());
+    }
+
+    /// Drops all history; the newest record of each key stays.
+    pub fn expire(&self) {
+        for part in self.state.lock().unwrap().parts.values_mut() {
+            part.first = part.records.len() as u64;
+        }
+    }
+
+    pub fn put_config(&self, text: &str) {
+        self.put(Topic::Config, CONFIG_KEY, Some(text));
+    }
+
+    pub fn put_target(&self, target: &str, text: &str) {
+        self.put(Topic::Targets, target, Some(text));
+    }
+
+    pub fn drop_target(&self, target: &str) {
+        self.put(Topic::Targets, target, None);
+    }
+
+    /// Returns the records of the job stream.
+    pub fn job_records(&self) -> usize {
+        let state = self.state.lock().unwrap();
+        let part = state.parts.get(&(Topic::Jobs, 0));
+        part.map_or(0, |part| part.records.len())
+    }
+
+    fn put(&self, topic: Topic, key: &str, value: Option<&str>) {
+        let entry = Entry {
+            key: key.to_owned(),
+            value: value.map(|v| v.to_owned().into()),
+        };
+        self.append_now(topic, 0, vec![entry]);
+    }
+
+    fn append_now(&self, topic: Topic, part: u32, entries: Vec<Entry>) -> u64 {
+        let mut state = self.state.lock().unwrap();
+        let part = state.parts.entry((topic, part)).or_default();
+        let first = part.records.len() as u64;
+        let stored = (first..).zip(entries);
+        let stored = stored.map(|(offset, entry)| Stored { offset, entry });
+        part.records.extend(stored);
+        first
+    }
+
+    async fn append(
+        &self,
+        topic: Topic,
+        part: u32,
+        entries: Vec<Entry>,
+    ) -> Result<u64, StoreError> {
+        self.is_open()?;
+        let fate = {
+            let mut state = self.state.lock().unwrap();
+            let fates = state.fates.entry(topic).or_default();
+            fates.pop_front().unwrap_or(Fate::Done)
+        };
+        let lost = Err(StoreError::Unknown("scripted"));
+        match fate {
+            Fate::Done => Ok(self.append_now(topic, part, entries)),
+            Fate::Refused => Err(StoreError::Refused("scripted")),
+            Fate::LostBefore => lost,
+            Fate::LostAfter => {
+                self.append_now(topic, part, entries);
+                lost
+            }
+            Fate::Late(time) => {
+                let store = self.clone();
+                tokio::spawn(async move {
+                    tokio::time::sleep(time).await;
+                    store.append_now(topic, part, entries);
+                });
+                lost
+            }
+        }
+    }
+
+    fn is_open(&self) -> Result<(), StoreError> {
+        if *self.is_closed.lock().unwrap() {
+            return Err(StoreError::Refused("closed"));
+        }
+        Ok(())
+    }
+
+    async fn read(&self, read: Read) -> Result<Tail, StoreError> {
+        let deadline = tokio::time::Instant::now() + read.wait;
+        loop {
+            self.is_open()?;
+            let tail = self.tail(read)?;
+            if !tail.records.is_empty() || tokio::time::Instant::now() >= deadline {
+                return Ok(tail);
+            }
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    }
+
+    fn tail(&self, read: Read) -> Result<Tail, StoreError> {
+        let mut state = self.state.lock().unwrap();
+        let part = state.parts.entry((read.topic, read.part)).or_default();
+        if read.from < part.first {
+            return Err(StoreError::Expired);
+        }
+        let from = usize::try_from(read.from).unwrap();
+        Ok(Tail {
+            end: part.records.len() as u64,
+            records: part.records.get(from..).unwrap_or_default().to_vec(),
+        })
+    }
+
+    fn newest(&self, topic: Topic, part: u32, after: Option<&str>) -> Result<Page, StoreError> {
+        self.is_open()?;
+        let mut state = self.state.lock().unwrap();
+        let part = state.parts.entry((topic, part)).or_default();
+        let mut newest: BTreeMap<&str, &Stored> = BTreeMap::new();
+        for record in &part.records {
+            newest.insert(&record.entry.key, record);
+        }
+        let following = newest.into_values().filter(|r| {
+            let is_behind = after.is_none_or(|after| r.entry.key.as_str() > after);
+            is_behind && r.entry.value.is_some()
+        });
+        let mut records: Vec<Stored> = following.take(PAGE + 1).cloned().collect();
+        let has_more = records.len() > PAGE;
+        records.truncate(PAGE);
+        Ok(Page {
+            end: part.records.len() as u64,
+            records,
+            has_more,
+        })
+    }
+
+    pub fn port(&self) -> Store {
+        let (append, read, newest) = (self.clone(), self.clone(), self.clone());
+        Store {
+            append: Arc::new(move |topic, part, entries| {
+                let store = append.clone();
+                async move { store.append(topic, part, entries).await }.boxed()
+            }),
+            read: Arc::new(move |what| {
+                let store = read.clone();
+                async move { store.read(what).await }.boxed()
+            }),
+            newest: Arc::new(move |topic, part, after| {
+                let store = newest.clone();
+                async move { store.newest(topic, part, after.as_deref()) }.boxed()
+            }),
+        }
+    }
+}
