Hand no target on whose entry is missing

A host that was cut from the store took the list of targets from a peer that still waited for a lapsed entry, with an offset behind the removal, so it never saw the removal. Before: the new test waits in vain. After: it passes.

--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -85,8 +85,12 @@
         }
     }
 
+    /// Returns what is known. Targets whose entries are missing are left out:
+    /// whoever takes this over must not keep them longer than this host does.
     pub(crate) fn snapshot(&self) -> Snapshot {
-        let targets = self.targets.iter().map(|(id, (offset, bytes))| {
+        let listed = self.targets.iter();
+        let listed = listed.filter(|(id, _)| !self.doubtful.contains_key(*id));
+        let targets = listed.map(|(id, (offset, bytes))| {
             let bytes = bytes.to_vec();
             (id.clone(), *offset, bytes)
         });
--- a/crates/gateway/tests/catalog.rs
+++ b/crates/gateway/tests/catalog.rs
@@ -124,3 +124,33 @@
     })
     .await;
 }
+
+/// Regression: a host took a target whose entry had lapsed from a peer that
+/// was still waiting for it, and kept it for good (sul-permissoes-grown,
+/// trouble-1).
+#[tokio::test]
+async fn a_lapsed_entry_that_does_not_come_back_is_not_handed_on_to_peers() {
+    let world = World::new(&["t1", "t2"]);
+    let (door_1, door_2) = (world.store.door(), world.store.door());
+    let cut = world.start_apart("a1", door_1.clone(), |_| {}).await;
+    let waiting = world.start_apart("a2", door_2.clone(), |_| {}).await;
+    for host in [&cut, &waiting] {
+        host.until_ready().await;
+        until("all is known", || {
+            host.ctx().targets_known() == 2 && host.ctx().peers_alive() == 1
+        })
+        .await;
+    }
+    door_1.close(true);
+    door_2.close(true);
+    until("the store is lost", || {
+        !cut.ctx().is_store_up() && !waiting.ctx().is_store_up()
+    })
+    .await;
+    world.store.drop_target("t1");
+    world.configure(2, true);
+    door_2.close(false);
+    until("the peer's news came", || version(&cut) == Some(2)).await;
+    until("the peer dropped it", || waiting.ctx().targets_known() == 1).await;
+    until("the other dropped it", || cut.ctx().targets_known() == 1).await;
+}
