Tell hosts in other data centres less often, and ask one peer at a time

Change: peers in the same data centre are told each change; the others at most every 1.5 ms for each of them. One call of a peer at a time, 250 ms apart. Ruled out: fewer changes to tell (each is a place taken or freed).

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -68,6 +68,12 @@
 const ENTRY_PAUSE: Duration = Duration::from_millis(300);
 /// Time between two datagrams to a peer that is down.
 const DOWN_BEAT: Duration = Duration::from_secs(1);
+/// Time between two tellings of hosts in other data centres, for each of them:
+/// many of them are told less often, so that what a host sends stays flat.
+const REMOTE_GAP_PER_HOST: Duration = Duration::from_micros(1_500);
+/// Time between two calls of peers: one that is ahead is asked at once, the
+/// others seldom know more.
+const PULL_GAP: Duration = Duration::from_millis(250);
 /// Time between two looks at who is down.
 const SWEEP: Duration = Duration::from_millis(100);
 
@@ -75,6 +81,7 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct Listing {
     addr: SocketAddr,
+    data_centre: String,
 }
 
 /// Other hosts.
@@ -82,12 +89,15 @@
 pub(crate) struct Peers {
     known: Mutex<HashMap<HostId, Peer>>,
     dirty: Notify,
+    pulled_at: Mutex<Option<Instant>>,
     socket: OnceLock<UdpSocket>,
 }
 
 #[derive(Debug)]
 struct Peer {
     addr: SocketAddr,
+    /// Whether it stands in this host's data centre; its entry says so.
+    is_near: bool,
     heard: Option<Instant>,
     is_alive: bool,
     told: Option<Instant>,
@@ -99,6 +109,7 @@
     fn new(addr: SocketAddr) -> Self {
         Self {
             addr,
+            is_near: false,
             heard: None,
             is_alive: false,
             told: None,
@@ -171,8 +182,11 @@
 
 /// Writes this host's entry.
 async fn enter_list(ctx: Arc<Context>) {
-    let addr = ctx.settings.host.peer_listen;
-    let value = postcard::to_stdvec(&Listing { addr }).expect("Listings are representable.");
+    let listing = Listing {
+        addr: ctx.settings.host.peer_listen,
+        data_centre: ctx.settings.host.data_centre.clone(),
+    };
+    let value = postcard::to_stdvec(&listing).expect("Listings are representable.");
     let entry = Entry {
         key: ctx.host().to_owned(),
         value: Some(value.into()),
@@ -210,7 +224,7 @@
             continue;
         };
         match postcard::from_bytes::<Listing>(&value) {
-            Ok(listing) => know(ctx, host, listing.addr),
+            Ok(listing) => know(ctx, host, &listing),
             Err(err) => slog::error!(ctx.logger, "unreadable host entry";
                 "peer" => host, "error" => err.to_string()),
         }
@@ -218,13 +232,15 @@
     ctx.peers.tell();
 }
 
-fn know(ctx: &Context, host: HostId, addr: SocketAddr) {
+fn know(ctx: &Context, host: HostId, listing: &Listing) {
+    let addr = listing.addr;
     let mut known = lock(&ctx.peers.known);
     let peer = known.entry(host.clone()).or_insert_with(|| {
         slog::info!(ctx.logger, "host known"; "peer" => host, "addr" => addr.to_string());
         Peer::new(addr)
     });
     peer.addr = addr;
+    peer.is_near = listing.data_centre == ctx.settings.host.data_centre;
 }
 
 fn forget(ctx: &Context, host: &str) {
@@ -266,12 +282,18 @@
     let beat = ms(settings.beat_ms);
     let gap = ms(settings.news_ms);
     let mut number = 0;
+    let mut far_told = Instant::now();
+    let mut is_far_due = true;
     while ctx.phase() != Phase::Stopped {
-        // Whether news or the beat ends the wait is all the same.
-        let _ = tokio::time::timeout(beat, ctx.peers.dirty.notified()).await;
+        let far_gap = far_gap(&ctx);
+        let wait = if is_far_due { far_gap } else { beat };
+        let wait = wait.saturating_sub(far_told.elapsed());
+        let news = tokio::time::timeout(wait, ctx.peers.dirty.notified()).await;
+        // Without news the beat, or what others are still to be told, is due.
+        is_far_due = news.is_ok() && far_told.elapsed() < far_gap;
         number += 1;
         let bytes = news::encode(&News::Status(own_status(&ctx, number)));
-        for addr in receivers(&ctx) {
+        for addr in receivers(&ctx, !is_far_due) {
             let Some(socket) = ctx.peers.socket.get() else {
                 return;
             };
@@ -279,20 +301,30 @@
             let _ = socket.try_send_to(&bytes, addr);
             ctx.metrics.count(Counted::Datagrams, "sent");
         }
+        if !is_far_due {
+            far_told = Instant::now();
+        }
         tokio::time::sleep(gap).await;
     }
 }
 
+/// Returns the time between two tellings of hosts in other data centres.
+fn far_gap(ctx: &Context) -> Duration {
+    let known = lock(&ctx.peers.known);
+    let far = known.values().filter(|p| p.is_alive && !p.is_near).count();
+    REMOTE_GAP_PER_HOST * u32::try_from(far).unwrap_or(u32::MAX)
+}
+
 /// Returns where to send: to peers that live, and now and then to the others
 /// and to the hosts that the settings name.
-fn receivers(ctx: &Context) -> Vec<SocketAddr> {
+fn receivers(ctx: &Context, with_far: bool) -> Vec<SocketAddr> {
     let now = Instant::now();
     let mut known = lock(&ctx.peers.known);
     let due = known.values_mut().filter(|peer| {
         let rested = peer
             .told
             .is_none_or(|at| now.duration_since(at) >= DOWN_BEAT);
-        peer.is_alive || rested
+        (peer.is_alive && (peer.is_near || with_far)) || rested
     });
     let mut addrs: Vec<SocketAddr> = due
         .map(|peer| {
@@ -390,11 +422,23 @@
         ctx.metrics.count(Counted::Changes, "host up");
         ctx.peers.tell();
     }
-    if let Some(addr) = pull_from {
+    if let Some(addr) = pull_from
+        && may_pull(ctx)
+    {
         tokio::spawn(pull(Arc::clone(ctx), addr));
     }
 }
 
+/// Returns whether it is time to ask a peer for what it knows.
+fn may_pull(ctx: &Context) -> bool {
+    let mut pulled_at = lock(&ctx.peers.pulled_at);
+    if pulled_at.is_some_and(|at| at.elapsed() < PULL_GAP) {
+        return false;
+    }
+    *pulled_at = Some(Instant::now());
+    true
+}
+
 /// Notes peers that have fallen silent.
 async fn sweep(ctx: Arc<Context>) {
     let down = ms(ctx.settings.peers.down_ms);
