Prefer targets near by, for requests and for items

Cause: half of what crosses data centres on the grown sites is streams, and news of places elsewhere comes later than news of those near by. Change: a target in another data centre costs more than a last place near by, less than cutting an item; an item goes there only for four more free places. Ruled out: staying in the data centre altogether (one full data centre would queue beside idle ones).

--- a/crates/routing/src/places.rs
+++ b/crates/routing/src/places.rs
@@ -51,9 +51,13 @@
 
 /// Cost of taking the last free place: another host may take it just now.
 const LAST_PLACE_COST: f64 = 1.0;
-/// Cost of a target in another data centre, where places are equal: a way of
-/// about a millisecond, and bytes between data centres.
-const REMOTE_COST: f64 = 0.6;
+/// Cost of a target in another data centre: bytes between data centres, a
+/// longer way, and news of its places that comes later. It exceeds the cost of
+/// a last place near by, which this host knows of at once.
+const REMOTE_COST: f64 = 1.6;
+/// Free places by which a target in another data centre must exceed one near
+/// by to be given an item: half a target's places.
+const REMOTE_BATCH_COST: f64 = 4.0;
 /// Greatest cost of a target that is unlikely to have the prompt's beginning.
 const AFFINITY_COST: f64 = 0.5;
 /// Cost of a target that answers much slower than the others of its service.
@@ -427,7 +431,12 @@
                 0.0
             };
             let chance = unit(xxh3_64_with_seed(&t.key.to_le_bytes(), draw));
-            Some(slow - f64::from(spare) + remote(t, want) + chance)
+            let far = if is_remote(t, want) {
+                REMOTE_BATCH_COST
+            } else {
+                0.0
+            };
+            Some(slow - f64::from(spare) + far + chance)
         });
         best.cloned()
     }
@@ -511,7 +520,10 @@
     }
     let spread = [target.key.to_le_bytes()].concat();
     let likely = unit(xxh3_64_with_seed(&spread, want.affinity));
-    let mut cost = likely * AFFINITY_COST + remote(target, want);
+    let mut cost = likely * AFFINITY_COST;
+    if is_remote(target, want) {
+        cost += REMOTE_COST;
+    }
     cost += f64::from(load.online) * ONLINE_COST;
     if target.health.is_slow(pace) {
         cost += SLOW_COST;
@@ -525,11 +537,8 @@
     Some(cost)
 }
 
-fn remote(target: &Target, want: &Want<'_>) -> f64 {
-    if target.spec.data_centre == want.data_centre {
-        return 0.0;
-    }
-    REMOTE_COST
+fn is_remote(target: &Target, want: &Want<'_>) -> bool {
+    target.spec.data_centre != want.data_centre
 }
 
 /// Returns a hash as a fraction from zero to one.
