Leave targets alone that answer with failures, and tell peers near by

Change: the running share of failures counts; two in a row eject a target, with pauses that double until it is sound. Hosts tell which targets fail them, and peers in the same data centre leave these alone too (a target may fail callers of one data centre only). Where most of a service is ejected, nobody is. A body of known length ends with its last byte, so requests that were answered whole are no longer logged as left by their callers.

--- a/crates/gateway/src/items/run.rs
+++ b/crates/gateway/src/items/run.rs
@@ -108,7 +108,8 @@
     let now = Instant::now();
     let mut places = lock(&ctx.places);
     match ended {
-        Ended::Whole | Ended::Failed | Ended::Impossible => places.answered(target, None),
+        Ended::Whole | Ended::Impossible => places.answered(target, None),
+        Ended::Failed => places.answered_badly(target, now),
         Ended::NotRun(NoReply::Full) => places.refused(target, now),
         Ended::NotRun(NoReply::Rejected(_)) | Ended::Cut => {}
         Ended::NotRun(_) | Ended::Broken(_) => places.failed(target, now),
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -257,7 +257,7 @@
         }
         let runs_left = self.runs + 1 < self.route.attempts_max;
         if status.is_server_error() && self.route.is_repeatable() && runs_left {
-            return Err(NoReply::Unknown("target failed"));
+            return Err(NoReply::Unknown(TARGET_FAILED));
         }
         Ok(begun)
     }
@@ -271,6 +271,7 @@
             NoReply::Full => places.refused(target, now),
             NoReply::NotSent(_) | NoReply::OtherTarget => places.failed(target, now),
             NoReply::Unknown(TIMED_OUT) => {}
+            NoReply::Unknown(TARGET_FAILED) => places.answered_badly(target, now),
             NoReply::Unknown(_) => places.failed(target, now),
             NoReply::Rejected(_) => {}
         }
@@ -298,6 +299,8 @@
 
 /// Why an offer ended when the request's time was over.
 const TIMED_OUT: &str = "timed out";
+/// Why an offer came to nothing when the target answered that it failed.
+const TARGET_FAILED: &str = "target failed";
 /// When to come back after targets refused or could not be reached: about the
 /// time in which a place falls free.
 const RETRY_AFTER: Duration = Duration::from_millis(150);
--- a/crates/gateway/src/online/flow.rs
+++ b/crates/gateway/src/online/flow.rs
@@ -8,6 +8,7 @@
 use futures_util::stream;
 use http_body_util::BodyExt as _;
 use http_body_util::StreamBody;
+use hyper::body::Body as _;
 use hyper::body::Frame;
 use hyper::header::CONTENT_LENGTH;
 use notchwharf_config::routes::Kind;
@@ -117,7 +118,13 @@
             }
             let stop = match self.read().await {
                 Ok(Some(bytes)) if bytes.is_empty() => continue,
-                Ok(Some(bytes)) => return Some(Ok(bytes)),
+                Ok(Some(bytes)) => {
+                    // Whoever reads a body of known length stops at its end.
+                    if self.is_over() {
+                        self.end();
+                    }
+                    return Some(Ok(bytes));
+                }
                 Ok(None) => {
                     self.end();
                     return None;
@@ -180,6 +187,12 @@
         Ok(Some(whole.freeze()))
     }
 
+    /// Returns whether the whole body is known to be here.
+    fn is_over(&self) -> bool {
+        let begun = self.begun.as_ref();
+        begun.is_some_and(|b| b.reply.body.is_end_stream()) && self.ended().is_ok()
+    }
+
     /// Notes how the bytes that are passed on end.
     fn note_end(&mut self, bytes: &[u8]) {
         let newest = bytes.len().saturating_sub(EVENT_END.len());
@@ -202,7 +215,12 @@
     fn end(&mut self) {
         self.is_done = true;
         if let Some(begun) = self.begun.take() {
-            lock(&self.sending.ctx.places).answered(begun.running.target(), None);
+            let mut places = lock(&self.sending.ctx.places);
+            if begun.reply.status.is_server_error() {
+                places.answered_badly(begun.running.target(), Instant::now());
+            } else {
+                places.answered(begun.running.target(), None);
+            }
         }
         lock(&self.sending.ctx.budget).earn();
         self.sending.trace.whole();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -254,14 +254,14 @@
 
 fn own_status(ctx: &Context, number: u64) -> Status {
     let versions = lock(&ctx.catalog).versions();
-    let loads = {
+    let (loads, failing) = {
         let places = lock(&ctx.places);
         let loads = places.own().map(|(target, load)| news::Load {
             target,
             online: load.online,
             batch: load.batch,
         });
-        loads.collect()
+        (loads.collect(), places.failing(Instant::now()))
     };
     Status {
         host: ctx.host().to_owned(),
@@ -273,6 +273,7 @@
         targets: versions.targets,
         jobs: ctx.journal.jobs().end(),
         loads,
+        failing,
     }
 }
 
@@ -376,35 +377,13 @@
     if host == ctx.host() {
         return;
     }
-    let now = Instant::now();
     let own = lock(&ctx.catalog).versions();
     let theirs = Versions {
         config: status.config,
         targets: status.targets,
     };
-    let (is_new, pull_from) = {
-        let mut known = lock(&ctx.peers.known);
-        let peer = known.entry(host.clone()).or_insert_with(|| Peer::new(addr));
-        let order = (status.incarnation, status.number);
-        if order <= (peer.status.incarnation, peer.status.number) {
-            return;
-        }
-        peer.addr = addr;
-        peer.heard = Some(now);
-        let is_new = !std::mem::replace(&mut peer.is_alive, true);
-        if theirs.is_ahead_of(own) {
-            let since = *peer.ahead_since.get_or_insert(now);
-            let is_due = !ctx.store.is_up() || now.duration_since(since) >= AHEAD_MAX;
-            if is_due {
-                peer.ahead_since = None;
-            }
-            peer.status = status.clone();
-            (is_new, is_due.then_some(addr))
-        } else {
-            peer.ahead_since = None;
-            peer.status = status.clone();
-            (is_new, None)
-        }
+    let Some(heard) = note_status(ctx, addr, &status, theirs.is_ahead_of(own)) else {
+        return;
     };
     let loads = status.loads.iter().map(|load| {
         let counted = Load {
@@ -413,22 +392,63 @@
         };
         (load.target, counted)
     });
-    lock(&ctx.places).peer_runs(&host, loads);
+    let failing = if heard.is_near {
+        status.failing
+    } else {
+        vec![]
+    };
+    lock(&ctx.places).peer_runs(&host, loads, failing);
     ctx.journal.told(status.jobs);
     ctx.items.wake();
-    if is_new {
+    if heard.is_new {
         slog::info!(ctx.logger, "host up"; "peer" => host.as_str(),
             "incarnation" => status.incarnation, "addr" => addr.to_string());
         ctx.metrics.count(Counted::Changes, "host up");
         ctx.peers.tell();
     }
-    if let Some(addr) = pull_from
-        && may_pull(ctx)
-    {
+    if heard.is_pull_due && may_pull(ctx) {
         tokio::spawn(pull(Arc::clone(ctx), addr));
     }
 }
 
+/// What a status says of its sender.
+struct Heard {
+    /// Whether the host was not alive before.
+    is_new: bool,
+    /// Whether it stands in this host's data centre.
+    is_near: bool,
+    /// Whether it has been ahead of this host for long enough to be asked.
+    is_pull_due: bool,
+}
+
+/// Notes a status; returns nothing if a newer one came before.
+fn note_status(ctx: &Context, addr: SocketAddr, status: &Status, is_ahead: bool) -> Option<Heard> {
+    let now = Instant::now();
+    let mut known = lock(&ctx.peers.known);
+    let peer = known
+        .entry(status.host.clone())
+        .or_insert_with(|| Peer::new(addr));
+    let order = (status.incarnation, status.number);
+    if order <= (peer.status.incarnation, peer.status.number) {
+        return None;
+    }
+    peer.addr = addr;
+    peer.heard = Some(now);
+    peer.status = status.clone();
+    let ahead_since = if is_ahead {
+        Some(peer.ahead_since.unwrap_or(now))
+    } else {
+        None
+    };
+    peer.ahead_since = ahead_since;
+    let is_long = ahead_since.is_some_and(|since| now.duration_since(since) >= AHEAD_MAX);
+    Some(Heard {
+        is_new: !std::mem::replace(&mut peer.is_alive, true),
+        is_near: peer.is_near,
+        is_pull_due: is_ahead && (is_long || !ctx.store.is_up()),
+    })
+}
+
 /// Returns whether it is time to ask a peer for what it knows.
 fn may_pull(ctx: &Context) -> bool {
     let mut pulled_at = lock(&ctx.peers.pulled_at);
--- a/crates/proto/src/news.rs
+++ b/crates/proto/src/news.rs
@@ -44,6 +44,8 @@
     pub jobs: u64,
     /// What it runs.
     pub loads: Vec<Load>,
+    /// The short forms of the names of targets that fail its requests.
+    pub failing: Vec<u32>,
 }
 
 /// What a host runs at a target.
--- a/crates/routing/src/places.rs
+++ b/crates/routing/src/places.rs
@@ -68,6 +68,9 @@
 const QUEUE_COST: f64 = 100.0;
 /// Cost of each online request that the target has already, beside the above.
 const ONLINE_COST: f64 = 0.05;
+/// Ejection counts as long as one in so many targets is ejected at most: what
+/// happens to more is not for each of them to answer for.
+const EJECTED_PART_MAX: usize = 2;
 /// When to come back if no target takes the request: about the time in which
 /// a place falls free.
 const RETRY_AFTER: Duration = Duration::from_millis(150);
@@ -203,6 +206,8 @@
     spec: Spec,
     own: Load,
     others: Load,
+    /// Peers at which it fails.
+    failing_at: u32,
     health: Health,
 }
 
@@ -213,6 +218,10 @@
         load
     }
 
+    fn is_ejected(&self, now: Instant) -> bool {
+        self.failing_at > 0 || self.health.is_ejected(now)
+    }
+
     fn free(&self) -> u32 {
         self.spec.slots.saturating_sub(self.load().total())
     }
@@ -221,6 +230,8 @@
 #[derive(Debug, Default)]
 struct Peer {
     loads: HashMap<TargetKey, Load>,
+    /// Targets that fail as the peer sees them, where its word counts.
+    failing: Vec<TargetKey>,
 }
 
 /// Places as one host sees them.
@@ -259,14 +270,17 @@
         }
         let key = key_of(id);
         let mut others = Load::default();
-        for load in self.peers.values().filter_map(|p| p.loads.get(&key)) {
-            others.add(*load);
+        let mut failing_at = 0;
+        for peer in self.peers.values() {
+            others.add(peer.loads.get(&key).copied().unwrap_or_default());
+            failing_at += u32::from(peer.failing.contains(&key));
         }
         let target = Target {
             key,
             spec,
             own: Load::default(),
             others,
+            failing_at,
             health: Health::default(),
         };
         self.keys.insert(key, id.to_owned());
@@ -307,7 +321,16 @@
     }
 
     /// Takes in what a peer runs; it replaces what the peer ran before.
-    pub fn peer_runs(&mut self, host: &str, loads: impl IntoIterator<Item = (TargetKey, Load)>) {
+    ///
+    /// The peer's word on targets that fail is given if it counts: a target
+    /// may fail callers in one data centre only, so that of a peer elsewhere
+    /// does not.
+    pub fn peer_runs(
+        &mut self,
+        host: &str,
+        loads: impl IntoIterator<Item = (TargetKey, Load)>,
+        failing: Vec<TargetKey>,
+    ) {
         let loads: HashMap<TargetKey, Load> = loads.into_iter().collect();
         let before = self.peers.remove(host).unwrap_or_default();
         self.subtract(&before);
@@ -316,7 +339,18 @@
                 target.others.add(*load);
             }
         }
-        self.peers.insert(host.to_owned(), Peer { loads });
+        for key in &failing {
+            if let Some(target) = self.target_by_key(*key) {
+                target.failing_at += 1;
+            }
+        }
+        self.peers.insert(host.to_owned(), Peer { loads, failing });
+    }
+
+    /// Returns the targets that fail as this host sees them.
+    pub fn failing(&self, now: Instant) -> Vec<TargetKey> {
+        let failing = self.targets.values().filter(|t| t.health.is_failing(now));
+        failing.map(|t| t.key).collect()
     }
 
     /// Forgets what a peer runs: it is down, and its connections with it.
@@ -332,6 +366,11 @@
                 target.others.sub(*load);
             }
         }
+        for key in &peer.failing {
+            if let Some(target) = self.target_by_key(*key) {
+                target.failing_at = target.failing_at.saturating_sub(1);
+            }
+        }
     }
 
     fn target_by_key(&mut self, key: TargetKey) -> Option<&mut Target> {
@@ -373,6 +412,13 @@
         }
     }
 
+    /// Notes that a target answered that it failed.
+    pub fn answered_badly(&mut self, id: &str, now: Instant) {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.health.answered_badly(now);
+        }
+    }
+
     /// Notes that a target was full and ran nothing of the request.
     pub fn refused(&mut self, id: &str, now: Instant) {
         if let Some(target) = self.targets.get_mut(id) {
@@ -395,8 +441,9 @@
     /// Returns a refusal if no target is to be asked.
     pub fn choose_online(&mut self, want: &Want<'_>, now: Instant) -> Result<Choice, Refusal> {
         let pace = self.usual_pace(want.service);
+        let all = self.are_most_ejected(want.service, now);
         let best = self
-            .best(want, now, false, |t| online_cost(t, want, pace, self.cfg))
+            .best(want, now, all, |t| online_cost(t, want, pace, self.cfg))
             .or_else(|| self.best(want, now, true, |t| online_cost(t, want, pace, self.cfg)));
         let Some(id) = best else {
             let retry_after = RETRY_AFTER;
@@ -420,7 +467,8 @@
         let pace = self.usual_pace(want.service);
         let reserve = self.cfg.reserve;
         let draw: u64 = self.rng.random();
-        let best = self.best(want, now, false, |t| {
+        let all = self.are_most_ejected(want.service, now);
+        let best = self.best(want, now, all, |t| {
             let spare = t.free().saturating_sub(reserve);
             if spare == 0 {
                 return None;
@@ -489,7 +537,7 @@
         let open = self.targets.iter().filter(|(id, t)| {
             t.spec.service == want.service
                 && !t.spec.leaving
-                && (with_ejected || !t.health.is_ejected(now))
+                && (with_ejected || !t.is_ejected(now))
                 && !want.tried.contains(id)
         });
         let costs = open.filter_map(|(id, t)| Some((cost(t)?, id)));
@@ -497,6 +545,19 @@
         least.map(|(_, id)| id)
     }
 
+    /// Returns whether so many targets of a service are left alone that the
+    /// fault is more likely not theirs.
+    fn are_most_ejected(&self, service: &str, now: Instant) -> bool {
+        let of_service = self.targets.values();
+        let of_service = of_service.filter(|t| t.spec.service == service && !t.spec.leaving);
+        let (mut all, mut ejected) = (0, 0);
+        for target in of_service {
+            all += 1;
+            ejected += usize::from(target.is_ejected(now));
+        }
+        ejected * EJECTED_PART_MAX > all
+    }
+
     /// Returns the usual time to a first event at a service's targets.
     fn usual_pace(&self, service: &str) -> Option<Duration> {
         let of_service = self.targets.values().filter(|t| t.spec.service == service);
--- a/crates/routing/src/places/health.rs
+++ b/crates/routing/src/places/health.rs
@@ -17,32 +17,70 @@
 const PACE_WEIGHT: f64 = 0.3;
 /// How many times slower than usual a target is before it counts as slow.
 const SLOW_FACTOR: f64 = 2.5;
+/// Share of a new answer in the running share of failures.
+const FAULT_WEIGHT: f64 = 0.25;
+/// Share of failures from which a target is left alone: two in a row reach it,
+/// and so does a target that fails four answers in ten; one does not, nor do
+/// items that fail wherever they run.
+const FAULT_MAX: f64 = 0.4;
+/// Share of failures below which a target's earlier ones are forgotten.
+const FAULT_FORGOTTEN: f64 = 0.1;
 
 /// What requests met at a target.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Health {
     ejected_until: Option<Instant>,
-    failures: u32,
+    /// Ejections since the target was last sound.
+    ejections: u32,
+    faults: f64,
     pace_s: Option<f64>,
+    /// Whether the pause is for failures, and not for a full queue.
+    is_failing: bool,
 }
 
 impl Health {
+    /// Notes that it could not be reached or broke off.
     pub(super) fn failed(&mut self, now: Instant) {
-        let pause = EJECT_MIN * 2u32.saturating_pow(self.failures.min(8));
-        self.failures = self.failures.saturating_add(1);
-        self.eject(now + pause.min(EJECT_MAX));
+        self.faults = self.faults.max(FAULT_MAX);
+        self.eject(now);
     }
 
+    /// Notes that it answered that it failed.
+    pub(super) fn answered_badly(&mut self, now: Instant) {
+        self.faults += (1.0 - self.faults) * FAULT_WEIGHT;
+        if self.faults > FAULT_MAX {
+            self.eject(now);
+        }
+    }
+
+    fn eject(&mut self, now: Instant) {
+        if self.is_ejected(now) && self.is_failing {
+            return;
+        }
+        let pause = EJECT_MIN * 2u32.saturating_pow(self.ejections.min(8));
+        self.ejections = self.ejections.saturating_add(1);
+        self.is_failing = true;
+        self.pause(now + pause.min(EJECT_MAX));
+    }
+
+    /// Notes that it was full.
     pub(super) fn refused(&mut self, now: Instant) {
-        self.eject(now + FULL_PAUSE);
+        if !self.is_ejected(now) {
+            self.is_failing = false;
+        }
+        self.pause(now + FULL_PAUSE);
     }
 
-    fn eject(&mut self, until: Instant) {
+    fn pause(&mut self, until: Instant) {
         self.ejected_until = self.ejected_until.max(Some(until));
     }
 
+    /// Notes that it answered well.
     pub(super) fn answered(&mut self, first_event: Option<Duration>) {
-        self.failures = 0;
+        self.faults *= 1.0 - FAULT_WEIGHT;
+        if self.faults < FAULT_FORGOTTEN {
+            self.ejections = 0;
+        }
         let Some(took) = first_event else {
             return;
         };
@@ -55,6 +93,11 @@
         self.ejected_until.is_some_and(|until| now < until)
     }
 
+    /// Returns whether it is left alone since it fails.
+    pub(super) fn is_failing(&self, now: Instant) -> bool {
+        self.is_failing && self.is_ejected(now)
+    }
+
     pub(super) fn pace(&self) -> Option<Duration> {
         self.pace_s.map(Duration::from_secs_f64)
     }
--- /dev/null
+++ b/crates/routing/tests/places.rs
@@ -0,0 +1,243 @@
+//! Which target gets a request, and which item gives way.
+#![allow(clippy::unwrap_used, reason = "Tests fail by panicking.")]
+
+use std::time::Duration;
+use std::time::Instant;
+
+use notchwharf_routing::places::Config;
+use notchwharf_routing::places::Load;
+use notchwharf_routing::places::Places;
+use notchwharf_routing::places::Refusal;
+use notchwharf_routing::places::Room;
+use notchwharf_routing::places::Spec;
+use notchwharf_routing::places::Want;
+use notchwharf_routing::places::key_of;
+use rstest::rstest;
+
+const NEAR: &str = "near";
+const FAR: &str = "far";
+
+fn places(reserve: u32, targets: &[(&str, &str, u32)]) -> Places {
+    let cfg = Config {
+        reserve,
+        ..Config::default()
+    };
+    let mut places = Places::new(cfg, 7);
+    for (id, data_centre, slots) in targets {
+        places.upsert(id, spec(data_centre, *slots));
+    }
+    places
+}
+
+fn spec(data_centre: &str, slots: u32) -> Spec {
+    Spec {
+        service: "s".into(),
+        data_centre: data_centre.into(),
+        slots,
+        ..Spec::default()
+    }
+}
+
+fn want(tried: &[String]) -> Want<'_> {
+    Want {
+        service: "s",
+        data_centre: NEAR,
+        affinity: 3,
+        tried,
+    }
+}
+
+fn load(online: u32, batch: u32) -> Load {
+    Load { online, batch }
+}
+
+#[test]
+fn a_free_place_near_by_comes_before_one_far_away() {
+    let mut places = places(0, &[("t1", FAR, 8), ("t2", NEAR, 8)]);
+    let now = Instant::now();
+    let choice = places.choose_online(&want(&[]), now).unwrap();
+    assert_eq!((choice.target.as_str(), choice.room), ("t2", Room::Free));
+}
+
+#[test]
+fn a_free_place_far_away_comes_before_an_item_near_by() {
+    let mut places = places(0, &[("t1", FAR, 4), ("t2", NEAR, 1)]);
+    places.begin_batch("t2");
+    let choice = places.choose_online(&want(&[]), Instant::now()).unwrap();
+    assert_eq!((choice.target.as_str(), choice.room), ("t1", Room::Free));
+}
+
+#[rstest]
+#[case::an_own_item(load(1, 1), load(0, 0), Room::CutOwn)]
+#[case::a_peer_s_item(load(1, 0), load(0, 1), Room::CutPeer("a2".into()))]
+#[case::no_item(load(1, 0), load(1, 0), Room::Queue)]
+fn a_full_target_makes_room_by_cutting_an_item(
+    #[case] own: Load,
+    #[case] peer: Load,
+    #[case] room: Room,
+) {
+    let mut places = places(0, &[("t1", NEAR, 2)]);
+    for _ in 0..own.online {
+        places.begin_online("t1");
+    }
+    for _ in 0..own.batch {
+        places.begin_batch("t1");
+    }
+    places.peer_runs("a2", [(key_of("t1"), peer)], vec![]);
+    let choice = places.choose_online(&want(&[]), Instant::now()).unwrap();
+    assert_eq!(choice.room, room);
+}
+
+#[test]
+fn the_reserve_is_restored_as_soon_as_it_is_used() {
+    let mut places = places(1, &[("t1", NEAR, 3)]);
+    places.begin_batch("t1");
+    places.begin_batch("t1");
+    assert_eq!(places.choose_batch(&want(&[]), Instant::now()), None);
+    let choice = places.choose_online(&want(&[]), Instant::now()).unwrap();
+    assert_eq!(choice.room, Room::CutOwn);
+}
+
+#[test]
+fn a_queue_that_outlasts_every_objective_is_not_joined() {
+    let mut places = places(0, &[("t1", NEAR, 1)]);
+    for _ in 0..4 {
+        assert!(places.choose_online(&want(&[]), Instant::now()).is_ok());
+        places.begin_online("t1");
+    }
+    let refusal = places
+        .choose_online(&want(&[]), Instant::now())
+        .unwrap_err();
+    assert!(matches!(refusal, Refusal::Full { .. }));
+}
+
+#[test]
+fn a_target_that_leaves_or_offers_another_service_is_not_chosen() {
+    let mut places = places(0, &[("t1", NEAR, 8)]);
+    places.upsert(
+        "t1",
+        Spec {
+            leaving: true,
+            ..spec(NEAR, 8)
+        },
+    );
+    places.upsert(
+        "t2",
+        Spec {
+            service: "other".into(),
+            ..spec(NEAR, 8)
+        },
+    );
+    let refusal = places
+        .choose_online(&want(&[]), Instant::now())
+        .unwrap_err();
+    assert!(matches!(refusal, Refusal::NoTarget { .. }));
+    assert_eq!(places.choose_batch(&want(&[]), Instant::now()), None);
+}
+
+#[test]
+fn what_a_peer_runs_is_replaced_by_what_it_tells_next_and_ends_with_it() {
+    let mut places = places(0, &[("t1", NEAR, 8)]);
+    places.begin_online("t1");
+    places.peer_runs("a2", [(key_of("t1"), load(2, 1))], vec![]);
+    places.peer_runs("a3", [(key_of("t1"), load(0, 1))], vec![]);
+    assert_eq!(places.load("t1"), load(3, 2));
+    places.peer_runs("a2", [(key_of("t1"), load(0, 2))], vec![]);
+    assert_eq!(places.load("t1"), load(1, 3));
+    places.peer_down("a2");
+    assert_eq!(places.load("t1"), load(1, 1));
+}
+
+#[test]
+fn a_target_that_comes_after_news_of_it_has_its_load() {
+    let mut places = places(0, &[]);
+    places.peer_runs("a2", [(key_of("t1"), load(2, 1))], vec![]);
+    places.upsert("t1", spec(NEAR, 8));
+    assert_eq!(places.load("t1"), load(2, 1));
+}
+
+#[test]
+fn a_target_that_cannot_be_reached_is_left_alone_for_a_time() {
+    let mut places = places(0, &[("t1", NEAR, 8), ("t2", FAR, 8), ("t3", FAR, 8)]);
+    let now = Instant::now();
+    places.failed("t1", now);
+    let later = now + Duration::from_millis(100);
+    assert_ne!(
+        places.choose_online(&want(&[]), later).unwrap().target,
+        "t1"
+    );
+    let later = now + Duration::from_millis(500);
+    assert_eq!(
+        places.choose_online(&want(&[]), later).unwrap().target,
+        "t1"
+    );
+}
+
+/// Regression: targets that failed at once looked idle and drew the requests
+/// of all hosts (vantu-lectii-grown, trouble-1).
+#[test]
+fn a_target_that_answers_badly_again_and_again_is_left_alone() {
+    let mut places = places(0, &[("t1", NEAR, 8), ("t2", FAR, 8), ("t3", FAR, 8)]);
+    let now = Instant::now();
+    places.answered_badly("t1", now);
+    assert_eq!(places.choose_online(&want(&[]), now).unwrap().target, "t1");
+    places.answered_badly("t1", now);
+    assert_ne!(places.choose_online(&want(&[]), now).unwrap().target, "t1");
+    assert_eq!(places.failing(now), [key_of("t1")]);
+}
+
+#[test]
+fn a_bad_answer_now_and_then_changes_nothing() {
+    let mut places = places(0, &[("t1", NEAR, 8), ("t2", FAR, 8), ("t3", FAR, 8)]);
+    let now = Instant::now();
+    for _ in 0..20 {
+        places.answered_badly("t1", now);
+        for _ in 0..5 {
+            places.answered("t1", None);
+        }
+    }
+    assert_eq!(places.choose_online(&want(&[]), now).unwrap().target, "t1");
+}
+
+#[test]
+fn a_target_that_fails_a_peer_is_left_alone_until_the_peer_says_otherwise() {
+    let mut places = places(0, &[("t1", NEAR, 8), ("t2", FAR, 8), ("t3", FAR, 8)]);
+    let now = Instant::now();
+    places.peer_runs("a2", [], vec![key_of("t1")]);
+    assert_ne!(places.choose_online(&want(&[]), now).unwrap().target, "t1");
+    assert_eq!(places.failing(now), [], "Only what is seen is told on.");
+    places.peer_runs("a2", [], vec![]);
+    assert_eq!(places.choose_online(&want(&[]), now).unwrap().target, "t1");
+}
+
+#[test]
+fn where_most_targets_fail_none_is_left_alone() {
+    let mut places = places(0, &[("t1", NEAR, 8), ("t2", FAR, 8), ("t3", FAR, 8)]);
+    let now = Instant::now();
+    places.failed("t1", now);
+    places.failed("t2", now);
+    assert_eq!(places.choose_online(&want(&[]), now).unwrap().target, "t1");
+}
+
+#[test]
+fn a_target_that_is_much_slower_than_the_others_comes_after_them() {
+    let mut places = places(0, &[("t1", NEAR, 8), ("t2", FAR, 8), ("t3", FAR, 8)]);
+    for _ in 0..20 {
+        places.answered("t1", Some(Duration::from_millis(300)));
+        places.answered("t2", Some(Duration::from_millis(50)));
+        places.answered("t3", Some(Duration::from_millis(50)));
+    }
+    let choice = places.choose_online(&want(&[]), Instant::now()).unwrap();
+    assert_ne!(choice.target, "t1");
+}
+
+#[test]
+fn of_the_hosts_at_an_overfull_target_the_one_with_most_items_cuts() {
+    let mut places = places(0, &[("t1", NEAR, 2)]);
+    places.begin_batch("t1");
+    places.peer_runs("a2", [(key_of("t1"), load(0, 2))], vec![]);
+    assert_eq!(places.overfull("a1"), Vec::<String>::new());
+    places.begin_batch("t1");
+    places.begin_batch("t1");
+    assert_eq!(places.overfull("a1"), ["t1"]);
+}
