Read the job records when somebody needs them

Change: a host reads as soon as a peer is ahead while a caller waits, each second while it runs items, each two seconds otherwise; a reading that is asked for results counts records of 600 ms as new, within the second that hosts have to agree in. Ruled out: reading on demand only (an ended job's items must stop, and an outage of the store be noticed).

--- a/crates/gateway/src/backlog.rs
+++ b/crates/gateway/src/backlog.rs
@@ -141,6 +141,11 @@
             .is_some_and(|lot| lot.is_waiting(key.1))
     }
 
+    /// Returns whether there is no job to run.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.lots.is_empty()
+    }
+
     /// Returns the number of items that wait.
     pub(crate) fn len(&self) -> usize {
         self.queue.len()
--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -80,6 +80,11 @@
 }
 
 impl Items {
+    /// Returns whether this host has no items to run.
+    pub(crate) fn is_idle(&self) -> bool {
+        lock(&self.backlog).is_idle()
+    }
+
     /// Lets the host look whether an item can start.
     pub(crate) fn wake(&self) {
         self.wake.notify_one();
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -24,6 +24,7 @@
 use notchwharf_ledger::jobs::Jobs;
 use notchwharf_ledger::jobs::Offset;
 use notchwharf_ledger::jobs::Record;
+use notchwharf_telemetry::gauge::Gauge;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
@@ -46,9 +47,12 @@
 const APPEND_RECORDS_MAX: usize = 256;
 /// Pause after an append that failed.
 const APPEND_PAUSE: Duration = Duration::from_millis(60);
-/// Age of a reading after which another is due although no peer is ahead:
-/// what one host has shown, all must show within a second.
-const READ_AGE_MAX: Duration = Duration::from_millis(650);
+/// Age of a reading after which a host reads that nobody has asked: also how
+/// soon an outage of the store is noticed.
+const IDLE_AGE_MAX: Duration = Duration::from_secs(2);
+/// Age of a reading after which a host reads that runs items: their job may
+/// have been ended or taken over, and items stop within three seconds of it.
+const OWNER_AGE_MAX: Duration = Duration::from_secs(1);
 /// Outcomes of records that are remembered: more than any host appends while
 /// one of its appends is under way.
 const RECENT_MAX: usize = 4_096;
@@ -68,6 +72,8 @@
     state: Mutex<State>,
     changed: watch::Sender<Offset>,
     told_end: AtomicU64,
+    /// Callers that wait for records.
+    waiting: Gauge,
     appends: OnceLock<mpsc::UnboundedSender<Append>>,
     asks: OnceLock<mpsc::UnboundedSender<Ask>>,
 }
@@ -80,6 +86,21 @@
     is_loaded: bool,
 }
 
+/// The stream's end, while a caller waits for it to move.
+#[derive(Debug)]
+pub(crate) struct Watch {
+    changed: watch::Receiver<Offset>,
+    _waiting: Gauge,
+}
+
+impl Watch {
+    /// Waits until more of the stream is known.
+    pub(crate) async fn changed(&mut self) {
+        // The sender lives as long as the journal.
+        let _ = self.changed.changed().await;
+    }
+}
+
 type Ask = oneshot::Sender<Result<(), StoreError>>;
 
 #[derive(Debug)]
@@ -96,6 +117,7 @@
             state: Mutex::default(),
             changed: watch::Sender::new(0),
             told_end: AtomicU64::new(0),
+            waiting: Gauge::default(),
             appends: OnceLock::new(),
             asks: OnceLock::new(),
         }
@@ -142,6 +164,16 @@
         self.changed.subscribe()
     }
 
+    /// Returns a receiver of the stream's end as it becomes known, while a
+    /// caller waits for it: as long as the receiver lives, the stream is read
+    /// as soon as a peer is ahead.
+    pub(crate) fn watch(&self) -> Watch {
+        Watch {
+            changed: self.changed.subscribe(),
+            _waiting: self.waiting.enter(),
+        }
+    }
+
     /// Notes how far a peer knows the stream.
     pub(crate) fn told(&self, end: Offset) {
         self.told_end.fetch_max(end, Ordering::Relaxed);
@@ -267,7 +299,7 @@
             tokio::select! {
                 ask = asked.recv() => asks.extend(ask),
                 _ = ticks.recv() => {
-                    if !is_due(&ctx.journal) {
+                    if !is_due(&ctx) {
                         continue;
                     }
                 }
@@ -286,13 +318,22 @@
     }
 }
 
-fn is_due(journal: &Journal) -> bool {
-    let (end, age) = {
+fn is_due(ctx: &Context) -> bool {
+    let journal = &ctx.journal;
+    let (end, read_at) = {
         let state = lock(&journal.state);
-        (state.jobs.end(), state.read_at.map(|at| at.elapsed()))
+        (state.jobs.end(), state.read_at)
     };
     let is_behind = journal.told_end.load(Ordering::Relaxed) > end;
-    is_behind || age.is_none_or(|age| age >= READ_AGE_MAX)
+    if is_behind && journal.waiting.count() > 0 {
+        return true;
+    }
+    let age_max = if ctx.items.is_idle() {
+        IDLE_AGE_MAX
+    } else {
+        OWNER_AGE_MAX
+    };
+    read_at.is_none_or(|at| at.elapsed() >= age_max)
 }
 
 async fn catch_up(ctx: &Context) -> Result<(), StoreError> {
--- a/crates/gateway/src/lots.rs
+++ b/crates/gateway/src/lots.rs
@@ -39,9 +39,9 @@
 /// Bytes of results that one reading returns at most, where there are more
 /// than one.
 const READ_BYTES_MAX: usize = 900 << 10;
-/// Age of the newest reading of the job records up to which a host that does
-/// not reach the store still answers for what it knows.
-const AGE_MAX: Duration = Duration::from_millis(900);
+/// Age of the newest reading of the job records up to which a host answers
+/// without another: what one host has shown, all must show within a second.
+const AGE_MAX: Duration = Duration::from_millis(600);
 
 /// A job as its caller submits it.
 #[derive(Clone, Debug)]
@@ -239,7 +239,7 @@
 
 async fn try_read(ctx: &Context, job: &str, from: usize, wait: Duration) -> Res<Reading> {
     let deadline = tokio::time::Instant::now() + wait;
-    let mut changed = ctx.journal.subscribe();
+    let mut changed = ctx.journal.watch();
     let mut listed = listed(ctx, job);
     if listed.is_none_or(|listed| from >= listed) {
         sync_if_old(ctx).await?;
