Cut an item only where no place is free

Change: online requests use the reserve first and cut an item at a full target; items still leave the reserve free. The test that asked for the old order is replaced by one that asks for the reserve, then the cut, and that items keep out. Ruled out: two free places before an item starts (a twelfth of all places idle when both classes wait); a pause after a cut (other hosts do not know of it).

--- a/crates/routing/src/places.rs
+++ b/crates/routing/src/places.rs
@@ -506,24 +506,20 @@
             Some((load.batch, id))
         });
         let most = peers.max()?;
-        ((most.0, most.1.as_str()) > own).then_some(most.1)
+        let is_more = most.0 > 0 && (most.0, most.1.as_str()) > own;
+        is_more.then_some(most.1)
     }
 
     fn room(&self, target: &Target) -> Room {
-        let load = target.load();
-        let kept = target.spec.slots.saturating_sub(self.cfg.reserve);
-        if load.batch == 0 || load.total() < kept.max(1) {
-            if load.total() < target.spec.slots {
-                return Room::Free;
-            }
-            return Room::Queue;
+        if target.free() > 0 {
+            return Room::Free;
         }
         if target.own.batch > 0 {
             return Room::CutOwn;
         }
         match self.most_items(target, "") {
             Some(host) => Room::CutPeer(host.clone()),
-            None => Room::Free,
+            None => Room::Queue,
         }
     }
 
