--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -18,6 +18,7 @@
 use crate::context::Context;
 use crate::context::Phase;
 use crate::context::lock;
+use crate::follow::Pace;
 use crate::follow::Seen;
 use crate::follow::follow;
 use crate::metrics::Counted;
@@ -25,8 +26,18 @@
 use crate::ports::Stored;
 use crate::ports::Topic;
 
-/// Time that a waiting read waits; also how soon an outage is noticed.
-const WAIT: Duration = Duration::from_secs(2);
+/// How the configuration is read; a reading's wait is also how soon an outage
+/// is noticed. Operators' changes must be in force within two seconds.
+const CONFIG_PACE: Pace = Pace {
+    wait: Duration::from_secs(2),
+    gap: Duration::from_millis(150),
+};
+/// How targets are read. A target that leaves must get nothing new two seconds
+/// later; when a fleet starts, its targets' entries come by the dozen.
+const TARGETS_PACE: Pace = Pace {
+    wait: Duration::from_secs(2),
+    gap: Duration::from_millis(300),
+};
 /// Time after an outage of the store within which a missing entry may only
 /// have lapsed: those of living targets are back about two seconds after it.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
@@ -104,16 +115,21 @@
 
 /// Starts to follow routes and targets.
 pub(crate) fn start(ctx: &Arc<Context>) {
-    tokio::spawn(follow(Arc::clone(ctx), Topic::Config, WAIT, |ctx, seen| {
-        let (Seen::All(_, records) | Seen::More(_, records)) = seen;
-        for record in records {
-            take_config(ctx, record, "store");
-        }
-    }));
+    tokio::spawn(follow(
+        Arc::clone(ctx),
+        Topic::Config,
+        CONFIG_PACE,
+        |ctx, seen| {
+            let (Seen::All(_, records) | Seen::More(_, records)) = seen;
+            for record in records {
+                take_config(ctx, record, "store");
+            }
+        },
+    ));
     tokio::spawn(follow(
         Arc::clone(ctx),
         Topic::Targets,
-        WAIT,
+        TARGETS_PACE,
         |ctx, seen| match seen {
             Seen::All(end, records) => take_all_targets(ctx, end, records, "store"),
             Seen::More(_, records) => {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -25,23 +25,37 @@
     More(u64, Vec<Stored>),
 }
 
+/// How a topic is read.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Pace {
+    /// Time that a reading waits for a record.
+    pub(crate) wait: Duration,
+    /// Time between two readings that find records: what is written meanwhile
+    /// is read together.
+    pub(crate) gap: Duration,
+}
+
 /// Follows a topic until the host stops.
 pub(crate) async fn follow(
     ctx: Arc<Context>,
     topic: Topic,
-    wait: Duration,
+    pace: Pace,
     mut sink: impl FnMut(&Arc<Context>, Seen),
 ) {
     let followed = async {
         let mut from = None;
         let mut pause = PAUSE_MIN;
         loop {
-            match step(&ctx, topic, from, wait).await {
+            match step(&ctx, topic, from, pace.wait).await {
                 Ok(seen) => {
                     let (Seen::All(end, _) | Seen::More(end, _)) = &seen;
                     from = Some(*end);
                     pause = PAUSE_MIN;
+                    let is_empty = matches!(&seen, Seen::More(_, records) if records.is_empty());
                     sink(&ctx, seen);
+                    if !is_empty {
+                        tokio::time::sleep(pace.gap).await;
+                    }
                 }
                 Err(StoreError::Expired) => {
                     slog::info!(ctx.logger, "records expired, listing anew";
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -49,6 +49,7 @@
 use crate::context::Phase;
 use crate::context::lock;
 use crate::context::ms;
+use crate::follow::Pace;
 use crate::follow::Seen;
 use crate::follow::follow;
 use crate::metrics::Counted;
@@ -57,8 +58,12 @@
 
 /// Bytes of a datagram at most: what UDP carries.
 const DATAGRAM_BYTES_MAX: usize = 65_536;
-/// Time that a waiting read of the list of hosts waits; it changes seldom.
-const LIST_WAIT: Duration = Duration::from_secs(10);
+/// How the list of hosts is read. It changes seldom, and a host that is known
+/// to one other is known to all by its own datagrams.
+const LIST_PACE: Pace = Pace {
+    wait: Duration::from_secs(10),
+    gap: Duration::from_millis(700),
+};
 /// Time for which a peer may know newer routes before it is asked for them:
 /// the store usually tells everyone within milliseconds.
 const AHEAD_MAX: Duration = Duration::from_millis(250);
@@ -173,7 +178,7 @@
     // The context is new, so nothing was set in it before.
     let _ = ctx.peers.socket.set(socket);
     tokio::spawn(enter_list(Arc::clone(ctx)));
-    tokio::spawn(follow(Arc::clone(ctx), Topic::Hosts, LIST_WAIT, take_list));
+    tokio::spawn(follow(Arc::clone(ctx), Topic::Hosts, LIST_PACE, take_list));
     tokio::spawn(send(Arc::clone(ctx)));
     tokio::spawn(receive(Arc::clone(ctx)));
     tokio::spawn(sweep(Arc::clone(ctx)));
