Keep jobs through a moment without the store, and look for orphans at once

And a host that is idle knew of a dead peer's jobs up to two seconds late. Change: a peer keeps its jobs for 1.5 s without the store, and nobody takes over before having the store for as long; a host that loses a peer reads the job records at once. A refusal says 50 ms where other hosts reach the store, 1.3 s where none does. Ruled out: telling peers faster that the store is back (the race stays). Before: the new test finds the job with the other host. After: it passes.

--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -34,6 +34,7 @@
 use crate::context::ms;
 use crate::lots::Payload;
 use crate::metrics::Counted;
+use crate::peers::STORELESS_MAX;
 use crate::ports::Forward;
 use crate::ports::Topic;
 use crate::target::Class;
@@ -43,6 +44,9 @@
 const TICK: Duration = Duration::from_millis(50);
 /// Time between two looks at jobs whose owners are gone.
 const TAKE_OVER_TICK: Duration = Duration::from_millis(250);
+/// Time after a peer was lost in which its jobs are looked for: it is lost to
+/// all hosts within that time.
+const TAKE_OVER_TIME: Duration = Duration::from_secs(2);
 /// Pause before a job's items are read again.
 const LOAD_PAUSE: Duration = Duration::from_millis(200);
 /// Time for which a record of an item is tried; the store may be down long.
@@ -345,7 +349,14 @@
     // Peers make themselves heard in this time.
     let settled = ctx.started + 2 * ms(ctx.settings.peers.down_ms);
     while ticks.recv().await.is_some() && ctx.phase() < Phase::Leaving {
-        if Instant::now() < settled || !ctx.store.is_up() || !ctx.journal.is_loaded() {
+        // After an outage others may have the store back too and not have said
+        // so yet.
+        let has_store = ctx.store.is_up_for(STORELESS_MAX) && ctx.journal.is_loaded();
+        if Instant::now() < settled || !has_store {
+            continue;
+        }
+        let is_old = ctx.journal.age().is_none_or(|age| age > TAKE_OVER_TICK);
+        if is_old && ctx.peers.lost_within(TAKE_OVER_TIME) && ctx.journal.sync().await.is_err() {
             continue;
         }
         for (job, epoch, owner) in orphans(&ctx) {
@@ -367,7 +378,7 @@
     let jobs = ctx.journal.jobs();
     let orphans = jobs.open().filter(|job| {
         job.owner != ctx.host()
-            && !ctx.peers.is_able(&job.owner)
+            && !ctx.peers.keeps_jobs(&job.owner)
             && ctx.peers.is_successor(ctx.host(), &job.accepted.job)
     });
     let orphans = orphans.map(|job| (job.accepted.job.clone(), job.epoch, job.owner.clone()));
--- a/crates/gateway/src/lots.rs
+++ b/crates/gateway/src/lots.rs
@@ -28,9 +28,12 @@
 use crate::ports::StoreError;
 use crate::ports::Topic;
 
-/// When to come back to a host that does not reach the store: another host
-/// may, and the caller is free to go there.
-const STORE_RETRY: Duration = Duration::from_millis(400);
+/// When to come back if this host does not reach the store and others do: the
+/// caller finds another host at once.
+const OTHER_HOST_RETRY: Duration = Duration::from_millis(50);
+/// When to come back if no host reaches the store: outages last some seconds,
+/// and callers wait a third of their time at most.
+const STORE_RETRY: Duration = Duration::from_millis(1_300);
 /// When to come back after a route's limit left no room: about the time in
 /// which a few items end.
 const QUOTA_RETRY: Duration = Duration::from_secs(1);
@@ -120,9 +123,14 @@
 
 type Res<T> = Result<T, Lot>;
 
-fn not_now(reason: &'static str) -> Lot {
+fn not_now(ctx: &Context, reason: &'static str) -> Lot {
+    let retry_after = if ctx.peers.with_store() > 0 {
+        OTHER_HOST_RETRY
+    } else {
+        STORE_RETRY
+    };
     Lot::NotNow {
-        retry_after: STORE_RETRY,
+        retry_after,
         reason,
     }
 }
@@ -153,13 +161,15 @@
     if ctx.journal.jobs().get(&submission.job).is_some() {
         return Ok(());
     }
-    let table = ctx.table().ok_or_else(|| not_now("no configuration"))?;
+    let table = ctx
+        .table()
+        .ok_or_else(|| not_now(ctx, "no configuration"))?;
     let route = table.find(&submission.host, &submission.path);
     let route = route
         .filter(|r| r.kind == Kind::Batch)
         .ok_or(Lot::NoRoute)?;
     if !ctx.store.is_up() || !ctx.journal.is_loaded() {
-        return Err(not_now("the store is away"));
+        return Err(not_now(ctx, "the store is away"));
     }
     let (specs, items): (Vec<_>, Vec<_>) = submission.items.into_iter().unzip();
     let tokens: u64 = specs.iter().map(|s| u64::from(s.tokens)).sum();
@@ -187,7 +197,7 @@
         .write(Topic::Payloads, &submission.job, &key, bytes.into())
         .await;
     // Without its acceptance a payload means nothing.
-    let payload = blobs.map_err(|_| not_now("the store does not take the items"))?;
+    let payload = blobs.map_err(|_| not_now(ctx, "the store does not take the items"))?;
     let record = Record::Accepted(Accepted {
         job: submission.job,
         attempt,
@@ -205,7 +215,7 @@
     {
         Ok(Applied::OverQuota { .. }) => Err(over_quota()),
         Ok(_) => Ok(()),
-        Err(NotAppended::NotDone(_)) => Err(not_now("the store does not take the job")),
+        Err(NotAppended::NotDone(_)) => Err(not_now(ctx, "the store does not take the job")),
         Err(NotAppended::Unknown) => Err(Lot::Unknown),
     }
 }
@@ -218,7 +228,7 @@
 
 async fn sync(ctx: &Context) -> Res<()> {
     let synced = ctx.journal.sync().await;
-    synced.map_err(|_| not_now("the job records cannot be read"))
+    synced.map_err(|_| not_now(ctx, "the job records cannot be read"))
 }
 
 /// Reads results from a position on, waiting if there is none yet.
@@ -313,7 +323,7 @@
                 Err(err) => {
                     slog::warn!(ctx.logger, "result not read"; "job" => job,
                         "error" => err.to_string());
-                    return Err(not_now("a result cannot be read"));
+                    return Err(not_now(ctx, "a result cannot be read"));
                 }
             },
         };
@@ -362,7 +372,7 @@
         (Arc::clone(&known.accepted), place as usize)
     };
     let payload = Payload::read(ctx, &accepted).await;
-    let payload = payload.map_err(|_| not_now("the items cannot be read"))?;
+    let payload = payload.map_err(|_| not_now(ctx, "the items cannot be read"))?;
     let item = payload.items.into_iter().nth(place).ok_or(Lot::NotFound)?;
     Ok(item.body.into())
 }
@@ -400,7 +410,7 @@
         .await
     {
         Ok(_) => Ok(()),
-        Err(NotAppended::NotDone(_)) => Err(not_now("the store does not take the end")),
+        Err(NotAppended::NotDone(_)) => Err(not_now(ctx, "the store does not take the end")),
         Err(NotAppended::Unknown) => Err(Lot::Unknown),
     }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -76,6 +76,9 @@
 /// Time between two tellings of hosts in other data centres, for each of them:
 /// many of them are told less often, so that what a host sends stays flat.
 const REMOTE_GAP_PER_HOST: Duration = Duration::from_micros(1_500);
+/// Time without the store after which a host's jobs are taken over: most
+/// outages of one host are shorter, and items take some seconds.
+pub(crate) const STORELESS_MAX: Duration = Duration::from_millis(1_500);
 /// Time between two calls of peers: one that is ahead is asked at once, the
 /// others seldom know more.
 const PULL_GAP: Duration = Duration::from_millis(250);
@@ -95,6 +98,8 @@
     known: Mutex<HashMap<HostId, Peer>>,
     dirty: Notify,
     pulled_at: Mutex<Option<Instant>>,
+    /// When a peer was last lost or said that it leaves.
+    lost_at: Mutex<Option<Instant>>,
     socket: OnceLock<UdpSocket>,
 }
 
@@ -107,6 +112,8 @@
     is_alive: bool,
     told: Option<Instant>,
     ahead_since: Option<Instant>,
+    /// Since when it does not reach the store.
+    storeless_since: Option<Instant>,
     status: Status,
 }
 
@@ -119,6 +126,7 @@
             is_alive: false,
             told: None,
             ahead_since: None,
+            storeless_since: None,
             status: Status::default(),
         }
     }
@@ -156,12 +164,25 @@
         able.map(|(host, _)| host.clone()).collect()
     }
 
-    /// Returns whether a peer can run jobs' items.
-    pub(crate) fn is_able(&self, host: &str) -> bool {
+    /// Returns whether a peer goes on running the items of its jobs. Without
+    /// the store it does for a moment: taken over, its items would run again.
+    pub(crate) fn keeps_jobs(&self, host: &str) -> bool {
         let known = lock(&self.known);
-        known
-            .get(host)
-            .is_some_and(|peer| peer.is_alive && !peer.status.leaving && peer.status.store_up)
+        known.get(host).is_some_and(|peer| {
+            let storeless = peer.storeless_since.map(|at| at.elapsed());
+            let reaches_store = storeless.is_none_or(|time| time < STORELESS_MAX);
+            peer.is_alive && !peer.status.leaving && reaches_store
+        })
+    }
+
+    /// Returns whether a peer was lost or left within a time before now.
+    pub(crate) fn lost_within(&self, time: Duration) -> bool {
+        lock(&self.lost_at).is_some_and(|at| at.elapsed() < time)
+    }
+
+    /// Returns the number of peers that reach the store.
+    pub(crate) fn with_store(&self) -> usize {
+        self.able().len()
     }
 
     /// Returns whether this host is the one that should take a job over.
@@ -439,7 +460,14 @@
     }
     peer.addr = addr;
     peer.heard = Some(now);
+    if status.leaving && !peer.status.leaving {
+        *lock(&ctx.peers.lost_at) = Some(now);
+    }
     peer.status = status.clone();
+    peer.storeless_since = match status.store_up {
+        true => None,
+        false => Some(peer.storeless_since.unwrap_or(now)),
+    };
     let ahead_since = if is_ahead {
         Some(peer.ahead_since.unwrap_or(now))
     } else {
@@ -481,6 +509,7 @@
             slog::warn!(ctx.logger, "host down"; "peer" => host.as_str(),
                 "silent_ms" => silence.map(|s| s.as_millis()));
             ctx.metrics.count(Counted::Changes, "host down");
+            *lock(&ctx.peers.lost_at) = Some(Instant::now());
             lock(&ctx.places).peer_down(&host);
             ctx.items.wake();
         }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -57,6 +57,13 @@
         lock(&self.health).lost_since.is_none()
     }
 
+    /// Returns whether the store answers and has done so for a time.
+    pub(crate) fn is_up_for(&self, time: Duration) -> bool {
+        let health = lock(&self.health);
+        let is_settled = health.regained_at.is_none_or(|at| at.elapsed() >= time);
+        health.lost_since.is_none() && is_settled
+    }
+
     /// Returns until when an outage of the store has effects that last a time
     /// beyond it; nothing if there are none now.
     pub(crate) fn troubled_until(&self, time: Duration) -> Option<Instant> {
--- a/crates/gateway/tests/lots.rs
+++ b/crates/gateway/tests/lots.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use notchwharf_config::gateway::Settings;
 use notchwharf_gateway::error::Lot;
 use notchwharf_gateway::lots;
 use notchwharf_gateway::lots::ItemResult;
@@ -262,6 +263,49 @@
     assert_eq!(a1.results("j1", 4).await, results);
 }
 
+/// Regression: as the store came back to all hosts, jobs were taken over from
+/// owners that had it back too but had not said so yet, and their items ran
+/// again (the first incident of vantu-lectii).
+#[tokio::test]
+async fn a_host_that_loses_the_store_for_a_moment_keeps_its_jobs() {
+    let world = World::new(&["t1", "t2"]);
+    let door = world.store.door();
+    let patient = |s: &mut Settings| s.batch.stall_ms = 10_000;
+    let a1 = world.start_apart("a1", door.clone(), patient).await;
+    a1.until_ready().await;
+    let a2 = world.start_ready("a2").await;
+    until("both know each other", || {
+        a1.ctx().peers_alive() == 1 && a2.ctx().peers_alive() == 1
+    })
+    .await;
+    until("a2 may take over", || {
+        a2.ctx().started.elapsed() > Duration::from_millis(500)
+    })
+    .await;
+    world.engines.hold();
+    a1.submit("j1", 2, 10).await.unwrap();
+    lots::read(a2.ctx(), "j1", 0, Duration::ZERO).await.unwrap();
+    until("both items run", || world.engines.active() == 2).await;
+    door.close(true);
+    until("the store is lost", || !a1.ctx().is_store_up()).await;
+    // Longer than others take to look whose owners are away.
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    door.close(false);
+    until("the store is back", || a1.ctx().is_store_up()).await;
+    world.engines.go();
+    assert_whole(&a2.results("j1", 2).await);
+    let owner = a2
+        .ctx()
+        .journal
+        .jobs()
+        .get("j1")
+        .map(|job| job.owner.clone());
+    assert_eq!(owner.as_deref(), Some("a1"));
+    for item in ["j1-0", "j1-1"] {
+        assert_eq!(world.engines.runs(item).len(), 1, "{item}");
+    }
+}
+
 #[tokio::test]
 async fn a_job_is_finished_after_all_hosts_have_stopped() {
     let world = World::new(&["t1"]);
