Give up items whose time is over, and remove old jobs from the store

Cause: the settings and routes name how long items may wait and jobs stay readable, and nothing acted on either; records pile up in a store that keeps the newest of each key for good. Change: an item that its owner has known for as long as its route says is given up; one host at a time lists the job records and drops those of jobs that were over long enough, refused tries of that age in the same call, payloads and results; every host forgets such jobs. Ruled out: dropping records as a job ends (all hosts would remember all keys). Before: no test; with refused tries kept, the new test waits in vain. After: passes.

--- a/crates/gateway/src/backlog.rs
+++ b/crates/gateway/src/backlog.rs
@@ -8,6 +8,7 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
+use std::time::Instant;
 
 use notchwharf_ledger::jobs::Accepted;
 use notchwharf_ledger::jobs::JobId;
@@ -36,6 +37,8 @@
     pub(crate) failures: u32,
     /// When its job was submitted.
     pub(crate) submitted_unix_ms: u64,
+    /// When this host read it; the job is at least as old.
+    pub(crate) known_since: Instant,
 }
 
 #[derive(Debug)]
--- a/crates/gateway/src/blobs.rs
+++ b/crates/gateway/src/blobs.rs
@@ -98,38 +98,36 @@
         let mut blobs = Vec::new();
         let mut left = bytes;
         loop {
-            let key = format!("{key}/{}", blobs.len());
             let most = left.len().min(records_per_call * self.record_bytes_max);
             let now = left.split_to(most);
-            let entries = self.entries(&key, &now);
-            let records = u32::try_from(entries.len()).unwrap_or(u32::MAX);
-            let offset = self.store.append(topic, part, entries).await?;
-            lock(&self.cache).put(&key, &now);
-            blobs.push(Blob {
+            let mut blob = Blob {
                 part,
-                key,
-                offset,
-                records,
+                key: format!("{key}/{}", blobs.len()),
                 bytes: u32::try_from(now.len()).unwrap_or(u32::MAX),
-            });
+                ..Blob::default()
+            };
+            let entries = self.entries(&mut blob, &now);
+            blob.offset = self.store.append(topic, part, entries).await?;
+            lock(&self.cache).put(&blob.key, &now);
+            blobs.push(blob);
             if left.is_empty() {
                 return Ok(blobs);
             }
         }
     }
 
-    fn entries(&self, key: &str, bytes: &Bytes) -> Vec<Entry> {
+    fn entries(&self, blob: &mut Blob, bytes: &Bytes) -> Vec<Entry> {
         let mut left = bytes.clone();
         let mut entries = Vec::new();
-        loop {
+        while blob.records == 0 || !left.is_empty() {
             let value = left.split_to(left.len().min(self.record_bytes_max));
-            let key = format!("{key}/{:04}", entries.len());
-            let value = Some(value);
-            entries.push(Entry { key, value });
-            if left.is_empty() {
-                return entries;
-            }
+            entries.push(Entry {
+                key: blob.record_key(blob.records),
+                value: Some(value),
+            });
+            blob.records += 1;
         }
+        entries
     }
 
     /// Reads a blob.
--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -225,6 +225,7 @@
         last_event: None,
         failures: 0,
         submitted_unix_ms: accepted.submitted_unix_ms,
+        known_since: Instant::now(),
     });
     items.collect()
 }
@@ -274,6 +275,11 @@
         let item = backlog.take()?;
         return Some(Next::GiveUp(item, Reason::NoRoute));
     };
+    let abandon_after = route.jobs.abandon_after;
+    if !abandon_after.is_zero() && item.known_since.elapsed() >= abandon_after {
+        let item = backlog.take()?;
+        return Some(Next::GiveUp(item, Reason::Expired));
+    }
     let service = route.service(hash(&item.forward.id))?;
     let want = Want {
         service,
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -21,6 +21,7 @@
 
 use notchwharf_ledger::jobs::Applied;
 use notchwharf_ledger::jobs::Ignored;
+use notchwharf_ledger::jobs::JobId;
 use notchwharf_ledger::jobs::Jobs;
 use notchwharf_ledger::jobs::Offset;
 use notchwharf_ledger::jobs::Record;
@@ -38,6 +39,7 @@
 use crate::ports::StoreError;
 use crate::ports::Stored;
 use crate::ports::Topic;
+use crate::upkeep;
 
 /// The only partition: one order for all jobs, a few records a second.
 const PART: u32 = 0;
@@ -211,6 +213,21 @@
         answer.await.unwrap_or(Err(NotAppended::Unknown))
     }
 
+    /// Forgets jobs that were submitted before a time of day and are over;
+    /// returns how many.
+    pub(crate) fn forget_before(&self, unix_ms: u64) -> usize {
+        let mut state = lock(&self.state);
+        let over = state
+            .jobs
+            .iter()
+            .filter(|(_, job)| upkeep::is_over(job, unix_ms));
+        let over: Vec<JobId> = over.map(|(id, _)| id.clone()).collect();
+        for job in &over {
+            state.jobs.forget(job);
+        }
+        over.len()
+    }
+
     fn apply(&self, ctx: &Context, records: Vec<Stored>) {
         if records.is_empty() {
             return;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod splice;
 mod store;
 mod target;
+mod upkeep;
 
 /// The name of a request, chosen by its caller.
 pub type RequestId = String;
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -19,6 +19,7 @@
 use crate::journal;
 use crate::peers;
 use crate::ports::Ports;
+use crate::upkeep;
 
 const DRAIN_PERIOD: Duration = Duration::from_millis(20);
 /// Time for the host's entry to be dropped when it leaves.
@@ -50,6 +51,7 @@
         journal::start(&ctx);
         peers::start(&ctx, socket, listener);
         items::start(&ctx);
+        tokio::spawn(upkeep::run(Arc::clone(&ctx)));
         slog::info!(ctx.logger, "started"; "incarnation" => ctx.incarnation,
             "peer_listen" => addr.to_string(),
             "data_centre" => ctx.settings.host.data_centre.as_str());
--- a/crates/gateway/tests/lots.rs
+++ b/crates/gateway/tests/lots.rs
@@ -4,6 +4,7 @@
 mod world;
 
 use std::time::Duration;
+use std::time::Instant;
 
 use notchwharf_config::gateway::Settings;
 use notchwharf_gateway::error::Lot;
@@ -11,6 +12,10 @@
 use notchwharf_gateway::lots::ItemResult;
 use notchwharf_gateway::ports::NoReply;
 use notchwharf_gateway::ports::Topic;
+use notchwharf_ledger::jobs::Accepted;
+use notchwharf_ledger::jobs::Applied;
+use notchwharf_ledger::jobs::ItemSpec;
+use notchwharf_ledger::jobs::Record;
 use rstest::rstest;
 use world::TOKENS_MAX;
 use world::World;
@@ -367,3 +372,57 @@
     let err = a1.submit("j2", 1, 10).await.unwrap_err();
     assert_eq!(err, Lot::NoRoute);
 }
+
+#[tokio::test]
+async fn an_item_whose_time_is_over_is_given_up_and_not_before() {
+    let world = World::new(&["t1"]);
+    let a1 = world.start_ready("a1").await;
+    let refuse = Act::None(NoReply::Full);
+    world.engines.script_request("j1-0", &[refuse; 1_000]);
+    let started = Instant::now();
+    a1.submit("j1", 1, 10).await.unwrap();
+    let results = a1.results("j1", 1).await;
+    assert_eq!(results[0].text, None);
+    assert!(started.elapsed() >= world::ABANDON_AFTER);
+}
+
+#[tokio::test]
+async fn what_nobody_can_ask_for_any_more_is_removed_from_the_store() {
+    let world = World::new(&["t1"]);
+    let forgetful = |s: &mut Settings| s.batch.readable_ms = 1_000;
+    let a1 = world.start_with("a1", forgetful).await;
+    a1.until_ready().await;
+    let tokens = u32::try_from(TOKENS_MAX).unwrap();
+    world.engines.hold();
+    a1.submit("j1", 1, tokens).await.unwrap();
+    // Refused, its record would be accepted once the other's is gone.
+    let refused = Record::Accepted(Accepted {
+        job: "j2".into(),
+        attempt: 7,
+        host: "a1".into(),
+        route: world::JOBS.into(),
+        tokens_max: Some(TOKENS_MAX),
+        submitted_unix_ms: 0,
+        items: vec![ItemSpec {
+            id: "j2-0".into(),
+            tokens,
+        }],
+        payload: vec![],
+    });
+    let deadline = Instant::now() + world::WAIT_MAX;
+    let applied = a1.ctx().journal.append(refused, deadline).await.unwrap();
+    assert!(matches!(applied, Applied::OverQuota { .. }), "{applied:?}");
+    world.engines.go();
+    a1.results("j1", 1).await;
+    until("the records are gone", || {
+        let topics = [Topic::Jobs, Topic::Payloads, Topic::Results];
+        topics.iter().all(|topic| world.store.keys(*topic) == 0)
+    })
+    .await;
+    world.store.expire();
+    let a2 = world.start_ready("a2").await;
+    for job in ["j1", "j2"] {
+        let read = lots::read(a2.ctx(), job, 0, Duration::ZERO).await;
+        assert_eq!(read.unwrap_err(), Lot::NotFound, "{job}");
+    }
+}
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -62,6 +62,8 @@
 pub const JOBS: &str = "/jobs/";
 /// Tokens that may wait on the route of jobs.
 pub const TOKENS_MAX: u64 = 1_000;
+/// Time after which an item may be given up.
+pub const ABANDON_AFTER: Duration = Duration::from_millis(1_500);
 /// The longest time of a stream that may not be resumed.
 pub const ONCE_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -309,6 +311,7 @@
         attempts_max: 3,
         jobs: JobTerms {
             tokens_max: Some(TOKENS_MAX),
+            abandon_after: ABANDON_AFTER,
             ..JobTerms::default()
         },
         ..stream(JOBS, true)
--- a/crates/gateway/tests/world/store.rs
+++ b/crates/gateway/tests/world/store.rs
@@ -101,6 +101,20 @@
         part.map_or(0, |part| part.records.len())
     }
 
+    /// Returns the keys of a topic that have a value, over all partitions.
+    pub fn keys(&self, topic: Topic) -> usize {
+        let state = self.state.lock().unwrap();
+        let parts = state.parts.iter().filter(|((known, _), _)| *known == topic);
+        let mut keys = std::collections::HashSet::new();
+        for record in parts.flat_map(|(_, part)| &part.records) {
+            match record.entry.value {
+                Some(_) => keys.insert(&record.entry.key),
+                None => keys.remove(&record.entry.key),
+            };
+        }
+        keys.len()
+    }
+
     fn put(&self, topic: Topic, key: &str, value: Option<&str>) {
         let entry = Entry {
             key: key.to_owned(),
--- a/crates/ledger/src/jobs.rs
+++ b/crates/ledger/src/jobs.rs
@@ -60,6 +60,18 @@
     pub bytes: u32,
 }
 
+impl Blob {
+    /// Returns the key of one of the blob's records.
+    pub fn record_key(&self, number: u32) -> String {
+        format!("{}/{number:04}", self.key)
+    }
+
+    /// Returns the keys of all the blob's records, in their order.
+    pub fn record_keys(&self) -> impl Iterator<Item = String> {
+        (0..self.records).map(|number| self.record_key(number))
+    }
+}
+
 /// An item as its job's acceptance names it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ItemSpec {
