Split the large modules by what each does, and serve connections in one place

A package 'listen' with the phases of a host's life serves both. Ruled out: a macro for the two settings (their fields differ). Measured: nothing; tests as before.

--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -16,7 +16,6 @@
 use serde::Serialize;
 
 use crate::context::Context;
-use crate::context::Phase;
 use crate::context::lock;
 use crate::follow::Pace;
 use crate::follow::Seen;
@@ -25,6 +24,7 @@
 use crate::ports::Entry;
 use crate::ports::Stored;
 use crate::ports::Topic;
+use notchwharf_listen::Phase;
 
 /// How the configuration is read; a reading's wait is also how soon an outage
 /// is noticed. Operators' changes must be in force within two seconds.
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -11,6 +11,7 @@
 
 use notchwharf_config::gateway::Settings;
 use notchwharf_config::routes::Table;
+use notchwharf_listen::Phase;
 use notchwharf_routing::budget::Budget;
 use notchwharf_routing::places;
 use notchwharf_routing::places::Places;
@@ -33,21 +34,6 @@
 /// a crash of a fifth of the targets, too few to double the load of all.
 const RETRY_SHARE_PERCENT: u32 = 30;
 
-/// Where a process is in its life.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Phase {
-    /// It has no configuration yet.
-    Starting,
-    /// It takes requests.
-    Ready,
-    /// It finishes what it has.
-    Leaving,
-    /// It closes connections as they fall idle.
-    Closing,
-    /// It ends now.
-    Stopped,
-}
-
 /// What all parts of one host share.
 pub struct Context {
     /// The settings.
--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -29,7 +29,6 @@
 use crate::backlog::Item;
 use crate::backlog::ItemKey;
 use crate::context::Context;
-use crate::context::Phase;
 use crate::context::lock;
 use crate::context::ms;
 use crate::lots::Payload;
@@ -39,6 +38,7 @@
 use crate::ports::Topic;
 use crate::target::Class;
 use crate::target::Running;
+use notchwharf_listen::Phase;
 
 /// Time between two looks at the backlog without news, and at overfull targets.
 const TICK: Duration = Duration::from_millis(50);
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -9,6 +9,22 @@
 //! return at once, on every host. Hosts read a few times a second, at once when
 //! somebody asks for what they do not know, and sooner when a peer is ahead.
 
+mod append;
+mod read;
+
+use self::append::Append;
+use crate::context::Context;
+use crate::context::lock;
+use crate::ports::StoreError;
+use crate::ports::Stored;
+use crate::upkeep;
+use notchwharf_ledger::jobs::Applied;
+use notchwharf_ledger::jobs::Ignored;
+use notchwharf_ledger::jobs::JobId;
+use notchwharf_ledger::jobs::Jobs;
+use notchwharf_ledger::jobs::Offset;
+use notchwharf_ledger::jobs::Record;
+use notchwharf_telemetry::gauge::Gauge;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -18,43 +34,13 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
-
-use notchwharf_ledger::jobs::Applied;
-use notchwharf_ledger::jobs::Ignored;
-use notchwharf_ledger::jobs::JobId;
-use notchwharf_ledger::jobs::Jobs;
-use notchwharf_ledger::jobs::Offset;
-use notchwharf_ledger::jobs::Record;
-use notchwharf_telemetry::gauge::Gauge;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
-use crate::context::Context;
-use crate::context::Phase;
-use crate::context::lock;
-use crate::context::ms;
-use crate::ports::Entry;
-use crate::ports::Read;
-use crate::ports::StoreError;
-use crate::ports::Stored;
-use crate::ports::Topic;
-use crate::upkeep;
-
 /// The only partition: one order for all jobs, a few records a second.
 const PART: u32 = 0;
-/// Bytes read at once.
-const READ_BYTES: u64 = 1 << 20;
-/// Records in one append: well below the bytes that a call may carry.
-const APPEND_RECORDS_MAX: usize = 256;
-/// Pause after an append that failed.
-const APPEND_PAUSE: Duration = Duration::from_millis(60);
-/// Age of a reading after which a host reads that nobody has asked: also how
-/// soon an outage of the store is noticed.
-const IDLE_AGE_MAX: Duration = Duration::from_secs(2);
-/// Age of a reading after which a host reads that runs items: their job may
-/// have been ended or taken over, and items stop within three seconds of it.
-const OWNER_AGE_MAX: Duration = Duration::from_secs(1);
+
 /// Outcomes of records that are remembered: more than any host appends while
 /// one of its appends is under way.
 const RECENT_MAX: usize = 4_096;
@@ -105,14 +91,6 @@
 
 type Ask = oneshot::Sender<Result<(), StoreError>>;
 
-#[derive(Debug)]
-struct Append {
-    record: Record,
-    deadline: Instant,
-    may_be_done: bool,
-    done: oneshot::Sender<Result<Applied, NotAppended>>,
-}
-
 impl Default for Journal {
     fn default() -> Self {
         Self {
@@ -304,180 +282,6 @@
     // The context is new, so nothing was set in it before.
     let _ = ctx.journal.asks.set(asks);
     let _ = ctx.journal.appends.set(appends);
-    tokio::spawn(read_loop(Arc::clone(ctx), asked));
-    tokio::spawn(append_loop(Arc::clone(ctx), appended));
-}
-
-async fn read_loop(ctx: Arc<Context>, mut asked: mpsc::UnboundedReceiver<Ask>) {
-    let mut ticks = ctx.timer.subscribe(ms(ctx.settings.store.poll_ms));
-    while ctx.phase() != Phase::Stopped {
-        let mut asks = Vec::new();
-        if ctx.journal.is_loaded() {
-            tokio::select! {
-                ask = asked.recv() => asks.extend(ask),
-                _ = ticks.recv() => {
-                    if !is_due(&ctx) {
-                        continue;
-                    }
-                }
-            }
-        } else if lock(&ctx.journal.state).read_at.is_none() && !ctx.store.is_up() {
-            let _ = ticks.recv().await;
-        }
-        while let Ok(ask) = asked.try_recv() {
-            asks.push(ask);
-        }
-        let res = catch_up(&ctx).await;
-        for ask in asks {
-            // Whoever asked may have gone.
-            let _ = ask.send(res);
-        }
-    }
-}
-
-fn is_due(ctx: &Context) -> bool {
-    let journal = &ctx.journal;
-    let (end, read_at) = {
-        let state = lock(&journal.state);
-        (state.jobs.end(), state.read_at)
-    };
-    let is_behind = journal.told_end.load(Ordering::Relaxed) > end;
-    if is_behind && journal.waiting.count() > 0 {
-        return true;
-    }
-    let age_max = if ctx.items.is_idle() {
-        IDLE_AGE_MAX
-    } else {
-        OWNER_AGE_MAX
-    };
-    read_at.is_none_or(|at| at.elapsed() >= age_max)
-}
-
-async fn catch_up(ctx: &Context) -> Result<(), StoreError> {
-    let journal = &ctx.journal;
-    let started = Instant::now();
-    if !journal.is_loaded() {
-        let (end, records) = ctx.store.all_newest(Topic::Jobs, PART).await?;
-        journal.rebuild(ctx, end, records);
-    }
-    loop {
-        let from = journal.jobs().end();
-        let read = Read {
-            topic: Topic::Jobs,
-            part: PART,
-            from,
-            bytes_max: READ_BYTES,
-            wait: Duration::ZERO,
-        };
-        let tail = ctx.store.read(read).await;
-        if tail == Err(StoreError::Expired) {
-            slog::warn!(ctx.logger, "job records expired unread, loading anew"; "from" => from);
-            lock(&journal.state).is_loaded = false;
-        }
-        let tail = tail?;
-        let is_end = tail.records.last().is_none_or(|r| r.offset + 1 >= tail.end);
-        journal.apply(ctx, tail.records);
-        if is_end {
-            lock(&journal.state).read_at = Some(started);
-            return Ok(());
-        }
-    }
-}
-
-async fn append_loop(ctx: Arc<Context>, mut appended: mpsc::UnboundedReceiver<Append>) {
-    let mut queue: VecDeque<Append> = VecDeque::new();
-    let mut number = 0;
-    loop {
-        if queue.is_empty() {
-            match appended.recv().await {
-                Some(append) => queue.push_back(append),
-                None => return,
-            }
-        }
-        while let Ok(append) = appended.try_recv() {
-            queue.push_back(append);
-        }
-        let count = queue.len().min(APPEND_RECORDS_MAX);
-        let batch: Vec<Append> = queue.drain(..count).collect();
-        let entries = batch.iter().map(|append| {
-            number += 1;
-            let key = format!("{}.{:x}.{number:x}", ctx.host(), ctx.incarnation);
-            let value = Some(append.record.encode().into());
-            Entry { key, value }
-        });
-        match ctx.store.append(Topic::Jobs, PART, entries.collect()).await {
-            Ok(offset) => settle(&ctx, offset, batch),
-            Err(err) => {
-                for append in retried(batch, err).into_iter().rev() {
-                    queue.push_front(append);
-                }
-                tokio::time::sleep(APPEND_PAUSE).await;
-            }
-        }
-        if ctx.phase() == Phase::Stopped {
-            return;
-        }
-    }
-}
-
-/// Answers those whose time is over, and returns the others.
-fn retried(batch: Vec<Append>, err: StoreError) -> Vec<Append> {
-    let now = Instant::now();
-    let mut again = Vec::new();
-    for mut append in batch {
-        append.may_be_done |= matches!(err, StoreError::Unknown(_));
-        if now < append.deadline && !append.done.is_closed() {
-            again.push(append);
-            continue;
-        }
-        let failure = if append.may_be_done {
-            NotAppended::Unknown
-        } else {
-            NotAppended::NotDone(err)
-        };
-        // Whoever appended may have gone.
-        let _ = append.done.send(Err(failure));
-    }
-    again
-}
-
-/// Tells those who appended what their records did.
-fn settle(ctx: &Arc<Context>, offset: Offset, batch: Vec<Append>) {
-    let journal = &ctx.journal;
-    let is_next = journal.jobs().end() == offset && journal.is_loaded();
-    if is_next {
-        // Nobody wrote in between: what the records do is known already.
-        let records = batch.iter().zip(offset..).map(|(append, offset)| Stored {
-            offset,
-            entry: Entry {
-                key: String::new(),
-                value: Some(append.record.encode().into()),
-            },
-        });
-        journal.apply(ctx, records.collect());
-        ctx.peers.tell();
-    }
-    let ctx = Arc::clone(ctx);
-    tokio::spawn(async move {
-        for (append, offset) in batch.into_iter().zip(offset..) {
-            let applied = read_back(&ctx, offset, append.deadline).await;
-            // Whoever appended may have gone.
-            let _ = append.done.send(applied.ok_or(NotAppended::Unknown));
-        }
-    });
-}
-
-async fn read_back(ctx: &Context, offset: Offset, deadline: Instant) -> Option<Applied> {
-    loop {
-        let applied = ctx.journal.outcome(offset);
-        if applied.is_some() {
-            return applied;
-        }
-        if ctx.journal.sync().await.is_err() {
-            tokio::time::sleep(APPEND_PAUSE).await;
-        }
-        if Instant::now() >= deadline {
-            return ctx.journal.outcome(offset);
-        }
-    }
+    tokio::spawn(read::read_loop(Arc::clone(ctx), asked));
+    tokio::spawn(append::append_loop(Arc::clone(ctx), appended));
 }
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -12,7 +12,6 @@
 
 use crate::catalog;
 use crate::context::Context;
-use crate::context::Phase;
 use crate::context::ms;
 use crate::error::Start;
 use crate::items;
@@ -20,6 +19,7 @@
 use crate::peers;
 use crate::ports::Ports;
 use crate::upkeep;
+use notchwharf_listen::Phase;
 
 const DRAIN_PERIOD: Duration = Duration::from_millis(20);
 /// Time for the host's entry to be dropped when it leaves.
@@ -84,7 +84,7 @@
         let ctx = &self.ctx;
         let mut ticks = ctx.timer.subscribe(DRAIN_PERIOD);
         // A host that could not drop its entry is found out by its silence.
-        let _ = tokio::time::timeout(LEAVE_LIST_TIMEOUT, peers::leave_list(ctx)).await;
+        let _ = tokio::time::timeout(LEAVE_LIST_TIMEOUT, peers::leave(ctx)).await;
         tokio::time::sleep(ms(ctx.settings.shutdown.notice_ms)).await;
         while ctx.in_flight.count() + ctx.items.unsettled.count() > 0 {
             if ticks.recv().await.is_none() {
--- /dev/null
+++ b/crates/gateway/src/lots/submit.rs
@@ -0,0 +1,158 @@
+//! Takes jobs in, and ends them.
+
+use super::Payload;
+use super::Res;
+use super::Submission;
+use super::label;
+use super::millis;
+use super::not_now;
+use super::sync;
+use crate::context::Context;
+use crate::context::unix_ms;
+use crate::error::Lot;
+use crate::journal::NotAppended;
+use crate::metrics::Counted;
+use crate::ports::Topic;
+use notchwharf_config::routes::Kind;
+use notchwharf_ledger::jobs::Accepted;
+use notchwharf_ledger::jobs::Applied;
+use notchwharf_ledger::jobs::Record;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+/// When to come back after a route's limit left no room: about the time in
+/// which a few items end.
+const QUOTA_RETRY: Duration = Duration::from_secs(1);
+
+/// Time for the record of an acceptance or an end: below what callers wait.
+const RECORD_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// Takes a job in; repeated, it says so again.
+///
+/// # Errors
+///
+/// Returns why the job was not taken in, and whether it may have been.
+pub async fn submit(ctx: &Arc<Context>, submission: Submission) -> Res<()> {
+    let job = submission.job.clone();
+    let items = submission.items.len();
+    let started = Instant::now();
+    let res = try_submit(ctx, submission).await;
+    let outcome = res
+        .as_ref()
+        .err()
+        .map_or("accepted".into(), ToString::to_string);
+    ctx.metrics.count(Counted::Jobs, label("accepted", &res));
+    slog::info!(ctx.logger, "job submitted"; "id" => job.as_str(), "items" => items,
+        "outcome" => outcome, "took_ms" => millis(started.elapsed()),
+        "records_end" => ctx.journal.jobs().end(),
+        "records_age_ms" => ctx.journal.age().map(millis));
+    res
+}
+
+async fn try_submit(ctx: &Arc<Context>, submission: Submission) -> Res<()> {
+    if ctx.journal.jobs().get(&submission.job).is_some() {
+        return Ok(());
+    }
+    let table = ctx
+        .table()
+        .ok_or_else(|| not_now(ctx, "no configuration"))?;
+    let route = table.find(&submission.host, &submission.path);
+    let route = route
+        .filter(|r| r.kind == Kind::Batch)
+        .ok_or(Lot::NoRoute)?;
+    if !ctx.store.is_up() || !ctx.journal.is_loaded() {
+        return Err(not_now(ctx, "the store is away"));
+    }
+    let (specs, items): (Vec<_>, Vec<_>) = submission.items.into_iter().unzip();
+    let tokens: u64 = specs.iter().map(|s| u64::from(s.tokens)).sum();
+    let tokens_max = route.jobs.tokens_max;
+    let is_over = || {
+        let waiting = ctx.journal.jobs().waiting_tokens(&route.name);
+        tokens_max.is_some_and(|max| waiting + tokens > max)
+    };
+    if is_over() {
+        // What is known may be old: look again before the job is refused.
+        sync(ctx).await?;
+        if is_over() {
+            return Err(over_quota());
+        }
+    }
+    let payload = Payload {
+        host: submission.host,
+        items,
+    };
+    let attempt: u64 = rand::random();
+    let bytes = postcard::to_stdvec(&payload).expect("Payloads are representable.");
+    let key = format!("{}/{attempt:x}", submission.job);
+    let blobs = ctx
+        .blobs
+        .write(Topic::Payloads, &submission.job, &key, bytes.into())
+        .await;
+    // Without its acceptance a payload means nothing.
+    let payload = blobs.map_err(|_| not_now(ctx, "the store does not take the items"))?;
+    let record = Record::Accepted(Accepted {
+        job: submission.job,
+        attempt,
+        host: ctx.host().to_owned(),
+        route: route.name.clone(),
+        tokens_max,
+        submitted_unix_ms: unix_ms(),
+        items: specs,
+        payload,
+    });
+    match ctx
+        .journal
+        .append(record, Instant::now() + RECORD_TIMEOUT)
+        .await
+    {
+        Ok(Applied::OverQuota { .. }) => Err(over_quota()),
+        Ok(_) => Ok(()),
+        Err(NotAppended::NotDone(_)) => Err(not_now(ctx, "the store does not take the job")),
+        Err(NotAppended::Unknown) => Err(Lot::Unknown),
+    }
+}
+
+fn over_quota() -> Lot {
+    Lot::OverQuota {
+        retry_after: QUOTA_RETRY,
+    }
+}
+
+/// Ends a job; repeated, it does nothing.
+///
+/// # Errors
+///
+/// Returns that there is no such job, or that the end may not be recorded.
+pub async fn end(ctx: &Context, job: &str) -> Res<()> {
+    let res = try_end(ctx, job).await;
+    ctx.metrics.count(Counted::Jobs, label("ended", &res));
+    let outcome = res
+        .as_ref()
+        .err()
+        .map_or("ended".into(), ToString::to_string);
+    slog::info!(ctx.logger, "job ended"; "id" => job, "outcome" => outcome);
+    res
+}
+
+async fn try_end(ctx: &Context, job: &str) -> Res<()> {
+    if ctx.journal.jobs().get(job).is_none() {
+        sync(ctx).await?;
+    }
+    let is_ended = ctx.journal.jobs().get(job).map(|j| j.ended);
+    if is_ended.ok_or(Lot::NotFound)? {
+        return Ok(());
+    }
+    let record = Record::Ended {
+        job: job.to_owned(),
+    };
+    match ctx
+        .journal
+        .append(record, Instant::now() + RECORD_TIMEOUT)
+        .await
+    {
+        Ok(_) => Ok(()),
+        Err(NotAppended::NotDone(_)) => Err(not_now(ctx, "the store does not take the end")),
+        Err(NotAppended::Unknown) => Err(Lot::Unknown),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peers/status.rs
@@ -0,0 +1,234 @@
+//! What hosts tell one another by datagram.
+
+use super::Peer;
+use super::pull;
+use crate::catalog::Versions;
+use crate::context::Context;
+use crate::context::lock;
+use crate::context::ms;
+use crate::metrics::Counted;
+use notchwharf_listen::Phase;
+use notchwharf_proto::news;
+use notchwharf_proto::news::Cut;
+use notchwharf_proto::news::News;
+use notchwharf_proto::news::Status;
+use notchwharf_routing::places::Load;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+/// Bytes of a datagram at most: what UDP carries.
+const DATAGRAM_BYTES_MAX: usize = 65_536;
+
+/// Time between two datagrams to a peer that is down.
+const DOWN_BEAT: Duration = Duration::from_secs(1);
+
+/// Time between two tellings of hosts in other data centres, for each of them:
+/// many of them are told less often, so that what a host sends stays flat.
+const REMOTE_GAP_PER_HOST: Duration = Duration::from_micros(1_500);
+
+fn own_status(ctx: &Context, number: u64) -> Status {
+    let versions = lock(&ctx.catalog).versions();
+    let (loads, failing) = {
+        let places = lock(&ctx.places);
+        let loads = places.own().map(|(target, load)| news::Load {
+            target,
+            online: load.online,
+            batch: load.batch,
+        });
+        (loads.collect(), places.failing(Instant::now()))
+    };
+    Status {
+        host: ctx.host().to_owned(),
+        incarnation: ctx.incarnation,
+        number,
+        leaving: ctx.phase() >= Phase::Leaving,
+        store_up: ctx.store.is_up() && ctx.journal.is_loaded(),
+        config: versions.config,
+        targets: versions.targets,
+        jobs: ctx.journal.jobs().end(),
+        loads,
+        failing,
+    }
+}
+
+/// Tells peers what this host runs, when that changes and in each beat.
+pub(super) async fn send(ctx: Arc<Context>) {
+    let settings = &ctx.settings.peers;
+    let beat = ms(settings.beat_ms);
+    let gap = ms(settings.news_ms);
+    let mut number = 0;
+    let mut far_told = Instant::now();
+    let mut is_far_due = true;
+    while ctx.phase() != Phase::Stopped {
+        let far_gap = far_gap(&ctx);
+        let wait = if is_far_due { far_gap } else { beat };
+        let wait = wait.saturating_sub(far_told.elapsed());
+        let news = tokio::time::timeout(wait, ctx.peers.dirty.notified()).await;
+        // Without news the beat, or what others are still to be told, is due.
+        is_far_due = news.is_ok() && far_told.elapsed() < far_gap;
+        number += 1;
+        let bytes = news::encode(&News::Status(own_status(&ctx, number)));
+        for addr in receivers(&ctx, !is_far_due) {
+            let Some(socket) = ctx.peers.socket.get() else {
+                return;
+            };
+            // Lost, the next one makes up for it.
+            let _ = socket.try_send_to(&bytes, addr);
+            ctx.metrics.count(Counted::Datagrams, "sent");
+        }
+        if !is_far_due {
+            far_told = Instant::now();
+        }
+        tokio::time::sleep(gap).await;
+    }
+}
+
+/// Returns the time between two tellings of hosts in other data centres.
+fn far_gap(ctx: &Context) -> Duration {
+    let known = lock(&ctx.peers.known);
+    let far = known.values().filter(|p| p.is_alive && !p.is_near).count();
+    REMOTE_GAP_PER_HOST * u32::try_from(far).unwrap_or(u32::MAX)
+}
+
+/// Returns where to send: to peers that live, and now and then to the others
+/// and to the hosts that the settings name.
+fn receivers(ctx: &Context, with_far: bool) -> Vec<SocketAddr> {
+    let now = Instant::now();
+    let mut known = lock(&ctx.peers.known);
+    let due = known.values_mut().filter(|peer| {
+        let rested = peer
+            .told
+            .is_none_or(|at| now.duration_since(at) >= DOWN_BEAT);
+        (peer.is_alive && (peer.is_near || with_far)) || rested
+    });
+    let mut addrs: Vec<SocketAddr> = due
+        .map(|peer| {
+            peer.told = Some(now);
+            peer.addr
+        })
+        .collect();
+    if !known.values().any(|peer| peer.is_alive) {
+        let own = ctx.settings.host.peer_listen;
+        let seeds = ctx.settings.host.seeds.iter();
+        let seeds = seeds.map(|ip: &IpAddr| SocketAddr::new(*ip, own.port()));
+        addrs.extend(seeds.filter(|addr| *addr != own));
+    }
+    addrs
+}
+
+pub(super) async fn receive(ctx: Arc<Context>) {
+    let Some(socket) = ctx.peers.socket.get() else {
+        return;
+    };
+    let mut buf = vec![0; DATAGRAM_BYTES_MAX];
+    loop {
+        let received = tokio::select! {
+            received = socket.recv_from(&mut buf) => received,
+            () = ctx.stopped() => return,
+        };
+        // An error tells of an earlier datagram that found no receiver.
+        let Ok((len, addr)) = received else {
+            continue;
+        };
+        ctx.metrics.count(Counted::Datagrams, "received");
+        match news::decode(&buf[..len]) {
+            Some(News::Status(status)) => take_status(&ctx, addr, status),
+            Some(News::Cut(cut)) => take_cut(&ctx, cut),
+            None => ctx.metrics.count(Counted::Datagrams, "unreadable"),
+        }
+    }
+}
+
+fn take_cut(ctx: &Arc<Context>, cut: Cut) {
+    let target = lock(&ctx.places).id_of(cut.target).cloned();
+    if let Some(target) = target {
+        ctx.items.cut_one(&target);
+    }
+}
+
+fn take_status(ctx: &Arc<Context>, addr: SocketAddr, status: Status) {
+    let host = status.host.clone();
+    if host == ctx.host() {
+        return;
+    }
+    let own = lock(&ctx.catalog).versions();
+    let theirs = Versions {
+        config: status.config,
+        targets: status.targets,
+    };
+    let Some(heard) = note_status(ctx, addr, &status, theirs.is_ahead_of(own)) else {
+        return;
+    };
+    let loads = status.loads.iter().map(|load| {
+        let counted = Load {
+            online: load.online,
+            batch: load.batch,
+        };
+        (load.target, counted)
+    });
+    let failing = if heard.is_near {
+        status.failing
+    } else {
+        vec![]
+    };
+    lock(&ctx.places).peer_runs(&host, loads, failing);
+    ctx.journal.told(status.jobs);
+    ctx.items.wake();
+    if heard.is_new {
+        slog::info!(ctx.logger, "host up"; "peer" => host.as_str(),
+            "incarnation" => status.incarnation, "addr" => addr.to_string());
+        ctx.metrics.count(Counted::Changes, "host up");
+        ctx.peers.tell();
+    }
+    if heard.is_pull_due && pull::may_pull(ctx) {
+        tokio::spawn(pull::pull(Arc::clone(ctx), addr));
+    }
+}
+
+/// What a status says of its sender.
+struct Heard {
+    /// Whether the host was not alive before.
+    is_new: bool,
+    /// Whether it stands in this host's data centre.
+    is_near: bool,
+    /// Whether it has been ahead of this host for long enough to be asked.
+    is_pull_due: bool,
+}
+
+/// Notes a status; returns nothing if a newer one came before.
+fn note_status(ctx: &Context, addr: SocketAddr, status: &Status, is_ahead: bool) -> Option<Heard> {
+    let now = Instant::now();
+    let mut known = lock(&ctx.peers.known);
+    let peer = known
+        .entry(status.host.clone())
+        .or_insert_with(|| Peer::new(addr));
+    let order = (status.incarnation, status.number);
+    if order <= (peer.status.incarnation, peer.status.number) {
+        return None;
+    }
+    peer.addr = addr;
+    peer.heard = Some(now);
+    if status.leaving && !peer.status.leaving {
+        *lock(&ctx.peers.lost_at) = Some(now);
+    }
+    peer.status = status.clone();
+    peer.storeless_since = match status.store_up {
+        true => None,
+        false => Some(peer.storeless_since.unwrap_or(now)),
+    };
+    let ahead_since = if is_ahead {
+        Some(peer.ahead_since.unwrap_or(now))
+    } else {
+        None
+    };
+    peer.ahead_since = ahead_since;
+    let is_long = ahead_since.is_some_and(|since| now.duration_since(since) >= pull::AHEAD_MAX);
+    Some(Heard {
+        is_new: !std::mem::replace(&mut peer.is_alive, true),
+        is_near: peer.is_near,
+        is_pull_due: is_ahead && (is_long || !ctx.store.is_up()),
+    })
+}
--- a/crates/gateway/src/upkeep.rs
+++ b/crates/gateway/src/upkeep.rs
@@ -22,11 +22,11 @@
 use notchwharf_ledger::jobs::Record;
 
 use crate::context::Context;
-use crate::context::Phase;
 use crate::context::unix_ms;
 use crate::ports::Entry;
 use crate::ports::StoreError;
 use crate::ports::Topic;
+use notchwharf_listen::Phase;
 
 /// The name by which hosts agree on who does the upkeep.
 const TASK: &str = "upkeep";
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -155,7 +155,7 @@
 
     /// Ends the host without a word.
     pub fn kill(self) {
-        use notchwharf_gateway::context::Phase;
+        use notchwharf_listen::Phase;
         self.ctx().phase.send_replace(Phase::Stopped);
     }
 
--- a/crates/routing/src/places.rs
+++ b/crates/routing/src/places.rs
@@ -26,21 +26,18 @@
 //! as [`crate::slots`] has it, was rejected for this use: a place that it gives
 //! away costs a message there and back before the request goes out.
 
+mod choice;
 mod health;
 
+use self::health::Health;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
-
-use rand::RngExt as _;
-use rand::SeedableRng as _;
-use rand_chacha::ChaCha8Rng;
 use xxhash_rust::xxh3::xxh3_64;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
-
-use self::health::Health;
 
 /// The name of a target's incarnation.
 pub type TargetId = String;
@@ -49,32 +46,6 @@
 /// A short form of a target's name, for messages between hosts.
 pub type TargetKey = u32;
 
-/// Cost of taking the last free place: another host may take it just now.
-const LAST_PLACE_COST: f64 = 1.0;
-/// Cost of a target in another data centre: bytes between data centres, a
-/// longer way, and news of its places that comes later. It exceeds the cost of
-/// a last place near by, which this host knows of at once.
-const REMOTE_COST: f64 = 1.6;
-/// Free places by which a target in another data centre must exceed one near
-/// by to be given an item: half a target's places.
-const REMOTE_BATCH_COST: f64 = 4.0;
-/// Greatest cost of a target that is unlikely to have the prompt's beginning.
-const AFFINITY_COST: f64 = 0.5;
-/// Cost of a target that answers much slower than the others of its service.
-const SLOW_COST: f64 = 5.0;
-/// Cost of cutting an item, above any free place.
-const CUT_COST: f64 = 10.0;
-/// Cost of waiting in a target's queue, above any item to cut.
-const QUEUE_COST: f64 = 100.0;
-/// Cost of each online request that the target has already, beside the above.
-const ONLINE_COST: f64 = 0.05;
-/// Ejection counts as long as one in so many targets is ejected at most: what
-/// happens to more is not for each of them to answer for.
-const EJECTED_PART_MAX: usize = 2;
-/// When to come back if no target takes the request: about the time in which
-/// a place falls free.
-const RETRY_AFTER: Duration = Duration::from_millis(150);
-
 /// How places are given away.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Config {
@@ -433,172 +404,4 @@
             target.health.answered(first_event);
         }
     }
-
-    /// Chooses the target of an online request.
-    ///
-    /// # Errors
-    ///
-    /// Returns a refusal if no target is to be asked.
-    pub fn choose_online(&mut self, want: &Want<'_>, now: Instant) -> Result<Choice, Refusal> {
-        let pace = self.usual_pace(want.service);
-        let all = self.are_most_ejected(want.service, now);
-        let best = self
-            .best(want, now, all, |t| online_cost(t, want, pace, self.cfg))
-            .or_else(|| self.best(want, now, true, |t| online_cost(t, want, pace, self.cfg)));
-        let Some(id) = best else {
-            let retry_after = RETRY_AFTER;
-            let mut targets = self.targets.values();
-            if targets.any(|t| t.spec.service == want.service && !t.spec.leaving) {
-                return Err(Refusal::Full { retry_after });
-            }
-            return Err(Refusal::NoTarget { retry_after });
-        };
-        let id = id.clone();
-        let target = &self.targets[&id];
-        Ok(Choice {
-            addr: target.spec.addr,
-            room: self.room(target),
-            target: id,
-        })
-    }
-
-    /// Chooses the target of an item: one with places beyond the reserve.
-    pub fn choose_batch(&mut self, want: &Want<'_>, now: Instant) -> Option<TargetId> {
-        let pace = self.usual_pace(want.service);
-        let reserve = self.cfg.reserve;
-        let draw: u64 = self.rng.random();
-        let all = self.are_most_ejected(want.service, now);
-        let best = self.best(want, now, all, |t| {
-            let spare = t.free().saturating_sub(reserve);
-            if spare == 0 {
-                return None;
-            }
-            let slow = if t.health.is_slow(pace) {
-                SLOW_COST
-            } else {
-                0.0
-            };
-            let chance = unit(xxh3_64_with_seed(&t.key.to_le_bytes(), draw));
-            let far = if is_remote(t, want) {
-                REMOTE_BATCH_COST
-            } else {
-                0.0
-            };
-            Some(slow - f64::from(spare) + far + chance)
-        });
-        best.cloned()
-    }
-
-    /// Returns the targets at which this host should cut an item: there are
-    /// more requests than places, and no host has more items there.
-    pub fn overfull(&self, host: &str) -> Vec<TargetId> {
-        let mine = self.targets.iter().filter(|(_, t)| t.own.batch > 0);
-        let over = mine
-            .filter(|(_, t)| t.load().total() > t.spec.slots && self.most_items(t, host).is_none());
-        over.map(|(id, _)| id.clone()).collect()
-    }
-
-    /// Returns the peer that has more items at a target than this host, if any.
-    fn most_items(&self, target: &Target, host: &str) -> Option<&HostId> {
-        let own = (target.own.batch, host);
-        let peers = self.peers.iter().filter_map(|(id, peer)| {
-            let load = peer.loads.get(&target.key)?;
-            Some((load.batch, id))
-        });
-        let most = peers.max()?;
-        let is_more = most.0 > 0 && (most.0, most.1.as_str()) > own;
-        is_more.then_some(most.1)
-    }
-
-    fn room(&self, target: &Target) -> Room {
-        if target.free() > 0 {
-            return Room::Free;
-        }
-        if target.own.batch > 0 {
-            return Room::CutOwn;
-        }
-        match self.most_items(target, "") {
-            Some(host) => Room::CutPeer(host.clone()),
-            None => Room::Queue,
-        }
-    }
-
-    fn best(
-        &self,
-        want: &Want<'_>,
-        now: Instant,
-        with_ejected: bool,
-        cost: impl Fn(&Target) -> Option<f64>,
-    ) -> Option<&TargetId> {
-        let open = self.targets.iter().filter(|(id, t)| {
-            t.spec.service == want.service
-                && !t.spec.leaving
-                && (with_ejected || !t.is_ejected(now))
-                && !want.tried.contains(id)
-        });
-        let costs = open.filter_map(|(id, t)| Some((cost(t)?, id)));
-        let least = costs.min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1)));
-        least.map(|(_, id)| id)
-    }
-
-    /// Returns whether so many targets of a service are left alone that the
-    /// fault is more likely not theirs.
-    fn are_most_ejected(&self, service: &str, now: Instant) -> bool {
-        let of_service = self.targets.values();
-        let of_service = of_service.filter(|t| t.spec.service == service && !t.spec.leaving);
-        let (mut all, mut ejected) = (0, 0);
-        for target in of_service {
-            all += 1;
-            ejected += usize::from(target.is_ejected(now));
-        }
-        ejected * EJECTED_PART_MAX > all
-    }
-
-    /// Returns the usual time to a first event at a service's targets.
-    fn usual_pace(&self, service: &str) -> Option<Duration> {
-        let of_service = self.targets.values().filter(|t| t.spec.service == service);
-        let mut paces: Vec<Duration> = of_service.filter_map(|t| t.health.pace()).collect();
-        let middle = paces.len() / 2;
-        let (_, median, _) = (!paces.is_empty()).then(|| paces.select_nth_unstable(middle))?;
-        Some(*median)
-    }
-}
-
-fn online_cost(
-    target: &Target,
-    want: &Want<'_>,
-    pace: Option<Duration>,
-    cfg: Config,
-) -> Option<f64> {
-    let load = target.load();
-    let slots = target.spec.slots;
-    if load.online >= slots * (1 + cfg.queue_per_slot) {
-        return None;
-    }
-    let spread = [target.key.to_le_bytes()].concat();
-    let likely = unit(xxh3_64_with_seed(&spread, want.affinity));
-    let mut cost = likely * AFFINITY_COST;
-    if is_remote(target, want) {
-        cost += REMOTE_COST;
-    }
-    cost += f64::from(load.online) * ONLINE_COST;
-    if target.health.is_slow(pace) {
-        cost += SLOW_COST;
-    }
-    cost += match target.free() {
-        0 if load.online < slots => CUT_COST,
-        0 => QUEUE_COST * f64::from(load.total() + 1 - slots),
-        1 => LAST_PLACE_COST,
-        _ => 0.0,
-    };
-    Some(cost)
-}
-
-fn is_remote(target: &Target, want: &Want<'_>) -> bool {
-    target.spec.data_centre != want.data_centre
-}
-
-/// Returns a hash as a fraction from zero to one.
-fn unit(hash: u64) -> f64 {
-    hash as f64 / u64::MAX as f64
 }
--- a/crates/server/src/api/mod.rs
+++ b/crates/server/src/api/mod.rs
@@ -27,8 +27,8 @@
 use self::error::Outcome;
 use self::error::Problem;
 use crate::context::Context;
-use crate::context::Phase;
 use crate::metrics::Counted;
+use notchwharf_listen::Phase;
 
 type Answer = Result<Response, Problem>;
 
--- a/crates/server/src/bundle.rs
+++ b/crates/server/src/bundle.rs
@@ -29,9 +29,9 @@
 
 use crate::context::Context;
 use crate::context::LOG_WAIT;
-use crate::context::Phase;
 use crate::context::lock;
 use crate::metrics::Counted;
+use notchwharf_listen::Phase;
 
 /// The stream that operators publish to.
 pub(crate) const STREAM: &str = "bundle";
--- a/crates/server/src/context.rs
+++ b/crates/server/src/context.rs
@@ -32,6 +32,7 @@
 use notchwharf_ledger::record::Incarnation;
 use notchwharf_ledger::record::ShardId;
 use notchwharf_ledger::record::TargetId;
+use notchwharf_listen::Phase;
 use notchwharf_membership::fact;
 use notchwharf_routing::admission::Admission;
 use notchwharf_routing::budget::Budget;
@@ -56,21 +57,6 @@
 /// Time that a waiting read of the log waits.
 pub(crate) const LOG_WAIT: Duration = Duration::from_secs(2);
 
-/// Where a process is in its life.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Phase {
-    /// It has no bundle yet.
-    Starting,
-    /// It takes requests.
-    Ready,
-    /// It finishes what it has.
-    Leaving,
-    /// It closes connections as they fall idle.
-    Closing,
-    /// It ends now.
-    Stopped,
-}
-
 /// What is known of the fleet.
 #[derive(Debug, Default)]
 pub(crate) struct View {
--- a/crates/server/src/dispatch.rs
+++ b/crates/server/src/dispatch.rs
@@ -31,12 +31,12 @@
 use xtra::refcount::Weak;
 
 use crate::context::Context as Shared;
-use crate::context::Phase;
 use crate::context::post;
 use crate::item;
 use crate::item::End;
 use crate::item::Item;
 use crate::members;
+use notchwharf_listen::Phase;
 
 const STATUS_PERIOD: Duration = Duration::from_millis(500);
 /// Reports not yet taken by owners above which no more work is pulled.
--- a/crates/server/src/fleet.rs
+++ b/crates/server/src/fleet.rs
@@ -28,10 +28,10 @@
 
 use crate::context::Context as Shared;
 use crate::context::LOG_WAIT;
-use crate::context::Phase;
 use crate::dispatch;
 use crate::dispatch::Dispatcher;
 use crate::metrics::Counted;
+use notchwharf_listen::Phase;
 
 const STREAM: &str = "fleet";
 const TICK_PERIOD: Duration = Duration::from_millis(100);
--- a/crates/server/src/life.rs
+++ b/crates/server/src/life.rs
@@ -18,7 +18,6 @@
 use crate::api;
 use crate::bundle::Feed;
 use crate::context::Context;
-use crate::context::Phase;
 use crate::context::post;
 use crate::error::Start;
 use crate::fleet;
@@ -29,6 +28,7 @@
 use crate::peers;
 use crate::results::Results;
 use crate::shards;
+use notchwharf_listen::Phase;
 
 const DRAIN_PERIOD: Duration = Duration::from_millis(20);
 
--- a/crates/server/src/members.rs
+++ b/crates/server/src/members.rs
@@ -25,12 +25,12 @@
 
 use crate::bundle::Feed;
 use crate::context::Context as Shared;
-use crate::context::Phase;
 use crate::context::post;
 use crate::dispatch::Online;
 use crate::dispatch::Reannounce;
 use crate::metrics::Counted;
 use crate::shards::HostGone;
+use notchwharf_listen::Phase;
 
 const TICK_PERIOD: Duration = Duration::from_millis(20);
 const DATAGRAM_BYTES_MAX: usize = 2_048;
--- a/crates/server/src/online.rs
+++ b/crates/server/src/online.rs
@@ -19,7 +19,6 @@
 
 use crate::bundle::Route;
 use crate::context::Context;
-use crate::context::Phase;
 use crate::context::lock;
 use crate::context::post;
 use crate::dispatch::Online;
@@ -31,6 +30,7 @@
 use crate::exchange::Times;
 use crate::metrics::Counted;
 use crate::metrics::Timed;
+use notchwharf_listen::Phase;
 
 /// Time after which a notice is repeated.
 const NOTICE_PERIOD: Duration = Duration::from_secs(1);
--- a/crates/server/src/peers.rs
+++ b/crates/server/src/peers.rs
@@ -21,10 +21,10 @@
 use notchwharf_proto::peer::Take;
 
 use crate::context::Context;
-use crate::context::Phase;
 use crate::context::lock;
 use crate::keyed;
 use crate::ledger;
+use notchwharf_listen::Phase;
 
 const BYTES_MAX: u32 = 64 << 20;
 const CONNECTIONS_MAX: u32 = 4_096;
--- a/crates/server/src/shards.rs
+++ b/crates/server/src/shards.rs
@@ -34,11 +34,11 @@
 use xtra::refcount::Weak;
 
 use crate::context::Context as Shared;
-use crate::context::Phase;
 use crate::context::post;
 use crate::ledger::shard_name;
 use crate::metrics::Counted;
 use crate::pacer;
+use notchwharf_listen::Phase;
 
 /// Hosts that read a shard's stream: the holder and one that stands by.
 const READERS: usize = 2;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 //! own, as is the protocol between hosts, which is no part of this interface.
 
 pub use notchwharf_config as config;
+pub use notchwharf_gateway as gateway;
 pub use notchwharf_ledger as ledger;
 pub use notchwharf_membership as membership;
 pub use notchwharf_placement as placement;
