--- a/crates/server/tests/process.rs
+++ b/crates/server/tests/process.rs
@@ -349,3 +349,33 @@
     assert!(said.contains(field), "{said}");
     assert_eq!(said.lines().count(), 1, "{said}");
 }
+
+#[rstest]
+#[case::unknown_adapter("other", json!({}), "there is no adapter")]
+#[case::unknown_field("platform", json!({"host": {"name": "a", "data_centre": "d"}, "x": 1}), "x:")]
+#[case::out_of_range(
+    "platform",
+    json!({"host": {"name": "a", "data_centre": "d"}, "batch": {"reserve": 65}}),
+    "batch.reserve"
+)]
+#[tokio::test]
+async fn wrong_settings_of_an_adapter_end_the_process_too(
+    #[case] adapter: &str,
+    #[case] settings: Value,
+    #[case] field: &str,
+    #[values(true, false)] check: bool,
+) {
+    let dir = std::path::PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let path = dir.join(format!("wrong-{:x}.json", rand::random::<u64>()));
+    std::fs::write(&path, settings.to_string()).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_notchwharfd"));
+    command
+        .args(["--adapter", adapter, "--settings"])
+        .arg(&path)
+        .args(check.then_some("--check"));
+    let out = command.output().await.unwrap();
+    assert_eq!(out.status.code(), Some(2));
+    let said = String::from_utf8_lossy(&out.stderr).into_owned();
+    assert!(said.contains(field), "{said}");
+    assert_eq!(said.lines().count(), 1, "{said}");
+}
