Refuse what would wait beyond its objective, and run late items last

Change: an online request joins a queue only if it is likely to have its first event within its objective, from the usual duration of requests and the places of the target; refused, it is told to come back after 0.3 to 1.2 s, drawn. Items that cannot end within their job's objective go behind all others. Ruled out: a fixed bound on the queue (durations differ by deployment); dropping late items (they are owed).

--- a/crates/gateway/src/backlog.rs
+++ b/crates/gateway/src/backlog.rs
@@ -52,6 +52,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Backlog {
     queue: BTreeMap<(u64, JobId, u32), Item>,
+    /// Items that come too late for their job's objective whatever is done.
+    late: BTreeMap<(u64, JobId, u32), Item>,
     lots: HashMap<JobId, Lot>,
 }
 
@@ -64,9 +66,11 @@
             known.is_some_and(|j| j.is_open() && j.owner == host && j.epoch == lot.epoch)
         });
         let lots = &self.lots;
-        self.queue.retain(|(_, job, item), _| {
-            lots.contains_key(job) && !jobs.get(job).is_none_or(|j| j.is_listed(*item))
-        });
+        for queue in [&mut self.queue, &mut self.late] {
+            queue.retain(|(_, job, item), _| {
+                lots.contains_key(job) && !jobs.get(job).is_none_or(|j| j.is_listed(*item))
+            });
+        }
         let mut missing = Vec::new();
         for job in jobs.open().filter(|job| job.owner == host) {
             let id = &job.accepted.job;
@@ -110,14 +114,27 @@
         self.lots.remove(job);
     }
 
+    /// Puts items that come too late behind all others: run first, they would
+    /// make the next ones late as well.
+    pub(crate) fn put_late_behind(&mut self, is_late: impl Fn(&Item) -> bool) {
+        while let Some(oldest) = self.queue.first_entry() {
+            if !is_late(oldest.get()) {
+                return;
+            }
+            let (place, item) = oldest.remove_entry();
+            self.late.insert(place, item);
+        }
+    }
+
     /// Returns the item to run next without taking it.
     pub(crate) fn peek(&self) -> Option<&Item> {
-        self.queue.values().next()
+        self.queue.values().chain(self.late.values()).next()
     }
 
     /// Takes the item to run next.
     pub(crate) fn take(&mut self) -> Option<Item> {
-        self.queue.pop_first().map(|(_, item)| item)
+        let first = self.queue.pop_first().or_else(|| self.late.pop_first());
+        first.map(|(_, item)| item)
     }
 
     /// Puts back an item that is to go on later.
@@ -151,7 +168,7 @@
 
     /// Returns the number of items that wait.
     pub(crate) fn len(&self) -> usize {
-        self.queue.len()
+        self.queue.len() + self.late.len()
     }
 }
 
--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -12,6 +12,7 @@
 use std::time::Instant;
 
 use notchwharf_config::routes::Route;
+use notchwharf_config::routes::Table;
 use notchwharf_ledger::jobs::Accepted;
 use notchwharf_ledger::jobs::JobId;
 use notchwharf_ledger::jobs::Offset;
@@ -31,6 +32,7 @@
 use crate::context::Context;
 use crate::context::lock;
 use crate::context::ms;
+use crate::context::unix_ms;
 use crate::lots::Payload;
 use crate::metrics::Counted;
 use crate::peers::STORELESS_MAX;
@@ -47,6 +49,8 @@
 /// Time after a peer was lost in which its jobs are looked for: it is lost to
 /// all hosts within that time.
 const TAKE_OVER_TIME: Duration = Duration::from_secs(2);
+/// Share of a new measurement in the running mean of durations.
+const DURATION_WEIGHT: f64 = 0.1;
 /// Pause before a job's items are read again.
 const LOAD_PAUSE: Duration = Duration::from_millis(200);
 /// Time for which a record of an item is tried; the store may be down long.
@@ -58,6 +62,8 @@
     backlog: Mutex<Backlog>,
     running: Mutex<Registry>,
     wake: Notify,
+    /// How long whole runs of items usually take.
+    duration: Mutex<Option<Duration>>,
     /// Items whose end is not recorded yet.
     pub(crate) unsettled: Gauge,
 }
@@ -89,6 +95,15 @@
         lock(&self.backlog).is_idle()
     }
 
+    /// Notes how long a run of an item took from its beginning to its end.
+    fn lasted(&self, took: Duration) {
+        let mut mean = lock(&self.duration);
+        *mean = Some(match *mean {
+            Some(mean) => mean.mul_f64(1.0 - DURATION_WEIGHT) + took.mul_f64(DURATION_WEIGHT),
+            None => took,
+        });
+    }
+
     /// Lets the host look whether an item can start.
     pub(crate) fn wake(&self) {
         self.wake.notify_one();
@@ -269,6 +284,8 @@
 fn next(ctx: &Context) -> Option<Next> {
     let table = ctx.table()?;
     let mut backlog = lock(&ctx.items.backlog);
+    let usual = lock(&ctx.items.duration).unwrap_or_default();
+    backlog.put_late_behind(|item| is_late(&table, item, usual));
     let item = backlog.peek()?;
     let path = item.forward.path.split('?').next().unwrap_or_default();
     let Some(route) = table.find(&item.host, path).cloned() else {
@@ -286,12 +303,27 @@
         data_centre: &ctx.settings.host.data_centre,
         affinity: 0,
         tried: &[],
+        objective: None,
     };
     let target = lock(&ctx.places).choose_batch(&want, Instant::now())?;
     let item = backlog.take()?;
     Some(Next::Run(item, route, target))
 }
 
+/// Returns whether an item that starts now ends after its job's objective.
+fn is_late(table: &Table, item: &Item, usual: Duration) -> bool {
+    let path = item.forward.path.split('?').next().unwrap_or_default();
+    let objective = table.find(&item.host, path).map(|r| r.jobs.objective);
+    let Some(objective) = objective.filter(|o| !o.is_zero()) else {
+        return false;
+    };
+    // Either clock may have missed some time: the host's own began when it
+    // read the job, and the time of day may have been set back.
+    let by_day = Duration::from_millis(unix_ms().saturating_sub(item.submitted_unix_ms));
+    let age = item.known_since.elapsed().max(by_day);
+    age + usual > objective
+}
+
 /// Lists an item as failed.
 fn give_up(ctx: &Arc<Context>, item: &Item, reason: Reason) {
     slog::info!(ctx.logger, "item given up"; "job" => item.key.0.as_str(),
--- a/crates/gateway/src/items/run.rs
+++ b/crates/gateway/src/items/run.rs
@@ -70,6 +70,9 @@
     note(&ctx, &target, ended);
     match ended {
         Ended::Whole => {
+            if had.is_none() {
+                ctx.items.lasted(started.elapsed());
+            }
             lock(&ctx.items.backlog).settled(&item.key);
             complete(Arc::clone(&ctx), item).await;
         }
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -186,6 +186,7 @@
             data_centre: &self.ctx.settings.host.data_centre,
             affinity: self.affinity,
             tried: &self.tried,
+            objective: self.objective(),
         };
         let chosen = lock(&self.ctx.places).choose_online(&want, now);
         let choice = match chosen {
@@ -204,6 +205,16 @@
         Ok(choice)
     }
 
+    /// Returns the time to the first event that is still to be met, for a
+    /// request that may be refused: one that may have run is not.
+    fn objective(&self) -> Option<Duration> {
+        let objective = self.route.objective;
+        if self.runs > 0 || objective.is_zero() {
+            return None;
+        }
+        Some(objective.saturating_sub(self.trace.age()))
+    }
+
     /// Returns how to answer when no further offer is made.
     fn given_up(&self, reason: &'static str) -> Failure {
         if self.runs > 0 {
--- a/crates/gateway/src/online/flow.rs
+++ b/crates/gateway/src/online/flow.rs
@@ -220,6 +220,7 @@
                 places.answered_badly(begun.running.target(), Instant::now());
             } else {
                 places.answered(begun.running.target(), None);
+                places.lasted(&self.sending.service, begun.sent.elapsed());
             }
         }
         lock(&self.sending.ctx.budget).earn();
--- a/crates/gateway/src/online/trace.rs
+++ b/crates/gateway/src/online/trace.rs
@@ -121,6 +121,12 @@
             "resumable" => told.route.resumable, "after_ms" => millis(told.arrived.elapsed()));
     }
 
+    /// Returns the time since the request arrived.
+    pub(super) fn age(&self) -> Duration {
+        let arrived = self.told.as_ref().map(|told| told.arrived);
+        arrived.map_or(Duration::ZERO, |at| at.elapsed())
+    }
+
     pub(super) fn first_event(&self) -> Option<Duration> {
         self.told.as_ref().and_then(|told| told.first_event)
     }
--- a/crates/routing/src/places.rs
+++ b/crates/routing/src/places.rs
@@ -14,7 +14,7 @@
 //! let mut places = Places::new(Config { reserve: 0, ..Config::default() }, 7);
 //! let spec = Spec { service: "s".into(), data_centre: "d".into(), slots: 1, ..Spec::default() };
 //! places.upsert("t1", spec);
-//! let want = Want { service: "s", data_centre: "d", affinity: 0, tried: &[] };
+//! let want = Want { service: "s", data_centre: "d", affinity: 0, tried: &[], objective: None };
 //! let item = places.choose_batch(&want, now).unwrap();
 //! places.begin_batch(&item);
 //! let choice = places.choose_online(&want, now).unwrap();
@@ -46,6 +46,9 @@
 /// A short form of a target's name, for messages between hosts.
 pub type TargetKey = u32;
 
+/// Share of a new measurement in the running mean of durations.
+const DURATION_WEIGHT: f64 = 0.05;
+
 /// How places are given away.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Config {
@@ -130,6 +133,9 @@
     pub affinity: u64,
     /// Targets that were tried already.
     pub tried: &'a [TargetId],
+    /// Time to the first event that the caller hopes for; nothing if any will
+    /// do.
+    pub objective: Option<Duration>,
 }
 
 /// How the request finds room.
@@ -212,6 +218,8 @@
     targets: HashMap<TargetId, Target>,
     keys: HashMap<TargetKey, TargetId>,
     peers: HashMap<HostId, Peer>,
+    /// How long online requests of a service usually take, in seconds.
+    durations_s: HashMap<String, f64>,
     rng: ChaCha8Rng,
 }
 
@@ -229,6 +237,7 @@
             targets: HashMap::new(),
             keys: HashMap::new(),
             peers: HashMap::new(),
+            durations_s: HashMap::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
     }
@@ -397,6 +406,17 @@
         }
     }
 
+    /// Notes how long a whole online request of a service took.
+    pub fn lasted(&mut self, service: &str, took: Duration) {
+        let took = took.as_secs_f64();
+        match self.durations_s.get_mut(service) {
+            Some(mean) => *mean += (took - *mean) * DURATION_WEIGHT,
+            None => {
+                self.durations_s.insert(service.to_owned(), took);
+            }
+        }
+    }
+
     /// Notes that a target answered, and the time to its first event if there
     /// was nothing else in the request's way.
     pub fn answered(&mut self, id: &str, first_event: Option<Duration>) {
--- a/crates/routing/src/places/choice.rs
+++ b/crates/routing/src/places/choice.rs
@@ -13,6 +13,7 @@
 use super::TargetId;
 use super::Want;
 use rand::RngExt as _;
+use std::ops::Range;
 use std::time::Duration;
 use std::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -48,9 +49,9 @@
 /// happens to more is not for each of them to answer for.
 const EJECTED_PART_MAX: usize = 2;
 
-/// When to come back if no target takes the request: about the time in which
-/// a place falls free.
-const RETRY_AFTER: Duration = Duration::from_millis(150);
+/// When to come back if no target takes the request: bursts last some seconds,
+/// and callers that come back together are the next one, so the time is drawn.
+const RETRY_AFTER_MS: Range<u64> = 300..1_200;
 
 impl Places {
     /// Chooses the target of an online request.
@@ -59,20 +60,23 @@
     ///
     /// Returns a refusal if no target is to be asked.
     pub fn choose_online(&mut self, want: &Want<'_>, now: Instant) -> Result<Choice, Refusal> {
-        let pace = self.usual_pace(want.service);
+        let usual = Usual {
+            pace: self.usual_pace(want.service),
+            duration_s: self.durations_s.get(want.service).copied(),
+        };
         let all = self.are_most_ejected(want.service, now);
         let best = self
-            .best(want, now, all, |t| online_cost(t, want, pace, self.cfg))
-            .or_else(|| self.best(want, now, true, |t| online_cost(t, want, pace, self.cfg)));
+            .best(want, now, all, |t| online_cost(t, want, usual, self.cfg))
+            .or_else(|| self.best(want, now, true, |t| online_cost(t, want, usual, self.cfg)))
+            .cloned();
         let Some(id) = best else {
-            let retry_after = RETRY_AFTER;
+            let retry_after = Duration::from_millis(self.rng.random_range(RETRY_AFTER_MS));
             let mut targets = self.targets.values();
             if targets.any(|t| t.spec.service == want.service && !t.spec.leaving) {
                 return Err(Refusal::Full { retry_after });
             }
             return Err(Refusal::NoTarget { retry_after });
         };
-        let id = id.clone();
         let target = &self.targets[&id];
         Ok(Choice {
             addr: target.spec.addr,
@@ -183,17 +187,40 @@
     }
 }
 
-fn online_cost(
-    target: &Target,
-    want: &Want<'_>,
+/// What is usual at the targets of a service.
+#[derive(Clone, Copy, Debug)]
+struct Usual {
+    /// Time to a first event.
     pace: Option<Duration>,
-    cfg: Config,
-) -> Option<f64> {
+    /// Time of a whole online request, in seconds.
+    duration_s: Option<f64>,
+}
+
+impl Usual {
+    /// Returns whether a request that waits behind others at a target is
+    /// likely to have its first event too late. Refused at once, its caller
+    /// may be served in time later, and those before it are.
+    fn is_too_late(self, target: &Target, objective: Option<Duration>) -> bool {
+        let (Some(objective), Some(duration_s)) = (objective, self.duration_s) else {
+            return false;
+        };
+        let slots = target.spec.slots;
+        let behind = (target.load().online + 1).saturating_sub(slots);
+        let wait_s = f64::from(behind) * duration_s / f64::from(slots.max(1));
+        let pace = self.pace.unwrap_or_default();
+        behind > 0 && wait_s > objective.saturating_sub(pace).as_secs_f64()
+    }
+}
+
+fn online_cost(target: &Target, want: &Want<'_>, usual: Usual, cfg: Config) -> Option<f64> {
     let load = target.load();
     let slots = target.spec.slots;
     if load.online >= slots * (1 + cfg.queue_per_slot) {
         return None;
     }
+    if usual.is_too_late(target, want.objective) {
+        return None;
+    }
     let spread = [target.key.to_le_bytes()].concat();
     let likely = unit(xxh3_64_with_seed(&spread, want.affinity));
     let mut cost = likely * AFFINITY_COST;
@@ -201,7 +228,7 @@
         cost += REMOTE_COST;
     }
     cost += f64::from(load.online) * ONLINE_COST;
-    if target.health.is_slow(pace) {
+    if target.health.is_slow(usual.pace) {
         cost += SLOW_COST;
     }
     cost += match target.free() {
--- a/crates/routing/tests/places.rs
+++ b/crates/routing/tests/places.rs
@@ -44,6 +44,7 @@
         data_centre: NEAR,
         affinity: 3,
         tried,
+        objective: None,
     }
 }
 
@@ -247,3 +248,24 @@
     places.begin_batch("t1");
     assert_eq!(places.overfull("a1"), ["t1"]);
 }
+
+/// Queued for longer than the objective, everybody is late; refused, some are
+/// served in time.
+#[test]
+fn a_queue_that_outlasts_the_objective_is_not_joined() {
+    let mut places = places(0, &[("t1", NEAR, 4)]);
+    let now = Instant::now();
+    // One place falls free each 200 ms.
+    places.lasted("s", Duration::from_millis(800));
+    let hopeful = Want {
+        objective: Some(Duration::from_millis(450)),
+        ..want(&[])
+    };
+    for _ in 0..6 {
+        assert!(places.choose_online(&hopeful, now).is_ok());
+        places.begin_online("t1");
+    }
+    let refusal = places.choose_online(&hopeful, now).unwrap_err();
+    assert!(matches!(refusal, Refusal::Full { .. }));
+    assert!(places.choose_online(&want(&[]), now).is_ok());
+}
