Leave a target alone after one failed online request

Change: one failed online request ejects a target for 0.4 s (items, which may be at fault themselves, still take two); what a peer says makes the next failure here count as a further one. Ruled out: counting items the same (poisoned ones fail everywhere).

--- a/crates/gateway/src/items/run.rs
+++ b/crates/gateway/src/items/run.rs
@@ -112,7 +112,7 @@
     let mut places = lock(&ctx.places);
     match ended {
         Ended::Whole | Ended::Impossible => places.answered(target, None),
-        Ended::Failed => places.answered_badly(target, now),
+        Ended::Failed => places.failed_item(target, now),
         Ended::NotRun(NoReply::Full) => places.refused(target, now),
         Ended::NotRun(NoReply::Rejected(_)) | Ended::Cut => {}
         Ended::NotRun(_) | Ended::Broken(_) => places.failed(target, now),
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -282,7 +282,7 @@
             NoReply::Full => places.refused(target, now),
             NoReply::NotSent(_) | NoReply::OtherTarget => places.failed(target, now),
             NoReply::Unknown(TIMED_OUT) => {}
-            NoReply::Unknown(TARGET_FAILED) => places.answered_badly(target, now),
+            NoReply::Unknown(TARGET_FAILED) => places.failed_request(target, now),
             NoReply::Unknown(_) => places.failed(target, now),
             NoReply::Rejected(_) => {}
         }
--- a/crates/gateway/src/online/flow.rs
+++ b/crates/gateway/src/online/flow.rs
@@ -217,7 +217,7 @@
         if let Some(begun) = self.begun.take() {
             let mut places = lock(&self.sending.ctx.places);
             if begun.reply.status.is_server_error() {
-                places.answered_badly(begun.running.target(), Instant::now());
+                places.failed_request(begun.running.target(), Instant::now());
             } else {
                 places.answered(begun.running.target(), None);
                 places.lasted(&self.sending.service, begun.sent.elapsed());
--- a/crates/routing/src/places.rs
+++ b/crates/routing/src/places.rs
@@ -322,8 +322,12 @@
             }
         }
         for key in &failing {
+            let is_news = !before.failing.contains(key);
             if let Some(target) = self.target_by_key(*key) {
                 target.failing_at += 1;
+                if is_news {
+                    target.health.suspected();
+                }
             }
         }
         self.peers.insert(host.to_owned(), Peer { loads, failing });
@@ -394,10 +398,18 @@
         }
     }
 
-    /// Notes that a target answered that it failed.
-    pub fn answered_badly(&mut self, id: &str, now: Instant) {
+    /// Notes that a target answered that it failed an online request.
+    pub fn failed_request(&mut self, id: &str, now: Instant) {
         if let Some(target) = self.targets.get_mut(id) {
-            target.health.answered_badly(now);
+            target.health.failed_request(now);
+        }
+    }
+
+    /// Notes that a target answered that it failed an item, which may be the
+    /// item's fault.
+    pub fn failed_item(&mut self, id: &str, now: Instant) {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.health.failed_item(now);
         }
     }
 
--- a/crates/routing/src/places/health.rs
+++ b/crates/routing/src/places/health.rs
@@ -19,9 +19,12 @@
 const SLOW_FACTOR: f64 = 2.5;
 /// Share of a new answer in the running share of failures.
 const FAULT_WEIGHT: f64 = 0.25;
-/// Share of failures from which a target is left alone: two in a row reach it,
-/// and so does a target that fails four answers in ten; one does not, nor do
-/// items that fail wherever they run.
+/// The same for a failed online request. Sound targets hardly ever fail one,
+/// and a target that fails at once draws more than its share of the next.
+const ONLINE_FAULT_WEIGHT: f64 = 0.45;
+/// Share of failures from which a target is left alone: one failed online
+/// request reaches it, or two failed items in a row; items that fail wherever
+/// they run do not.
 const FAULT_MAX: f64 = 0.4;
 /// Share of failures below which a target's earlier ones are forgotten.
 const FAULT_FORGOTTEN: f64 = 0.1;
@@ -45,9 +48,25 @@
         self.eject(now);
     }
 
-    /// Notes that it answered that it failed.
-    pub(super) fn answered_badly(&mut self, now: Instant) {
-        self.faults += (1.0 - self.faults) * FAULT_WEIGHT;
+    /// Notes that it answered an online request that it failed.
+    pub(super) fn failed_request(&mut self, now: Instant) {
+        self.note_fault(ONLINE_FAULT_WEIGHT, now);
+    }
+
+    /// Notes that it answered that it failed an item, which may be the item's
+    /// fault.
+    pub(super) fn failed_item(&mut self, now: Instant) {
+        self.note_fault(FAULT_WEIGHT, now);
+    }
+
+    /// Notes that it fails a peer: the next failure here is not the first.
+    pub(super) fn suspected(&mut self) {
+        self.faults = self.faults.max(FAULT_MAX);
+        self.ejections = self.ejections.max(1);
+    }
+
+    fn note_fault(&mut self, weight: f64, now: Instant) {
+        self.faults += (1.0 - self.faults) * weight;
         if self.faults > FAULT_MAX {
             self.eject(now);
         }
--- a/crates/routing/tests/places.rs
+++ b/crates/routing/tests/places.rs
@@ -186,19 +186,43 @@
 fn a_target_that_answers_badly_again_and_again_is_left_alone() {
     let mut places = places(0, &[("t1", NEAR, 8), ("t2", FAR, 8), ("t3", FAR, 8)]);
     let now = Instant::now();
-    places.answered_badly("t1", now);
+    places.failed_item("t1", now);
     assert_eq!(places.choose_online(&want(&[]), now).unwrap().target, "t1");
-    places.answered_badly("t1", now);
+    places.failed_item("t1", now);
     assert_ne!(places.choose_online(&want(&[]), now).unwrap().target, "t1");
     assert_eq!(places.failing(now), [key_of("t1")]);
 }
 
+/// Items fail where the item is at fault too; online requests hardly ever.
+#[test]
+fn a_target_that_fails_one_online_request_is_left_alone_for_a_moment() {
+    let mut places = places(0, &[("t1", NEAR, 8), ("t2", FAR, 8), ("t3", FAR, 8)]);
+    let now = Instant::now();
+    places.failed_request("t1", now);
+    assert_ne!(places.choose_online(&want(&[]), now).unwrap().target, "t1");
+    let later = now + Duration::from_millis(500);
+    assert_eq!(
+        places.choose_online(&want(&[]), later).unwrap().target,
+        "t1"
+    );
+}
+
+#[test]
+fn a_target_that_failed_a_peer_is_left_alone_after_one_failure_here() {
+    let mut places = places(0, &[("t1", NEAR, 8), ("t2", FAR, 8), ("t3", FAR, 8)]);
+    let now = Instant::now();
+    places.peer_runs("a2", [], vec![key_of("t1")]);
+    places.peer_runs("a2", [], vec![]);
+    places.failed_item("t1", now);
+    assert_ne!(places.choose_online(&want(&[]), now).unwrap().target, "t1");
+}
+
 #[test]
 fn a_bad_answer_now_and_then_changes_nothing() {
     let mut places = places(0, &[("t1", NEAR, 8), ("t2", FAR, 8), ("t3", FAR, 8)]);
     let now = Instant::now();
     for _ in 0..20 {
-        places.answered_badly("t1", now);
+        places.failed_item("t1", now);
         for _ in 0..5 {
             places.answered("t1", None);
         }
