Let old items end: rest after a full target, cut the newest job's item

Change: no item starts at a target that was full within 200 ms; the item cut is a late one, else that of the newest job. Ruled out: more free places before an item starts (idle places when both classes wait).

--- a/crates/gateway/src/backlog.rs
+++ b/crates/gateway/src/backlog.rs
@@ -37,6 +37,8 @@
     pub(crate) failures: u32,
     /// When its job was submitted.
     pub(crate) submitted_unix_ms: u64,
+    /// Whether it comes too late for its job's objective whatever is done.
+    pub(crate) is_late: bool,
     /// When this host read it; the job is at least as old.
     pub(crate) known_since: Instant,
 }
@@ -121,7 +123,8 @@
             if !is_late(oldest.get()) {
                 return;
             }
-            let (place, item) = oldest.remove_entry();
+            let (place, mut item) = oldest.remove_entry();
+            item.is_late = true;
             self.late.insert(place, item);
         }
     }
--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -85,24 +85,27 @@
         self.wake.notify_one();
     }
 
-    /// Cuts the youngest item at a target; returns whether there was one.
+    /// Cuts the item at a target that can best be spared; returns whether
+    /// there was one. That is the one of the newest job and not the youngest
+    /// run: old items, cut again and again, would never end.
     pub(crate) fn cut_one(&self, target: &str) -> bool {
         let entry = lock(&self.running).take(target, |entries| {
-            // They stand in the order of their starts.
-            entries.len().checked_sub(1)
+            let least = entries.iter().enumerate().max_by_key(|(_, e)| e.spare);
+            least.map(|(place, _)| place)
         });
         // Dropping the entry ends the count at once and tells the item's task.
         entry.is_some()
     }
 
-    fn register(&self, target: &TargetId, key: ItemKey, running: Running) -> Ticket {
+    fn register(&self, target: &TargetId, item: &Item, running: Running) -> Ticket {
         let (cancel, cancelled) = oneshot::channel();
         let mut registry = lock(&self.running);
         registry.number += 1;
         let number = registry.number;
         let entry = Entry {
             number,
-            key,
+            key: item.key.clone(),
+            spare: (item.is_late, item.submitted_unix_ms, number),
             _running: running,
             _cancel: cancel,
         };
@@ -209,6 +212,7 @@
         last_event: None,
         failures: 0,
         submitted_unix_ms: accepted.submitted_unix_ms,
+        is_late: false,
         known_since: Instant::now(),
     });
     items.collect()
@@ -235,7 +239,7 @@
         match next {
             Next::Run(item, route, target) => {
                 let running = Running::begin(ctx, &target, Class::Batch);
-                let ticket = ctx.items.register(&target, item.key.clone(), running);
+                let ticket = ctx.items.register(&target, &item, running);
                 tokio::spawn(run::run(Arc::clone(ctx), item, route, target, ticket));
                 tokio::time::sleep(gap).await;
             }
@@ -360,6 +364,9 @@
 struct Entry {
     number: u64,
     key: ItemKey,
+    /// How well it can be spared: late items first, then those of the newest
+    /// job, then the youngest run.
+    spare: (bool, u64, u64),
     /// Counts the item at its target as long as it is here.
     _running: Running,
     _cancel: oneshot::Sender<()>,
--- a/crates/gateway/src/peers/status.rs
+++ b/crates/gateway/src/peers/status.rs
@@ -176,7 +176,7 @@
     } else {
         vec![]
     };
-    lock(&ctx.places).peer_runs(&host, loads, failing);
+    lock(&ctx.places).peer_runs(&host, loads, failing, Instant::now());
     ctx.journal.told(status.jobs);
     ctx.items.wake();
     if heard.is_new {
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -1,6 +1,7 @@
 //! Requests that run at targets, counted as long as they run.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use notchwharf_routing::places::TargetId;
 
@@ -29,7 +30,7 @@
         {
             let mut places = lock(&ctx.places);
             match class {
-                Class::Online => places.begin_online(target),
+                Class::Online => places.begin_online(target, Instant::now()),
                 Class::Batch => places.begin_batch(target),
             }
         }
--- a/crates/routing/src/places.rs
+++ b/crates/routing/src/places.rs
@@ -48,6 +48,10 @@
 /// A short form of a target's name, for messages between hosts.
 pub type TargetKey = u32;
 
+/// Time for which no item is started at a target that was full: in a burst its
+/// places are taken again within that time, and an item costs its prompt anew
+/// with each start.
+const REST: Duration = Duration::from_millis(200);
 /// Share of a new measurement in the running mean of durations.
 const DURATION_WEIGHT: f64 = 0.05;
 
@@ -187,6 +191,8 @@
     others: Load,
     /// Peers at which it fails.
     failing_at: u32,
+    /// When no place was free there, as far as known.
+    full_at: Option<Instant>,
     health: Health,
 }
 
@@ -201,6 +207,19 @@
         self.failing_at > 0 || self.health.is_ejected(now)
     }
 
+    fn note_load(&mut self, now: Instant) {
+        if self.free() == 0 {
+            self.full_at = Some(now);
+        }
+    }
+
+    /// Returns whether it was full a moment ago: an item that starts there is
+    /// likely to be cut before it gets anywhere.
+    fn was_full(&self, now: Instant) -> bool {
+        let since = self.full_at.map(|at| now.saturating_duration_since(at));
+        since.is_some_and(|since| since < REST)
+    }
+
     fn free(&self) -> u32 {
         self.spec.slots.saturating_sub(self.load().total())
     }
@@ -263,6 +282,7 @@
             own: Load::default(),
             others,
             failing_at,
+            full_at: None,
             health: Health::default(),
         };
         self.keys.insert(key, id.to_owned());
@@ -312,6 +332,7 @@
         host: &str,
         loads: impl IntoIterator<Item = (TargetKey, Load)>,
         failing: Vec<TargetKey>,
+        now: Instant,
     ) {
         let loads: HashMap<TargetKey, Load> = loads.into_iter().collect();
         let before = self.peers.remove(host).unwrap_or_default();
@@ -319,6 +340,7 @@
         for (key, load) in &loads {
             if let Some(target) = self.target_by_key(*key) {
                 target.others.add(*load);
+                target.note_load(now);
             }
         }
         for key in &failing {
@@ -365,8 +387,11 @@
     }
 
     /// Counts an online request at a target.
-    pub fn begin_online(&mut self, id: &str) {
+    pub fn begin_online(&mut self, id: &str, now: Instant) {
         self.count(id, |own| own.online += 1);
+        if let Some(target) = self.targets.get_mut(id) {
+            target.note_load(now);
+        }
     }
 
     /// Counts the end of an online request.
--- a/crates/routing/src/places/choice.rs
+++ b/crates/routing/src/places/choice.rs
@@ -95,7 +95,7 @@
         let all = self.are_most_ejected(want.service, now);
         let best = self.best(want, now, all, |t| {
             let spare = t.free().saturating_sub(reserve);
-            if spare == 0 {
+            if spare == 0 || t.was_full(now) {
                 return None;
             }
             let slow = if t.health.is_slow(pace) {
--- a/crates/routing/tests/places.rs
+++ b/crates/routing/tests/places.rs
@@ -79,12 +79,12 @@
 ) {
     let mut places = places(0, &[("t1", NEAR, 2)]);
     for _ in 0..own.online {
-        places.begin_online("t1");
+        places.begin_online("t1", Instant::now());
     }
     for _ in 0..own.batch {
         places.begin_batch("t1");
     }
-    places.peer_runs("a2", [(key_of("t1"), peer)], vec![]);
+    places.peer_runs("a2", [(key_of("t1"), peer)], vec![], Instant::now());
     let choice = places.choose_online(&want(&[]), Instant::now()).unwrap();
     assert_eq!(choice.room, room);
 }
@@ -100,7 +100,7 @@
     assert_eq!(places.choose_batch(&want(&[]), Instant::now()), None);
     let choice = places.choose_online(&want(&[]), Instant::now()).unwrap();
     assert_eq!(choice.room, Room::Free);
-    places.begin_online("t1");
+    places.begin_online("t1", Instant::now());
     let choice = places.choose_online(&want(&[]), Instant::now()).unwrap();
     assert_eq!(choice.room, Room::CutOwn);
 }
@@ -110,7 +110,7 @@
     let mut places = places(0, &[("t1", NEAR, 1)]);
     for _ in 0..4 {
         assert!(places.choose_online(&want(&[]), Instant::now()).is_ok());
-        places.begin_online("t1");
+        places.begin_online("t1", Instant::now());
     }
     let refusal = places
         .choose_online(&want(&[]), Instant::now())
@@ -145,11 +145,11 @@
 #[test]
 fn what_a_peer_runs_is_replaced_by_what_it_tells_next_and_ends_with_it() {
     let mut places = places(0, &[("t1", NEAR, 8)]);
-    places.begin_online("t1");
-    places.peer_runs("a2", [(key_of("t1"), load(2, 1))], vec![]);
-    places.peer_runs("a3", [(key_of("t1"), load(0, 1))], vec![]);
+    places.begin_online("t1", Instant::now());
+    places.peer_runs("a2", [(key_of("t1"), load(2, 1))], vec![], Instant::now());
+    places.peer_runs("a3", [(key_of("t1"), load(0, 1))], vec![], Instant::now());
     assert_eq!(places.load("t1"), load(3, 2));
-    places.peer_runs("a2", [(key_of("t1"), load(0, 2))], vec![]);
+    places.peer_runs("a2", [(key_of("t1"), load(0, 2))], vec![], Instant::now());
     assert_eq!(places.load("t1"), load(1, 3));
     places.peer_down("a2");
     assert_eq!(places.load("t1"), load(1, 1));
@@ -158,7 +158,7 @@
 #[test]
 fn a_target_that_comes_after_news_of_it_has_its_load() {
     let mut places = places(0, &[]);
-    places.peer_runs("a2", [(key_of("t1"), load(2, 1))], vec![]);
+    places.peer_runs("a2", [(key_of("t1"), load(2, 1))], vec![], Instant::now());
     places.upsert("t1", spec(NEAR, 8));
     assert_eq!(places.load("t1"), load(2, 1));
 }
@@ -211,8 +211,8 @@
 fn a_target_that_failed_a_peer_is_left_alone_after_one_failure_here() {
     let mut places = places(0, &[("t1", NEAR, 8), ("t2", FAR, 8), ("t3", FAR, 8)]);
     let now = Instant::now();
-    places.peer_runs("a2", [], vec![key_of("t1")]);
-    places.peer_runs("a2", [], vec![]);
+    places.peer_runs("a2", [], vec![key_of("t1")], Instant::now());
+    places.peer_runs("a2", [], vec![], Instant::now());
     places.failed_item("t1", now);
     assert_ne!(places.choose_online(&want(&[]), now).unwrap().target, "t1");
 }
@@ -234,10 +234,10 @@
 fn a_target_that_fails_a_peer_is_left_alone_until_the_peer_says_otherwise() {
     let mut places = places(0, &[("t1", NEAR, 8), ("t2", FAR, 8), ("t3", FAR, 8)]);
     let now = Instant::now();
-    places.peer_runs("a2", [], vec![key_of("t1")]);
+    places.peer_runs("a2", [], vec![key_of("t1")], Instant::now());
     assert_ne!(places.choose_online(&want(&[]), now).unwrap().target, "t1");
     assert_eq!(places.failing(now), [], "Only what is seen is told on.");
-    places.peer_runs("a2", [], vec![]);
+    places.peer_runs("a2", [], vec![], Instant::now());
     assert_eq!(places.choose_online(&want(&[]), now).unwrap().target, "t1");
 }
 
@@ -266,7 +266,7 @@
 fn of_the_hosts_at_an_overfull_target_the_one_with_most_items_cuts() {
     let mut places = places(0, &[("t1", NEAR, 2)]);
     places.begin_batch("t1");
-    places.peer_runs("a2", [(key_of("t1"), load(0, 2))], vec![]);
+    places.peer_runs("a2", [(key_of("t1"), load(0, 2))], vec![], Instant::now());
     assert_eq!(places.overfull("a1"), Vec::<String>::new());
     places.begin_batch("t1");
     places.begin_batch("t1");
@@ -287,9 +287,25 @@
     };
     for _ in 0..6 {
         assert!(places.choose_online(&hopeful, now).is_ok());
-        places.begin_online("t1");
+        places.begin_online("t1", Instant::now());
     }
     let refusal = places.choose_online(&hopeful, now).unwrap_err();
     assert!(matches!(refusal, Refusal::Full { .. }));
     assert!(places.choose_online(&want(&[]), now).is_ok());
 }
+
+/// Started at once, an item would be cut by the next request of the burst that
+/// has filled the target: old items were, for seconds (sul-permissoes, inc-7dbe).
+#[test]
+fn no_item_starts_at_a_target_that_was_full_a_moment_ago() {
+    let mut places = places(0, &[("t1", NEAR, 1)]);
+    let now = Instant::now();
+    places.begin_online("t1", now);
+    places.end_online("t1");
+    assert_eq!(places.choose_batch(&want(&[]), now), None);
+    let later = now + Duration::from_millis(250);
+    assert_eq!(
+        places.choose_batch(&want(&[]), later).as_deref(),
+        Some("t1")
+    );
+}
