Keep an answer's head apart from its body; let no event be left out

A stream that may be resumed and came whole in its first piece ended while it was read, and its head went with it: the caller got a bare 200. Two further gaps next to it: an event that was left out, or came without a number, was passed on. Change: the head is kept in the flow from the beginning; an event that does not follow the last one counts as the target's breaking off, after what came before. Before: the new test finds no header.

--- a/crates/gateway/src/items/run.rs
+++ b/crates/gateway/src/items/run.rs
@@ -22,6 +22,7 @@
 use crate::ports::NoReply;
 use crate::ports::Reply;
 use crate::splice::Events;
+use crate::splice::follows;
 
 /// Time that a target is given for an item: far more than any takes, so that
 /// only silence or the job's end stops it.
@@ -176,12 +177,3 @@
         }
     }
 }
-
-/// Returns whether an event comes right after another.
-fn follows(last: Option<u64>, id: Option<u64>) -> bool {
-    match (last, id) {
-        (_, None) => false,
-        (None, Some(_)) => true,
-        (Some(last), Some(id)) => id == last + 1,
-    }
-}
--- a/crates/gateway/src/online/flow.rs
+++ b/crates/gateway/src/online/flow.rs
@@ -8,6 +8,8 @@
 use futures_util::stream;
 use http_body_util::BodyExt as _;
 use http_body_util::StreamBody;
+use hyper::HeaderMap;
+use hyper::StatusCode;
 use hyper::body::Body as _;
 use hyper::body::Frame;
 use hyper::header::CONTENT_LENGTH;
@@ -21,6 +23,7 @@
 use crate::error::Failure;
 use crate::ports::Body;
 use crate::splice::Events;
+use crate::splice::follows;
 
 /// The bytes with which an event ends, as targets send them.
 const EVENT_END: [u8; 2] = *b"\n\n";
@@ -28,11 +31,17 @@
 /// An answer that has begun.
 pub(super) struct Flow {
     sending: Sending,
+    /// The status and headers for the caller: those of the first target whose
+    /// answer is passed on.
+    head: (StatusCode, HeaderMap),
+    /// Nothing once the answer is at its end.
     begun: Option<Begun>,
     is_stream: bool,
     /// Whole events, where the stream may go on elsewhere.
     events: Option<Events>,
     last_event: Option<u64>,
+    /// Whether an event came that does not follow the last one.
+    is_out_of_order: bool,
     /// The last two bytes that were passed on; nothing passed on ends an event.
     last_bytes: [u8; 2],
     first: Option<Bytes>,
@@ -48,16 +57,18 @@
 }
 
 impl Flow {
-    pub(super) fn new(sending: Sending, begun: Begun) -> Self {
+    pub(super) fn new(sending: Sending, mut begun: Begun) -> Self {
         let route = &sending.route;
         let is_stream = route.kind == Kind::Stream && begun.reply.status.is_success();
         let is_spliced = is_stream && route.resumable;
         Self {
+            head: take_head(&mut begun),
             is_stream,
             events: is_spliced.then(Events::default),
             sending,
             begun: Some(begun),
             last_event: None,
+            is_out_of_order: false,
             last_bytes: EVENT_END,
             first: None,
             is_done: false,
@@ -74,11 +85,7 @@
                 None => {}
             }
         }
-        let Some(begun) = &mut self.begun else {
-            return Ok(self.empty());
-        };
-        let status = begun.reply.status;
-        let mut headers = std::mem::take(&mut begun.reply.headers);
+        let (status, mut headers) = std::mem::take(&mut self.head);
         if self.events.is_some() {
             // What follows may come from another target.
             headers.remove(CONTENT_LENGTH);
@@ -91,14 +98,6 @@
         })
     }
 
-    fn empty(self) -> Answer {
-        Answer {
-            status: hyper::StatusCode::OK,
-            headers: hyper::HeaderMap::new(),
-            body: self.into_body(),
-        }
-    }
-
     fn into_body(self) -> Body {
         let frames = stream::unfold(self, |mut flow| async move {
             let next = match flow.first.take() {
@@ -142,6 +141,10 @@
 
     /// Reads from the target; returns no bytes while an event is not whole.
     async fn read(&mut self) -> Result<Option<Bytes>, Stop> {
+        if std::mem::take(&mut self.is_out_of_order) {
+            // What came before it has been passed on.
+            return Err(Stop::Broken("event out of order"));
+        }
         let Some(begun) = &mut self.begun else {
             return Ok(None);
         };
@@ -179,9 +182,11 @@
         events.push(&bytes);
         let mut whole = BytesMut::new();
         for event in events {
-            if event.id.is_some() {
-                self.last_event = event.id;
+            if !follows(self.last_event, event.id) {
+                self.is_out_of_order = true;
+                break;
             }
+            self.last_event = event.id;
             whole.extend_from_slice(&event.raw);
         }
         Ok(Some(whole.freeze()))
@@ -190,7 +195,8 @@
     /// Returns whether the whole body is known to be here.
     fn is_over(&self) -> bool {
         let begun = self.begun.as_ref();
-        begun.is_some_and(|b| b.reply.body.is_end_stream()) && self.ended().is_ok()
+        let is_end = begun.is_some_and(|b| b.reply.body.is_end_stream());
+        is_end && !self.is_out_of_order && self.ended().is_ok()
     }
 
     /// Notes how the bytes that are passed on end.
@@ -237,7 +243,6 @@
             return Err(Failure::Unknown { reason });
         };
         let target = begun.running.target().clone();
-        let (status, headers) = (begun.reply.status, begun.reply.headers.clone());
         // The target stops as soon as its connection is closed.
         drop(begun);
         self.sending
@@ -259,11 +264,18 @@
                 reason: "not resumed",
             });
         }
-        if self.last_event.is_some() {
-            next.reply.status = status;
-            next.reply.headers = headers;
+        let head = take_head(&mut next);
+        if self.last_event.is_none() {
+            // Nothing was passed on yet.
+            self.head = head;
         }
         self.begun = Some(next);
         Ok(())
     }
 }
+
+/// Takes the head out of an answer.
+fn take_head(begun: &mut Begun) -> (StatusCode, HeaderMap) {
+    let headers = std::mem::take(&mut begun.reply.headers);
+    (begun.reply.status, headers)
+}
--- a/crates/gateway/src/splice.rs
+++ b/crates/gateway/src/splice.rs
@@ -66,6 +66,15 @@
     }
 }
 
+/// Returns whether an event comes right after another.
+pub(crate) fn follows(last: Option<u64>, id: Option<u64>) -> bool {
+    match (last, id) {
+        (_, None) => false,
+        (None, Some(_)) => true,
+        (Some(last), Some(id)) => id == last + 1,
+    }
+}
+
 /// Returns the length of the first event, up to the end of its empty line.
 fn event_len(buf: &[u8]) -> Option<usize> {
     let mut line_from = 0;
--- a/crates/gateway/tests/online.rs
+++ b/crates/gateway/tests/online.rs
@@ -111,6 +111,7 @@
 #[case::in_its_midst(Act::BreakAfter(3))]
 #[case::in_its_last_event(Act::BreakAfter(EVENTS - 1))]
 #[case::by_falling_silent(Act::HangAfter(2))]
+#[case::by_leaving_out_an_event(Act::SkipAt(2))]
 #[tokio::test]
 async fn a_stream_that_breaks_off_goes_on_at_another_target(#[case] act: Act) {
     let world = World::new(&["t1", "t2"]);
@@ -130,6 +131,19 @@
     .await;
 }
 
+/// Regression: an answer that came whole in its first piece was passed on
+/// without its head (sul-permissoes, hunt-bee8-3).
+#[rstest]
+#[tokio::test]
+async fn an_answer_that_comes_in_one_piece_has_its_head(#[values(ONCE, RESUMABLE)] path: &str) {
+    let world = World::new(&["t1"]);
+    let host = world.start_ready("a1").await;
+    world.engines.script_request("r1", &[Act::AtOnce]);
+    let answer = host.ask(path, "r1").await.unwrap();
+    assert_eq!(answer.headers["x-from"], "t1");
+    assert_eq!(answer.text().unwrap(), whole("r1"));
+}
+
 #[tokio::test]
 async fn a_stream_that_may_not_be_resumed_ends_broken_off() {
     let world = World::new(&["t1", "t2"]);
--- a/crates/gateway/tests/world/targets.rs
+++ b/crates/gateway/tests/world/targets.rs
@@ -36,6 +36,10 @@
     Hang,
     /// It answers with a status.
     Status(u16),
+    /// It leaves out an event.
+    SkipAt(u64),
+    /// It runs the request, and its answer comes in one piece.
+    AtOnce,
     /// It answers well and does not sign.
     Unsigned,
     /// It gives no answer, for this reason.
@@ -147,6 +151,12 @@
                 drop(active);
                 Err(NoReply::Unknown("never"))
             }
+            Act::AtOnce => {
+                let body = Full::new(Bytes::from(whole(&call.forward.id)));
+                let mut reply = reply(200, true, body);
+                reply.headers.insert("x-from", call.target.parse().unwrap());
+                Ok(reply)
+            }
             Act::Status(status) => Ok(reply(status, true, Full::new(Bytes::new()))),
             Act::Unsigned => Ok(reply(200, false, Full::new(Bytes::from("data: x\n\n")))),
             _ => Ok(self.stream(&call, act, active)),
@@ -186,6 +196,10 @@
                         std::future::pending::<()>().await;
                         return None;
                     }
+                    Act::SkipAt(skipped) if event == skipped => {
+                        let next = Bytes::from(self::event(&id, event + 1));
+                        return Some((Ok(Frame::data(next)), Some((event + 2, active))));
+                    }
                     _ if event >= EVENTS => return None,
                     _ => {}
                 }
