Choose targets without allocating, and write times in one way

Cause: read once more, the choice of an online request's target made a list on the heap for each target it looked at, and three places turned a time into whole milliseconds in the same words. Change: the key's bytes are hashed where they are; context::millis serves the log lines of requests, items and jobs. Behaviour is the same. Ruled out: one choice for both routing tables (they weigh different things).

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -180,7 +180,12 @@
 pub(crate) fn unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     // A clock before 1970 is wrong whatever is made of it; only order counts.
-    since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
+    since.map_or(0, millis)
+}
+
+/// Returns a time in whole milliseconds, as log lines have it.
+pub(crate) fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
 /// Returns a setting as a time.
--- a/crates/gateway/src/items/run.rs
+++ b/crates/gateway/src/items/run.rs
@@ -16,6 +16,7 @@
 use crate::backlog::Item;
 use crate::context::Context;
 use crate::context::lock;
+use crate::context::millis;
 use crate::context::ms;
 use crate::metrics::Counted;
 use crate::ports::Call;
@@ -67,7 +68,7 @@
     slog::info!(ctx.logger, "item run"; "job" => item.key.0.as_str(),
         "id" => item.forward.id.as_str(), "target" => target.as_str(), "ended" => label(ended),
         "from_event" => had, "last_event" => item.last_event, "failures" => item.failures,
-        "took_ms" => u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX));
+        "took_ms" => millis(started.elapsed()));
     note(&ctx, &target, ended);
     match ended {
         Ended::Whole => {
--- a/crates/gateway/src/jobs.rs
+++ b/crates/gateway/src/jobs.rs
@@ -140,7 +140,3 @@
         Err(JobCall::NotFound) => "not found",
     }
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/gateway/src/online/trace.rs
+++ b/crates/gateway/src/online/trace.rs
@@ -17,6 +17,7 @@
 use crate::RequestId;
 use crate::context::Context;
 use crate::context::lock;
+use crate::context::millis;
 use crate::error::Failure;
 use crate::metrics::Counted;
 use crate::metrics::Timed;
@@ -192,7 +193,3 @@
         }
     }
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/routing/src/places/choice.rs
+++ b/crates/routing/src/places/choice.rs
@@ -223,7 +223,7 @@
     if usual.is_too_late(target, want.objective) {
         return None;
     }
-    let spread = [target.key.to_le_bytes()].concat();
+    let spread = target.key.to_le_bytes();
     let likely = unit(xxh3_64_with_seed(&spread, want.affinity));
     let mut cost = likely * AFFINITY_COST;
     if is_remote(target, want) {
