Hear a peer again whose clock was set back before it started again

Cause: peers order a host's news by the time of day at which it started, so a host that starts again after its clock was set back says a lower number and was never heard again: down to all others, its jobs taken over while it ran them. The same number was part of the keys of records, which must never come twice.

Change: a lower number counts once the newer start has fallen silent. Keys of records hold a drawn number in place of the time.

Ruled out: the offset of the host's entry in the store as the number; a host that starts without the store has none and could not speak.

Before: a_peer_whose_clock_was_set_back_before_it_started_again_is_heard failed (peer not alive after 20 s). After: passes, as do all of gateway's.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -56,6 +56,9 @@
     pub started: Instant,
     /// The time of day at which the process started, in milliseconds.
     pub incarnation: u64,
+    /// The name under which this start of the host writes records. It is drawn:
+    /// a clock that was set back must not bring a key that is in use.
+    pub(crate) writer: String,
     pub(crate) store: Store,
     pub(crate) targets: Targets,
     pub(crate) decode: Decode,
@@ -94,6 +97,7 @@
             connections: Gauge::default(),
             started: Instant::now(),
             incarnation: unix_ms(),
+            writer: format!("{}.{:x}", settings.host.name, rand::random::<u64>()),
             targets: ports.targets,
             decode: ports.decode,
             places: Mutex::new(Places::new(cfg, rand::random())),
--- a/crates/gateway/src/journal/append.rs
+++ b/crates/gateway/src/journal/append.rs
@@ -51,7 +51,7 @@
         let batch: Vec<Append> = queue.drain(..count).collect();
         let entries = batch.iter().map(|append| {
             number += 1;
-            let key = format!("{}.{:x}.{number:x}", ctx.host(), ctx.incarnation);
+            let key = format!("{}.{number:x}", ctx.writer);
             let value = Some(append.record.encode().into());
             Entry { key, value }
         });
--- a/crates/gateway/src/peers/status.rs
+++ b/crates/gateway/src/peers/status.rs
@@ -208,7 +208,10 @@
         .entry(status.host.clone())
         .or_insert_with(|| Peer::new(addr));
     let order = (status.incarnation, status.number);
-    if order <= (peer.status.incarnation, peer.status.number) {
+    let is_newer = order > (peer.status.incarnation, peer.status.number);
+    // A host whose clock was set back starts with a lower number than before.
+    let is_other_start = status.incarnation != peer.status.incarnation;
+    if !is_newer && !(is_other_start && !peer.is_alive) {
         return None;
     }
     peer.addr = addr;
--- a/crates/proto/src/news.rs
+++ b/crates/proto/src/news.rs
@@ -28,7 +28,8 @@
 pub struct Status {
     /// The host.
     pub host: String,
-    /// A number that grows with each start of the host.
+    /// A number that grows with each start of the host, unless its clock was
+    /// set back in between.
     pub incarnation: u64,
     /// A number that grows with each status of the incarnation.
     pub number: u64,
