Draw the ports of tests' hosts from below those of outgoing connections

Cause: one run of the adapter's tests failed once with 'address already in use'. A test asked for a free port, closed it and gave it to a host; in between, an outgoing connection of another test could be given the same one, since both came from the range of ephemeral ports.

Change: ports are drawn below that range and tried for connections and datagrams alike. Ruled out: port 0 in the settings, for peers must know the port of datagrams and calls before the host binds both.

--- a/crates/gateway/src/peers/status.rs
+++ b/crates/gateway/src/peers/status.rs
@@ -210,8 +210,8 @@
     let order = (status.incarnation, status.number);
     let is_newer = order > (peer.status.incarnation, peer.status.number);
     // A host whose clock was set back starts with a lower number than before.
-    let is_other_start = status.incarnation != peer.status.incarnation;
-    if !is_newer && !(is_other_start && !peer.is_alive) {
+    let is_restarted = status.incarnation != peer.status.incarnation && !peer.is_alive;
+    if !is_newer && !is_restarted {
         return None;
     }
     peer.addr = addr;
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -260,10 +260,19 @@
     }
 }
 
-/// Returns an address that was free a moment ago.
+/// Ports for listeners of tests: below those that outgoing connections are
+/// given, so that none of these takes one between its choice and its use.
+const PORTS: std::ops::Range<u16> = 10_000..32_000;
+
+/// Returns an address that is free for connections and for datagrams.
 pub fn free_addr() -> SocketAddr {
-    let listener = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-    listener.local_addr().unwrap()
+    loop {
+        let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, rand::random_range(PORTS)));
+        let is_free = std::net::TcpListener::bind(addr).is_ok();
+        if is_free && std::net::UdpSocket::bind(addr).is_ok() {
+            return addr;
+        }
+    }
 }
 
 fn decode_config(key: &str, value: &[u8]) -> Option<Result<Table, Unreadable>> {
