Give a connection up whose bytes the other side does not confirm

Cause: a target that is dark or behind a cut confirms nothing, and a request on a kept connection to it waited for its whole time: callers of streams that may not be resumed got 504 after five seconds, resumable ones went on after 700 ms. Nothing in the pool told a slow answer from a dead network.

A slow answer is still waited for.

--- a/crates/config/src/gateway.rs
+++ b/crates/config/src/gateway.rs
@@ -124,6 +124,11 @@
     /// to 60_000; 250 by default: less than the usual objective, many times
     /// the way between data centres.
     pub connect_timeout_ms: u64,
+    /// Time after which a connection is given up whose bytes a target's side
+    /// does not confirm, however long the answer may take. From 10 to 60_000;
+    /// 500 by default: above two losses of a packet in a row, below the pause
+    /// after which a stream is taken elsewhere.
+    pub unconfirmed_ms: u64,
     /// Time for which an idle connection to a target is used again. From 1 to
     /// 600_000; 4_000 by default; a target that names less is believed.
     pub idle_ms: u64,
@@ -137,6 +142,7 @@
     fn default() -> Self {
         Self {
             connect_timeout_ms: 250,
+            unconfirmed_ms: 500,
             idle_ms: 4_000,
             stall_ms: 700,
         }
@@ -269,6 +275,12 @@
         1,
         MINUTE_MS,
     )?;
+    range(
+        "online.unconfirmed_ms",
+        s.online.unconfirmed_ms,
+        10,
+        MINUTE_MS,
+    )?;
     range("online.idle_ms", s.online.idle_ms, 1, TEN_MINUTES_MS)?;
     range("online.stall_ms", s.online.stall_ms, 10, TEN_MINUTES_MS)?;
     range("batch.reserve", s.batch.reserve, 0, 64)?;
