Let items go on behind what their last host saved of them

Cause: what an item generated lived in its host's memory.

Change: hosts save the texts of items that got on by 48 events, all in one append a second, in a topic of their own; who takes a job over, or starts again, reads them and resumes. A leaving host saves before it says so. Failures of an item count across hosts. A host that lists the job records before its scheduler subscribes looks at its jobs at once (found by the test of a restart).

--- a/crates/config/src/gateway.rs
+++ b/crates/config/src/gateway.rs
@@ -163,6 +163,12 @@
     /// Time after which an item's silent run is given up. From 10 to 600_000;
     /// 1_500 by default.
     pub stall_ms: u64,
+    /// Events after which how far an item has got is saved. From 1 to
+    /// 1_000_000; 48 by default: about a second's work, a few saves an item.
+    pub save_events: u64,
+    /// Time between two savings of a host, each one call for all its items.
+    /// From 10 to 60_000; 1_000 by default.
+    pub save_ms: u64,
     /// Items that one host runs at once. From 1 to 100_000; 128 by default.
     pub running_max: u32,
     /// Time for which an ended job stays readable. From 1_000 to 86_400_000;
@@ -176,6 +182,8 @@
             reserve: 1,
             start_gap_ms: 4,
             stall_ms: 1_500,
+            save_events: 48,
+            save_ms: 1_000,
             running_max: 128,
             readable_ms: 120_000,
         }
@@ -286,6 +294,8 @@
     range("batch.reserve", s.batch.reserve, 0, 64)?;
     range("batch.start_gap_ms", s.batch.start_gap_ms, 1, 1_000)?;
     range("batch.stall_ms", s.batch.stall_ms, 10, TEN_MINUTES_MS)?;
+    range("batch.save_events", s.batch.save_events, 1, 1_000_000)?;
+    range("batch.save_ms", s.batch.save_ms, 10, MINUTE_MS)?;
     range("batch.running_max", s.batch.running_max, 1, 100_000)?;
     range("batch.readable_ms", s.batch.readable_ms, 1_000, 86_400_000)?;
     range("peers.news_ms", s.peers.news_ms, 1, 10_000)?;
--- a/crates/gateway/src/backlog.rs
+++ b/crates/gateway/src/backlog.rs
@@ -16,6 +16,7 @@
 use notchwharf_ledger::jobs::Offset;
 
 use crate::ports::Forward;
+use crate::progress::Saved;
 
 /// What identifies an item: its job and its place in the caller's order.
 pub(crate) type ItemKey = (JobId, u32);
@@ -35,6 +36,9 @@
     pub(crate) last_event: Option<u64>,
     /// Runs that failed for the item's own sake.
     pub(crate) failures: u32,
+    /// The last event and the failures of which the progress was noted.
+    pub(crate) saved_event: Option<u64>,
+    pub(crate) saved_failures: u32,
     /// When its job was submitted.
     pub(crate) submitted_unix_ms: u64,
     /// Whether it comes too late for its job's objective whatever is done.
@@ -43,6 +47,28 @@
     pub(crate) known_since: Instant,
 }
 
+impl Item {
+    /// Returns how many events came since its progress was noted.
+    pub(crate) fn unsaved_events(&self) -> u64 {
+        let count = |event: Option<u64>| event.map_or(0, |event| event + 1);
+        count(self.last_event).saturating_sub(count(self.saved_event))
+    }
+
+    /// Returns whether there is anything about it to note.
+    pub(crate) fn is_unsaved(&self) -> bool {
+        self.unsaved_events() > 0 || self.failures > self.saved_failures
+    }
+
+    /// Lets it go on from where it had got elsewhere.
+    pub(crate) fn resume(&mut self, saved: Saved) {
+        self.saved_event = saved.last_event;
+        self.saved_failures = saved.failures;
+        self.last_event = saved.last_event;
+        self.failures = saved.failures;
+        self.text = saved.text;
+    }
+}
+
 #[derive(Debug)]
 struct Owned {
     epoch: Offset,
@@ -169,6 +195,11 @@
         self.owned.is_empty()
     }
 
+    /// Returns the items that wait, to note how far they have got.
+    pub(crate) fn waiting_mut(&mut self) -> impl Iterator<Item = &mut Item> {
+        self.queue.values_mut().chain(self.late.values_mut())
+    }
+
     /// Returns the number of items that wait.
     pub(crate) fn len(&self) -> usize {
         self.queue.len() + self.late.len()
--- a/crates/gateway/src/blobs.rs
+++ b/crates/gateway/src/blobs.rs
@@ -24,10 +24,10 @@
 
 /// Partitions over which blobs are spread: each takes some hundred appends a
 /// second, many times what a dozen hosts make.
-const PARTS: u64 = 8;
+pub(crate) const PARTS: u64 = 8;
 /// Bytes of a record beside its value, at most: its length, key and the key's
 /// length.
-const RECORD_OVERHEAD_BYTES: u64 = 300;
+pub(crate) const RECORD_OVERHEAD_BYTES: usize = 300;
 /// Bytes of blobs kept in memory: the results that callers of this host are
 /// likely to read next.
 const CACHE_BYTES: usize = 512 << 10;
@@ -70,11 +70,10 @@
 
 impl Blobs {
     pub(crate) fn new(store: Store, settings: &StoreSettings) -> Self {
-        let overhead = usize::try_from(RECORD_OVERHEAD_BYTES).unwrap_or(0);
         let bytes = |setting: u64| usize::try_from(setting).unwrap_or(usize::MAX);
         Self {
             store,
-            record_bytes_max: bytes(settings.record_bytes_max) - overhead,
+            record_bytes_max: bytes(settings.record_bytes_max) - RECORD_OVERHEAD_BYTES,
             call_bytes_max: bytes(settings.call_bytes_max),
             cache: Arc::default(),
         }
@@ -162,7 +161,7 @@
                 topic,
                 part: blob.part,
                 from: blob.offset + have,
-                bytes_max: u64::from(blob.bytes) + left * RECORD_OVERHEAD_BYTES,
+                bytes_max: u64::from(blob.bytes) + left * RECORD_OVERHEAD_BYTES as u64,
                 wait: Duration::ZERO,
             };
             let tail = self.store.read(read).await?;
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -28,6 +28,7 @@
 use crate::ports::Decode;
 use crate::ports::Ports;
 use crate::ports::Targets;
+use crate::progress::Progress;
 use crate::store::Store;
 
 /// Offers beyond the first that are made, as a share of successes: enough for
@@ -70,6 +71,7 @@
     pub(crate) blobs: Blobs,
     pub(crate) peers: Peers,
     pub(crate) items: Items,
+    pub(crate) progress: Progress,
 }
 
 impl std::fmt::Debug for Context {
@@ -107,6 +109,7 @@
             blobs: Blobs::new(store.clone(), &settings.store),
             peers: Peers::default(),
             items: Items::default(),
+            progress: Progress::default(),
             store,
             metrics,
             settings,
--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -9,12 +9,15 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
 use notchwharf_config::routes::Route;
 use notchwharf_config::routes::Table;
 use notchwharf_ledger::jobs::Accepted;
+use notchwharf_ledger::jobs::HostId;
 use notchwharf_ledger::jobs::Offset;
 use notchwharf_ledger::jobs::Outcome;
 use notchwharf_ledger::jobs::Reason;
@@ -38,6 +41,7 @@
 use crate::metrics::Counted;
 use crate::ports::Forward;
 use crate::ports::Topic;
+use crate::progress;
 use crate::target::Class;
 use crate::target::Running;
 
@@ -50,6 +54,13 @@
 /// Pause before a job's items are read again.
 const LOAD_PAUSE: Duration = Duration::from_millis(200);
 
+/// Time for the items of a host that leaves to stop and be saved: some calls
+/// of the store, and little beside the time that a host has to leave.
+const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Time between two looks whether they have stopped.
+const HAND_OVER_TICK: Duration = Duration::from_millis(2);
+
 /// Time for which a record of an item is tried; the store may be down long.
 const RECORD_TIMEOUT: Duration = Duration::from_secs(120);
 
@@ -61,16 +72,34 @@
     wake: Notify,
     /// How long whole runs of items usually take.
     duration: Mutex<Option<Duration>>,
+    /// Runs of items that are under way.
+    runs: Gauge,
+    /// Whether the items of a host that leaves may be run elsewhere.
+    is_handed_over: AtomicBool,
     /// Items whose end is not recorded yet.
     pub(crate) unsettled: Gauge,
 }
 
+impl Context {
+    /// Notes that an item's end is about to be recorded.
+    fn settle(&self, key: &ItemKey) {
+        lock(&self.items.backlog).settled(key);
+        self.progress.settled(key);
+    }
+}
+
 impl Items {
     /// Returns whether this host has no items to run.
     pub(crate) fn is_idle(&self) -> bool {
         lock(&self.backlog).is_idle()
     }
 
+    /// Returns whether the items of this host, which leaves, may be run
+    /// elsewhere: what they generated is saved.
+    pub(crate) fn is_handed_over(&self) -> bool {
+        self.is_handed_over.load(Ordering::Relaxed)
+    }
+
     /// Notes how long a run of an item took from its beginning to its end.
     fn lasted(&self, took: Duration) {
         let mut mean = lock(&self.duration);
@@ -138,11 +167,14 @@
 pub(crate) fn start(ctx: &Arc<Context>) {
     tokio::spawn(schedule(Arc::clone(ctx)));
     tokio::spawn(take_over::take_over(Arc::clone(ctx)));
+    tokio::spawn(progress::run(Arc::clone(ctx)));
 }
 
 async fn schedule(ctx: Arc<Context>) {
     let mut changed = ctx.journal.subscribe();
     let mut ticks = ctx.timer.subscribe(TICK);
+    // The records may have been listed before anybody subscribed.
+    sync(&ctx);
     while ctx.phase() < Phase::Leaving {
         tokio::select! {
             _ = changed.changed() => sync(&ctx),
@@ -156,8 +188,31 @@
         }
         start_items(&ctx).await;
     }
-    // Others take the jobs over.
+    hand_over(&ctx).await;
+}
+
+/// Stops all items and saves how far they have got; then others are told that
+/// they may take the jobs over.
+async fn hand_over(ctx: &Context) {
     ctx.items.cut_unwanted(|_| false);
+    let saved = async {
+        let mut ticks = ctx.timer.subscribe(HAND_OVER_TICK);
+        while ctx.items.runs.count() > 0 && ticks.recv().await.is_some() {}
+        for item in lock(&ctx.items.backlog).waiting_mut() {
+            if item.is_unsaved() {
+                ctx.progress.note(item);
+            }
+        }
+        progress::save(ctx).await
+    };
+    match tokio::time::timeout(HAND_OVER_TIMEOUT, saved).await {
+        Ok(Ok(())) => {}
+        Ok(Err(err)) => slog::warn!(ctx.logger, "progress of items not saved";
+            "error" => err.to_string()),
+        Err(_) => slog::warn!(ctx.logger, "progress of items not saved"; "error" => "timed out"),
+    }
+    ctx.items.is_handed_over.store(true, Ordering::Relaxed);
+    ctx.peers.tell();
 }
 
 /// Takes in what the job records say.
@@ -179,7 +234,8 @@
     let job = &accepted.job;
     match Payload::read(&ctx, &accepted).await {
         Ok(payload) => {
-            let items = to_items(&accepted, payload);
+            let mut items = to_items(&accepted, payload);
+            resume(&ctx, &accepted, epoch, &mut items).await;
             let jobs = ctx.journal.jobs();
             lock(&ctx.items.backlog).loaded(epoch, job, items, &jobs);
         }
@@ -194,6 +250,39 @@
     ctx.items.wake();
 }
 
+/// Lets items go on from where other hosts, or this one before it started
+/// again, had got with them.
+async fn resume(ctx: &Context, accepted: &Accepted, epoch: Offset, items: &mut [Item]) {
+    let job = &accepted.job;
+    let owner_before = ctx
+        .journal
+        .jobs()
+        .get(job)
+        .and_then(|j| j.owner_before.clone());
+    if owner_before.is_none() && !ctx.journal.is_older_than_listing(epoch) {
+        return;
+    }
+    let hosts: Vec<HostId> = owner_before
+        .into_iter()
+        .chain([ctx.host().to_owned()])
+        .collect();
+    let mut found = match progress::read(ctx, job, &hosts).await {
+        Ok(found) => found,
+        Err(err) => {
+            slog::warn!(ctx.logger, "progress of items not read, they begin anew";
+                "job" => job.as_str(), "error" => err.to_string());
+            return;
+        }
+    };
+    slog::info!(ctx.logger, "progress of items read"; "job" => job.as_str(),
+        "hosts" => hosts.join(","), "items" => items.len(), "with_progress" => found.len());
+    for item in items {
+        if let Some(saved) = found.remove(&item.key.1) {
+            item.resume(saved);
+        }
+    }
+}
+
 fn to_items(accepted: &Accepted, payload: Payload) -> Vec<Item> {
     let host = payload.host;
     let specs = accepted.items.iter();
@@ -211,6 +300,8 @@
         text: Vec::new(),
         last_event: None,
         failures: 0,
+        saved_event: None,
+        saved_failures: 0,
         submitted_unix_ms: accepted.submitted_unix_ms,
         is_late: false,
         known_since: Instant::now(),
@@ -301,7 +392,7 @@
 fn give_up(ctx: &Arc<Context>, item: &Item, reason: Reason) {
     slog::info!(ctx.logger, "item given up"; "job" => item.key.0.as_str(),
         "id" => item.forward.id.as_str(), "reason" => ?reason, "failures" => item.failures);
-    lock(&ctx.items.backlog).settled(&item.key);
+    ctx.settle(&item.key);
     let record = Record::Listed {
         job: item.key.0.clone(),
         item: item.key.1,
--- a/crates/gateway/src/items/run.rs
+++ b/crates/gateway/src/items/run.rs
@@ -56,6 +56,7 @@
     target: TargetId,
     ticket: Ticket,
 ) {
+    let under_way = ctx.items.runs.enter();
     let started = Instant::now();
     let had = item.last_event;
     let Ticket { number, cancelled } = ticket;
@@ -75,7 +76,8 @@
             if had.is_none() {
                 ctx.items.lasted(started.elapsed());
             }
-            lock(&ctx.items.backlog).settled(&item.key);
+            ctx.settle(&item.key);
+            drop(under_way);
             complete(Arc::clone(&ctx), item).await;
         }
         Ended::Impossible => give_up(&ctx, &item, Reason::Impossible),
@@ -145,12 +147,12 @@
         StatusCode::INTERNAL_SERVER_ERROR => Ended::Failed,
         status if !status.is_success() => Ended::Broken("other status"),
         _ if !reply.is_signed => Ended::Broken("unsigned success"),
-        _ => read(reply, item, stall).await,
+        _ => read(ctx, reply, item, stall).await,
     }
 }
 
 /// Reads an answer; whole events are kept however it ends.
-async fn read(mut reply: Reply, item: &mut Item, stall: Duration) -> Ended {
+async fn read(ctx: &Context, mut reply: Reply, item: &mut Item, stall: Duration) -> Ended {
     let mut events = Events::default();
     loop {
         let Ok(frame) = tokio::time::timeout(stall, reply.body.frame()).await else {
@@ -176,5 +178,8 @@
             item.text.extend_from_slice(&event.data());
             item.last_event = event.id;
         }
+        if item.unsaved_events() >= ctx.settings.batch.save_events {
+            ctx.progress.note(item);
+        }
     }
 }
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -74,6 +74,8 @@
     recent: VecDeque<(Offset, Applied)>,
     read_at: Option<Instant>,
     is_loaded: bool,
+    /// The end of the stream when this host listed it.
+    listed_end: Offset,
 }
 
 /// The stream's end, while a caller waits for it to move.
@@ -136,6 +138,11 @@
         lock(&self.state).is_loaded
     }
 
+    /// Returns whether a record was there before this host listed the stream.
+    pub(crate) fn is_older_than_listing(&self, offset: Offset) -> bool {
+        offset < lock(&self.state).listed_end
+    }
+
     /// Returns how long ago the stream was read to its end.
     pub fn age(&self) -> Option<Duration> {
         lock(&self.state).read_at.map(|at| at.elapsed())
@@ -230,6 +237,7 @@
         }
         fresh.jobs.advance(end);
         fresh.is_loaded = true;
+        fresh.listed_end = end;
         slog::info!(ctx.logger, "job records loaded"; "records" => count, "end" => end,
             "jobs" => fresh.jobs.iter().count());
         *lock(&self.state) = fresh;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod online;
 mod peers;
 pub mod ports;
+mod progress;
 mod splice;
 mod store;
 mod target;
--- a/crates/gateway/src/peers/status.rs
+++ b/crates/gateway/src/peers/status.rs
@@ -46,7 +46,7 @@
         host: ctx.host().to_owned(),
         incarnation: ctx.incarnation,
         number,
-        leaving: ctx.phase() >= Phase::Leaving,
+        leaving: ctx.items.is_handed_over(),
         store_up: ctx.store.is_up() && ctx.journal.is_loaded(),
         config: versions.config,
         targets: versions.targets,
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -132,6 +132,8 @@
     Payloads,
     /// What items led to.
     Results,
+    /// How far unfinished items have got.
+    Progress,
 }
 
 /// A record to append.
--- /dev/null
+++ b/crates/gateway/tests/progress.rs
@@ -0,0 +1,196 @@
+//! What becomes of unfinished items when their host dies, leaves or starts
+//! again.
+#![allow(clippy::unwrap_used, reason = "Tests fail by panicking.")]
+
+mod world;
+
+use notchwharf_config::gateway::Settings;
+use notchwharf_gateway::ports::Topic;
+use rstest::rstest;
+use world::Running;
+use world::World;
+use world::store::Fate;
+use world::targets::Act;
+use world::targets::item_text;
+use world::until;
+
+/// Saves after each event, at once.
+fn eager(settings: &mut Settings) {
+    settings.batch.save_events = 1;
+    settings.batch.save_ms = 10;
+    settings.batch.stall_ms = 10_000;
+}
+
+/// Saves nothing before the host leaves.
+fn lazy(settings: &mut Settings) {
+    settings.batch.save_events = 1_000_000;
+    settings.batch.stall_ms = 10_000;
+}
+
+async fn start(world: &World, name: &str, change: fn(&mut Settings)) -> Running {
+    let host = world.start_with(name, change).await;
+    host.until_ready().await;
+    host
+}
+
+async fn until_acquainted(hosts: &[&Running]) {
+    until("all know each other", || {
+        hosts
+            .iter()
+            .all(|h| h.ctx().peers_alive() == hosts.len() - 1)
+    })
+    .await;
+}
+
+/// Runs a job's only item at a host up to its second event.
+async fn begin(world: &World, host: &Running) {
+    world.engines.hold();
+    host.submit("j1", 1, 10).await.unwrap();
+    until("the item runs", || world.engines.active() == 1).await;
+}
+
+async fn until_saved(world: &World) {
+    until("progress is saved", || {
+        world.store.keys(Topic::Progress) == 1
+    })
+    .await;
+}
+
+fn assert_resumed(world: &World) {
+    let resumed_after = world.engines.runs("j1-0")[1].1;
+    assert!(resumed_after.is_some(), "{resumed_after:?}");
+}
+
+#[rstest]
+#[case::history_kept(false)]
+#[case::history_gone(true)]
+#[tokio::test]
+async fn another_host_goes_on_behind_the_last_event_that_a_dead_one_saved(#[case] expire: bool) {
+    let world = World::new(&["t1"]);
+    let a1 = start(&world, "a1", eager).await;
+    let a2 = start(&world, "a2", eager).await;
+    until_acquainted(&[&a1, &a2]).await;
+    begin(&world, &a1).await;
+    until_saved(&world).await;
+    a1.kill();
+    if expire {
+        world.store.expire();
+    }
+    until("it runs elsewhere", || {
+        world.engines.runs("j1-0").len() == 2
+    })
+    .await;
+    world.engines.go();
+    let results = a2.results("j1", 1).await;
+    assert_eq!(results[0].text.as_ref().unwrap(), &item_text("j1-0"));
+    assert_resumed(&world);
+}
+
+#[tokio::test]
+async fn a_host_that_starts_again_goes_on_behind_the_last_event_that_it_saved() {
+    let world = World::new(&["t1"]);
+    let a1 = start(&world, "a1", eager).await;
+    begin(&world, &a1).await;
+    until_saved(&world).await;
+    a1.kill();
+    let again = start(&world, "a1", eager).await;
+    until("it runs again", || world.engines.runs("j1-0").len() == 2).await;
+    world.engines.go();
+    let results = again.results("j1", 1).await;
+    assert_eq!(results[0].text.as_ref().unwrap(), &item_text("j1-0"));
+    assert_resumed(&world);
+}
+
+#[tokio::test]
+async fn a_host_that_leaves_hands_over_what_its_items_generated() {
+    let world = World::new(&["t1"]);
+    let a1 = start(&world, "a1", lazy).await;
+    let a2 = start(&world, "a2", lazy).await;
+    until_acquainted(&[&a1, &a2]).await;
+    begin(&world, &a1).await;
+    assert_eq!(world.store.keys(Topic::Progress), 0);
+    assert!(a1.leave().await);
+    until("it runs elsewhere", || {
+        world.engines.runs("j1-0").len() == 2
+    })
+    .await;
+    world.engines.go();
+    let results = a2.results("j1", 1).await;
+    assert_eq!(results[0].text.as_ref().unwrap(), &item_text("j1-0"));
+    assert_resumed(&world);
+}
+
+#[tokio::test]
+async fn failures_at_a_host_that_left_count() {
+    let world = World::new(&["t1"]);
+    let a1 = start(&world, "a1", lazy).await;
+    let a2 = start(&world, "a2", lazy).await;
+    until_acquainted(&[&a1, &a2]).await;
+    let failed = Act::Status(500);
+    // Two failures at the first host; then it runs and does not end.
+    world
+        .engines
+        .script_request("j1-0", &[failed, failed, Act::HangAfter(0), failed]);
+    a1.submit("j1", 1, 10).await.unwrap();
+    until("it failed twice", || world.engines.runs("j1-0").len() == 3).await;
+    assert!(a1.leave().await);
+    let results = a2.results("j1", 1).await;
+    assert_eq!(results[0].text, None);
+    assert_eq!(world.engines.runs("j1-0").len(), 4);
+}
+
+#[rstest]
+#[case::refused(Fate::Refused)]
+#[case::lost(Fate::LostBefore)]
+#[case::done_and_not_answered(Fate::LostAfter)]
+#[tokio::test]
+async fn an_item_is_done_whatever_happens_to_its_progress(#[case] fate: Fate) {
+    let world = World::new(&["t1"]);
+    world.store.script(Topic::Progress, &[fate; 3]);
+    let a1 = start(&world, "a1", eager).await;
+    let a2 = start(&world, "a2", eager).await;
+    until_acquainted(&[&a1, &a2]).await;
+    begin(&world, &a1).await;
+    a1.kill();
+    world.engines.go();
+    let results = a2.results("j1", 1).await;
+    assert_eq!(results[0].text.as_ref().unwrap(), &item_text("j1-0"));
+}
+
+#[tokio::test]
+async fn the_progress_of_an_item_that_is_done_is_dropped() {
+    let world = World::new(&["t1"]);
+    let a1 = start(&world, "a1", eager).await;
+    begin(&world, &a1).await;
+    until_saved(&world).await;
+    world.engines.go();
+    a1.results("j1", 1).await;
+    until("it is dropped", || world.store.keys(Topic::Progress) == 0).await;
+}
+
+#[tokio::test]
+async fn the_progress_of_a_job_whose_owner_died_is_dropped_with_the_job() {
+    let world = World::new(&["t1"]);
+    let forgetful = |s: &mut Settings| {
+        eager(s);
+        s.batch.readable_ms = 1_000;
+    };
+    let a1 = start(&world, "a1", eager).await;
+    let a2 = start(&world, "a2", forgetful).await;
+    until_acquainted(&[&a1, &a2]).await;
+    begin(&world, &a1).await;
+    until_saved(&world).await;
+    a1.kill();
+    world.engines.go();
+    a2.results("j1", 1).await;
+    until("it is dropped", || world.store.keys(Topic::Progress) == 0).await;
+}
+
+#[tokio::test]
+async fn a_job_that_was_just_taken_in_costs_no_reading_of_progress() {
+    let world = World::new(&["t1"]);
+    let a1 = start(&world, "a1", eager).await;
+    a1.submit("j1", 3, 10).await.unwrap();
+    a1.results("j1", 3).await;
+    assert_eq!(world.store.listings(Topic::Progress), 0);
+}
--- a/crates/gateway/tests/world/store.rs
+++ b/crates/gateway/tests/world/store.rs
@@ -46,6 +46,7 @@
 struct State {
     parts: HashMap<(Topic, u32), Part>,
     fates: HashMap<Topic, VecDeque<Fate>>,
+    listings: HashMap<Topic, usize>,
 }
 
 /// The store, or one door to it.
@@ -101,6 +102,12 @@
         part.map_or(0, |part| part.records.len())
     }
 
+    /// Returns how often pages of a topic were read.
+    pub fn listings(&self, topic: Topic) -> usize {
+        let state = self.state.lock().unwrap();
+        state.listings.get(&topic).copied().unwrap_or_default()
+    }
+
     /// Returns the keys of a topic that have a value, over all partitions.
     pub fn keys(&self, topic: Topic) -> usize {
         let state = self.state.lock().unwrap();
@@ -200,6 +207,7 @@
     fn newest(&self, topic: Topic, part: u32, after: Option<&str>) -> Result<Page, StoreError> {
         self.is_open()?;
         let mut state = self.state.lock().unwrap();
+        *state.listings.entry(topic).or_default() += 1;
         let part = state.parts.entry((topic, part)).or_default();
         let mut newest: BTreeMap<&str, &Stored> = BTreeMap::new();
         for record in &part.records {
--- a/crates/ledger/src/jobs.rs
+++ b/crates/ledger/src/jobs.rs
@@ -231,6 +231,8 @@
     pub accepted: Arc<Accepted>,
     /// The host that runs its items.
     pub owner: HostId,
+    /// The host that ran them before; nothing if the owner took the job in.
+    pub owner_before: Option<HostId>,
     /// The offset of the record by which the owner became it.
     pub epoch: Offset,
     /// Whether the caller ended it.
@@ -345,6 +347,7 @@
         *self.waiting.entry(accepted.route.clone()).or_default() += tokens;
         let job = Job {
             owner: accepted.host.clone(),
+            owner_before: None,
             epoch: offset,
             ended: false,
             listed: Vec::new(),
@@ -367,7 +370,7 @@
         if job.epoch != epoch {
             return Applied::Ignored(Ignored::StaleEpoch);
         }
-        job.owner = host;
+        job.owner_before = Some(std::mem::replace(&mut job.owner, host));
         job.epoch = offset;
         Applied::Taken
     }
--- a/crates/proto/src/news.rs
+++ b/crates/proto/src/news.rs
@@ -33,7 +33,7 @@
     pub incarnation: u64,
     /// A number that grows with each status of the incarnation.
     pub number: u64,
-    /// Whether the host is leaving.
+    /// Whether the host is leaving and others may run its items.
     pub leaving: bool,
     /// Whether the host reaches the store.
     pub store_up: bool,
