Split what runs items: registry, loading and settling stand apart

The registry now keeps its entries to itself, what reads a job's items and what records their end are modules of their own. No change of behaviour; gateway's tests pass as before.

--- /dev/null
+++ b/crates/gateway/src/items/load.rs
@@ -0,0 +1,100 @@
+//! Reads what a job's items say, and how far other hosts had got with them.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use notchwharf_ledger::jobs::Accepted;
+use notchwharf_ledger::jobs::HostId;
+use notchwharf_ledger::jobs::Offset;
+
+use super::sync;
+use crate::backlog::Item;
+use crate::context::Context;
+use crate::context::lock;
+use crate::jobs::Payload;
+use crate::ports::Forward;
+use crate::progress;
+
+/// Pause before a job's items are read again.
+const LOAD_PAUSE: Duration = Duration::from_millis(200);
+
+/// Reads the items of a job.
+pub(super) async fn load(ctx: Arc<Context>, epoch: Offset, accepted: Arc<Accepted>) {
+    let job = &accepted.job;
+    match Payload::read(&ctx, &accepted).await {
+        Ok(payload) => {
+            let mut items = to_items(&accepted, payload);
+            resume(&ctx, &accepted, epoch, &mut items).await;
+            let jobs = ctx.journal.jobs();
+            lock(&ctx.items.backlog).loaded(epoch, job, items, &jobs);
+        }
+        Err(err) => {
+            slog::warn!(ctx.logger, "job's items not read"; "job" => job.as_str(),
+                "error" => err.to_string());
+            tokio::time::sleep(LOAD_PAUSE).await;
+            lock(&ctx.items.backlog).not_loaded(job);
+            sync(&ctx);
+        }
+    }
+    ctx.items.wake();
+}
+
+/// Lets items go on from where other hosts, or this one before it started
+/// again, had got with them.
+async fn resume(ctx: &Context, accepted: &Accepted, epoch: Offset, items: &mut [Item]) {
+    let job = &accepted.job;
+    let owner_before = ctx
+        .journal
+        .jobs()
+        .get(job)
+        .and_then(|j| j.owner_before.clone());
+    if owner_before.is_none() && !ctx.journal.is_older_than_listing(epoch) {
+        return;
+    }
+    let hosts: Vec<HostId> = owner_before
+        .into_iter()
+        .chain([ctx.host().to_owned()])
+        .collect();
+    let mut found = match progress::read(ctx, job, &hosts).await {
+        Ok(found) => found,
+        Err(err) => {
+            slog::warn!(ctx.logger, "progress of items not read, they begin anew";
+                "job" => job.as_str(), "error" => err.to_string());
+            return;
+        }
+    };
+    slog::info!(ctx.logger, "progress of items read"; "job" => job.as_str(),
+        "hosts" => hosts.join(","), "items" => items.len(), "with_progress" => found.len());
+    for item in items {
+        if let Some(saved) = found.remove(&item.key.1) {
+            item.resume(saved);
+        }
+    }
+}
+
+fn to_items(accepted: &Accepted, payload: Payload) -> Vec<Item> {
+    let host = payload.host;
+    let specs = accepted.items.iter();
+    let both = specs.zip(payload.items).zip(0..);
+    let items = both.map(|((spec, item), number)| Item {
+        key: (accepted.job.clone(), number),
+        host: host.clone(),
+        forward: Arc::new(Forward {
+            id: spec.id.clone(),
+            method: hyper::Method::POST,
+            headers: item.headers(),
+            path: item.path,
+            body: item.body.into(),
+        }),
+        text: Vec::new(),
+        last_event: None,
+        failures: 0,
+        saved_event: None,
+        saved_failures: 0,
+        submitted_unix_ms: accepted.submitted_unix_ms,
+        is_late: false,
+        known_since: Instant::now(),
+    });
+    items.collect()
+}
--- a/crates/gateway/src/items/run.rs
+++ b/crates/gateway/src/items/run.rs
@@ -10,9 +10,8 @@
 use notchwharf_ledger::jobs::Reason;
 use notchwharf_routing::places::TargetId;
 
-use super::Ticket;
-use super::complete;
-use super::give_up;
+use super::registry::Ticket;
+use super::settle;
 use crate::backlog::Item;
 use crate::context::Context;
 use crate::context::lock;
@@ -64,7 +63,10 @@
         ended = exchange(&ctx, &mut item, &target) => ended,
         _ = cancelled => Ended::Cut,
     };
-    ctx.items.unregister(&target, number);
+    let entry = lock(&ctx.items.running).take(&target, number);
+    // Not before the registry is free again: the end of its count wakes whoever
+    // looks there.
+    drop(entry);
     ctx.metrics.count(Counted::Items, label(ended));
     slog::info!(ctx.logger, "item run"; "job" => item.key.0.as_str(),
         "id" => item.forward.id.as_str(), "target" => target.as_str(), "ended" => label(ended),
@@ -76,15 +78,15 @@
             if had.is_none() {
                 ctx.items.lasted(started.elapsed());
             }
-            ctx.settle(&item.key);
+            settle::is_ending(&ctx, &item);
             drop(under_way);
-            complete(Arc::clone(&ctx), item).await;
+            settle::complete(Arc::clone(&ctx), item).await;
         }
-        Ended::Impossible => give_up(&ctx, &item, Reason::Impossible),
+        Ended::Impossible => settle::give_up(&ctx, &item, Reason::Impossible),
         Ended::Failed => {
             item.failures += 1;
             if item.failures >= route.attempts_max.max(1) {
-                give_up(&ctx, &item, Reason::Attempts);
+                settle::give_up(&ctx, &item, Reason::Attempts);
             } else {
                 put_back(&ctx, item).await;
             }
