Pass news of hosts on inside large data centres

Cause: every host told every other one what it runs.

Change: a data centre of nine hosts or more is told through two of them, drawn anew each 100 ms; they pass the news on to all hosts near them, that of several hosts in one datagram.

Ruled out: fixed relays (their death silences many at once, and their owners' jobs would be taken over); telling far hosts less often (the same growth).

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -11,6 +11,7 @@
 
 mod list;
 mod pull;
+mod relay;
 mod status;
 
 use std::collections::HashMap;
@@ -21,6 +22,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use notchwharf_config::DataCentreId;
 use notchwharf_ledger::rendezvous;
 use notchwharf_listen::Phase;
 use notchwharf_proto::news;
@@ -41,6 +43,7 @@
 use crate::ports::Topic;
 
 pub(crate) use self::list::leave;
+use self::relay::Relay;
 
 /// Time without the store after which a host's jobs are taken over: most
 /// outages of one host are shorter, and items take some seconds.
@@ -58,13 +61,14 @@
     /// When a peer was last lost or said that it leaves.
     lost_at: Mutex<Option<Instant>>,
     socket: OnceLock<UdpSocket>,
+    relay: Relay,
 }
 
 #[derive(Debug)]
 struct Peer {
     addr: SocketAddr,
-    /// Whether it stands in this host's data centre; its entry says so.
-    is_near: bool,
+    /// Where it stands, once its entry in the store is known.
+    data_centre: Option<DataCentreId>,
     heard: Option<Instant>,
     is_alive: bool,
     told: Option<Instant>,
@@ -78,7 +82,7 @@
     fn new(addr: SocketAddr) -> Self {
         Self {
             addr,
-            is_near: false,
+            data_centre: None,
             heard: None,
             is_alive: false,
             told: None,
@@ -164,6 +168,7 @@
     ));
     tokio::spawn(status::send(Arc::clone(ctx)));
     tokio::spawn(status::receive(Arc::clone(ctx)));
+    tokio::spawn(relay::run(Arc::clone(ctx)));
     tokio::spawn(sweep(Arc::clone(ctx)));
     tokio::spawn(pull::serve(Arc::clone(ctx), listener));
 }
--- a/crates/gateway/src/peers/list.rs
+++ b/crates/gateway/src/peers/list.rs
@@ -94,7 +94,7 @@
         Peer::new(addr)
     });
     peer.addr = addr;
-    peer.is_near = listing.data_centre == ctx.settings.host.data_centre;
+    peer.data_centre = Some(listing.data_centre.clone());
 }
 
 fn forget(ctx: &Context, host: &str) {
--- a/crates/gateway/src/peers/status.rs
+++ b/crates/gateway/src/peers/status.rs
@@ -1,5 +1,6 @@
 //! What hosts tell one another by datagram.
 
+use std::collections::HashMap;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -15,6 +16,7 @@
 
 use super::Peer;
 use super::pull;
+use super::relay;
 use crate::catalog::Versions;
 use crate::context::Context;
 use crate::context::lock;
@@ -27,8 +29,8 @@
 /// Time between two datagrams to a peer that is down.
 const DOWN_BEAT: Duration = Duration::from_secs(1);
 
-/// Time between two tellings of hosts in other data centres, for each of them:
-/// many of them are told less often, so that what a host sends stays flat.
+/// Time between two tellings of hosts in other data centres, for each of those
+/// that are told themselves: what a host sends stays flat.
 const REMOTE_GAP_PER_HOST: Duration = Duration::from_micros(1_500);
 
 fn own_status(ctx: &Context, number: u64) -> Status {
@@ -64,16 +66,20 @@
     let mut number = 0;
     let mut far_told = Instant::now();
     let mut is_far_due = true;
+    let mut far = Far::default();
     while ctx.phase() != Phase::Stopped {
-        let far_gap = far_gap(&ctx);
-        let wait = if is_far_due { far_gap } else { beat };
+        let wait = if is_far_due { far.gap } else { far.beat(beat) };
         let wait = wait.saturating_sub(far_told.elapsed());
         let news = tokio::time::timeout(wait, ctx.peers.dirty.notified()).await;
         // Without news the beat, or what others are still to be told, is due.
-        is_far_due = news.is_ok() && far_told.elapsed() < far_gap;
+        is_far_due = news.is_ok() && far_told.elapsed() < far.gap;
         number += 1;
         let bytes = news::encode(&News::Status(own_status(&ctx, number)));
-        for addr in receivers(&ctx, !is_far_due) {
+        let receivers = receivers(&ctx, !is_far_due);
+        if let Some(told) = receivers.far {
+            far = told;
+        }
+        for addr in receivers.addrs {
             let Some(socket) = ctx.peers.socket.get() else {
                 return;
             };
@@ -88,37 +94,77 @@
     }
 }
 
-/// Returns the time between two tellings of hosts in other data centres.
-fn far_gap(ctx: &Context) -> Duration {
-    let known = lock(&ctx.peers.known);
-    let far = known.values().filter(|p| p.is_alive && !p.is_near).count();
-    REMOTE_GAP_PER_HOST * u32::try_from(far).unwrap_or(u32::MAX)
+/// Whom to tell.
+#[derive(Debug, Default)]
+struct Receivers {
+    addrs: Vec<SocketAddr>,
+    /// How hosts in other data centres are told, if they are now.
+    far: Option<Far>,
+}
+
+/// How hosts in other data centres are told.
+#[derive(Clone, Copy, Debug, Default)]
+struct Far {
+    /// Time until they are told again.
+    gap: Duration,
+    /// Whether any of them hear of it by others only.
+    is_passed_on: bool,
+}
+
+impl Far {
+    /// Returns the time after which they are told without news. Those that are
+    /// to pass it on may be down, so it is shorter with them.
+    fn beat(self, beat: Duration) -> Duration {
+        match self.is_passed_on {
+            true => beat.min(2 * self.gap),
+            false => beat,
+        }
+    }
+
+    /// Adds one data centre of which so many hosts are told themselves.
+    fn add(&mut self, told: usize, is_passed_on: bool) {
+        if is_passed_on {
+            self.gap = self.gap.max(relay::GAP);
+            self.is_passed_on = true;
+        } else {
+            self.gap += REMOTE_GAP_PER_HOST * u32::try_from(told).unwrap_or(u32::MAX);
+        }
+    }
 }
 
 /// Returns where to send: to peers that live, and now and then to the others
 /// and to the hosts that the settings name.
-fn receivers(ctx: &Context, with_far: bool) -> Vec<SocketAddr> {
+fn receivers(ctx: &Context, with_far: bool) -> Receivers {
     let now = Instant::now();
     let mut known = lock(&ctx.peers.known);
-    let due = known.values_mut().filter(|peer| {
-        let rested = peer
-            .told
-            .is_none_or(|at| now.duration_since(at) >= DOWN_BEAT);
-        (peer.is_alive && (peer.is_near || with_far)) || rested
-    });
-    let mut addrs: Vec<SocketAddr> = due
-        .map(|peer| {
+    let mut addrs = Vec::new();
+    let mut far_hosts: HashMap<Option<&str>, Vec<SocketAddr>> = HashMap::new();
+    for peer in known.values_mut() {
+        let told = peer.told.map(|at| now.duration_since(at));
+        if peer.is_alive && !relay::is_near(ctx, peer) {
+            let hosts = far_hosts.entry(peer.data_centre.as_deref()).or_default();
+            hosts.push(peer.addr);
+        } else if peer.is_alive || told.is_none_or(|ago| ago >= DOWN_BEAT) {
             peer.told = Some(now);
-            peer.addr
-        })
-        .collect();
+            addrs.push(peer.addr);
+        }
+    }
+    let far = with_far.then(|| {
+        let mut far = Far::default();
+        for hosts in far_hosts.values() {
+            let (told, is_passed_on) = relay::told(hosts);
+            far.add(told.len(), is_passed_on);
+            addrs.extend(told);
+        }
+        far
+    });
     if !known.values().any(|peer| peer.is_alive) {
         let own = ctx.settings.host.peer_listen;
         let seeds = ctx.settings.host.seeds.iter();
         let seeds = seeds.map(|ip: &IpAddr| SocketAddr::new(*ip, own.port()));
         addrs.extend(seeds.filter(|addr| *addr != own));
     }
-    addrs
+    Receivers { addrs, far }
 }
 
 pub(super) async fn receive(ctx: Arc<Context>) {
@@ -137,7 +183,12 @@
         };
         ctx.metrics.count(Counted::Datagrams, "received");
         match news::decode(&buf[..len]) {
-            Some(News::Status(status)) => take_status(&ctx, addr, status),
+            Some(News::Status(status)) => take_status(&ctx, Some(addr), status),
+            Some(News::PassedOn(news)) => {
+                for status in news {
+                    take_status(&ctx, None, status);
+                }
+            }
             Some(News::Cut(cut)) => take_cut(&ctx, cut),
             None => ctx.metrics.count(Counted::Datagrams, "unreadable"),
         }
@@ -151,7 +202,8 @@
     }
 }
 
-fn take_status(ctx: &Arc<Context>, addr: SocketAddr, status: Status) {
+/// Takes in how a host is, from its own address or passed on by another.
+fn take_status(ctx: &Arc<Context>, addr: Option<SocketAddr>, status: Status) {
     let host = status.host.clone();
     if host == ctx.host() {
         return;
@@ -164,6 +216,9 @@
     let Some(heard) = note_status(ctx, addr, &status, theirs.is_ahead_of(own)) else {
         return;
     };
+    if addr.is_some() && !heard.is_near {
+        ctx.peers.relay.put(status.clone());
+    }
     let loads = status.loads.iter().map(|load| {
         let counted = Load {
             online: load.online,
@@ -181,17 +236,20 @@
     ctx.items.wake();
     if heard.is_new {
         slog::info!(ctx.logger, "host up"; "peer" => host.as_str(),
-            "incarnation" => status.incarnation, "addr" => addr.to_string());
+            "incarnation" => status.incarnation, "addr" => heard.addr.to_string(),
+            "passed_on" => addr.is_none());
         ctx.metrics.count(Counted::Changes, "host up");
         ctx.peers.tell();
     }
     if heard.is_pull_due && pull::may_pull(ctx) {
-        tokio::spawn(pull::pull(Arc::clone(ctx), addr));
+        tokio::spawn(pull::pull(Arc::clone(ctx), heard.addr));
     }
 }
 
 /// What a status says of its sender.
 struct Heard {
+    /// Where the host is.
+    addr: SocketAddr,
     /// Whether the host was not alive before.
     is_new: bool,
     /// Whether it stands in this host's data centre.
@@ -200,13 +258,22 @@
     is_pull_due: bool,
 }
 
-/// Notes a status; returns nothing if a newer one came before.
-fn note_status(ctx: &Context, addr: SocketAddr, status: &Status, is_ahead: bool) -> Option<Heard> {
+/// Notes a status; returns nothing if a newer one came before, or if it was
+/// passed on and nobody knows yet where its host is.
+fn note_status(
+    ctx: &Context,
+    addr: Option<SocketAddr>,
+    status: &Status,
+    is_ahead: bool,
+) -> Option<Heard> {
     let now = Instant::now();
     let mut known = lock(&ctx.peers.known);
-    let peer = known
-        .entry(status.host.clone())
-        .or_insert_with(|| Peer::new(addr));
+    let peer = match addr {
+        Some(addr) => known
+            .entry(status.host.clone())
+            .or_insert_with(|| Peer::new(addr)),
+        None => known.get_mut(&status.host)?,
+    };
     let order = (status.incarnation, status.number);
     let is_newer = order > (peer.status.incarnation, peer.status.number);
     // A host whose clock was set back starts with a lower number than before.
@@ -214,7 +281,7 @@
     if !is_newer && !is_restarted {
         return None;
     }
-    peer.addr = addr;
+    peer.addr = addr.unwrap_or(peer.addr);
     peer.heard = Some(now);
     if status.leaving && !peer.status.leaving {
         *lock(&ctx.peers.lost_at) = Some(now);
@@ -233,7 +300,8 @@
     let is_long = ahead_since.is_some_and(|since| now.duration_since(since) >= pull::AHEAD_MAX);
     Some(Heard {
         is_new: !std::mem::replace(&mut peer.is_alive, true),
-        is_near: peer.is_near,
+        addr: peer.addr,
+        is_near: relay::is_near(ctx, peer),
         is_pull_due: is_ahead && (is_long || !ctx.store.is_up()),
     })
 }
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -5,12 +5,15 @@
 
 use std::net::SocketAddr;
 
+use notchwharf_config::gateway::Settings;
 use notchwharf_proto::news;
 use notchwharf_proto::news::Load;
 use notchwharf_proto::news::News;
 use notchwharf_proto::news::Status;
 use notchwharf_routing::places::key_of;
+use rstest::rstest;
 use tokio::net::UdpSocket;
+use world::Running;
 use world::World;
 use world::until;
 
@@ -27,24 +30,32 @@
     }
 
     async fn says(&self, name: &str, incarnation: u64, number: u64, loads: &[(&str, u32)]) {
-        let loads = loads.iter().map(|(target, online)| Load {
-            target: key_of(target),
-            online: *online,
-            batch: 0,
-        });
-        let status = Status {
-            host: name.to_owned(),
-            incarnation,
-            number,
-            store_up: true,
-            loads: loads.collect(),
-            ..Status::default()
-        };
-        let bytes = news::encode(&News::Status(status));
+        let status = status(name, incarnation, number, loads);
+        self.sends(&News::Status(status)).await;
+    }
+
+    async fn sends(&self, news: &News) {
+        let bytes = news::encode(news);
         self.socket.send_to(&bytes, self.host).await.unwrap();
     }
 }
 
+fn status(name: &str, incarnation: u64, number: u64, loads: &[(&str, u32)]) -> Status {
+    let loads = loads.iter().map(|(target, online)| Load {
+        target: key_of(target),
+        online: *online,
+        batch: 0,
+    });
+    Status {
+        host: name.to_owned(),
+        incarnation,
+        number,
+        store_up: true,
+        loads: loads.collect(),
+        ..Status::default()
+    }
+}
+
 #[tokio::test]
 async fn a_peer_whose_clock_was_set_back_before_it_started_again_is_heard() {
     let world = World::new(&["t1"]);
@@ -76,3 +87,110 @@
     until("all is read", || host.ctx().load_of("t2").online == 1).await;
     assert_eq!(host.ctx().load_of("t1").online, 2);
 }
+
+/// Returns hosts of one data centre that know where a host in another or the
+/// same one was, which has just fallen silent.
+async fn hosts_and_a_silent_one(
+    world: &World,
+    near: usize,
+    data_centre: &'static str,
+) -> Vec<Running> {
+    let place = |settings: &mut Settings| settings.host.data_centre = data_centre.into();
+    let far = world.start_with("x1", place).await;
+    let mut hosts = Vec::new();
+    for number in 0..near {
+        hosts.push(world.start_ready(&format!("a{number}")).await);
+    }
+    until("all know each other", || {
+        hosts.iter().all(|h| h.ctx().peers_alive() == near)
+    })
+    .await;
+    far.kill();
+    until("the silence is noticed", || {
+        hosts.iter().all(|h| h.ctx().peers_alive() == near - 1)
+    })
+    .await;
+    hosts
+}
+
+#[tokio::test]
+async fn news_that_another_host_passes_on_counts() {
+    let world = World::new(&["t1"]);
+    let hosts = hosts_and_a_silent_one(&world, 1, "e").await;
+    let host = &hosts[0];
+    let peer = Peer::of(host.ctx().settings.host.peer_listen).await;
+    let unknown = status("y1", u64::MAX, 1, &[("t1", 5)]);
+    let known = status("x1", u64::MAX, 1, &[("t1", 2)]);
+    peer.sends(&News::PassedOn(vec![unknown, known])).await;
+    until("it is heard", || host.ctx().peers_alive() == 1).await;
+    // Where the other host is nobody knows yet, so it does not count.
+    assert_eq!(host.ctx().load_of("t1").online, 2);
+}
+
+#[rstest]
+#[case::of_another_data_centre("e", true)]
+#[case::of_the_same("d", false)]
+#[tokio::test]
+async fn news_of_a_host_far_away_reaches_all_near_the_one_that_was_told(
+    #[case] data_centre: &'static str,
+    #[case] is_passed_on: bool,
+) {
+    let world = World::new(&["t1"]);
+    let hosts = hosts_and_a_silent_one(&world, 5, data_centre).await;
+    let told = Peer::of(hosts[0].ctx().settings.host.peer_listen).await;
+    told.says("x1", u64::MAX, 1, &[("t1", 2)]).await;
+    until("the one that was told knows", || {
+        hosts[0].ctx().load_of("t1").online == 2
+    })
+    .await;
+    if !is_passed_on {
+        let passed_on = hosts[0].ctx().metrics.text();
+        assert!(!passed_on.contains("passed on"), "{passed_on}");
+        return;
+    }
+    until("the others know", || {
+        hosts.iter().all(|h| h.ctx().load_of("t1").online == 2)
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn many_hosts_in_two_data_centres_know_what_each_runs() {
+    let world = World::new(&["t1", "t2"]);
+    let mut hosts = Vec::new();
+    for number in 0..20 {
+        let data_centre = if number % 2 == 0 { "d" } else { "e" };
+        let place = |settings: &mut Settings| settings.host.data_centre = data_centre.into();
+        hosts.push(world.start_with(&format!("a{number}"), place).await);
+    }
+    for host in &hosts {
+        host.until_ready().await;
+    }
+    until("all know each other", || {
+        hosts.iter().all(|h| h.ctx().peers_alive() == 19)
+    })
+    .await;
+    world.engines.hold();
+    let asked = hosts[0].ctx().clone();
+    let asked = tokio::spawn(async move {
+        let request = world::request(world::RESUMABLE, "r1");
+        notchwharf_gateway::online::serve(&asked, request, std::time::Instant::now()).await
+    });
+    let answer = asked.await.unwrap().unwrap();
+    until("all know of the request", || {
+        hosts.iter().all(|h| {
+            let loads = ["t1", "t2"].map(|target| h.ctx().load_of(target).online);
+            loads.iter().sum::<u32>() == 1
+        })
+    })
+    .await;
+    drop(answer);
+    until("all know of its end", || {
+        hosts.iter().all(|h| {
+            ["t1", "t2"]
+                .iter()
+                .all(|target| h.ctx().load_of(target).online == 0)
+        })
+    })
+    .await;
+}
--- a/crates/proto/src/news.rs
+++ b/crates/proto/src/news.rs
@@ -21,6 +21,8 @@
     Status(Status),
     /// The receiver is asked to make room.
     Cut(Cut),
+    /// How hosts far away are, passed on by one that was told.
+    PassedOn(Vec<Status>),
 }
 
 /// How a host is, and what it runs.
