Pass calls about jobs on to a peer that reaches the store

Change: a host that cannot answer a call about a job asks up to two peers that reach the store, once each, over the address at which peers call one another. A call that may have reached the peer and has no answer is 'unknown' for jobs submitted and ended, and refused for readings.

Ruled out: telling callers to come back at once (they come to the same data centre); reading the store through a peer (each call of it twice on the way, and the fold's limits and places would still be the peer's to know).

--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -1,9 +1,12 @@
 //! Why a request or a job was not answered as its caller hoped.
 
+use std::borrow::Cow;
 use std::fmt;
 use std::time::Duration;
 
 use hyper::StatusCode;
+use serde::Deserialize;
+use serde::Serialize;
 
 /// Why an online request has no answer of a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -63,10 +66,10 @@
 impl std::error::Error for Failure {}
 
 /// Why a call about a job was not done.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum JobCall {
     /// The request is malformed.
-    Malformed(&'static str),
+    Malformed(Cow<'static, str>),
     /// No route leads there.
     NoRoute,
     /// The route's limit leaves no room; nothing of the job runs.
@@ -79,7 +82,7 @@
         /// When to come back.
         retry_after: Duration,
         /// Why.
-        reason: &'static str,
+        reason: Cow<'static, str>,
     },
     /// The job may have been accepted, or the end recorded.
     Unknown,
--- a/crates/gateway/src/jobs.rs
+++ b/crates/gateway/src/jobs.rs
@@ -1,8 +1,10 @@
 //! Calls about jobs: submit, read results, read an item's body, end.
 //!
 //! Any host answers for any job. It says that there is none only after reading
-//! the job records to their end; when it cannot read them it says so.
+//! the job records to their end; when it cannot read them it passes the call on
+//! to a peer that can, and says so if there is none.
 
+mod passed_on;
 mod read;
 mod submit;
 
@@ -22,6 +24,7 @@
 use crate::ports::StoreError;
 use crate::ports::Topic;
 
+pub(crate) use self::passed_on::answer;
 pub use self::read::body;
 pub use self::read::read;
 pub use self::submit::end;
@@ -36,7 +39,7 @@
 const STORE_RETRY: Duration = Duration::from_millis(1_300);
 
 /// A job as its caller submits it.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Submission {
     /// The job's name.
     pub job: String,
@@ -91,7 +94,7 @@
 }
 
 /// A result as it is read.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ItemResult {
     /// The item's name.
     pub item: String,
@@ -100,7 +103,7 @@
 }
 
 /// Results from a position on.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Reading {
     /// The number of the job's items.
     pub total: usize,
@@ -120,7 +123,7 @@
     };
     JobCall::NotNow {
         retry_after,
-        reason,
+        reason: reason.into(),
     }
 }
 
--- a/crates/gateway/src/jobs/read.rs
+++ b/crates/gateway/src/jobs/read.rs
@@ -12,6 +12,8 @@
 use super::Res;
 use super::label;
 use super::not_now;
+use super::passed_on::Call;
+use super::passed_on::here_or_passed_on;
 use super::sync;
 use crate::context::Context;
 use crate::context::millis;
@@ -34,7 +36,12 @@
 ///
 /// Returns that there is no such job, or that the host cannot tell.
 pub async fn read(ctx: &Context, job: &str, from: usize, wait: Duration) -> Res<Reading> {
-    let res = try_read(ctx, job, from, wait).await;
+    let call = Call::Read {
+        job: job.to_owned(),
+        from,
+        wait,
+    };
+    let res = here_or_passed_on(ctx, &call, try_read(ctx, job, from, wait)).await;
     ctx.metrics.count(Counted::Jobs, label("read", &res));
     if let Err(err) = &res {
         slog::info!(ctx.logger, "results not read"; "id" => job, "from" => from,
@@ -44,7 +51,12 @@
     res
 }
 
-async fn try_read(ctx: &Context, job: &str, from: usize, wait: Duration) -> Res<Reading> {
+pub(super) async fn try_read(
+    ctx: &Context,
+    job: &str,
+    from: usize,
+    wait: Duration,
+) -> Res<Reading> {
     let deadline = tokio::time::Instant::now() + wait;
     let mut changed = ctx.journal.watch();
     let mut listed = listed(ctx, job);
@@ -149,7 +161,11 @@
 ///
 /// Returns that there is no such item, or that the host cannot tell.
 pub async fn body(ctx: &Context, job: &str, item: &str) -> Res<Bytes> {
-    let res = try_body(ctx, job, item).await;
+    let call = Call::Body {
+        job: job.to_owned(),
+        item: item.to_owned(),
+    };
+    let res = here_or_passed_on(ctx, &call, try_body(ctx, job, item)).await;
     ctx.metrics.count(Counted::Jobs, label("body", &res));
     if let Err(err) = &res {
         slog::info!(ctx.logger, "item's body not read"; "id" => job, "item" => item,
@@ -158,7 +174,7 @@
     res
 }
 
-async fn try_body(ctx: &Context, job: &str, item: &str) -> Res<Bytes> {
+pub(super) async fn try_body(ctx: &Context, job: &str, item: &str) -> Res<Bytes> {
     if ctx.journal.jobs().get(job).is_none() {
         sync(ctx).await?;
     }
--- a/crates/gateway/src/jobs/submit.rs
+++ b/crates/gateway/src/jobs/submit.rs
@@ -14,6 +14,8 @@
 use super::Submission;
 use super::label;
 use super::not_now;
+use super::passed_on::Call;
+use super::passed_on::here_or_passed_on;
 use super::sync;
 use crate::context::Context;
 use crate::context::millis;
@@ -39,7 +41,14 @@
     let job = submission.job.clone();
     let items = submission.items.len();
     let started = Instant::now();
-    let res = try_submit(ctx, submission).await;
+    let call = Call::Submit(submission);
+    let here = async {
+        match &call {
+            Call::Submit(submission) => try_submit(ctx, submission.clone()).await,
+            _ => Err(JobCall::Unknown),
+        }
+    };
+    let res = here_or_passed_on(ctx, &call, here).await;
     let outcome = res
         .as_ref()
         .err()
@@ -52,7 +61,7 @@
     res
 }
 
-async fn try_submit(ctx: &Arc<Context>, submission: Submission) -> Res<()> {
+pub(super) async fn try_submit(ctx: &Context, submission: Submission) -> Res<()> {
     if ctx.journal.jobs().get(&submission.job).is_some() {
         return Ok(());
     }
@@ -127,7 +136,10 @@
 ///
 /// Returns that there is no such job, or that the end may not be recorded.
 pub async fn end(ctx: &Context, job: &str) -> Res<()> {
-    let res = try_end(ctx, job).await;
+    let call = Call::End {
+        job: job.to_owned(),
+    };
+    let res = here_or_passed_on(ctx, &call, try_end(ctx, job)).await;
     ctx.metrics.count(Counted::Jobs, label("ended", &res));
     let outcome = res
         .as_ref()
@@ -137,7 +149,7 @@
     res
 }
 
-async fn try_end(ctx: &Context, job: &str) -> Res<()> {
+pub(super) async fn try_end(ctx: &Context, job: &str) -> Res<()> {
     if ctx.journal.jobs().get(job).is_none() {
         sync(ctx).await?;
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -12,6 +12,7 @@
 mod list;
 mod pull;
 mod relay;
+mod rpc;
 mod status;
 
 use std::collections::HashMap;
@@ -22,6 +23,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use bytes::Bytes;
 use notchwharf_config::DataCentreId;
 use notchwharf_ledger::rendezvous;
 use notchwharf_listen::Phase;
@@ -31,6 +33,7 @@
 use notchwharf_proto::news::Status;
 use notchwharf_routing::places::HostId;
 use notchwharf_routing::places::TargetKey;
+use rand::seq::IndexedRandom as _;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -44,6 +47,7 @@
 
 pub(crate) use self::list::leave;
 use self::relay::Relay;
+pub(crate) use self::rpc::NotAnswered;
 
 /// Time without the store after which a host's jobs are taken over: most
 /// outages of one host are shorter, and items take some seconds.
@@ -146,6 +150,30 @@
         self.able().len()
     }
 
+    /// Returns the addresses of some peers that reach the store.
+    pub(crate) fn with_store_addrs(&self, most: usize) -> Vec<SocketAddr> {
+        let able = self.able();
+        let known = lock(&self.known);
+        let chosen = able.sample(&mut rand::rng(), most);
+        chosen
+            .filter_map(|host| known.get(host).map(|peer| peer.addr))
+            .collect()
+    }
+
+    /// Calls a peer about a job.
+    ///
+    /// # Errors
+    ///
+    /// Returns whether the peer may have done what it was asked for.
+    pub(crate) async fn call(
+        &self,
+        addr: SocketAddr,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<Bytes, NotAnswered> {
+        rpc::call(addr, rpc::JOBS, body, timeout).await
+    }
+
     /// Returns whether this host is the one that should take a job over.
     pub(crate) fn is_successor(&self, own: &str, job: &str) -> bool {
         let able = self.able();
@@ -170,7 +198,7 @@
     tokio::spawn(status::receive(Arc::clone(ctx)));
     tokio::spawn(relay::run(Arc::clone(ctx)));
     tokio::spawn(sweep(Arc::clone(ctx)));
-    tokio::spawn(pull::serve(Arc::clone(ctx), listener));
+    tokio::spawn(rpc::serve(Arc::clone(ctx), listener));
 }
 
 /// Notes peers that have fallen silent.
--- /dev/null
+++ b/crates/gateway/src/peers/rpc.rs
@@ -0,0 +1,129 @@
+//! Calls between hosts: a body there, a body back.
+//!
+//! Each call has a connection of its own: there are few of them, and a kept one
+//! may have gone silent.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+use super::pull;
+use crate::context::Context;
+use crate::jobs;
+
+/// The path of calls for routes and targets.
+pub(super) const SNAPSHOT: &str = "/snapshot";
+/// The path of calls about jobs.
+pub(super) const JOBS: &str = "/jobs";
+
+/// Time after which an attempt to connect to a peer has failed: many times the
+/// way between data centres.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Why a peer gave no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NotAnswered {
+    /// It was not reached.
+    NotSent(&'static str),
+    /// It may have done what it was asked for.
+    Lost(&'static str),
+}
+
+impl NotAnswered {
+    /// Returns the reason in a word or two.
+    pub(super) fn reason(self) -> &'static str {
+        match self {
+            Self::NotSent(reason) | Self::Lost(reason) => reason,
+        }
+    }
+}
+
+/// Calls a peer.
+pub(super) async fn call(
+    addr: SocketAddr,
+    path: &str,
+    body: Bytes,
+    timeout: Duration,
+) -> Result<Bytes, NotAnswered> {
+    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr));
+    let socket = match connecting.await {
+        Err(_) => return Err(NotAnswered::NotSent("connecting timed out")),
+        Ok(Err(_)) => return Err(NotAnswered::NotSent("connection refused")),
+        Ok(Ok(socket)) => socket,
+    };
+    let called = tokio::time::timeout(timeout, exchange(socket, path, body));
+    called
+        .await
+        .unwrap_or(Err(NotAnswered::Lost("peer did not answer in time")))
+}
+
+async fn exchange(socket: TcpStream, path: &str, body: Bytes) -> Result<Bytes, NotAnswered> {
+    const BROKE: NotAnswered = NotAnswered::Lost("connection to peer broke");
+    let conn = hyper::client::conn::http1::handshake(TokioIo::new(socket)).await;
+    let (mut sender, conn) = conn.map_err(|_| NotAnswered::NotSent("no handshake"))?;
+    tokio::spawn(conn);
+    let req = Request::post(path).header("host", "peer");
+    let req = req.body(Full::new(body));
+    let req = req.map_err(|_| NotAnswered::NotSent("malformed call"))?;
+    let resp = sender.send_request(req).await.map_err(|_| BROKE)?;
+    if resp.status() != StatusCode::OK {
+        return Err(NotAnswered::Lost("peer could not answer"));
+    }
+    let body = resp.into_body().collect().await.map_err(|_| BROKE)?;
+    Ok(body.to_bytes())
+}
+
+/// Answers peers until the host stops.
+pub(super) async fn serve(ctx: Arc<Context>, listener: TcpListener) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = ctx.stopped() => return,
+        };
+        // Running out of descriptors must not end the service.
+        let Ok((socket, _)) = accepted else {
+            tokio::task::yield_now().await;
+            continue;
+        };
+        let shared = Arc::clone(&ctx);
+        let service = service_fn(move |req: Request<Incoming>| {
+            let ctx = Arc::clone(&shared);
+            async move { Ok::<_, std::convert::Infallible>(answer(&ctx, req).await) }
+        });
+        tokio::spawn(async move {
+            let conn = hyper::server::conn::http1::Builder::new();
+            // A peer that goes away in between asks again.
+            let _ = conn.serve_connection(TokioIo::new(socket), service).await;
+        });
+    }
+}
+
+async fn answer(ctx: &Arc<Context>, req: Request<Incoming>) -> Response<Full<Bytes>> {
+    let path = req.uri().path().to_owned();
+    // A peer that breaks off in between gets no answer anyway.
+    let body = req.into_body().collect().await.ok();
+    let body = body.map(http_body_util::Collected::to_bytes);
+    let answered = match (path.as_str(), body) {
+        (SNAPSHOT, _) => Some(pull::snapshot(ctx)),
+        (JOBS, Some(body)) => jobs::answer(ctx, &body).await,
+        _ => None,
+    };
+    let Some(bytes) = answered else {
+        let mut resp = Response::new(Full::default());
+        *resp.status_mut() = StatusCode::BAD_REQUEST;
+        return resp;
+    };
+    Response::new(Full::new(Bytes::from(bytes)))
+}
