--- /dev/null
+++ b/crates/routing/src/places/counts.rs
@@ -0,0 +1,152 @@
+//! What runs where: counted at this host, told by its peers.
+//!
+//! A peer tells all that it runs and not what has changed, so that what is told
+//! replaces what was known, and nothing adds up wrongly for long.
+
+use std::collections::HashMap;
+use std::time::Instant;
+
+use super::Places;
+use super::Target;
+use super::TargetKey;
+
+/// Requests that run at a target or wait there.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Online requests.
+    pub online: u32,
+    /// Items of jobs.
+    pub batch: u32,
+}
+
+impl Load {
+    /// Returns the sum.
+    pub fn total(self) -> u32 {
+        self.online + self.batch
+    }
+
+    pub(super) fn add(&mut self, other: Self) {
+        self.online += other.online;
+        self.batch += other.batch;
+    }
+
+    fn sub(&mut self, other: Self) {
+        self.online = self.online.saturating_sub(other.online);
+        self.batch = self.batch.saturating_sub(other.batch);
+    }
+}
+
+/// What a peer told.
+#[derive(Debug, Default)]
+pub(super) struct Peer {
+    pub(super) loads: HashMap<TargetKey, Load>,
+    /// Targets that fail as the peer sees them, where its word counts.
+    pub(super) failing: Vec<TargetKey>,
+}
+
+impl Places {
+    /// Returns what this host runs, target by target.
+    pub fn own(&self) -> impl Iterator<Item = (TargetKey, Load)> {
+        let busy = self.targets.values().filter(|t| t.own.total() > 0);
+        busy.map(|t| (t.key, t.own))
+    }
+
+    /// Returns what all hosts run at a target, as far as known.
+    pub fn load(&self, id: &str) -> Load {
+        self.targets.get(id).map(Target::load).unwrap_or_default()
+    }
+
+    /// Takes in what a peer runs; it replaces what the peer ran before.
+    ///
+    /// The peer's word on targets that fail is given if it counts: a target
+    /// may fail callers in one data centre only, so that of a peer elsewhere
+    /// does not.
+    pub fn peer_runs(
+        &mut self,
+        host: &str,
+        loads: impl IntoIterator<Item = (TargetKey, Load)>,
+        failing: Vec<TargetKey>,
+        now: Instant,
+    ) {
+        let loads: HashMap<TargetKey, Load> = loads.into_iter().collect();
+        let before = self.peers.remove(host).unwrap_or_default();
+        self.subtract(&before);
+        for (key, load) in &loads {
+            if let Some(target) = self.target_by_key(*key) {
+                target.others.add(*load);
+                target.note_load(now);
+            }
+        }
+        for key in &failing {
+            let is_news = !before.failing.contains(key);
+            if let Some(target) = self.target_by_key(*key) {
+                target.failing_at += 1;
+                if is_news {
+                    target.health.suspected();
+                }
+            }
+        }
+        self.peers.insert(host.to_owned(), Peer { loads, failing });
+    }
+
+    /// Returns the targets that fail as this host sees them.
+    pub fn failing(&self, now: Instant) -> Vec<TargetKey> {
+        let failing = self.targets.values().filter(|t| t.health.is_failing(now));
+        failing.map(|t| t.key).collect()
+    }
+
+    /// Forgets what a peer runs: it is down, and its connections with it.
+    pub fn peer_down(&mut self, host: &str) {
+        if let Some(peer) = self.peers.remove(host) {
+            self.subtract(&peer);
+        }
+    }
+
+    fn subtract(&mut self, peer: &Peer) {
+        for (key, load) in &peer.loads {
+            if let Some(target) = self.target_by_key(*key) {
+                target.others.sub(*load);
+            }
+        }
+        for key in &peer.failing {
+            if let Some(target) = self.target_by_key(*key) {
+                target.failing_at = target.failing_at.saturating_sub(1);
+            }
+        }
+    }
+
+    fn target_by_key(&mut self, key: TargetKey) -> Option<&mut Target> {
+        let id = self.keys.get(&key)?;
+        self.targets.get_mut(id)
+    }
+
+    /// Counts an online request at a target.
+    pub fn begin_online(&mut self, id: &str, now: Instant) {
+        self.count(id, |own| own.online += 1);
+        if let Some(target) = self.targets.get_mut(id) {
+            target.note_load(now);
+        }
+    }
+
+    /// Counts the end of an online request.
+    pub fn end_online(&mut self, id: &str) {
+        self.count(id, |own| own.online = own.online.saturating_sub(1));
+    }
+
+    /// Counts an item at a target.
+    pub fn begin_batch(&mut self, id: &str) {
+        self.count(id, |own| own.batch += 1);
+    }
+
+    /// Counts the end of an item's run.
+    pub fn end_batch(&mut self, id: &str) {
+        self.count(id, |own| own.batch = own.batch.saturating_sub(1));
+    }
+
+    fn count(&mut self, id: &str, change: impl FnOnce(&mut Load)) {
+        // A target that has left in the meantime counts nothing any more.
+        if let Some(target) = self.targets.get_mut(id) {
+            change(&mut target.own);
+        }
+    }
+}
