--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -26,13 +26,14 @@
 //! probe round and the suspicion time, a few seconds, and not at once. What
 //! must be known faster comes from failed calls.
 
+mod probe;
+
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
-use rand::RngExt as _;
 use rand::SeedableRng as _;
 use rand::seq::SliceRandom as _;
 use rand_chacha::ChaCha8Rng;
@@ -49,10 +50,10 @@
 use crate::spread::Spread;
 use crate::spread::encoded_len;
 
+use self::probe::Probe;
+
 /// Bytes of facts in one datagram, so that it fits an Ethernet frame.
 const FACTS_BYTES_MAX: usize = 1_100;
-/// Peers asked to probe for this host.
-const HELPERS: usize = 2;
 /// Least time between two tellings of news apart from probes.
 const PUSH_PAUSE: Duration = Duration::from_millis(40);
 /// Peers told of news at a time.
@@ -124,14 +125,6 @@
     Tell,
 }
 
-#[derive(Debug)]
-struct Probe {
-    host: HostId,
-    seq: u64,
-    sent: Instant,
-    helped: bool,
-}
-
 /// What a host knows of the fleet.
 pub struct Gossip {
     cfg: Config,
@@ -377,90 +370,6 @@
         self.send_facts(peer, Kind::Tell, batch);
     }
 
-    fn condemn(&mut self, now: Instant) {
-        let patience = self.cfg.suspect;
-        let due: Vec<HostId> = self
-            .suspects
-            .iter()
-            .filter(|(_, since)| now.duration_since(**since) >= patience)
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in due {
-            self.suspects.remove(&id);
-            self.report(now, &id, Health::Down);
-        }
-    }
-
-    fn report(&mut self, now: Instant, id: &str, health: Health) {
-        let Some(host) = self.host(id) else {
-            return;
-        };
-        let mut host = host.clone();
-        if host.health >= health {
-            return;
-        }
-        host.health = health;
-        self.learn(now, Fact::Host(id.to_owned(), host));
-    }
-
-    fn watch_probe(&mut self, now: Instant) {
-        let Some(probe) = &mut self.probe else {
-            return;
-        };
-        let waited = now.duration_since(probe.sent);
-        if waited >= self.cfg.probe {
-            let host = probe.host.clone();
-            self.probe = None;
-            self.report(now, &host, Health::Suspect);
-            return;
-        }
-        if probe.helped || waited < self.cfg.probe / 3 {
-            return;
-        }
-        probe.helped = true;
-        let (seq, host) = (probe.seq, probe.host.clone());
-        let mut others = self.others();
-        others.retain(|other| *other != host);
-        others.shuffle(&mut self.rng);
-        for helper in others.into_iter().take(HELPERS) {
-            self.send(&helper, Kind::Help(seq, host.clone()));
-        }
-    }
-
-    fn start_probe(&mut self, now: Instant) {
-        if self.probe.is_some() {
-            return;
-        }
-        let Some(host) = self.next_in_round() else {
-            return;
-        };
-        self.seq += 1;
-        let seq = self.seq;
-        self.send(&host, Kind::Ping(seq, None));
-        self.probe = Some(Probe {
-            host,
-            seq,
-            sent: now,
-            helped: false,
-        });
-    }
-
-    fn next_in_round(&mut self) -> Option<HostId> {
-        loop {
-            if self.round.is_empty() {
-                self.round = self.others();
-                self.round.shuffle(&mut self.rng);
-            }
-            let id = self.round.pop()?;
-            // One in a while, a dead host is probed as well: it may be a
-            // partition that has healed.
-            let down = self.host(&id).is_none_or(|h| h.health == Health::Down);
-            if !down || self.rng.random_ratio(1, 8) || self.round.is_empty() {
-                return Some(id);
-            }
-        }
-    }
-
     fn others(&self) -> Vec<HostId> {
         self.hosts()
             .map(|(id, _)| id)
