Let whom a host tells be a module of its own

status.rs reads and writes what is told; receivers.rs decides whom and when. A submission is copied once for passing on in place of an arm that could not be reached.

--- a/crates/gateway/src/jobs/submit.rs
+++ b/crates/gateway/src/jobs/submit.rs
@@ -41,14 +41,8 @@
     let job = submission.job.clone();
     let items = submission.items.len();
     let started = Instant::now();
-    let call = Call::Submit(submission);
-    let here = async {
-        match &call {
-            Call::Submit(submission) => try_submit(ctx, submission.clone()).await,
-            _ => Err(JobCall::Unknown),
-        }
-    };
-    let res = here_or_passed_on(ctx, &call, here).await;
+    let call = Call::Submit(submission.clone());
+    let res = here_or_passed_on(ctx, &call, try_submit(ctx, submission)).await;
     let outcome = res
         .as_ref()
         .err()
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -11,6 +11,7 @@
 
 mod list;
 mod pull;
+mod receivers;
 mod relay;
 mod rpc;
 mod status;
