Blame items only for failures that are theirs

Change: an item that failed is run elsewhere as long as there is another target.

Ruled out: leaving such a target alone after one failure of an item (items that fail everywhere would empty the service); longer pauses of the item (it comes late).

Tests: targets_that_fail_everything_do_not_make_items_fail, seen to fail. an_item_that_cannot_be_done_is_given_up asserted three runs at one target; now three at three targets, and six at the only one there is, as exact as before. failures_at_a_host_that_left_count follows (seven runs in place of four, nine if they did not count).

--- a/crates/gateway/src/backlog.rs
+++ b/crates/gateway/src/backlog.rs
@@ -14,10 +14,16 @@
 use notchwharf_ledger::jobs::JobId;
 use notchwharf_ledger::jobs::Jobs;
 use notchwharf_ledger::jobs::Offset;
+use notchwharf_routing::places::TargetId;
 
 use crate::ports::Forward;
 use crate::progress::Saved;
 
+/// Failures of an item for each one that its route allows, when targets that
+/// fail other items too are to blame: two, so that an item that fails
+/// everywhere still ends soon.
+const FAILURES_PER_ATTEMPT: u32 = 2;
+
 /// What identifies an item: its job and its place in the caller's order.
 pub(crate) type ItemKey = (JobId, u32);
 
@@ -34,8 +40,12 @@
     pub(crate) text: Vec<u8>,
     /// The number of the last event that is here.
     pub(crate) last_event: Option<u64>,
-    /// Runs that failed for the item's own sake.
+    /// Runs that failed.
     pub(crate) failures: u32,
+    /// Failures for which nothing but the item can be blamed.
+    pub(crate) blamed: u32,
+    /// Where it failed; it is run elsewhere as long as there is another target.
+    pub(crate) failed_at: Vec<TargetId>,
     /// The last event and the failures of which the progress was noted.
     pub(crate) saved_event: Option<u64>,
     pub(crate) saved_failures: u32,
@@ -59,12 +69,26 @@
         self.unsaved_events() > 0 || self.failures > self.saved_failures
     }
 
+    /// Notes that it failed at a target, which may be the one to blame.
+    pub(crate) fn failed(&mut self, target: &TargetId, is_targets_fault: bool) {
+        self.failures += 1;
+        self.blamed += u32::from(!is_targets_fault);
+        self.failed_at.push(target.clone());
+    }
+
+    /// Returns whether it has failed as often as its route allows.
+    pub(crate) fn is_spent(&self, attempts_max: u32) -> bool {
+        let most = attempts_max.max(1);
+        self.blamed >= most || self.failures >= most.saturating_mul(FAILURES_PER_ATTEMPT)
+    }
+
     /// Lets it go on from where it had got elsewhere.
     pub(crate) fn resume(&mut self, saved: Saved) {
         self.saved_event = saved.last_event;
         self.saved_failures = saved.failures;
         self.last_event = saved.last_event;
         self.failures = saved.failures;
+        self.blamed = saved.blamed;
         self.text = saved.text;
     }
 }
--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -231,14 +231,21 @@
         return Some(Next::GiveUp(item, Reason::Expired));
     }
     let service = route.service(hash(&item.forward.id))?;
+    let mut places = lock(&ctx.places);
+    let has_failed_everywhere = places.ids().all(|id| item.failed_at.contains(id));
     let want = Want {
         service,
         data_centre: &ctx.settings.host.data_centre,
         affinity: 0,
-        tried: &[],
+        tried: if has_failed_everywhere {
+            &[]
+        } else {
+            &item.failed_at
+        },
         objective: None,
     };
-    let target = lock(&ctx.places).choose_batch(&want, Instant::now())?;
+    let target = places.choose_batch(&want, Instant::now())?;
+    drop(places);
     let item = backlog.take()?;
     Some(Next::Run(item, route, target))
 }
--- a/crates/gateway/src/items/load.rs
+++ b/crates/gateway/src/items/load.rs
@@ -90,6 +90,8 @@
         text: Vec::new(),
         last_event: None,
         failures: 0,
+        blamed: 0,
+        failed_at: Vec::new(),
         saved_event: None,
         saved_failures: 0,
         submitted_unix_ms: accepted.submitted_unix_ms,
--- a/crates/gateway/src/items/run.rs
+++ b/crates/gateway/src/items/run.rs
@@ -84,8 +84,9 @@
         }
         Ended::Impossible => settle::give_up(&ctx, &item, Reason::Impossible),
         Ended::Failed => {
-            item.failures += 1;
-            if item.failures >= route.attempts_max.max(1) {
+            let is_targets_fault = lock(&ctx.places).is_failing(&target, Instant::now());
+            item.failed(&target, is_targets_fault);
+            if item.is_spent(route.attempts_max) {
                 settle::give_up(&ctx, &item, Reason::Attempts);
             } else {
                 put_back(&ctx, item).await;
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -44,8 +44,10 @@
     pub(crate) text: Vec<u8>,
     /// The number of the last of them.
     pub(crate) last_event: Option<u64>,
-    /// Runs that failed for the item's own sake.
+    /// Runs that failed.
     pub(crate) failures: u32,
+    /// Failures for which nothing but the item can be blamed.
+    pub(crate) blamed: u32,
 }
 
 /// What this host has written of its items, and has yet to write.
@@ -69,6 +71,7 @@
             text: item.text.clone(),
             last_event: item.last_event,
             failures: item.failures,
+            blamed: item.blamed,
         };
         item.saved_event = item.last_event;
         item.saved_failures = item.failures;
--- a/crates/routing/src/places/counts.rs
+++ b/crates/routing/src/places/counts.rs
@@ -95,6 +95,12 @@
         failing.map(|t| t.key).collect()
     }
 
+    /// Returns whether a target fails as this host or a peer near by sees it.
+    pub fn is_failing(&self, id: &str, now: Instant) -> bool {
+        let target = self.targets.get(id);
+        target.is_some_and(|t| t.failing_at > 0 || t.health.is_failing(now))
+    }
+
     /// Forgets what a peer runs: it is down, and its connections with it.
     pub fn peer_down(&mut self, host: &str) {
         if let Some(peer) = self.peers.remove(host) {
