--- a/crates/gateway/src/blobs.rs
+++ b/crates/gateway/src/blobs.rs
@@ -24,7 +24,7 @@
 
 /// Partitions over which blobs are spread: each takes some hundred appends a
 /// second, many times what a dozen hosts make.
-pub(crate) const PARTS: u64 = 8;
+const PARTS: u64 = 8;
 /// Bytes of a record beside its value, at most: its length, key and the key's
 /// length.
 pub(crate) const RECORD_OVERHEAD_BYTES: usize = 300;
@@ -32,6 +32,16 @@
 /// likely to read next.
 const CACHE_BYTES: usize = 512 << 10;
 
+/// Returns the partition that a name picks.
+pub(crate) fn part_of(name: &str) -> u32 {
+    u32::try_from(hash(name) % PARTS).unwrap_or(0)
+}
+
+/// Returns all partitions that names pick.
+pub(crate) fn parts() -> std::ops::Range<u32> {
+    0..u32::try_from(PARTS).unwrap_or(0)
+}
+
 /// Writes and reads blobs.
 #[derive(Clone)]
 pub(crate) struct Blobs {
@@ -92,7 +102,7 @@
         key: &str,
         bytes: Bytes,
     ) -> Result<Vec<Blob>, StoreError> {
-        let part = u32::try_from(hash(job) % PARTS).unwrap_or(0);
+        let part = part_of(job);
         let records_per_call = (self.call_bytes_max / (self.record_bytes_max + 1)).max(1);
         let mut blobs = Vec::new();
         let mut left = bytes;
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -20,15 +20,15 @@
 
 use bytes::Bytes;
 use notchwharf_ledger::jobs::HostId;
-use notchwharf_ledger::rendezvous::hash;
 use notchwharf_listen::Phase;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::backlog::Item;
 use crate::backlog::ItemKey;
-use crate::blobs::PARTS;
 use crate::blobs::RECORD_OVERHEAD_BYTES;
+use crate::blobs::part_of;
+use crate::blobs::parts;
 use crate::context::Context;
 use crate::context::lock;
 use crate::context::ms;
@@ -36,6 +36,7 @@
 use crate::ports::Entry;
 use crate::ports::StoreError;
 use crate::ports::Topic;
+use crate::upkeep::tombstone;
 
 /// How far an item has got.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -122,11 +123,6 @@
     }
 }
 
-/// Returns the partition that a host writes to.
-fn part(host: &str) -> u32 {
-    u32::try_from(hash(host) % PARTS).unwrap_or(0)
-}
-
 fn record_key(key: &ItemKey) -> String {
     format!("{}/{:04}", key.0, key.1)
 }
@@ -161,7 +157,7 @@
         });
         let appended = ctx
             .store
-            .append(Topic::Progress, part(ctx.host()), entries.collect());
+            .append(Topic::Progress, part_of(ctx.host()), entries.collect());
         if let Err(err) = appended.await {
             progress.not_written(batch);
             return Err(err);
@@ -182,11 +178,11 @@
     job: &str,
     hosts: &[HostId],
 ) -> Result<HashMap<u32, Saved>, StoreError> {
-    let mut parts: Vec<u32> = hosts.iter().map(|host| part(host)).collect();
-    parts.sort_unstable();
-    parts.dedup();
+    let mut written: Vec<u32> = hosts.iter().map(|host| part_of(host)).collect();
+    written.sort_unstable();
+    written.dedup();
     let mut found: HashMap<u32, Saved> = HashMap::new();
-    for part in parts {
+    for part in written {
         for (item, saved) in read_part(ctx, job, part).await? {
             let known = found.get(&item).map(|known| known.last_event);
             if known.is_none_or(|known| known < saved.last_event) {
@@ -233,11 +229,11 @@
     ctx: &Context,
     is_open: impl Fn(&str) -> bool,
 ) -> Result<(), StoreError> {
-    for part in 0..u32::try_from(PARTS).unwrap_or(0) {
+    for part in parts() {
         let (_, records) = ctx.store.all_newest(Topic::Progress, part).await?;
         let keys = records.into_iter().map(|record| record.entry.key);
         let stale = keys.filter(|key| key.rsplit_once('/').is_none_or(|(job, _)| !is_open(job)));
-        let stale: Vec<Entry> = stale.map(|key| Entry { key, value: None }).collect();
+        let stale: Vec<Entry> = stale.map(tombstone).collect();
         if !stale.is_empty() {
             ctx.store.append(Topic::Progress, part, stale).await?;
         }
--- a/crates/gateway/src/upkeep.rs
+++ b/crates/gateway/src/upkeep.rs
@@ -127,6 +127,7 @@
     Ok(())
 }
 
-fn tombstone(key: String) -> Entry {
+/// Returns a record that drops a key.
+pub(crate) fn tombstone(key: String) -> Entry {
     Entry { key, value: None }
 }
