Let items that are due first come first, over all hosts

Cause: each host ran the items of its own jobs, and whoever saw a free place took it.

Change: hosts tell which of their items wait and when they are due (three jobs at most); a host leaves free places to as many items as are due before its own, for 30 ms, so that one that does not take its turn holds nobody up. What is due is read from the job's record, so that clocks don't matter.

--- a/crates/gateway/src/backlog.rs
+++ b/crates/gateway/src/backlog.rs
@@ -8,14 +8,18 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
+use std::time::Duration;
 use std::time::Instant;
 
 use notchwharf_ledger::jobs::Accepted;
 use notchwharf_ledger::jobs::JobId;
 use notchwharf_ledger::jobs::Jobs;
 use notchwharf_ledger::jobs::Offset;
+use notchwharf_routing::items::turn::Waiting;
+use notchwharf_routing::items::usual::Size;
 use notchwharf_routing::places::TargetId;
 
+use crate::context::millis;
 use crate::ports::Forward;
 use crate::progress::Saved;
 
@@ -36,6 +40,8 @@
     pub(crate) host: String,
     /// The request.
     pub(crate) forward: Arc<Forward>,
+    /// How large it is, as its caller tells.
+    pub(crate) size: Size,
     /// The data of the events that are here, joined by line feeds.
     pub(crate) text: Vec<u8>,
     /// The number of the last event that is here.
@@ -51,6 +57,8 @@
     pub(crate) saved_failures: u32,
     /// When its job was submitted.
     pub(crate) submitted_unix_ms: u64,
+    /// Time from then on within which it is due.
+    pub(crate) objective: Duration,
     /// Whether it comes too late for its job's objective whatever is done.
     pub(crate) is_late: bool,
     /// When this host read it; the job is at least as old.
@@ -58,10 +66,28 @@
 }
 
 impl Item {
+    /// Returns when it is due.
+    fn due_unix_ms(&self) -> u64 {
+        self.submitted_unix_ms
+            .saturating_add(millis(self.objective))
+    }
+
+    /// Returns what its turn goes by: late ones come after all that are not.
+    pub(crate) fn turn_unix_ms(&self) -> u64 {
+        match self.is_late {
+            true => u64::MAX,
+            false => self.due_unix_ms(),
+        }
+    }
+
+    /// Returns how many events are here.
+    pub(crate) fn events(&self) -> u64 {
+        count(self.last_event)
+    }
+
     /// Returns how many events came since its progress was noted.
     pub(crate) fn unsaved_events(&self) -> u64 {
-        let count = |event: Option<u64>| event.map_or(0, |event| event + 1);
-        count(self.last_event).saturating_sub(count(self.saved_event))
+        self.events().saturating_sub(count(self.saved_event))
     }
 
     /// Returns whether there is anything about it to note.
@@ -179,6 +205,26 @@
         }
     }
 
+    /// Returns the items that are due first and wait, of so many jobs at most.
+    pub(crate) fn due_first(&self, jobs_max: usize) -> Vec<Waiting> {
+        let mut told: Vec<Waiting> = Vec::new();
+        for (due_unix_ms, _, _) in self.queue.keys() {
+            let last = told.last_mut();
+            if let Some(last) = last.filter(|last| last.due_unix_ms == *due_unix_ms) {
+                last.items += 1;
+                continue;
+            }
+            if told.len() == jobs_max {
+                break;
+            }
+            told.push(Waiting {
+                due_unix_ms: *due_unix_ms,
+                items: 1,
+            });
+        }
+        told
+    }
+
     /// Returns the item to run next without taking it.
     pub(crate) fn peek(&self) -> Option<&Item> {
         self.queue.values().chain(self.late.values()).next()
@@ -195,7 +241,11 @@
         let owned_job = self.owned.get(&item.key.0);
         let is_wanted = owned_job.is_some_and(|owned_job| owned_job.is_waiting(item.key.1));
         if is_wanted {
-            self.queue.insert(place(&item), item);
+            let queue = match item.is_late {
+                true => &mut self.late,
+                false => &mut self.queue,
+            };
+            queue.insert(place(&item), item);
         }
     }
 
@@ -230,6 +280,11 @@
     }
 }
 
+/// Returns the number of events up to the last one.
+pub(crate) fn count(last_event: Option<u64>) -> u64 {
+    last_event.map_or(0, |event| event + 1)
+}
+
 impl Owned {
     fn is_waiting(&self, item: u32) -> bool {
         self.waiting.as_ref().is_some_and(|w| w.contains(&item))
@@ -237,5 +292,5 @@
 }
 
 fn place(item: &Item) -> (u64, JobId, u32) {
-    (item.submitted_unix_ms, item.key.0.clone(), item.key.1)
+    (item.due_unix_ms(), item.key.0.clone(), item.key.1)
 }
--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -21,6 +21,10 @@
 use notchwharf_ledger::jobs::Reason;
 use notchwharf_ledger::rendezvous::hash;
 use notchwharf_listen::Phase;
+use notchwharf_routing::items::turn::Line;
+use notchwharf_routing::items::turn::TOLD_MAX;
+use notchwharf_routing::items::turn::Waiting;
+use notchwharf_routing::items::usual::Usual;
 use notchwharf_routing::places::TargetId;
 use notchwharf_routing::places::Want;
 use notchwharf_telemetry::gauge::Gauge;
@@ -43,9 +47,6 @@
 /// Time between two looks at the backlog without news, and at overfull targets.
 const TICK: Duration = Duration::from_millis(50);
 
-/// Share of a new measurement in the running mean of durations.
-const DURATION_WEIGHT: f64 = 0.1;
-
 /// Time for the items of a host that leaves to stop and be saved: some calls
 /// of the store, and little beside the time that a host has to leave.
 const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(400);
@@ -59,8 +60,10 @@
     backlog: Mutex<Backlog>,
     running: Mutex<Registry>,
     wake: Notify,
-    /// How long whole runs of items usually take.
-    duration: Mutex<Option<Duration>>,
+    /// Items that wait at other hosts.
+    line: Mutex<Line>,
+    /// How long items usually take.
+    usual: Mutex<Usual>,
     /// Runs of items that are under way.
     runs: Gauge,
     /// Whether the items of a host that leaves may be run elsewhere.
@@ -81,13 +84,23 @@
         self.is_handed_over.load(Ordering::Relaxed)
     }
 
-    /// Notes how long a run of an item took from its beginning to its end.
-    fn lasted(&self, took: Duration) {
-        let mut mean = lock(&self.duration);
-        *mean = Some(match *mean {
-            Some(mean) => mean.mul_f64(1.0 - DURATION_WEIGHT) + took.mul_f64(DURATION_WEIGHT),
-            None => took,
-        });
+    /// Returns which items wait here for others to leave them places; none of a
+    /// host that starts no more.
+    pub(crate) fn waiting(&self) -> Vec<Waiting> {
+        if self.is_handed_over() {
+            return Vec::new();
+        }
+        lock(&self.backlog).due_first(TOLD_MAX)
+    }
+
+    /// Takes in which items wait at a peer.
+    pub(crate) fn peer_waits(&self, host: &str, waiting: Vec<Waiting>) {
+        lock(&self.line).tell(host, waiting);
+    }
+
+    /// Forgets what waits at a peer that is down.
+    pub(crate) fn peer_down(&self, host: &str) {
+        lock(&self.line).forget(host);
     }
 
     /// Lets the host look whether an item can start.
@@ -217,8 +230,9 @@
 fn next(ctx: &Context) -> Option<Next> {
     let table = ctx.table()?;
     let mut backlog = lock(&ctx.items.backlog);
-    let usual = lock(&ctx.items.duration).unwrap_or_default();
-    backlog.put_late_behind(|item| is_late(&table, item, usual));
+    let usual = lock(&ctx.items.usual);
+    backlog.put_late_behind(|item| is_late(&table, item, &usual));
+    drop(usual);
     let item = backlog.peek()?;
     let path = item.forward.path.split('?').next().unwrap_or_default();
     let Some(route) = table.find(&item.host, path).cloned() else {
@@ -243,6 +257,7 @@
             &item.failed_at
         },
         objective: None,
+        ahead: lock(&ctx.items.line).ahead(item.turn_unix_ms()),
     };
     let target = places.choose_batch(&want, Instant::now())?;
     drop(places);
@@ -251,7 +266,7 @@
 }
 
 /// Returns whether an item that starts now ends after its job's objective.
-fn is_late(table: &Table, item: &Item, usual: Duration) -> bool {
+fn is_late(table: &Table, item: &Item, usual: &Usual) -> bool {
     let path = item.forward.path.split('?').next().unwrap_or_default();
     let objective = table.find(&item.host, path).map(|r| r.jobs.objective);
     let Some(objective) = objective.filter(|o| !o.is_zero()) else {
@@ -261,5 +276,6 @@
     // read the job, and the time of day may have been set back.
     let by_day = Duration::from_millis(unix_ms().saturating_sub(item.submitted_unix_ms));
     let age = item.known_since.elapsed().max(by_day);
-    age + usual > objective
+    let rest = usual.rest(item.size, item.events());
+    age + rest.unwrap_or_default() > objective
 }
--- a/crates/gateway/src/items/load.rs
+++ b/crates/gateway/src/items/load.rs
@@ -24,7 +24,7 @@
     let job = &accepted.job;
     match Payload::read(&ctx, &accepted).await {
         Ok(payload) => {
-            let mut items = to_items(&accepted, payload);
+            let mut items = to_items(&ctx, &accepted, payload);
             resume(&ctx, &accepted, epoch, &mut items).await;
             let jobs = ctx.journal.jobs();
             lock(&ctx.items.backlog).loaded(epoch, job, items, &jobs);
@@ -38,6 +38,7 @@
         }
     }
     ctx.items.wake();
+    ctx.peers.tell();
 }
 
 /// Lets items go on from where other hosts, or this one before it started
@@ -73,30 +74,38 @@
     }
 }
 
-fn to_items(accepted: &Accepted, payload: Payload) -> Vec<Item> {
+fn to_items(ctx: &Context, accepted: &Accepted, payload: Payload) -> Vec<Item> {
     let host = payload.host;
+    let table = ctx.table();
+    let route = table.as_ref().and_then(|t| t.by_name(&accepted.route));
+    let objective = route.map(|r| r.jobs.objective).unwrap_or_default();
     let specs = accepted.items.iter();
     let both = specs.zip(payload.items).zip(0..);
-    let items = both.map(|((spec, item), number)| Item {
-        key: (accepted.job.clone(), number),
-        host: host.clone(),
-        forward: Arc::new(Forward {
-            id: spec.id.clone(),
-            method: hyper::Method::POST,
-            headers: item.headers(),
-            path: item.path,
-            body: item.body.into(),
-        }),
-        text: Vec::new(),
-        last_event: None,
-        failures: 0,
-        blamed: 0,
-        failed_at: Vec::new(),
-        saved_event: None,
-        saved_failures: 0,
-        submitted_unix_ms: accepted.submitted_unix_ms,
-        is_late: false,
-        known_since: Instant::now(),
+    let items = both.map(|((spec, item), number)| {
+        let headers = item.headers();
+        Item {
+            size: (ctx.decode.size)(&headers),
+            key: (accepted.job.clone(), number),
+            host: host.clone(),
+            forward: Arc::new(Forward {
+                id: spec.id.clone(),
+                method: hyper::Method::POST,
+                headers,
+                path: item.path,
+                body: item.body.into(),
+            }),
+            text: Vec::new(),
+            last_event: None,
+            failures: 0,
+            blamed: 0,
+            failed_at: Vec::new(),
+            saved_event: None,
+            saved_failures: 0,
+            submitted_unix_ms: accepted.submitted_unix_ms,
+            objective,
+            is_late: false,
+            known_since: Instant::now(),
+        }
     });
     items.collect()
 }
--- a/crates/gateway/src/items/run.rs
+++ b/crates/gateway/src/items/run.rs
@@ -13,6 +13,7 @@
 use super::registry::Ticket;
 use super::settle;
 use crate::backlog::Item;
+use crate::backlog::count;
 use crate::context::Context;
 use crate::context::lock;
 use crate::context::millis;
@@ -73,11 +74,11 @@
         "from_event" => had, "last_event" => item.last_event, "failures" => item.failures,
         "took_ms" => millis(started.elapsed()));
     note(&ctx, &target, ended);
+    let events = item.events().saturating_sub(count(had));
+    lock(&ctx.items.usual).ran(events, started.elapsed());
     match ended {
         Ended::Whole => {
-            if had.is_none() {
-                ctx.items.lasted(started.elapsed());
-            }
+            lock(&ctx.items.usual).ended(item.size, item.events());
             settle::is_ending(&ctx, &item);
             drop(under_way);
             settle::complete(Arc::clone(&ctx), item).await;
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -187,6 +187,7 @@
             affinity: self.affinity,
             tried: &self.tried,
             objective: self.objective(),
+            ahead: 0,
         };
         let chosen = lock(&self.ctx.places).choose_online(&want, now);
         let choice = match chosen {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -221,6 +221,7 @@
             ctx.metrics.count(Counted::Changes, "host down");
             *lock(&ctx.peers.lost_at) = Some(Instant::now());
             lock(&ctx.places).peer_down(&host);
+            ctx.items.peer_down(&host);
             ctx.items.wake();
         }
     }
--- a/crates/gateway/src/peers/status.rs
+++ b/crates/gateway/src/peers/status.rs
@@ -9,6 +9,7 @@
 use notchwharf_proto::news::Cut;
 use notchwharf_proto::news::News;
 use notchwharf_proto::news::Status;
+use notchwharf_routing::items::turn::Waiting;
 use notchwharf_routing::places::Load;
 
 use super::Peer;
@@ -36,6 +37,10 @@
         });
         (loads.collect(), places.failing(Instant::now()))
     };
+    let waiting = ctx.items.waiting().into_iter().map(|w| news::Waiting {
+        due_unix_ms: w.due_unix_ms,
+        items: w.items,
+    });
     Status {
         host: ctx.host().to_owned(),
         incarnation: ctx.incarnation,
@@ -46,6 +51,7 @@
         targets: versions.targets,
         jobs: ctx.journal.jobs().end(),
         loads,
+        waiting: waiting.collect(),
         failing,
     }
 }
@@ -150,6 +156,11 @@
     } else {
         vec![]
     };
+    let waiting = status.waiting.iter().map(|w| Waiting {
+        due_unix_ms: w.due_unix_ms,
+        items: w.items,
+    });
+    ctx.items.peer_waits(&host, waiting.collect());
     lock(&ctx.places).peer_runs(&host, loads, failing, Instant::now());
     ctx.journal.told(status.jobs);
     ctx.items.wake();
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -17,6 +17,7 @@
 use hyper::Method;
 use hyper::StatusCode;
 use notchwharf_config::routes::Table;
+use notchwharf_routing::items::usual::Size;
 use notchwharf_routing::places::Spec;
 use notchwharf_routing::places::TargetId;
 
@@ -240,13 +241,19 @@
 /// Reads a target's record.
 pub type DecodeTarget = fn(value: &[u8]) -> Result<Spec, Unreadable>;
 
-/// What configuration and target records mean.
+/// Reads what an item's headers tell of its size; what they do not tell, or not
+/// in a way that can be read, is zero.
+pub type DecodeSize = fn(headers: &HeaderMap) -> Size;
+
+/// What records and items mean.
 #[derive(Clone, Copy)]
 pub struct Decode {
     /// Reads a configuration.
     pub config: DecodeConfig,
     /// Reads a target's record.
     pub target: DecodeTarget,
+    /// Reads an item's size.
+    pub size: DecodeSize,
 }
 
 /// A record that does not say what it should.
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -45,6 +45,7 @@
 use notchwharf_gateway::ports::Ports;
 use notchwharf_gateway::ports::Unreadable;
 use notchwharf_ledger::jobs::ItemSpec;
+use notchwharf_routing::items::usual::Size;
 use notchwharf_routing::places::Spec;
 
 use self::store::ScriptedStore;
@@ -124,6 +125,7 @@
             decode: Decode {
                 config: decode_config,
                 target: decode_target,
+                size: |_| Size::default(),
             },
         };
         let logger = slog::Logger::root(slog::Discard, slog::o!());
--- a/crates/proto/src/news.rs
+++ b/crates/proto/src/news.rs
@@ -47,6 +47,8 @@
     pub jobs: u64,
     /// What it runs.
     pub loads: Vec<Load>,
+    /// Its items that wait for a place, those due first.
+    pub waiting: Vec<Waiting>,
     /// The short forms of the names of targets that fail its requests.
     pub failing: Vec<u32>,
 }
@@ -62,6 +64,15 @@
     pub batch: u32,
 }
 
+/// Items that wait at a host and are due at the same time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Waiting {
+    /// When they are due, by the clock of the host that took their job in.
+    pub due_unix_ms: u64,
+    /// How many they are.
+    pub items: u32,
+}
+
 /// An online request needs the place of an item.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Cut {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -3,12 +3,14 @@
 //! [`table`] chooses the target of an online request, [`admission`] says
 //! whether the host takes it at all, [`budget`] whether it may be tried again,
 //! and [`slots`] how much batch work a target is given beside online work.
+//! [`items`] says how long an item of a job still takes.
 //! [`places`] does the work of the first and the last where hosts share all
 //! targets and tell one another what they run. All take time as input and do
 //! no I/O.
 
 pub mod admission;
 pub mod budget;
+pub mod items;
 pub mod limit;
 pub mod places;
 pub mod slots;
--- a/crates/routing/src/places.rs
+++ b/crates/routing/src/places.rs
@@ -14,7 +14,7 @@
 //! let mut places = Places::new(Config { reserve: 0, ..Config::default() }, 7);
 //! let spec = Spec { service: "s".into(), data_centre: "d".into(), slots: 1, ..Spec::default() };
 //! places.upsert("t1", spec);
-//! let want = Want { service: "s", data_centre: "d", affinity: 0, tried: &[], objective: None };
+//! let want = Want { service: "s", data_centre: "d", affinity: 0, tried: &[], objective: None, ahead: 0 };
 //! let item = places.choose_batch(&want, now).unwrap();
 //! places.begin_batch(&item);
 //! let choice = places.choose_online(&want, now).unwrap();
@@ -55,6 +55,10 @@
 /// places are taken again within that time, and an item costs its prompt anew
 /// with each start.
 const REST: Duration = Duration::from_millis(200);
+/// Time for which places are left to other hosts whose items come first: twice
+/// what their news takes between data centres, so that a host that does not
+/// take its turn, being slow or frozen, holds nobody up.
+const TURN: Duration = Duration::from_millis(30);
 /// Share of a new measurement in the running mean of durations.
 const DURATION_WEIGHT: f64 = 0.05;
 
@@ -119,6 +123,8 @@
     /// Time to the first event that the caller hopes for; nothing if any will
     /// do.
     pub objective: Option<Duration>,
+    /// Items of other hosts to which free places are left.
+    pub ahead: u32,
 }
 
 /// How the request finds room.
@@ -170,6 +176,8 @@
     failing_at: u32,
     /// When no place was free there, as far as known.
     full_at: Option<Instant>,
+    /// Since when this host has seen places there that items may take.
+    open_since: Option<Instant>,
     health: Health,
 }
 
@@ -197,6 +205,20 @@
         since.is_some_and(|since| since < REST)
     }
 
+    /// Returns how many places items may take.
+    fn spare(&self, reserve: u32, now: Instant) -> u32 {
+        if self.was_full(now) {
+            return 0;
+        }
+        self.free().saturating_sub(reserve)
+    }
+
+    /// Returns whether those whose turn it was have not taken its places.
+    fn is_left_over(&self, now: Instant) -> bool {
+        let open = self.open_since.map(|at| now.saturating_duration_since(at));
+        open.is_some_and(|open| open >= TURN)
+    }
+
     fn free(&self) -> u32 {
         self.spec.slots.saturating_sub(self.load().total())
     }
@@ -253,6 +275,7 @@
             others,
             failing_at,
             full_at: None,
+            open_since: None,
             health: Health::default(),
         };
         self.keys.insert(key, id.to_owned());
--- a/crates/routing/src/places/choice.rs
+++ b/crates/routing/src/places/choice.rs
@@ -90,12 +90,18 @@
     /// Chooses the target of an item: one with places beyond the reserve.
     pub fn choose_batch(&mut self, want: &Want<'_>, now: Instant) -> Option<TargetId> {
         let pace = self.usual_pace(want.service);
-        let reserve = self.cfg.reserve;
         let draw: u64 = self.rng.random();
         let all = self.are_most_ejected(want.service, now);
+        self.note_open(now);
+        let open = self.targets.values().filter(|t| {
+            t.spec.service == want.service && !t.spec.leaving && (all || !t.is_ejected(now))
+        });
+        let reserve = self.cfg.reserve;
+        let spare = open.map(|t| t.spare(reserve, now)).sum::<u32>();
+        let is_turn = spare > want.ahead;
         let best = self.best(want, now, all, |t| {
-            let spare = t.free().saturating_sub(reserve);
-            if spare == 0 || t.was_full(now) {
+            let spare = t.spare(reserve, now);
+            if spare == 0 || !(is_turn || t.is_left_over(now)) {
                 return None;
             }
             let slow = if t.health.is_slow(pace) {
@@ -114,6 +120,17 @@
         best.cloned()
     }
 
+    /// Notes where items find places and where they don't.
+    fn note_open(&mut self, now: Instant) {
+        for target in self.targets.values_mut() {
+            if target.spare(self.cfg.reserve, now) == 0 {
+                target.open_since = None;
+            } else {
+                target.open_since.get_or_insert(now);
+            }
+        }
+    }
+
     /// Returns the targets at which this host should cut an item: there are
     /// more requests than places, and no host has more items there.
     pub fn overfull(&self, host: &str) -> Vec<TargetId> {
--- a/crates/routing/tests/places.rs
+++ b/crates/routing/tests/places.rs
@@ -45,6 +45,7 @@
         affinity: 3,
         tried,
         objective: None,
+        ahead: 0,
     }
 }
 
