Share the reserve of places among targets, by the online load

Cause: one place of each target stayed free whatever the load, an eighth of all, while items were late: with 64 places 57 to 58 were in use in the calm between bursts.

Change: what stays free is shared by a service's targets, as many places as the square root of the online requests that run (what their number varies by), never more than before.

--- a/crates/routing/src/places.rs
+++ b/crates/routing/src/places.rs
@@ -205,12 +205,12 @@
         since.is_some_and(|since| since < REST)
     }
 
-    /// Returns how many places items may take.
-    fn spare(&self, reserve: u32, now: Instant) -> u32 {
+    /// Returns how many places are open to items.
+    fn open(&self, now: Instant) -> u32 {
         if self.was_full(now) {
             return 0;
         }
-        self.free().saturating_sub(reserve)
+        self.free()
     }
 
     /// Returns whether those whose turn it was have not taken its places.
--- a/crates/routing/src/places/choice.rs
+++ b/crates/routing/src/places/choice.rs
@@ -96,11 +96,13 @@
         let open = self.targets.values().filter(|t| {
             t.spec.service == want.service && !t.spec.leaving && (all || !t.is_ejected(now))
         });
-        let reserve = self.cfg.reserve;
-        let spare = open.map(|t| t.spare(reserve, now)).sum::<u32>();
+        let spare = spare(open, self.cfg.reserve, now);
+        if spare == 0 {
+            return None;
+        }
         let is_turn = spare > want.ahead;
         let best = self.best(want, now, all, |t| {
-            let spare = t.spare(reserve, now);
+            let spare = t.open(now);
             if spare == 0 || !(is_turn || t.is_left_over(now)) {
                 return None;
             }
@@ -123,7 +125,7 @@
     /// Notes where items find places and where they don't.
     fn note_open(&mut self, now: Instant) {
         for target in self.targets.values_mut() {
-            if target.spare(self.cfg.reserve, now) == 0 {
+            if target.open(now) == 0 {
                 target.open_since = None;
             } else {
                 target.open_since.get_or_insert(now);
@@ -206,6 +208,24 @@
     }
 }
 
+/// Returns how many places of a service's targets items may take.
+///
+/// What stays free is shared by all of them and follows the online load: as
+/// many places as the number of requests that run varies by from moment to
+/// moment, its square root where they come independently. One of each target,
+/// whatever the load, left an eighth of all places idle while items were late.
+/// Steps of the load are larger; for these items are cut.
+fn spare<'a>(targets: impl Iterator<Item = &'a Target>, reserve: u32, now: Instant) -> u32 {
+    let (mut open, mut online, mut count) = (0, 0, 0);
+    for target in targets {
+        open += target.open(now);
+        online += target.load().online;
+        count += 1;
+    }
+    let varies_by = f64::from(online).sqrt().ceil() as u32;
+    open.saturating_sub(varies_by.clamp(reserve, reserve * count.max(1)))
+}
+
 /// What is usual at the targets of a service.
 #[derive(Clone, Copy, Debug)]
 struct Usual {
