--- a/crates/gateway/src/backlog.rs
+++ b/crates/gateway/src/backlog.rs
@@ -61,8 +61,6 @@
     pub(crate) objective: Duration,
     /// Whether it comes too late for its job's objective whatever is done.
     pub(crate) is_late: bool,
-    /// When it first started here, and how long it was to run then.
-    pub(crate) started: Option<(Instant, Duration)>,
     /// When this host read it; the job is at least as old.
     pub(crate) known_since: Instant,
 }
@@ -196,7 +194,7 @@
 
     /// Puts items that come too late behind all others: run first, they would
     /// make the next ones late as well.
-    pub(crate) fn put_late_behind(&mut self, mut is_late: impl FnMut(&Item) -> bool) {
+    pub(crate) fn put_late_behind(&mut self, is_late: impl Fn(&Item) -> bool) {
         while let Some(oldest) = self.queue.first_entry() {
             if !is_late(oldest.get()) {
                 return;
--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -210,8 +210,7 @@
             return;
         };
         match next {
-            Next::Run(mut item, route, target) => {
-                note_start(ctx, &mut item);
+            Next::Run(item, route, target) => {
                 let running = Running::begin(ctx, &target, Class::Batch);
                 let ticket = lock(&ctx.items.running).add(&target, &item, running);
                 tokio::spawn(run::run(Arc::clone(ctx), item, route, target, ticket));
@@ -222,14 +221,6 @@
     }
 }
 
-/// Notes when an item first starts here, to learn how long items take.
-fn note_start(ctx: &Context, item: &mut Item) {
-    if item.started.is_none() && !item.is_late {
-        let rest = lock(&ctx.items.usual).rest(item.size, item.events());
-        item.started = rest.map(|rest| (Instant::now(), rest));
-    }
-}
-
 /// What to do with an item.
 enum Next {
     Run(Item, Arc<Route>, TargetId),
@@ -239,15 +230,8 @@
 fn next(ctx: &Context) -> Option<Next> {
     let table = ctx.table()?;
     let mut backlog = lock(&ctx.items.backlog);
-    let mut usual = lock(&ctx.items.usual);
-    backlog.put_late_behind(|item| {
-        let is_late = is_late(&table, item, &usual);
-        if let Some((at, expected)) = item.started.filter(|_| is_late) {
-            let rest = usual.rest(item.size, item.events()).unwrap_or_default();
-            usual.took(expected, at.elapsed() + rest);
-        }
-        is_late
-    });
+    let usual = lock(&ctx.items.usual);
+    backlog.put_late_behind(|item| is_late(&table, item, &usual));
     drop(usual);
     let item = backlog.peek()?;
     let path = item.forward.path.split('?').next().unwrap_or_default();
@@ -292,6 +276,6 @@
     // read the job, and the time of day may have been set back.
     let by_day = Duration::from_millis(unix_ms().saturating_sub(item.submitted_unix_ms));
     let age = item.known_since.elapsed().max(by_day);
-    let planned = usual.planned(item.size, item.events());
-    age + planned.unwrap_or_default() > objective
+    let rest = usual.rest(item.size, item.events());
+    age + rest.unwrap_or_default() > objective
 }
--- a/crates/gateway/src/items/load.rs
+++ b/crates/gateway/src/items/load.rs
@@ -104,7 +104,6 @@
             submitted_unix_ms: accepted.submitted_unix_ms,
             objective,
             is_late: false,
-            started: None,
             known_since: Instant::now(),
         }
     });
--- a/crates/gateway/src/items/run.rs
+++ b/crates/gateway/src/items/run.rs
@@ -78,7 +78,7 @@
     lock(&ctx.items.usual).ran(events, started.elapsed());
     match ended {
         Ended::Whole => {
-            learn(&ctx, &item);
+            lock(&ctx.items.usual).ended(item.size, item.events());
             settle::is_ending(&ctx, &item);
             drop(under_way);
             settle::complete(Arc::clone(&ctx), item).await;
@@ -99,15 +99,6 @@
     ctx.items.wake();
 }
 
-/// Learns how long items take from one that is whole.
-fn learn(ctx: &Context, item: &Item) {
-    let mut usual = lock(&ctx.items.usual);
-    usual.ended(item.size, item.events());
-    if let Some((at, expected)) = item.started.filter(|_| !item.is_late) {
-        usual.took(expected, at.elapsed());
-    }
-}
-
 async fn put_back(ctx: &Context, item: Item) {
     tokio::time::sleep(FAILED_PAUSE).await;
     lock(&ctx.items.backlog).put_back(item);
--- a/crates/routing/src/items/usual.rs
+++ b/crates/routing/src/items/usual.rs
@@ -39,15 +39,6 @@
 /// longer than expected does not end at once.
 const REST_SHARE_MIN: f64 = 0.05;
 
-/// Share of items that take no longer than what is planned for them. Half of
-/// those that start with just the mean time left come late and have taken the
-/// places of others; planning for nearly all gives up items that would be done.
-const PLANNED_SHARE: f64 = 0.75;
-/// Step by which the planned share is tracked.
-const STRETCH_STEP: f64 = 0.08;
-/// Bounds of the planned time against that of an undisturbed run.
-const STRETCH: std::ops::RangeInclusive<f64> = 1.0..=3.0;
-
 /// What a caller tells of an item's size; zero where it tells nothing.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Size {
@@ -86,9 +77,6 @@
     /// Spread of the hints, and how the events go along with it.
     hint_variance: Mean,
     covariance: Mean,
-    /// How many times longer than an undisturbed run three in four items take
-    /// at most, from their first start on: they are cut and wait in between.
-    stretch: Stretch,
 }
 
 impl Usual {
@@ -122,21 +110,6 @@
         Some(Duration::from_secs_f64(rest * self.pace_s.value?))
     }
 
-    /// Returns the time that is planned for what is left of an item, with what
-    /// it is likely to wait in between.
-    pub fn planned(&self, size: Size, events: u64) -> Option<Duration> {
-        Some(self.rest(size, events)?.mul_f64(self.stretch.0))
-    }
-
-    /// Notes how long an item took from its first start on that was expected
-    /// to run so long.
-    pub fn took(&mut self, expected: Duration, took: Duration) {
-        if !expected.is_zero() {
-            self.stretch
-                .note(took.as_secs_f64() / expected.as_secs_f64());
-        }
-    }
-
     fn expected_events(&self, size: Size) -> Option<f64> {
         let usual = self.events.value?;
         let off = match (size.hint(), self.hints.value) {
@@ -158,26 +131,6 @@
     }
 }
 
-/// A quantile, tracked by steps up and down whose sizes balance there.
-#[derive(Clone, Copy, Debug)]
-struct Stretch(f64);
-
-impl Default for Stretch {
-    fn default() -> Self {
-        Self(*STRETCH.start())
-    }
-}
-
-impl Stretch {
-    fn note(&mut self, ratio: f64) {
-        let step = match ratio > self.0 {
-            true => PLANNED_SHARE,
-            false => PLANNED_SHARE - 1.0,
-        };
-        self.0 = (self.0 + step * STRETCH_STEP).clamp(*STRETCH.start(), *STRETCH.end());
-    }
-}
-
 /// A running mean: a plain one at first, later one of the newest values.
 #[derive(Clone, Copy, Debug, Default)]
 struct Mean {
