Rest only targets that online requests had filled

Cause: no item started for 200 ms at a target without a free place.

Change: only online requests that take all places let a target rest.

--- a/crates/routing/src/places.rs
+++ b/crates/routing/src/places.rs
@@ -51,9 +51,10 @@
 /// A short form of a target's name, for messages between hosts.
 pub type TargetKey = u32;
 
-/// Time for which no item is started at a target that was full: in a burst its
-/// places are taken again within that time, and an item costs its prompt anew
-/// with each start.
+/// Time for which no item is started at a target that online requests had filled:
+/// in a burst its places are taken again within that time, and an item costs its
+/// prompt anew with each start. A target that items have filled is as good as
+/// any: resting there too left places idle all the time that items waited.
 const REST: Duration = Duration::from_millis(200);
 /// Time for which places are left to other hosts whose items come first: twice
 /// what their news takes between data centres, so that a host that does not
@@ -174,7 +175,7 @@
     others: Load,
     /// Peers at which it fails.
     failing_at: u32,
-    /// When no place was free there, as far as known.
+    /// When online requests had all its places, as far as known.
     full_at: Option<Instant>,
     /// Since when this host has seen places there that items may take.
     open_since: Option<Instant>,
@@ -193,12 +194,12 @@
     }
 
     fn note_load(&mut self, now: Instant) {
-        if self.free() == 0 {
+        if self.load().online >= self.spec.slots {
             self.full_at = Some(now);
         }
     }
 
-    /// Returns whether it was full a moment ago: an item that starts there is
+    /// Returns whether online requests filled it a moment ago: an item that starts there is
     /// likely to be cut before it gets anywhere.
     fn was_full(&self, now: Instant) -> bool {
         let since = self.full_at.map(|at| now.saturating_duration_since(at));
