Count places as left over only when nobody takes a turn

Cause: at a burst's end forty places fall free at once and the host whose items come first starts one in 4 ms; after 30 ms all others took the rest.

Change: places are left over if items have found some, beyond the reserve, for 30 ms and no host that is ahead has started one in that time. A host tells all that waits, jobs beyond the third with the third.

--- a/crates/gateway/src/backlog.rs
+++ b/crates/gateway/src/backlog.rs
@@ -205,18 +205,17 @@
         }
     }
 
-    /// Returns the items that are due first and wait, of so many jobs at most.
+    /// Returns how many items wait, by when they are due; so many jobs are told
+    /// apart, and the rest counts with the last of these.
     pub(crate) fn due_first(&self, jobs_max: usize) -> Vec<Waiting> {
         let mut told: Vec<Waiting> = Vec::new();
         for (due_unix_ms, _, _) in self.queue.keys() {
+            let is_full = told.len() >= jobs_max;
             let last = told.last_mut();
-            if let Some(last) = last.filter(|last| last.due_unix_ms == *due_unix_ms) {
+            if let Some(last) = last.filter(|last| is_full || last.due_unix_ms == *due_unix_ms) {
                 last.items += 1;
                 continue;
             }
-            if told.len() == jobs_max {
-                break;
-            }
             told.push(Waiting {
                 due_unix_ms: *due_unix_ms,
                 items: 1,
--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -95,7 +95,7 @@
 
     /// Takes in which items wait at a peer.
     pub(crate) fn peer_waits(&self, host: &str, waiting: Vec<Waiting>) {
-        lock(&self.line).tell(host, waiting);
+        lock(&self.line).tell(host, waiting, Instant::now());
     }
 
     /// Forgets what waits at a peer that is down.
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -17,6 +17,7 @@
 use hyper::StatusCode;
 use notchwharf_config::routes::Route;
 use notchwharf_ledger::rendezvous::hash;
+use notchwharf_routing::items::turn::Ahead;
 use notchwharf_routing::places::Choice;
 use notchwharf_routing::places::Refusal;
 use notchwharf_routing::places::Room;
@@ -187,7 +188,7 @@
             affinity: self.affinity,
             tried: &self.tried,
             objective: self.objective(),
-            ahead: 0,
+            ahead: Ahead::default(),
         };
         let chosen = lock(&self.ctx.places).choose_online(&want, now);
         let choice = match chosen {
--- a/crates/routing/src/items/turn.rs
+++ b/crates/routing/src/items/turn.rs
@@ -15,22 +15,25 @@
 //! that has the job: what an item generated would have to be handed over.
 //!
 //! ```
+//! use std::time::Instant;
 //! use notchwharf_routing::items::turn::{Line, Waiting};
 //!
+//! let now = Instant::now();
 //! let mut line = Line::default();
-//! line.tell("a2", vec![Waiting { due_unix_ms: 900, items: 3 }]);
-//! line.tell("a3", vec![Waiting { due_unix_ms: 500, items: 2 }]);
-//! assert_eq!(line.ahead(800), 2);
+//! line.tell("a2", vec![Waiting { due_unix_ms: 900, items: 3 }], now);
+//! line.tell("a3", vec![Waiting { due_unix_ms: 500, items: 2 }], now);
+//! assert_eq!(line.ahead(800).items, 2);
 //! line.forget("a3");
-//! assert_eq!(line.ahead(800), 0);
+//! assert_eq!(line.ahead(800).items, 0);
 //! ```
 
 use std::collections::HashMap;
+use std::time::Instant;
 
 use crate::places::HostId;
 
-/// Jobs of which a host tells: those due first. Three reach as far as a host
-/// gets within the age of the news; more would be bytes for nothing.
+/// Jobs that a host tells apart: those due first. More would be bytes for
+/// nothing, since few hosts have more than three at a time.
 pub const TOLD_MAX: usize = 3;
 
 /// Items that wait and are due at the same time.
@@ -44,20 +47,42 @@
     pub items: u32,
 }
 
+/// What comes before an item of this host.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Ahead {
+    /// Items at other hosts that are due before it.
+    pub items: u32,
+    /// When one of these hosts last took a place, as far as known.
+    pub moved_at: Option<Instant>,
+}
+
+#[derive(Debug)]
+struct Peer {
+    waiting: Vec<Waiting>,
+    moved_at: Option<Instant>,
+}
+
 /// Items that wait at other hosts.
 #[derive(Debug, Default)]
 pub struct Line {
-    peers: HashMap<HostId, Vec<Waiting>>,
+    peers: HashMap<HostId, Peer>,
 }
 
 impl Line {
     /// Takes in what waits at a peer; it replaces what was known.
-    pub fn tell(&mut self, host: &str, waiting: Vec<Waiting>) {
+    pub fn tell(&mut self, host: &str, waiting: Vec<Waiting>, now: Instant) {
         if waiting.is_empty() {
             self.peers.remove(host);
-        } else {
-            self.peers.insert(host.to_owned(), waiting);
+            return;
         }
+        let before = self.peers.get(host);
+        let has_moved = before.is_some_and(|peer| count(&peer.waiting) > count(&waiting));
+        let moved_at = match has_moved {
+            true => Some(now),
+            false => before.and_then(|peer| peer.moved_at),
+        };
+        self.peers
+            .insert(host.to_owned(), Peer { waiting, moved_at });
     }
 
     /// Forgets a peer: it is down.
@@ -65,10 +90,23 @@
         self.peers.remove(host);
     }
 
-    /// Returns how many items at other hosts are due before a time.
-    pub fn ahead(&self, due_unix_ms: u64) -> u32 {
-        let waiting = self.peers.values().flatten();
-        let before = waiting.filter(|waiting| waiting.due_unix_ms < due_unix_ms);
-        before.fold(0, |sum, waiting| sum.saturating_add(waiting.items))
+    /// Returns what comes before an item that is due at a time.
+    pub fn ahead(&self, due_unix_ms: u64) -> Ahead {
+        let mut ahead = Ahead::default();
+        for peer in self.peers.values() {
+            let waiting = peer.waiting.iter();
+            let before = waiting.filter(|waiting| waiting.due_unix_ms < due_unix_ms);
+            let items = before.fold(0, |sum: u32, w| sum.saturating_add(w.items));
+            if items > 0 {
+                ahead.items = ahead.items.saturating_add(items);
+                ahead.moved_at = ahead.moved_at.max(peer.moved_at);
+            }
+        }
+        ahead
     }
 }
+
+fn count(waiting: &[Waiting]) -> u32 {
+    let items = waiting.iter().map(|w| w.items);
+    items.fold(0, u32::saturating_add)
+}
--- a/crates/routing/src/places.rs
+++ b/crates/routing/src/places.rs
@@ -14,7 +14,7 @@
 //! let mut places = Places::new(Config { reserve: 0, ..Config::default() }, 7);
 //! let spec = Spec { service: "s".into(), data_centre: "d".into(), slots: 1, ..Spec::default() };
 //! places.upsert("t1", spec);
-//! let want = Want { service: "s", data_centre: "d", affinity: 0, tried: &[], objective: None, ahead: 0 };
+//! let want = Want { service: "s", data_centre: "d", affinity: 0, tried: &[], objective: None, ahead: Default::default() };
 //! let item = places.choose_batch(&want, now).unwrap();
 //! places.begin_batch(&item);
 //! let choice = places.choose_online(&want, now).unwrap();
@@ -40,6 +40,8 @@
 use rand_chacha::ChaCha8Rng;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::items::turn::Ahead;
+
 pub use self::counts::Load;
 use self::counts::Peer;
 use self::health::Health;
@@ -125,7 +127,7 @@
     /// do.
     pub objective: Option<Duration>,
     /// Items of other hosts to which free places are left.
-    pub ahead: u32,
+    pub ahead: Ahead,
 }
 
 /// How the request finds room.
@@ -177,8 +179,6 @@
     failing_at: u32,
     /// When online requests had all its places, as far as known.
     full_at: Option<Instant>,
-    /// Since when this host has seen places there that items may take.
-    open_since: Option<Instant>,
     health: Health,
 }
 
@@ -214,12 +214,6 @@
         self.free()
     }
 
-    /// Returns whether those whose turn it was have not taken its places.
-    fn is_left_over(&self, now: Instant) -> bool {
-        let open = self.open_since.map(|at| now.saturating_duration_since(at));
-        open.is_some_and(|open| open >= TURN)
-    }
-
     fn free(&self) -> u32 {
         self.spec.slots.saturating_sub(self.load().total())
     }
@@ -234,6 +228,8 @@
     peers: HashMap<HostId, Peer>,
     /// How long online requests of a service usually take, in seconds.
     durations_s: HashMap<String, f64>,
+    /// Since when items have found places at a service's targets.
+    open_since: HashMap<String, Instant>,
     rng: ChaCha8Rng,
 }
 
@@ -252,6 +248,7 @@
             keys: HashMap::new(),
             peers: HashMap::new(),
             durations_s: HashMap::new(),
+            open_since: HashMap::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
     }
@@ -276,7 +273,6 @@
             others,
             failing_at,
             full_at: None,
-            open_since: None,
             health: Health::default(),
         };
         self.keys.insert(key, id.to_owned());
--- a/crates/routing/src/places/choice.rs
+++ b/crates/routing/src/places/choice.rs
@@ -16,6 +16,7 @@
 use super::Places;
 use super::Refusal;
 use super::Room;
+use super::TURN;
 use super::Target;
 use super::TargetId;
 use super::Want;
@@ -92,18 +93,24 @@
         let pace = self.usual_pace(want.service);
         let draw: u64 = self.rng.random();
         let all = self.are_most_ejected(want.service, now);
-        self.note_open(now);
         let open = self.targets.values().filter(|t| {
             t.spec.service == want.service && !t.spec.leaving && (all || !t.is_ejected(now))
         });
         let spare = spare(open, self.cfg.reserve, now);
-        if spare == 0 {
+        let open_since = self.note_open(want.service, spare > 0, now)?;
+        // Those whose turn it was have not taken the places if they have been
+        // open for some time and none of them has started an item.
+        let since = want
+            .ahead
+            .moved_at
+            .map_or(open_since, |at| at.max(open_since));
+        let is_left_over = now.saturating_duration_since(since) >= TURN;
+        if spare <= want.ahead.items && !is_left_over {
             return None;
         }
-        let is_turn = spare > want.ahead;
         let best = self.best(want, now, all, |t| {
             let spare = t.open(now);
-            if spare == 0 || !(is_turn || t.is_left_over(now)) {
+            if spare == 0 {
                 return None;
             }
             let slow = if t.health.is_slow(pace) {
@@ -122,15 +129,17 @@
         best.cloned()
     }
 
-    /// Notes where items find places and where they don't.
-    fn note_open(&mut self, now: Instant) {
-        for target in self.targets.values_mut() {
-            if target.open(now) == 0 {
-                target.open_since = None;
-            } else {
-                target.open_since.get_or_insert(now);
-            }
+    /// Notes whether items find places; returns since when they do.
+    fn note_open(&mut self, service: &str, is_open: bool, now: Instant) -> Option<Instant> {
+        if !is_open {
+            self.open_since.remove(service);
+            return None;
+        }
+        if let Some(since) = self.open_since.get(service) {
+            return Some(*since);
         }
+        self.open_since.insert(service.to_owned(), now);
+        Some(now)
     }
 
     /// Returns the targets at which this host should cut an item: there are
--- a/crates/routing/tests/places.rs
+++ b/crates/routing/tests/places.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use notchwharf_routing::items::turn::Ahead;
 use notchwharf_routing::places::Config;
 use notchwharf_routing::places::Load;
 use notchwharf_routing::places::Places;
@@ -45,7 +46,7 @@
         affinity: 3,
         tried,
         objective: None,
-        ahead: 0,
+        ahead: Ahead::default(),
     }
 }
 
