--- a/crates/gateway/src/backlog.rs
+++ b/crates/gateway/src/backlog.rs
@@ -28,10 +28,6 @@
 /// everywhere still ends soon.
 const FAILURES_PER_ATTEMPT: u32 = 2;
 
-/// Sizes of the groups in which waiting items are told to other hosts, but for
-/// the last, which holds the rest: whose turn it is goes by the first few.
-const GROUPS: [u32; 3] = [1, 4, 12];
-
 /// What identifies an item: its job and its place in the caller's order.
 pub(crate) type ItemKey = (JobId, u32);
 
@@ -63,8 +59,6 @@
     pub(crate) submitted_unix_ms: u64,
     /// Time from then on within which it is due.
     pub(crate) objective: Duration,
-    /// When it must start to end in time.
-    pub(crate) start_by_unix_ms: u64,
     /// Whether it comes too late for its job's objective whatever is done.
     pub(crate) is_late: bool,
     /// When this host read it; the job is at least as old.
@@ -78,20 +72,14 @@
             .saturating_add(millis(self.objective))
     }
 
-    /// Returns what its turn goes by, the time at which it must start: late ones
-    /// come after all that are not.
+    /// Returns what its turn goes by: late ones come after all that are not.
     pub(crate) fn turn_unix_ms(&self) -> u64 {
         match self.is_late {
             true => u64::MAX,
-            false => self.start_by_unix_ms,
+            false => self.due_unix_ms(),
         }
     }
 
-    /// Notes how long it still runs.
-    pub(crate) fn set_rest(&mut self, rest: Duration) {
-        self.start_by_unix_ms = self.due_unix_ms().saturating_sub(millis(rest));
-    }
-
     /// Returns how many events are here.
     pub(crate) fn events(&self) -> u64 {
         count(self.last_event)
@@ -217,22 +205,21 @@
         }
     }
 
-    /// Returns how many items wait, by their turns: the first ones finely, the
-    /// others in larger groups, each with the turn of its last.
-    pub(crate) fn by_turn(&self) -> Vec<Waiting> {
+    /// Returns how many items wait, by when they are due; so many jobs are told
+    /// apart, and the rest counts with the last of these.
+    pub(crate) fn due_first(&self, jobs_max: usize) -> Vec<Waiting> {
         let mut told: Vec<Waiting> = Vec::new();
         for (due_unix_ms, _, _) in self.queue.keys() {
-            let most = GROUPS.get(told.len().wrapping_sub(1)).copied();
-            match told.last_mut() {
-                Some(last) if most.is_none_or(|most| last.items < most) => {
-                    last.items += 1;
-                    last.due_unix_ms = *due_unix_ms;
-                }
-                _ => told.push(Waiting {
-                    due_unix_ms: *due_unix_ms,
-                    items: 1,
-                }),
+            let is_full = told.len() >= jobs_max;
+            let last = told.last_mut();
+            if let Some(last) = last.filter(|last| is_full || last.due_unix_ms == *due_unix_ms) {
+                last.items += 1;
+                continue;
             }
+            told.push(Waiting {
+                due_unix_ms: *due_unix_ms,
+                items: 1,
+            });
         }
         told
     }
@@ -304,5 +291,5 @@
 }
 
 fn place(item: &Item) -> (u64, JobId, u32) {
-    (item.start_by_unix_ms, item.key.0.clone(), item.key.1)
+    (item.due_unix_ms(), item.key.0.clone(), item.key.1)
 }
--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -22,6 +22,7 @@
 use notchwharf_ledger::rendezvous::hash;
 use notchwharf_listen::Phase;
 use notchwharf_routing::items::turn::Line;
+use notchwharf_routing::items::turn::TOLD_MAX;
 use notchwharf_routing::items::turn::Waiting;
 use notchwharf_routing::items::usual::Usual;
 use notchwharf_routing::places::TargetId;
@@ -89,7 +90,7 @@
         if self.is_handed_over() {
             return Vec::new();
         }
-        lock(&self.backlog).by_turn()
+        lock(&self.backlog).due_first(TOLD_MAX)
     }
 
     /// Takes in which items wait at a peer.
--- a/crates/gateway/src/items/load.rs
+++ b/crates/gateway/src/items/load.rs
@@ -26,12 +26,6 @@
         Ok(payload) => {
             let mut items = to_items(&ctx, &accepted, payload);
             resume(&ctx, &accepted, epoch, &mut items).await;
-            {
-                let usual = lock(&ctx.items.usual);
-                for item in &mut items {
-                    item.set_rest(usual.rest(item.size, item.events()).unwrap_or_default());
-                }
-            }
             let jobs = ctx.journal.jobs();
             lock(&ctx.items.backlog).loaded(epoch, job, items, &jobs);
         }
@@ -109,7 +103,6 @@
             saved_failures: 0,
             submitted_unix_ms: accepted.submitted_unix_ms,
             objective,
-            start_by_unix_ms: 0,
             is_late: false,
             known_since: Instant::now(),
         }
--- a/crates/gateway/src/items/run.rs
+++ b/crates/gateway/src/items/run.rs
@@ -93,7 +93,7 @@
                 put_back(&ctx, item).await;
             }
         }
-        Ended::Cut => put_back_now(&ctx, item),
+        Ended::Cut => lock(&ctx.items.backlog).put_back(item),
         Ended::NotRun(_) | Ended::Broken(_) => put_back(&ctx, item).await,
     }
     ctx.items.wake();
@@ -101,12 +101,6 @@
 
 async fn put_back(ctx: &Context, item: Item) {
     tokio::time::sleep(FAILED_PAUSE).await;
-    put_back_now(ctx, item);
-}
-
-fn put_back_now(ctx: &Context, mut item: Item) {
-    let rest = lock(&ctx.items.usual).rest(item.size, item.events());
-    item.set_rest(rest.unwrap_or_default());
     lock(&ctx.items.backlog).put_back(item);
 }
 
--- a/crates/routing/src/items/turn.rs
+++ b/crates/routing/src/items/turn.rs
@@ -32,6 +32,10 @@
 
 use crate::places::HostId;
 
+/// Jobs that a host tells apart: those due first. More would be bytes for
+/// nothing, since few hosts have more than three at a time.
+pub const TOLD_MAX: usize = 3;
+
 /// Items that wait and are due at the same time.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Waiting {
