--- a/crates/gateway/src/backlog.rs
+++ b/crates/gateway/src/backlog.rs
@@ -18,7 +18,6 @@
 use notchwharf_routing::items::turn::Waiting;
 use notchwharf_routing::items::usual::Size;
 use notchwharf_routing::places::TargetId;
-use notchwharf_routing::places::TargetKey;
 
 use crate::context::millis;
 use crate::ports::Forward;
@@ -51,8 +50,6 @@
     pub(crate) failures: u32,
     /// Failures for which nothing but the item can be blamed.
     pub(crate) blamed: u32,
-    /// Where it ran last.
-    pub(crate) home: Option<TargetKey>,
     /// Where it failed; it is run elsewhere as long as there is another target.
     pub(crate) failed_at: Vec<TargetId>,
     /// The last event and the failures of which the progress was noted.
--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -258,7 +258,6 @@
         },
         objective: None,
         ahead: lock(&ctx.items.line).ahead(item.turn_unix_ms()),
-        home: item.home,
     };
     let target = places.choose_batch(&want, Instant::now())?;
     drop(places);
--- a/crates/gateway/src/items/load.rs
+++ b/crates/gateway/src/items/load.rs
@@ -98,7 +98,6 @@
             last_event: None,
             failures: 0,
             blamed: 0,
-            home: None,
             failed_at: Vec::new(),
             saved_event: None,
             saved_failures: 0,
--- a/crates/gateway/src/items/run.rs
+++ b/crates/gateway/src/items/run.rs
@@ -9,7 +9,6 @@
 use notchwharf_config::routes::Route;
 use notchwharf_ledger::jobs::Reason;
 use notchwharf_routing::places::TargetId;
-use notchwharf_routing::places::key_of;
 
 use super::registry::Ticket;
 use super::settle;
@@ -60,7 +59,6 @@
     let under_way = ctx.items.runs.enter();
     let started = Instant::now();
     let had = item.last_event;
-    item.home = Some(key_of(&target));
     let Ticket { number, cancelled } = ticket;
     let ended = tokio::select! {
         ended = exchange(&ctx, &mut item, &target) => ended,
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -189,7 +189,6 @@
             tried: &self.tried,
             objective: self.objective(),
             ahead: Ahead::default(),
-            home: None,
         };
         let chosen = lock(&self.ctx.places).choose_online(&want, now);
         let choice = match chosen {
--- a/crates/routing/src/places.rs
+++ b/crates/routing/src/places.rs
@@ -14,7 +14,7 @@
 //! let mut places = Places::new(Config { reserve: 0, ..Config::default() }, 7);
 //! let spec = Spec { service: "s".into(), data_centre: "d".into(), slots: 1, ..Spec::default() };
 //! places.upsert("t1", spec);
-//! let want = Want { service: "s", data_centre: "d", affinity: 0, tried: &[], objective: None, ahead: Default::default(), home: None };
+//! let want = Want { service: "s", data_centre: "d", affinity: 0, tried: &[], objective: None, ahead: Default::default() };
 //! let item = places.choose_batch(&want, now).unwrap();
 //! places.begin_batch(&item);
 //! let choice = places.choose_online(&want, now).unwrap();
@@ -130,8 +130,6 @@
     pub objective: Option<Duration>,
     /// Items of other hosts to which free places are left.
     pub ahead: Ahead,
-    /// The target that has read the prompt, if it has run before.
-    pub home: Option<TargetKey>,
 }
 
 /// How the request finds room.
--- a/crates/routing/src/places/choice.rs
+++ b/crates/routing/src/places/choice.rs
@@ -33,11 +33,6 @@
 /// by to be given an item: half a target's places.
 const REMOTE_BATCH_COST: f64 = 4.0;
 
-/// Free places by which another target must exceed the one where an item ran
-/// before to be given it: what it read and generated is likely to be there
-/// still, and read anew it delays all that run elsewhere.
-const HOME_GAIN: f64 = 6.0;
-
 /// Greatest cost of a target that is unlikely to have the prompt's beginning.
 const AFFINITY_COST: f64 = 0.5;
 
@@ -129,12 +124,7 @@
             } else {
                 0.0
             };
-            let home = if want.home == Some(t.key) {
-                HOME_GAIN
-            } else {
-                0.0
-            };
-            Some(slow - f64::from(spare) + far + chance - home)
+            Some(slow - f64::from(spare) + far + chance)
         });
         best.cloned()
     }
--- a/crates/routing/tests/places.rs
+++ b/crates/routing/tests/places.rs
@@ -47,7 +47,6 @@
         tried,
         objective: None,
         ahead: Ahead::default(),
-        home: None,
     }
 }
 
