Let the order of items and which gives way be code of their own

routing::items::queue and ::spare hold what gateway::backlog and its registry decided, without a network, for tests and a load player.

--- a/crates/gateway/src/backlog.rs
+++ b/crates/gateway/src/backlog.rs
@@ -1,10 +1,9 @@
 //! Which items this host has to run, and in which order.
 //!
-//! A host runs the items of the jobs that it owns by the job records; the
-//! oldest job comes first. An item is here until it is listed, unless its job
+//! A host runs the items of the jobs that it owns by the job records; those due
+//! first come first. An item is here until it is listed, unless its job
 //! has ended or another host has taken the job over.
 
-use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -15,6 +14,9 @@
 use notchwharf_ledger::jobs::JobId;
 use notchwharf_ledger::jobs::Jobs;
 use notchwharf_ledger::jobs::Offset;
+use notchwharf_routing::items::queue::Next;
+use notchwharf_routing::items::queue::Queue;
+use notchwharf_routing::items::turn::TOLD_MAX;
 use notchwharf_routing::items::turn::Waiting;
 use notchwharf_routing::items::usual::Size;
 use notchwharf_routing::places::TargetId;
@@ -59,27 +61,17 @@
     pub(crate) submitted_unix_ms: u64,
     /// Time from then on within which it is due.
     pub(crate) objective: Duration,
-    /// Whether it comes too late for its job's objective whatever is done.
-    pub(crate) is_late: bool,
     /// When this host read it; the job is at least as old.
     pub(crate) known_since: Instant,
 }
 
 impl Item {
     /// Returns when it is due.
-    fn due_unix_ms(&self) -> u64 {
+    pub(crate) fn due_unix_ms(&self) -> u64 {
         self.submitted_unix_ms
             .saturating_add(millis(self.objective))
     }
 
-    /// Returns what its turn goes by: late ones come after all that are not.
-    pub(crate) fn turn_unix_ms(&self) -> u64 {
-        match self.is_late {
-            true => u64::MAX,
-            false => self.due_unix_ms(),
-        }
-    }
-
     /// Returns how many events are here.
     pub(crate) fn events(&self) -> u64 {
         count(self.last_event)
@@ -129,9 +121,7 @@
 /// Items of the jobs that this host owns.
 #[derive(Debug, Default)]
 pub(crate) struct Backlog {
-    queue: BTreeMap<(u64, JobId, u32), Item>,
-    /// Items that come too late for their job's objective whatever is done.
-    late: BTreeMap<(u64, JobId, u32), Item>,
+    queue: Queue<ItemKey, Item>,
     owned: HashMap<JobId, Owned>,
 }
 
@@ -144,11 +134,9 @@
             known.is_some_and(|j| j.is_open() && j.owner == host && j.epoch == owned_job.epoch)
         });
         let owned = &self.owned;
-        for queue in [&mut self.queue, &mut self.late] {
-            queue.retain(|(_, job, item), _| {
-                owned.contains_key(job) && !jobs.get(job).is_none_or(|j| j.is_listed(*item))
-            });
-        }
+        self.queue.retain(|(job, item)| {
+            owned.contains_key(job) && !jobs.get(job).is_none_or(|j| j.is_listed(*item))
+        });
         let mut missing = Vec::new();
         for job in jobs.open().filter(|job| job.owner == host) {
             let id = &job.accepted.job;
@@ -182,7 +170,7 @@
         let mut waiting = HashSet::new();
         for item in items {
             waiting.insert(item.key.1);
-            self.queue.insert(place(&item), item);
+            self.queue.push(item.due_unix_ms(), item.key.clone(), item);
         }
         owned_job.waiting = Some(waiting);
     }
@@ -192,47 +180,24 @@
         self.owned.remove(job);
     }
 
-    /// Puts items that come too late behind all others: run first, they would
-    /// make the next ones late as well.
+    /// Puts items that come too late behind all others.
     pub(crate) fn put_late_behind(&mut self, is_late: impl Fn(&Item) -> bool) {
-        while let Some(oldest) = self.queue.first_entry() {
-            if !is_late(oldest.get()) {
-                return;
-            }
-            let (place, mut item) = oldest.remove_entry();
-            item.is_late = true;
-            self.late.insert(place, item);
-        }
+        self.queue.put_late_behind(is_late);
     }
 
-    /// Returns how many items wait, by when they are due; so many jobs are told
-    /// apart, and the rest counts with the last of these.
-    pub(crate) fn due_first(&self, jobs_max: usize) -> Vec<Waiting> {
-        let mut told: Vec<Waiting> = Vec::new();
-        for (due_unix_ms, _, _) in self.queue.keys() {
-            let is_full = told.len() >= jobs_max;
-            let last = told.last_mut();
-            if let Some(last) = last.filter(|last| is_full || last.due_unix_ms == *due_unix_ms) {
-                last.items += 1;
-                continue;
-            }
-            told.push(Waiting {
-                due_unix_ms: *due_unix_ms,
-                items: 1,
-            });
-        }
-        told
+    /// Returns how many items wait, by when they are due.
+    pub(crate) fn waiting(&self) -> Vec<Waiting> {
+        self.queue.waiting(TOLD_MAX)
     }
 
-    /// Returns the item to run next without taking it.
-    pub(crate) fn peek(&self) -> Option<&Item> {
-        self.queue.values().chain(self.late.values()).next()
+    /// Returns the item to run next and where it stands, without taking it.
+    pub(crate) fn peek(&self) -> Option<(Next, &Item)> {
+        self.queue.peek()
     }
 
     /// Takes the item to run next.
     pub(crate) fn take(&mut self) -> Option<Item> {
-        let first = self.queue.pop_first().or_else(|| self.late.pop_first());
-        first.map(|(_, item)| item)
+        self.queue.pop()
     }
 
     /// Puts back an item that is to go on later.
@@ -240,11 +205,7 @@
         let owned_job = self.owned.get(&item.key.0);
         let is_wanted = owned_job.is_some_and(|owned_job| owned_job.is_waiting(item.key.1));
         if is_wanted {
-            let queue = match item.is_late {
-                true => &mut self.late,
-                false => &mut self.queue,
-            };
-            queue.insert(place(&item), item);
+            self.queue.push(item.due_unix_ms(), item.key.clone(), item);
         }
     }
 
@@ -270,12 +231,12 @@
 
     /// Returns the items that wait, to note how far they have got.
     pub(crate) fn waiting_mut(&mut self) -> impl Iterator<Item = &mut Item> {
-        self.queue.values_mut().chain(self.late.values_mut())
+        self.queue.iter_mut()
     }
 
     /// Returns the number of items that wait.
     pub(crate) fn len(&self) -> usize {
-        self.queue.len() + self.late.len()
+        self.queue.len()
     }
 }
 
@@ -289,7 +250,3 @@
         self.waiting.as_ref().is_some_and(|w| w.contains(&item))
     }
 }
-
-fn place(item: &Item) -> (u64, JobId, u32) {
-    (item.due_unix_ms(), item.key.0.clone(), item.key.1)
-}
--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -21,8 +21,8 @@
 use notchwharf_ledger::jobs::Reason;
 use notchwharf_ledger::rendezvous::hash;
 use notchwharf_listen::Phase;
+use notchwharf_routing::items::queue;
 use notchwharf_routing::items::turn::Line;
-use notchwharf_routing::items::turn::TOLD_MAX;
 use notchwharf_routing::items::turn::Waiting;
 use notchwharf_routing::items::usual::Usual;
 use notchwharf_routing::places::TargetId;
@@ -90,7 +90,7 @@
         if self.is_handed_over() {
             return Vec::new();
         }
-        lock(&self.backlog).due_first(TOLD_MAX)
+        lock(&self.backlog).waiting()
     }
 
     /// Takes in which items wait at a peer.
@@ -210,9 +210,9 @@
             return;
         };
         match next {
-            Next::Run(item, route, target) => {
+            Next::Run(item, place, route, target) => {
                 let running = Running::begin(ctx, &target, Class::Batch);
-                let ticket = lock(&ctx.items.running).add(&target, &item, running);
+                let ticket = lock(&ctx.items.running).add(&target, &item, place, running);
                 tokio::spawn(run::run(Arc::clone(ctx), item, route, target, ticket));
                 tokio::time::sleep(gap).await;
             }
@@ -223,7 +223,7 @@
 
 /// What to do with an item.
 enum Next {
-    Run(Item, Arc<Route>, TargetId),
+    Run(Item, queue::Next, Arc<Route>, TargetId),
     GiveUp(Item, Reason),
 }
 
@@ -233,7 +233,7 @@
     let usual = lock(&ctx.items.usual);
     backlog.put_late_behind(|item| is_late(&table, item, &usual));
     drop(usual);
-    let item = backlog.peek()?;
+    let (place, item) = backlog.peek()?;
     let path = item.forward.path.split('?').next().unwrap_or_default();
     let Some(route) = table.find(&item.host, path).cloned() else {
         let item = backlog.take()?;
@@ -257,12 +257,12 @@
             &item.failed_at
         },
         objective: None,
-        ahead: lock(&ctx.items.line).ahead(item.turn_unix_ms()),
+        ahead: lock(&ctx.items.line).ahead(place.turn_unix_ms()),
     };
     let target = places.choose_batch(&want, Instant::now())?;
     drop(places);
     let item = backlog.take()?;
-    Some(Next::Run(item, route, target))
+    Some(Next::Run(item, place, route, target))
 }
 
 /// Returns whether an item that starts now ends after its job's objective.
--- a/crates/gateway/src/items/load.rs
+++ b/crates/gateway/src/items/load.rs
@@ -103,7 +103,6 @@
             saved_failures: 0,
             submitted_unix_ms: accepted.submitted_unix_ms,
             objective,
-            is_late: false,
             known_since: Instant::now(),
         }
     });
--- a/crates/gateway/src/items/registry.rs
+++ b/crates/gateway/src/items/registry.rs
@@ -2,6 +2,8 @@
 
 use std::collections::HashMap;
 
+use notchwharf_routing::items::queue::Next;
+use notchwharf_routing::items::spare::Spare;
 use notchwharf_routing::places::TargetId;
 use tokio::sync::oneshot;
 
@@ -21,10 +23,7 @@
 pub(super) struct Entry {
     number: u64,
     key: ItemKey,
-    /// How well it can be spared: late items first, then those of the newest
-    /// job, then the youngest run. By the age of the run alone old items, cut
-    /// again and again, would never end.
-    spare: (bool, u64, u64),
+    spare: Spare,
     _running: Running,
     _cancel: oneshot::Sender<()>,
 }
@@ -42,14 +41,24 @@
     }
 
     /// Adds an item that begins to run.
-    pub(super) fn add(&mut self, target: &TargetId, item: &Item, running: Running) -> Ticket {
+    pub(super) fn add(
+        &mut self,
+        target: &TargetId,
+        item: &Item,
+        place: Next,
+        running: Running,
+    ) -> Ticket {
         let (cancel, cancelled) = oneshot::channel();
         self.number += 1;
         let number = self.number;
         let entry = Entry {
             number,
             key: item.key.clone(),
-            spare: (item.is_late, item.submitted_unix_ms, number),
+            spare: Spare {
+                is_late: place.is_late,
+                due_unix_ms: place.due_unix_ms,
+                run: number,
+            },
             _running: running,
             _cancel: cancel,
         };
--- a/crates/routing/src/items.rs
+++ b/crates/routing/src/items.rs
@@ -1,8 +1,11 @@
-//! Which item of a job runs next, and which can still be served in time.
+//! Which item of a job runs next, and which gives way.
 //!
 //! Decisions on items are here, without I/O or clocks, so that a test or a load
-//! player runs the code that runs in production. [`usual`] tells how long an
-//! item still takes, [`turn`] which hosts come first when a place falls free.
+//! player runs the code that runs in production. [`queue`] orders the items of
+//! one host, [`turn`] the hosts when a place falls free, [`spare`] tells which
+//! running item gives way, and [`usual`] how long one still takes.
 
+pub mod queue;
+pub mod spare;
 pub mod turn;
 pub mod usual;
