Play loads over the decisions in virtual time

A small unpublished package runs the code of routing (places, queue, turns, what gives way, how long items take) on hosts whose news is late, before targets with places, a queue and prompts to read, under loads from JSON files with steps, bursts, frozen hosts and leaving targets.

--- /dev/null
+++ b/crates/loadplay/src/play.rs
@@ -0,0 +1,581 @@
+//! One play of a load.
+
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use notchwharf_routing::items::queue::Queue;
+use notchwharf_routing::items::turn::Ahead;
+use notchwharf_routing::items::turn::Line;
+use notchwharf_routing::items::usual::Size;
+use notchwharf_routing::items::usual::Usual;
+use notchwharf_routing::places;
+use notchwharf_routing::places::Places;
+use notchwharf_routing::places::Room;
+use notchwharf_routing::places::Spec;
+use notchwharf_routing::places::Want;
+use notchwharf_routing::places::key_of;
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+
+use crate::bound;
+use crate::host;
+use crate::host::Host;
+use crate::host::Item;
+use crate::host::Running;
+use crate::host::Status;
+use crate::load::Load;
+use crate::target::Came;
+use crate::target::Run;
+use crate::target::RunId;
+use crate::target::Target;
+
+/// Time between two starts of items at one host, as the gateway's setting
+/// `batch.start_gap_ms` has it.
+const START_GAP_MS: u64 = 4;
+/// Time that news between hosts takes on the way.
+const WAY_MS: u64 = 1;
+/// Time after which a place that nobody takes is looked at again.
+const LOOK_MS: u64 = 50;
+
+/// What is switched off in a play, to see what it is worth.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Policy {
+    /// Its name.
+    pub name: &'static str,
+    /// Whether hosts leave places to those whose items are due first.
+    pub takes_turns: bool,
+    /// Whether items that come too late run after all others.
+    pub puts_late_behind: bool,
+    /// Places of each target that may be kept free for online requests.
+    pub reserve: u32,
+}
+
+/// All policies; the first is the product's.
+pub const POLICIES: [Policy; 4] = [
+    Policy {
+        name: "product",
+        takes_turns: true,
+        puts_late_behind: true,
+        reserve: 1,
+    },
+    Policy {
+        name: "no-turns",
+        takes_turns: false,
+        puts_late_behind: true,
+        reserve: 1,
+    },
+    Policy {
+        name: "late-in-line",
+        takes_turns: true,
+        puts_late_behind: false,
+        reserve: 1,
+    },
+    Policy {
+        name: "no-reserve",
+        takes_turns: true,
+        puts_late_behind: true,
+        reserve: 0,
+    },
+];
+
+/// An item from its caller's side.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ItemSeen {
+    /// When its job came, in milliseconds.
+    pub came_ms: u64,
+    /// When it is due.
+    pub due_ms: u64,
+    /// When it was done.
+    pub done_ms: Option<u64>,
+    /// How long it runs undisturbed.
+    pub run_ms: u64,
+}
+
+impl ItemSeen {
+    /// Returns whether it was done in time.
+    pub fn is_in_time(&self) -> bool {
+        self.done_ms.is_some_and(|done| done <= self.due_ms)
+    }
+}
+
+/// An online request from its caller's side.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct OnlineSeen {
+    /// When it came, in milliseconds.
+    pub came_ms: u64,
+    /// Time to its first event.
+    pub first_ms: Option<u64>,
+    /// Whether it was refused.
+    pub is_refused: bool,
+}
+
+/// What callers got, and what it took.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    /// All items.
+    pub items: Vec<ItemSeen>,
+    /// All online requests.
+    pub online: Vec<OnlineSeen>,
+    /// Runs of items that were cut.
+    pub cuts: u64,
+    /// Arrivals at targets without a free place.
+    pub queued: u64,
+    /// Places in use by items and by online requests, and all that there are,
+    /// for each half second.
+    pub places: Vec<(f64, f64, f64)>,
+    /// Items that a clairvoyant order could have done in time.
+    pub bound: usize,
+}
+
+impl Outcome {
+    /// Returns the share of items that were done in time.
+    pub fn items_in_time(&self) -> f64 {
+        share(self.items.iter().map(ItemSeen::is_in_time))
+    }
+
+    /// Returns the same of the largest tenth of them.
+    pub fn largest_in_time(&self) -> f64 {
+        let mut by_size: Vec<&ItemSeen> = self.items.iter().collect();
+        by_size.sort_by_key(|item| std::cmp::Reverse(item.run_ms));
+        by_size.truncate(self.items.len().div_ceil(10));
+        share(by_size.into_iter().map(ItemSeen::is_in_time))
+    }
+
+    /// Returns the share of online requests whose first event came in time.
+    pub fn online_in_time(&self, objective_ms: u64) -> f64 {
+        let first = self.online.iter().map(|seen| seen.first_ms);
+        share(first.map(|first| first.is_some_and(|first| first <= objective_ms)))
+    }
+
+    /// Returns the share of items that a clairvoyant order does in time.
+    pub fn bound_share(&self) -> f64 {
+        match self.items.len() {
+            0 => 1.0,
+            all => self.bound as f64 / all as f64,
+        }
+    }
+}
+
+/// Returns how large a part holds; all of nothing does.
+fn share(all: impl Iterator<Item = bool>) -> f64 {
+    let (mut holds, mut count) = (0_u32, 0_u32);
+    for is_so in all {
+        holds += u32::from(is_so);
+        count += 1;
+    }
+    match count {
+        0 => 1.0,
+        count => f64::from(holds) / f64::from(count),
+    }
+}
+
+/// Who waits for a run.
+#[derive(Clone, Copy, Debug)]
+enum Owner {
+    Online { seen: usize, host: usize },
+    Item { host: usize },
+}
+
+struct Play<'a> {
+    load: &'a Load,
+    policy: Policy,
+    rng: ChaCha8Rng,
+    began: Instant,
+    now_ms: u64,
+    hosts: Vec<Host>,
+    targets: Vec<Target>,
+    leaving: Vec<bool>,
+    names: HashMap<String, usize>,
+    owners: HashMap<RunId, (Owner, usize)>,
+    runs: RunId,
+    /// Events of each item.
+    events: Vec<f64>,
+    news: Vec<(u64, usize, Status)>,
+    cuts: Vec<(u64, usize, usize)>,
+    out: Outcome,
+    places: Vec<(f64, f64, f64)>,
+}
+
+/// Plays a load under a policy; the same seed plays the same.
+pub fn play(load: &Load, policy: Policy, seed: u64) -> Outcome {
+    let mut play = Play::new(load, policy, seed);
+    let callers_ms = (load.seconds * 1e3) as u64;
+    let end_ms = callers_ms + load.jobs.objective_ms;
+    while play.now_ms < end_ms {
+        if play.now_ms < callers_ms {
+            play.callers_come();
+        }
+        play.step();
+        play.now_ms += 1;
+    }
+    play.finish()
+}
+
+impl<'a> Play<'a> {
+    fn new(load: &'a Load, policy: Policy, seed: u64) -> Self {
+        let mut names = HashMap::new();
+        let mut hosts: Vec<Host> = Vec::new();
+        for number in 0..load.hosts {
+            let cfg = places::Config {
+                reserve: policy.reserve,
+                ..places::Config::default()
+            };
+            let mut places = Places::new(cfg, seed ^ u64::from(number));
+            for target in 0..load.targets {
+                let spec = spec(load, target, false);
+                places.upsert(&format!("t{target}"), spec);
+                names.insert(format!("t{target}"), target as usize);
+            }
+            hosts.push(Host {
+                places,
+                queue: Queue::default(),
+                line: Line::default(),
+                usual: Usual::default(),
+                running: Vec::new(),
+                data_centre: format!("d{}", number % load.data_centres),
+                free_at_ms: 0,
+                frozen_until_ms: 0,
+                told_far_at_ms: 0,
+            });
+        }
+        Self {
+            load,
+            policy,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            began: Instant::now(),
+            now_ms: 0,
+            hosts,
+            targets: vec![Target::default(); load.targets as usize],
+            leaving: vec![false; load.targets as usize],
+            names,
+            owners: HashMap::new(),
+            runs: 0,
+            events: Vec::new(),
+            news: Vec::new(),
+            cuts: Vec::new(),
+            out: Outcome::default(),
+            places: Vec::new(),
+        }
+    }
+
+    fn now(&self) -> Instant {
+        self.began + Duration::from_millis(self.now_ms)
+    }
+
+    fn callers_come(&mut self) {
+        let load = self.load;
+        let at_s = self.now_ms as f64 / 1e3;
+        if self
+            .rng
+            .random_bool((load.online.rate(at_s) / 1e3).min(1.0))
+        {
+            let host = self.rng.random_range(0..self.hosts.len());
+            self.ask(host);
+        }
+        if self.rng.random_bool((load.jobs.per_s / 1e3).min(1.0)) {
+            let host = self.rng.random_range(0..self.hosts.len());
+            self.submit(host);
+        }
+        for burst in &load.jobs.bursts {
+            if (burst.at_s * 1e3) as u64 == self.now_ms {
+                for _ in 0..burst.jobs {
+                    self.submit(burst.host as usize);
+                }
+            }
+        }
+    }
+
+    /// A job comes to a host.
+    fn submit(&mut self, host: usize) {
+        let jobs = &self.load.jobs;
+        let items = (jobs.items * self.spread(0.4)).round().max(1.0) as usize;
+        for _ in 0..items {
+            let events = (jobs.events * self.spread(jobs.events_spread)).max(1.0);
+            let hint = events * self.load.event_tokens * self.spread(jobs.hint_spread);
+            let read_ms = jobs.prompt_tokens / self.load.prompt_tokens_per_ms;
+            let number = self.events.len();
+            let due_ms = self.now_ms + jobs.objective_ms;
+            let item = Item {
+                number,
+                due_ms,
+                size: Size {
+                    answer_tokens_hint: hint as u32,
+                    ..Size::default()
+                },
+                events: 0,
+            };
+            self.events.push(events.ceil());
+            self.out.items.push(ItemSeen {
+                came_ms: self.now_ms,
+                due_ms,
+                done_ms: None,
+                run_ms: (events.ceil() * self.load.event_ms + read_ms) as u64,
+            });
+            self.hosts[host].queue.push(due_ms, number, item);
+        }
+    }
+
+    /// Returns a factor with the given spread of its logarithm.
+    fn spread(&mut self, spread: f64) -> f64 {
+        // The sum of twelve draws is as good as normal here.
+        let sum: f64 = (0..12).map(|_| self.rng.random::<f64>()).sum();
+        ((sum - 6.0) * spread).exp()
+    }
+
+    /// An online request comes to a host.
+    fn ask(&mut self, host: usize) {
+        let now = self.now();
+        let seen = self.out.online.len();
+        self.out.online.push(OnlineSeen {
+            came_ms: self.now_ms,
+            ..OnlineSeen::default()
+        });
+        let data_centre = self.hosts[host].data_centre.clone();
+        let want = Want {
+            service: host::SERVICE,
+            data_centre: &data_centre,
+            affinity: self.rng.random(),
+            tried: &[],
+            objective: Some(Duration::from_millis(self.load.online.objective_ms)),
+            ahead: Ahead::default(),
+        };
+        let Ok(choice) = self.hosts[host].places.choose_online(&want, now) else {
+            self.out.online[seen].is_refused = true;
+            return;
+        };
+        let target = self.names[&choice.target];
+        match choice.room {
+            Room::CutOwn => self.cut(host, target),
+            Room::CutPeer(peer) => {
+                let peer = peer[1..].parse().unwrap_or_default();
+                self.cuts.push((self.now_ms + WAY_MS, peer, target));
+            }
+            Room::Free | Room::Queue => {}
+        }
+        self.hosts[host].places.begin_online(&choice.target, now);
+        let online = &self.load.online;
+        let events = (online.events * self.spread(0.25)).ceil().max(1.0);
+        let read_ms = online.prompt_tokens / self.load.prompt_tokens_per_ms;
+        self.run(target, Owner::Online { seen, host }, read_ms, events);
+    }
+
+    fn run(&mut self, target: usize, owner: Owner, read_ms: f64, events: f64) -> RunId {
+        self.runs += 1;
+        let at = &mut self.targets[target];
+        let taken = at.running.len() + at.queue.len();
+        self.out.queued += u64::from(taken >= self.load.slots as usize);
+        at.admit(Run {
+            id: self.runs,
+            read_ms,
+            events,
+            made: 0.0,
+        });
+        self.owners.insert(self.runs, (owner, target));
+        self.runs
+    }
+
+    /// A host cuts the item at a target that can best be spared.
+    fn cut(&mut self, host: usize, target: usize) {
+        if let Some(running) = self.hosts[host].take_spare(target) {
+            self.out.cuts += 1;
+            self.owners.remove(&running.run);
+            let made = self.targets[target].stop(running.run).unwrap_or_default();
+            let host = &mut self.hosts[host];
+            host.places.end_batch(&format!("t{target}"));
+            host.usual.ran(made as u64, took(&running, self.now_ms));
+            host.put_back(running.item, made);
+        }
+    }
+
+    fn step(&mut self) {
+        self.faults();
+        let due: Vec<_> = self.cuts.extract_if(.., |c| c.0 <= self.now_ms).collect();
+        for (_, host, target) in due {
+            self.cut(host, target);
+        }
+        let mut came = Vec::new();
+        for target in &mut self.targets {
+            target.step(self.load.slots as usize, self.load.event_ms, 1.0, &mut came);
+        }
+        for came in came {
+            self.came(came);
+        }
+        self.tell();
+        for host in 0..self.hosts.len() {
+            self.start(host);
+        }
+        self.note_places();
+    }
+
+    fn faults(&mut self) {
+        let now_ms = self.now_ms;
+        let is_now = |at_s: f64| (at_s * 1e3) as u64 == now_ms;
+        for frozen in self.load.frozen.iter().filter(|f| is_now(f.at_s)) {
+            let until_ms = now_ms + (frozen.for_s * 1e3) as u64;
+            self.hosts[frozen.host as usize].frozen_until_ms = until_ms;
+        }
+        for leaving in self.load.leaving.iter().filter(|l| is_now(l.at_s)) {
+            self.leaving[leaving.target as usize] = true;
+            let spec = spec(self.load, leaving.target, true);
+            for host in &mut self.hosts {
+                host.places
+                    .upsert(&format!("t{}", leaving.target), spec.clone());
+            }
+        }
+    }
+
+    fn came(&mut self, came: Came) {
+        let (Came::First(run) | Came::End(run)) = came;
+        let Some((owner, target)) = self.owners.get(&run).copied() else {
+            return;
+        };
+        let id = format!("t{target}");
+        match (came, owner) {
+            (Came::First(_), Owner::Online { seen, host }) => {
+                let took_ms = self.now_ms - self.out.online[seen].came_ms;
+                self.out.online[seen].first_ms = Some(took_ms);
+                let took = Duration::from_millis(took_ms);
+                self.hosts[host].places.answered(&id, Some(took));
+            }
+            (Came::End(_), Owner::Online { seen, host }) => {
+                self.owners.remove(&run);
+                let took_ms = self.now_ms - self.out.online[seen].came_ms;
+                let places = &mut self.hosts[host].places;
+                places.end_online(&id);
+                places.lasted(host::SERVICE, Duration::from_millis(took_ms));
+            }
+            (Came::First(_), Owner::Item { .. }) => {}
+            (Came::End(_), Owner::Item { host }) => {
+                self.owners.remove(&run);
+                self.ended(host, run);
+            }
+        }
+    }
+
+    /// An item is whole.
+    fn ended(&mut self, host: usize, run: RunId) {
+        let host = &mut self.hosts[host];
+        let Some(place) = host.running.iter().position(|r| r.run == run) else {
+            return;
+        };
+        let running = host.running.swap_remove(place);
+        let item = running.item;
+        let whole = self.events[item.number] as u64;
+        host.places.end_batch(&format!("t{}", running.target));
+        host.usual
+            .ran(whole - item.events, took(&running, self.now_ms));
+        host.usual.ended(item.size, whole);
+        self.out.items[item.number].done_ms = Some(self.now_ms);
+    }
+
+    /// Hosts tell what they run and what waits.
+    fn tell(&mut self) {
+        let now_ms = self.now_ms;
+        for number in 0..self.hosts.len() {
+            let host = &mut self.hosts[number];
+            let is_far_due = now_ms >= host.told_far_at_ms + self.load.news_far_ms;
+            if host.frozen_until_ms > now_ms || !now_ms.is_multiple_of(self.load.news_near_ms) {
+                continue;
+            }
+            if is_far_due {
+                host.told_far_at_ms = now_ms;
+            }
+            let status = host.status(number);
+            for other in (0..self.hosts.len()).filter(|other| *other != number) {
+                let is_near = self.hosts[other].data_centre == self.hosts[number].data_centre;
+                if is_near || is_far_due {
+                    self.news.push((now_ms + WAY_MS, other, status.clone()));
+                }
+            }
+        }
+        let now = self.now();
+        let due: Vec<_> = self.news.extract_if(.., |n| n.0 <= now_ms).collect();
+        for (_, host, status) in due {
+            if self.hosts[host].frozen_until_ms <= now_ms {
+                self.hosts[host].hear(&status, now);
+            }
+        }
+    }
+
+    /// A host starts an item if it may.
+    fn start(&mut self, number: usize) {
+        let (now, now_ms) = (self.now(), self.now_ms);
+        let host = &mut self.hosts[number];
+        if host.frozen_until_ms > now_ms || host.free_at_ms > now_ms {
+            return;
+        }
+        if now_ms.is_multiple_of(LOOK_MS) {
+            // As the gateway's tick does.
+            for id in host.places.overfull(&host::name(number)) {
+                self.cut(number, self.names[&id]);
+            }
+        }
+        let host = &mut self.hosts[number];
+        let Some((item, is_late, id)) = host.next(self.policy, now_ms, now) else {
+            return;
+        };
+        host.free_at_ms = now_ms + START_GAP_MS;
+        host.places.begin_batch(&id);
+        let target = self.names[&id];
+        let tokens = self.load.jobs.prompt_tokens + item.events as f64 * self.load.event_tokens;
+        let read_ms = tokens / self.load.prompt_tokens_per_ms;
+        let events = self.events[item.number] - item.events as f64;
+        let owner = Owner::Item { host: number };
+        let run = self.run(target, owner, read_ms, events);
+        self.hosts[number].begin(run, target, item, is_late, now_ms);
+    }
+
+    fn note_places(&mut self) {
+        let mut sums = (0.0, 0.0, 0.0);
+        for (target, leaves) in self.targets.iter().zip(&self.leaving) {
+            let is_item =
+                |run: &&Run| matches!(self.owners.get(&run.id), Some((Owner::Item { .. }, _)));
+            let items = target.running.iter().filter(is_item).count() as f64;
+            sums.0 += items;
+            sums.1 += target.running.len() as f64 - items;
+            sums.2 += if *leaves {
+                0.0
+            } else {
+                f64::from(self.load.slots)
+            };
+        }
+        self.places.push(sums);
+    }
+
+    fn finish(mut self) -> Outcome {
+        let free = self
+            .places
+            .iter()
+            .map(|(_, online, all)| (all - online).max(0.0));
+        self.out.bound = bound::in_time(&self.out.items, &free.collect::<Vec<_>>());
+        self.out.places = self
+            .places
+            .chunks(500)
+            .map(|chunk| {
+                let count = chunk.len() as f64;
+                let sum = chunk.iter().fold((0.0, 0.0, 0.0), |sum, new| {
+                    (sum.0 + new.0, sum.1 + new.1, sum.2 + new.2)
+                });
+                (sum.0 / count, sum.1 / count, sum.2 / count)
+            })
+            .collect();
+        self.out
+    }
+}
+
+fn took(running: &Running, now_ms: u64) -> Duration {
+    Duration::from_millis(now_ms - running.started_ms)
+}
+
+fn spec(load: &Load, target: u32, leaving: bool) -> Spec {
+    debug_assert_ne!(key_of("t0"), key_of("t1"));
+    Spec {
+        service: host::SERVICE.to_owned(),
+        data_centre: format!("d{}", target % load.data_centres),
+        slots: load.slots,
+        leaving,
+        ..Spec::default()
+    }
+}
