Show places in use, late items and those ahead; order items without objective

Gauges places_taken, places, items_late and items_ahead tell what binds. And items of a route without an objective were due when they were submitted, before all others; they are due when they may be given up, or after ten minutes.

--- a/crates/gateway/src/backlog.rs
+++ b/crates/gateway/src/backlog.rs
@@ -59,8 +59,8 @@
     pub(crate) saved_failures: u32,
     /// When its job was submitted.
     pub(crate) submitted_unix_ms: u64,
-    /// Time from then on within which it is due.
-    pub(crate) objective: Duration,
+    /// Time from then on after which it is due.
+    pub(crate) due_after: Duration,
     /// When this host read it; the job is at least as old.
     pub(crate) known_since: Instant,
 }
@@ -69,7 +69,7 @@
     /// Returns when it is due.
     pub(crate) fn due_unix_ms(&self) -> u64 {
         self.submitted_unix_ms
-            .saturating_add(millis(self.objective))
+            .saturating_add(millis(self.due_after))
     }
 
     /// Returns how many events are here.
@@ -234,6 +234,11 @@
         self.queue.iter_mut()
     }
 
+    /// Returns how many of the items that wait come too late.
+    pub(crate) fn late(&self) -> usize {
+        self.queue.late_len()
+    }
+
     /// Returns the number of items that wait.
     pub(crate) fn len(&self) -> usize {
         self.queue.len()
--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -146,6 +146,7 @@
                     return;
                 }
                 relieve(&ctx);
+                gauge(&ctx);
             }
         }
         start_items(&ctx).await;
@@ -201,6 +202,15 @@
     }
 }
 
+/// Shows how full the targets are and which items come too late.
+fn gauge(ctx: &Context) {
+    let (taken, all) = lock(&ctx.places).in_use();
+    ctx.metrics.set("places_taken", taken as usize);
+    ctx.metrics.set("places", all as usize);
+    let late = lock(&ctx.items.backlog).late();
+    ctx.metrics.set("items_late", late);
+}
+
 /// Starts items while there is room for them.
 async fn start_items(ctx: &Arc<Context>) {
     let gap = ms(ctx.settings.batch.start_gap_ms);
@@ -245,6 +255,8 @@
         return Some(Next::GiveUp(item, Reason::Expired));
     }
     let service = route.service(hash(&item.forward.id))?;
+    let ahead = lock(&ctx.items.line).ahead(place.turn_unix_ms());
+    ctx.metrics.set("items_ahead", ahead.items as usize);
     let mut places = lock(&ctx.places);
     let has_failed_everywhere = places.ids().all(|id| item.failed_at.contains(id));
     let want = Want {
@@ -257,7 +269,7 @@
             &item.failed_at
         },
         objective: None,
-        ahead: lock(&ctx.items.line).ahead(place.turn_unix_ms()),
+        ahead,
     };
     let target = places.choose_batch(&want, Instant::now())?;
     drop(places);
--- a/crates/gateway/src/items/load.rs
+++ b/crates/gateway/src/items/load.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use notchwharf_config::routes::JobTerms;
 use notchwharf_ledger::jobs::Accepted;
 use notchwharf_ledger::jobs::HostId;
 use notchwharf_ledger::jobs::Offset;
@@ -19,6 +20,10 @@
 /// Pause before a job's items are read again.
 const LOAD_PAUSE: Duration = Duration::from_millis(200);
 
+/// Time after which items are due for which no time is told: they come after
+/// all that callers wait for, and not after jobs of the next hours.
+const DUE_MAX: Duration = Duration::from_secs(600);
+
 /// Reads the items of a job.
 pub(super) async fn load(ctx: Arc<Context>, epoch: Offset, accepted: Arc<Accepted>) {
     let job = &accepted.job;
@@ -74,11 +79,19 @@
     }
 }
 
+/// Returns the time after which items of a job are due. Without an objective
+/// they are when they may be given up: before that, they wait for others.
+fn due(terms: &JobTerms) -> Duration {
+    let times = [terms.objective, terms.abandon_after];
+    let told = times.into_iter().find(|time| !time.is_zero());
+    told.unwrap_or(DUE_MAX)
+}
+
 fn to_items(ctx: &Context, accepted: &Accepted, payload: Payload) -> Vec<Item> {
     let host = payload.host;
     let table = ctx.table();
     let route = table.as_ref().and_then(|t| t.by_name(&accepted.route));
-    let objective = route.map(|r| r.jobs.objective).unwrap_or_default();
+    let due_after = route.map_or(DUE_MAX, |route| due(&route.jobs));
     let specs = accepted.items.iter();
     let both = specs.zip(payload.items).zip(0..);
     let items = both.map(|((spec, item), number)| {
@@ -102,7 +115,7 @@
             saved_event: None,
             saved_failures: 0,
             submitted_unix_ms: accepted.submitted_unix_ms,
-            objective,
+            due_after,
             known_since: Instant::now(),
         }
     });
--- a/crates/routing/src/items/queue.rs
+++ b/crates/routing/src/items/queue.rs
@@ -130,6 +130,11 @@
         self.in_time.values_mut().chain(self.late.values_mut())
     }
 
+    /// Returns how many items come too late.
+    pub fn late_len(&self) -> usize {
+        self.late.len()
+    }
+
     /// Returns the number of items.
     pub fn len(&self) -> usize {
         self.in_time.len() + self.late.len()
--- a/crates/routing/src/places/counts.rs
+++ b/crates/routing/src/places/counts.rs
@@ -56,6 +56,16 @@
         self.targets.get(id).map(Target::load).unwrap_or_default()
     }
 
+    /// Returns how many places are taken and how many there are, at targets that
+    /// stay. Requests that wait in a target's queue take none.
+    pub fn in_use(&self) -> (u32, u32) {
+        let staying = self.targets.values().filter(|t| !t.spec.leaving);
+        staying.fold((0, 0), |(taken, all), t| {
+            let slots = t.spec.slots;
+            (taken + t.load().total().min(slots), all + slots)
+        })
+    }
+
     /// Takes in what a peer runs; it replaces what the peer ran before.
     ///
     /// The peer's word on targets that fail is given if it counts: a target
