--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -194,3 +194,29 @@
     })
     .await;
 }
+
+/// A host leaves places to a peer's items that are due first, and takes them
+/// when the peer, which may be frozen, does not.
+#[tokio::test]
+async fn items_wait_for_a_peer_s_that_are_due_first_and_not_for_ever() {
+    let world = World::new(&["t1"]);
+    let a1 = world.start_ready("a1").await;
+    let peer = Peer::of(a1.ctx().settings.host.peer_listen).await;
+    let first = News::Status(Status {
+        waiting: vec![news::Waiting {
+            due_unix_ms: 1,
+            items: 7,
+        }],
+        ..status("a2", 1, 1, &[])
+    });
+    while a1.ctx().peers_alive() == 0 {
+        peer.sends(&first).await;
+        tokio::task::yield_now().await;
+    }
+    a1.submit("j1", 1, 10).await.unwrap();
+    until("it sees what comes first", || {
+        a1.ctx().metrics.text().contains("items_ahead\"} 7")
+    })
+    .await;
+    a1.results("j1", 1).await;
+}
