--- a/crates/loadplay/src/bound.rs
+++ b/crates/loadplay/src/bound.rs
@@ -4,7 +4,7 @@
 //! no cost, and their lengths are known: more than any host can do, so what is
 //! lost beyond it is nobody's fault.
 
-use crate::play::ItemSeen;
+use crate::outcome::ItemSeen;
 
 /// Returns how many items could be done in time with so many places free in
 /// each millisecond, by the least slack among those that still can be.
--- a/crates/loadplay/src/host.rs
+++ b/crates/loadplay/src/host.rs
@@ -15,7 +15,7 @@
 use notchwharf_routing::places::TargetKey;
 use notchwharf_routing::places::Want;
 
-use crate::play::Policy;
+use crate::policy::Policy;
 use crate::target::RunId;
 
 /// The one service of a play.
--- a/crates/loadplay/src/lib.rs
+++ b/crates/loadplay/src/lib.rs
@@ -12,7 +12,9 @@
 pub mod bound;
 pub mod error;
 pub mod load;
+pub mod outcome;
 pub mod play;
+pub mod policy;
 pub mod report;
 
 mod host;
--- a/crates/loadplay/src/main.rs
+++ b/crates/loadplay/src/main.rs
@@ -6,8 +6,8 @@
 use lexopt::ValueExt as _;
 use notchwharf_loadplay::load;
 use notchwharf_loadplay::play;
-use notchwharf_loadplay::play::POLICIES;
-use notchwharf_loadplay::play::Policy;
+use notchwharf_loadplay::policy::POLICIES;
+use notchwharf_loadplay::policy::Policy;
 use notchwharf_loadplay::report;
 use notchwharf_loadplay::report::Row;
 
--- a/crates/loadplay/src/report.rs
+++ b/crates/loadplay/src/report.rs
@@ -5,7 +5,7 @@
 use plotters::prelude::*;
 use serde::Serialize;
 
-use crate::play::Outcome;
+use crate::outcome::Outcome;
 
 /// Size of a plot in pixels.
 const PLOT_SIZE: (u32, u32) = (960, 420);
--- a/crates/loadplay/tests/play.rs
+++ b/crates/loadplay/tests/play.rs
@@ -3,10 +3,10 @@
 
 use notchwharf_loadplay::load;
 use notchwharf_loadplay::load::Load;
-use notchwharf_loadplay::play::Outcome;
-use notchwharf_loadplay::play::POLICIES;
-use notchwharf_loadplay::play::Policy;
+use notchwharf_loadplay::outcome::Outcome;
 use notchwharf_loadplay::play::play;
+use notchwharf_loadplay::policy::POLICIES;
+use notchwharf_loadplay::policy::Policy;
 use rstest::rstest;
 
 const SEEDS: u64 = 3;
