Learn how long items take route by route

Pooled over routes, short items beside long ones looked long, and were put behind as late too early.

--- a/crates/gateway/src/backlog.rs
+++ b/crates/gateway/src/backlog.rs
@@ -38,6 +38,8 @@
 pub(crate) struct Item {
     /// What identifies it.
     pub(crate) key: ItemKey,
+    /// The name of its job's route.
+    pub(crate) route: String,
     /// The host that its requests name.
     pub(crate) host: String,
     /// The request.
--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -24,7 +24,7 @@
 use notchwharf_routing::items::queue;
 use notchwharf_routing::items::turn::Line;
 use notchwharf_routing::items::turn::Waiting;
-use notchwharf_routing::items::usual::Usual;
+use notchwharf_routing::items::usual::Kinds;
 use notchwharf_routing::places::TargetId;
 use notchwharf_routing::places::Want;
 use notchwharf_telemetry::gauge::Gauge;
@@ -62,8 +62,8 @@
     wake: Notify,
     /// Items that wait at other hosts.
     line: Mutex<Line>,
-    /// How long items usually take.
-    usual: Mutex<Usual>,
+    /// How long items usually take, by route.
+    usual: Mutex<Kinds>,
     /// Runs of items that are under way.
     runs: Gauge,
     /// Whether the items of a host that leaves may be run elsewhere.
@@ -278,7 +278,7 @@
 }
 
 /// Returns whether an item that starts now ends after its job's objective.
-fn is_late(table: &Table, item: &Item, usual: &Usual) -> bool {
+fn is_late(table: &Table, item: &Item, usual: &Kinds) -> bool {
     let path = item.forward.path.split('?').next().unwrap_or_default();
     let objective = table.find(&item.host, path).map(|r| r.jobs.objective);
     let Some(objective) = objective.filter(|o| !o.is_zero()) else {
@@ -288,6 +288,6 @@
     // read the job, and the time of day may have been set back.
     let by_day = Duration::from_millis(unix_ms().saturating_sub(item.submitted_unix_ms));
     let age = item.known_since.elapsed().max(by_day);
-    let rest = usual.rest(item.size, item.events());
+    let rest = usual.rest(&item.route, item.size, item.events());
     age + rest.unwrap_or_default() > objective
 }
--- a/crates/gateway/src/items/load.rs
+++ b/crates/gateway/src/items/load.rs
@@ -99,6 +99,7 @@
         Item {
             size: (ctx.decode.size)(&headers),
             key: (accepted.job.clone(), number),
+            route: accepted.route.clone(),
             host: host.clone(),
             forward: Arc::new(Forward {
                 id: spec.id.clone(),
--- a/crates/gateway/src/items/run.rs
+++ b/crates/gateway/src/items/run.rs
@@ -75,10 +75,14 @@
         "took_ms" => millis(started.elapsed()));
     note(&ctx, &target, ended);
     let events = item.events().saturating_sub(count(had));
-    lock(&ctx.items.usual).ran(events, started.elapsed());
+    lock(&ctx.items.usual)
+        .of_mut(&item.route)
+        .ran(events, started.elapsed());
     match ended {
         Ended::Whole => {
-            lock(&ctx.items.usual).ended(item.size, item.events());
+            lock(&ctx.items.usual)
+                .of_mut(&item.route)
+                .ended(item.size, item.events());
             settle::is_ending(&ctx, &item);
             drop(under_way);
             settle::complete(Arc::clone(&ctx), item).await;
--- a/crates/routing/src/items/usual.rs
+++ b/crates/routing/src/items/usual.rs
@@ -21,6 +21,7 @@
 //! assert_eq!(usual.rest(size, 75), Some(Duration::from_millis(500)));
 //! ```
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 /// Share of a new measurement in the running means: some thirty items' worth,
@@ -131,6 +132,26 @@
     }
 }
 
+/// How long items usually take, kind by kind: what is learned of short items
+/// says nothing of long ones beside them.
+#[derive(Clone, Debug, Default)]
+pub struct Kinds {
+    by_name: HashMap<String, Usual>,
+}
+
+impl Kinds {
+    /// Returns what is known of a kind, to add to it.
+    pub fn of_mut(&mut self, kind: &str) -> &mut Usual {
+        self.by_name.entry(kind.to_owned()).or_default()
+    }
+
+    /// Returns how long an item of a kind still runs that has so many events;
+    /// nothing while none of its kind has ended.
+    pub fn rest(&self, kind: &str, size: Size, events: u64) -> Option<Duration> {
+        self.by_name.get(kind)?.rest(size, events)
+    }
+}
+
 /// A running mean: a plain one at first, later one of the newest values.
 #[derive(Clone, Copy, Debug, Default)]
 struct Mean {
--- a/crates/routing/tests/items.rs
+++ b/crates/routing/tests/items.rs
@@ -8,6 +8,7 @@
 use notchwharf_routing::items::turn::Ahead;
 use notchwharf_routing::items::turn::Line;
 use notchwharf_routing::items::turn::Waiting;
+use notchwharf_routing::items::usual::Kinds;
 use notchwharf_routing::items::usual::Size;
 use notchwharf_routing::items::usual::Usual;
 use notchwharf_routing::places::Config;
@@ -289,6 +290,24 @@
     );
 }
 
+/// Pooled, short items beside long ones looked long, and late too early.
+#[test]
+fn short_items_are_not_judged_by_long_ones_of_another_kind() {
+    let mut kinds = Kinds::default();
+    for _ in 0..50 {
+        for (kind, events) in [("short", 20), ("long", 400)] {
+            let usual = kinds.of_mut(kind);
+            usual.ran(events, SECOND);
+            usual.ended(Size::default(), events);
+        }
+    }
+    for kind in ["short", "long"] {
+        let rest = kinds.rest(kind, Size::default(), 0).unwrap();
+        assert!(rest.abs_diff(SECOND) < SECOND / 10, "{kind}: {rest:?}");
+    }
+    assert_eq!(kinds.rest("other", Size::default(), 0), None);
+}
+
 #[test]
 fn nothing_is_said_of_items_before_one_has_ended() {
     let mut usual = Usual::default();
