--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -9,14 +9,11 @@
     reason = "Each test binary uses a part of it."
 )]
 
+mod ports;
 pub mod store;
 pub mod targets;
 
-use std::collections::BTreeSet;
-use std::net::Ipv4Addr;
-use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -50,6 +47,7 @@
 use notchwharf_routing::items::usual::Size;
 use notchwharf_routing::places::Spec;
 
+pub use self::ports::free_addr;
 use self::store::ScriptedStore;
 use self::targets::Engines;
 
@@ -264,31 +262,6 @@
     }
 }
 
-/// Ports for listeners of tests: below those that outgoing connections are
-/// given, so that none of these takes one between its choice and its use.
-const PORTS: std::ops::Range<u16> = 10_000..32_000;
-
-/// Ports that tests of this process were given. Two that drew the same one, or
-/// looked whether it is free while the other began to listen there, failed with
-/// an address that cannot be listened on.
-static GIVEN: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
-
-/// Returns an address that is free for connections and for datagrams, and that
-/// no other test of this process is given.
-pub fn free_addr() -> SocketAddr {
-    loop {
-        let port = rand::random_range(PORTS);
-        if !GIVEN.lock().unwrap().insert(port) {
-            continue;
-        }
-        let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
-        let is_free = std::net::TcpListener::bind(addr).is_ok();
-        if is_free && std::net::UdpSocket::bind(addr).is_ok() {
-            return addr;
-        }
-    }
-}
-
 fn decode_config(key: &str, value: &[u8]) -> Option<Result<Table, Unreadable>> {
     (key == store::CONFIG_KEY).then(|| {
         let text = String::from_utf8_lossy(value);
