Choose items' targets by the filter that all choices share

choose_batch wrote the condition of best again, as are_most_ejected had before it; targets_of serves all three. Whether places are left over is a function of its own, and the usual pace, which sorts, is worked out only once it is this host's turn. No other change of behaviour, but that nothing is drawn where no target is chosen.

--- a/crates/routing/src/items/queue.rs
+++ b/crates/routing/src/items/queue.rs
@@ -66,7 +66,7 @@
     }
 }
 
-impl<K: Ord + Clone, T> Queue<K, T> {
+impl<K: Ord, T> Queue<K, T> {
     /// Adds an item that can still end in time, as far as known.
     pub fn push(&mut self, due_unix_ms: u64, key: K, item: T) {
         let before = self.in_time.insert((due_unix_ms, key), item);
--- a/crates/routing/src/places/choice.rs
+++ b/crates/routing/src/places/choice.rs
@@ -20,6 +20,7 @@
 use super::Target;
 use super::TargetId;
 use super::Want;
+use crate::items::turn::Ahead;
 
 /// Cost of taking the last free place: another host may take it just now.
 const LAST_PLACE_COST: f64 = 1.0;
@@ -90,24 +91,15 @@
 
     /// Chooses the target of an item: one with places beyond the reserve.
     pub fn choose_batch(&mut self, want: &Want<'_>, now: Instant) -> Option<TargetId> {
-        let pace = self.usual_pace(want.service);
-        let draw: u64 = self.rng.random();
         let all = self.are_most_ejected(want.service, now);
-        let open = self.targets.values().filter(|t| {
-            t.spec.service == want.service && !t.spec.leaving && (all || !t.is_ejected(now))
-        });
-        let spare = spare(open, self.cfg.reserve, now);
+        let targets = self.targets_of(want.service, all, now);
+        let spare = spare(targets.map(|(_, t)| t), self.cfg.reserve, now);
         let open_since = self.note_open(want.service, spare > 0, now)?;
-        // Those whose turn it was have not taken the places if they have been
-        // open for some time and none of them has started an item.
-        let since = want
-            .ahead
-            .moved_at
-            .map_or(open_since, |at| at.max(open_since));
-        let is_left_over = now.saturating_duration_since(since) >= TURN;
-        if spare <= want.ahead.items && !is_left_over {
+        if spare <= want.ahead.items && !is_left_over(open_since, want.ahead, now) {
             return None;
         }
+        let pace = self.usual_pace(want.service);
+        let draw: u64 = self.rng.random();
         let best = self.best(want, now, all, |t| {
             let spare = t.open(now);
             if spare == 0 {
@@ -183,24 +175,31 @@
         with_ejected: bool,
         cost: impl Fn(&Target) -> Option<f64>,
     ) -> Option<&TargetId> {
-        let open = self.targets.iter().filter(|(id, t)| {
-            t.spec.service == want.service
-                && !t.spec.leaving
-                && (with_ejected || !t.is_ejected(now))
-                && !want.tried.contains(id)
-        });
+        let targets = self.targets_of(want.service, with_ejected, now);
+        let open = targets.filter(|(id, _)| !want.tried.contains(id));
         let costs = open.filter_map(|(id, t)| Some((cost(t)?, id)));
         let least = costs.min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1)));
         least.map(|(_, id)| id)
     }
 
+    /// Returns a service's targets that get something new, without those that
+    /// are left alone unless these are to be asked too.
+    fn targets_of(
+        &self,
+        service: &str,
+        with_ejected: bool,
+        now: Instant,
+    ) -> impl Iterator<Item = (&TargetId, &Target)> {
+        self.targets.iter().filter(move |(_, t)| {
+            t.spec.service == service && !t.spec.leaving && (with_ejected || !t.is_ejected(now))
+        })
+    }
+
     /// Returns whether so many targets of a service are left alone that the
     /// fault is more likely not theirs.
     fn are_most_ejected(&self, service: &str, now: Instant) -> bool {
-        let of_service = self.targets.values();
-        let of_service = of_service.filter(|t| t.spec.service == service && !t.spec.leaving);
         let (mut all, mut ejected) = (0, 0);
-        for target in of_service {
+        for (_, target) in self.targets_of(service, true, now) {
             all += 1;
             ejected += usize::from(target.is_ejected(now));
         }
@@ -217,6 +216,13 @@
     }
 }
 
+/// Returns whether those whose turn it was have not taken the places: these have
+/// been open for some time, and none of those has started an item.
+fn is_left_over(open_since: Instant, ahead: Ahead, now: Instant) -> bool {
+    let since = ahead.moved_at.map_or(open_since, |at| at.max(open_since));
+    now.saturating_duration_since(since) >= TURN
+}
+
 /// Returns how many places of a service's targets items may take.
 ///
 /// What stays free is shared by all of them and follows the online load: as
