--- a/crates/routing/src/items/usual.rs
+++ b/crates/routing/src/items/usual.rs
@@ -43,8 +43,6 @@
 /// What a caller tells of an item's size; zero where it tells nothing.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Size {
-    /// Tokens of the prompt.
-    pub prompt_tokens: u32,
     /// Tokens of the longest answer that is taken.
     pub answer_tokens_max: u32,
     /// Tokens of the answer as the caller expects it.
