--- a/crates/gateway/src/peers/relay.rs
+++ b/crates/gateway/src/peers/relay.rs
@@ -10,7 +10,7 @@
 //! Fixed relays were rejected: their death silences all whose news they pass
 //! on until that is noticed, just when others look for owners that are gone.
 
-use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -47,36 +47,42 @@
 /// Bytes of news in one datagram: what the least link carries in one packet.
 const BYTES_MAX: usize = 1_200;
 
-/// News to pass on, the newest of each host.
+/// Hosts far away of which there is news to pass on; what it is stands with
+/// each of them as a peer.
 #[derive(Debug, Default)]
 pub(super) struct Relay {
-    news: Mutex<HashMap<HostId, Status>>,
+    heard: Mutex<HashSet<HostId>>,
 }
 
 impl Relay {
-    /// Keeps news of a host far away, to be passed on soon.
-    pub(super) fn put(&self, status: Status) {
-        lock(&self.news).insert(status.host.clone(), status);
+    /// Notes that there is news of a host far away, to be passed on soon.
+    pub(super) fn put(&self, host: &str) {
+        lock(&self.heard).insert(host.to_owned());
     }
 
-    /// Takes what is to be passed on, in parts that each fit a datagram.
-    fn take(&self) -> Vec<Vec<Status>> {
-        let news = std::mem::take(&mut *lock(&self.news));
-        let mut parts: Vec<Vec<Status>> = Vec::new();
-        let mut bytes = BYTES_MAX;
-        for status in news.into_values() {
-            let size = news::encode(&News::Status(status.clone())).len();
-            bytes += size;
-            match parts.last_mut() {
-                Some(part) if bytes <= BYTES_MAX => part.push(status),
-                _ => {
-                    bytes = size;
-                    parts.push(vec![status]);
-                }
+    fn take(&self) -> HashSet<HostId> {
+        std::mem::take(&mut *lock(&self.heard))
+    }
+}
+
+/// Returns how hosts are, in parts that each fit a datagram.
+fn parts(ctx: &Context, hosts: &HashSet<HostId>) -> Vec<Vec<Status>> {
+    let known = lock(&ctx.peers.known);
+    let news = hosts.iter().filter_map(|host| known.get(host));
+    let mut parts: Vec<Vec<Status>> = Vec::new();
+    let mut bytes = BYTES_MAX;
+    for status in news.map(|peer| peer.status.clone()) {
+        let size = news::encode(&News::Status(status.clone())).len();
+        bytes += size;
+        match parts.last_mut() {
+            Some(part) if bytes <= BYTES_MAX => part.push(status),
+            _ => {
+                bytes = size;
+                parts.push(vec![status]);
             }
         }
-        parts
     }
+    parts
 }
 
 /// Returns which hosts of a data centre far away to tell, and whether they are
@@ -96,14 +102,14 @@
     let mut ticks = ctx.timer.subscribe(GAP);
     while ticks.recv().await.is_some() && ctx.phase() != Phase::Stopped {
         let near = near(&ctx);
-        let parts = ctx.peers.relay.take();
+        let heard = ctx.peers.relay.take();
         if near.len() + 1 < HOSTS_MIN_INSIDE {
             continue;
         }
         let Some(socket) = ctx.peers.socket.get() else {
             return;
         };
-        for part in parts {
+        for part in parts(&ctx, &heard) {
             let bytes = news::encode(&News::PassedOn(part));
             for addr in &near {
                 // Lost, the next one makes up for it.
--- a/crates/gateway/src/peers/status.rs
+++ b/crates/gateway/src/peers/status.rs
@@ -142,7 +142,7 @@
         return;
     };
     if addr.is_some() && !heard.is_near {
-        ctx.peers.relay.put(status.clone());
+        ctx.peers.relay.put(&host);
     }
     let loads = status.loads.iter().map(|load| {
         let counted = Load {
