Name what the load player passes around, and split off its callers

Places in use were triples of numbers, targets' names were written in six places and entered once for each host.

--- a/crates/loadplay/src/outcome.rs
+++ b/crates/loadplay/src/outcome.rs
@@ -31,6 +31,31 @@
     pub is_refused: bool,
 }
 
+/// Places at one moment, or in the mean of several.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct InUse {
+    /// Those with items.
+    pub items: f64,
+    /// Those with online requests.
+    pub online: f64,
+    /// All, at targets that stay.
+    pub all: f64,
+}
+
+impl InUse {
+    /// Returns the mean of some moments.
+    pub(crate) fn mean(moments: &[Self]) -> Self {
+        let mean = |of: fn(&Self) -> f64| {
+            moments.iter().map(of).sum::<f64>() / moments.len().max(1) as f64
+        };
+        Self {
+            items: mean(|m| m.items),
+            online: mean(|m| m.online),
+            all: mean(|m| m.all),
+        }
+    }
+}
+
 /// What callers got, and what it took.
 #[derive(Clone, Debug, Default)]
 pub struct Outcome {
@@ -42,9 +67,8 @@
     pub cuts: u64,
     /// Arrivals at targets without a free place.
     pub queued: u64,
-    /// Places in use by items and by online requests, and all that there are,
-    /// for each half second.
-    pub places: Vec<(f64, f64, f64)>,
+    /// Places in use, for each half second.
+    pub places: Vec<InUse>,
     /// Items that a clairvoyant order could have done in time.
     pub bound: usize,
 }
--- a/crates/loadplay/src/play.rs
+++ b/crates/loadplay/src/play.rs
@@ -1,34 +1,30 @@
 //! One play of a load.
 
+mod callers;
+
 use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
 
 use notchwharf_routing::items::queue::Queue;
-use notchwharf_routing::items::turn::Ahead;
 use notchwharf_routing::items::turn::Line;
-use notchwharf_routing::items::usual::Size;
 use notchwharf_routing::items::usual::Usual;
 use notchwharf_routing::places;
 use notchwharf_routing::places::Places;
-use notchwharf_routing::places::Room;
 use notchwharf_routing::places::Spec;
-use notchwharf_routing::places::Want;
-use rand::RngExt as _;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 
 use crate::bound;
 use crate::host;
 use crate::host::Host;
-use crate::host::Item;
 use crate::host::Running;
 use crate::host::Status;
 use crate::load::Load;
-use crate::outcome::ItemSeen;
-use crate::outcome::OnlineSeen;
+use crate::outcome::InUse;
 use crate::outcome::Outcome;
 use crate::policy::Policy;
+use crate::target;
 use crate::target::Came;
 use crate::target::Run;
 use crate::target::RunId;
@@ -42,6 +38,9 @@
 /// Time after which a place that nobody takes is looked at again.
 const LOOK_MS: u64 = 50;
 
+/// Time of one point of the places in use.
+const POINT_MS: usize = 500;
+
 /// Who waits for a run.
 #[derive(Clone, Copy, Debug)]
 enum Owner {
@@ -66,7 +65,7 @@
     news: Vec<(u64, usize, Status)>,
     cuts: Vec<(u64, usize, usize)>,
     out: Outcome,
-    places: Vec<(f64, f64, f64)>,
+    places: Vec<InUse>,
 }
 
 /// Plays a load under a policy; the same seed plays the same.
@@ -86,7 +85,7 @@
 
 impl<'a> Play<'a> {
     fn new(load: &'a Load, policy: Policy, seed: u64) -> Self {
-        let mut names = HashMap::new();
+        let names = (0..load.targets as usize).map(|target| (target::name(target), target));
         let mut hosts: Vec<Host> = Vec::new();
         for number in 0..load.hosts {
             let cfg = places::Config {
@@ -95,9 +94,7 @@
             };
             let mut places = Places::new(cfg, seed ^ u64::from(number));
             for target in 0..load.targets {
-                let spec = spec(load, target, false);
-                places.upsert(&format!("t{target}"), spec);
-                names.insert(format!("t{target}"), target as usize);
+                places.upsert(&target::name(target as usize), spec(load, target, false));
             }
             hosts.push(Host {
                 places,
@@ -120,7 +117,7 @@
             hosts,
             targets: vec![Target::default(); load.targets as usize],
             leaving: vec![false; load.targets as usize],
-            names,
+            names: names.collect(),
             owners: HashMap::new(),
             runs: 0,
             events: Vec::new(),
@@ -135,103 +132,6 @@
         self.began + Duration::from_millis(self.now_ms)
     }
 
-    fn callers_come(&mut self) {
-        let load = self.load;
-        let at_s = self.now_ms as f64 / 1e3;
-        if self
-            .rng
-            .random_bool((load.online.rate(at_s) / 1e3).min(1.0))
-        {
-            let host = self.rng.random_range(0..self.hosts.len());
-            self.ask(host);
-        }
-        if self.rng.random_bool((load.jobs.per_s / 1e3).min(1.0)) {
-            let host = self.rng.random_range(0..self.hosts.len());
-            self.submit(host);
-        }
-        for burst in &load.jobs.bursts {
-            if (burst.at_s * 1e3) as u64 == self.now_ms {
-                for _ in 0..burst.jobs {
-                    self.submit(burst.host as usize);
-                }
-            }
-        }
-    }
-
-    /// A job comes to a host.
-    fn submit(&mut self, host: usize) {
-        let jobs = &self.load.jobs;
-        let items = (jobs.items * self.spread(0.4)).round().max(1.0) as usize;
-        for _ in 0..items {
-            let events = (jobs.events * self.spread(jobs.events_spread)).max(1.0);
-            let hint = events * self.load.event_tokens * self.spread(jobs.hint_spread);
-            let read_ms = jobs.prompt_tokens / self.load.prompt_tokens_per_ms;
-            let number = self.events.len();
-            let due_ms = self.now_ms + jobs.objective_ms;
-            let item = Item {
-                number,
-                due_ms,
-                size: Size {
-                    answer_tokens_hint: hint as u32,
-                    ..Size::default()
-                },
-                events: 0,
-            };
-            self.events.push(events.ceil());
-            self.out.items.push(ItemSeen {
-                came_ms: self.now_ms,
-                due_ms,
-                done_ms: None,
-                run_ms: (events.ceil() * self.load.event_ms + read_ms) as u64,
-            });
-            self.hosts[host].queue.push(due_ms, number, item);
-        }
-    }
-
-    /// Returns a factor with the given spread of its logarithm.
-    fn spread(&mut self, spread: f64) -> f64 {
-        // The sum of twelve draws is as good as normal here.
-        let sum: f64 = (0..12).map(|_| self.rng.random::<f64>()).sum();
-        ((sum - 6.0) * spread).exp()
-    }
-
-    /// An online request comes to a host.
-    fn ask(&mut self, host: usize) {
-        let now = self.now();
-        let seen = self.out.online.len();
-        self.out.online.push(OnlineSeen {
-            came_ms: self.now_ms,
-            ..OnlineSeen::default()
-        });
-        let data_centre = self.hosts[host].data_centre.clone();
-        let want = Want {
-            service: host::SERVICE,
-            data_centre: &data_centre,
-            affinity: self.rng.random(),
-            tried: &[],
-            objective: Some(Duration::from_millis(self.load.online.objective_ms)),
-            ahead: Ahead::default(),
-        };
-        let Ok(choice) = self.hosts[host].places.choose_online(&want, now) else {
-            self.out.online[seen].is_refused = true;
-            return;
-        };
-        let target = self.names[&choice.target];
-        match choice.room {
-            Room::CutOwn => self.cut(host, target),
-            Room::CutPeer(peer) => {
-                let peer = peer[1..].parse().unwrap_or_default();
-                self.cuts.push((self.now_ms + WAY_MS, peer, target));
-            }
-            Room::Free | Room::Queue => {}
-        }
-        self.hosts[host].places.begin_online(&choice.target, now);
-        let online = &self.load.online;
-        let events = (online.events * self.spread(0.25)).ceil().max(1.0);
-        let read_ms = online.prompt_tokens / self.load.prompt_tokens_per_ms;
-        self.run(target, Owner::Online { seen, host }, read_ms, events);
-    }
-
     fn run(&mut self, target: usize, owner: Owner, read_ms: f64, events: f64) -> RunId {
         self.runs += 1;
         let at = &mut self.targets[target];
@@ -254,7 +154,7 @@
             self.owners.remove(&running.run);
             let made = self.targets[target].stop(running.run).unwrap_or_default();
             let host = &mut self.hosts[host];
-            host.places.end_batch(&format!("t{target}"));
+            host.places.end_batch(&target::name(target));
             host.usual.ran(made as u64, took(&running, self.now_ms));
             host.put_back(running.item, made);
         }
@@ -289,10 +189,10 @@
         }
         for leaving in self.load.leaving.iter().filter(|l| is_now(l.at_s)) {
             self.leaving[leaving.target as usize] = true;
+            let name = target::name(leaving.target as usize);
             let spec = spec(self.load, leaving.target, true);
             for host in &mut self.hosts {
-                host.places
-                    .upsert(&format!("t{}", leaving.target), spec.clone());
+                host.places.upsert(&name, spec.clone());
             }
         }
     }
@@ -302,7 +202,7 @@
         let Some((owner, target)) = self.owners.get(&run).copied() else {
             return;
         };
-        let id = format!("t{target}");
+        let id = target::name(target);
         match (came, owner) {
             (Came::First(_), Owner::Online { seen, host }) => {
                 let took_ms = self.now_ms - self.out.online[seen].came_ms;
@@ -334,7 +234,7 @@
         let running = host.running.swap_remove(place);
         let item = running.item;
         let whole = self.events[item.number] as u64;
-        host.places.end_batch(&format!("t{}", running.target));
+        host.places.end_batch(&target::name(running.target));
         host.usual
             .ran(whole - item.events, took(&running, self.now_ms));
         host.usual.ended(item.size, whole);
@@ -399,39 +299,25 @@
     }
 
     fn note_places(&mut self) {
-        let mut sums = (0.0, 0.0, 0.0);
+        let mut now = InUse::default();
         for (target, leaves) in self.targets.iter().zip(&self.leaving) {
             let is_item =
                 |run: &&Run| matches!(self.owners.get(&run.id), Some((Owner::Item { .. }, _)));
             let items = target.running.iter().filter(is_item).count() as f64;
-            sums.0 += items;
-            sums.1 += target.running.len() as f64 - items;
-            sums.2 += if *leaves {
-                0.0
-            } else {
-                f64::from(self.load.slots)
-            };
+            now.items += items;
+            now.online += target.running.len() as f64 - items;
+            if !leaves {
+                now.all += f64::from(self.load.slots);
+            }
         }
-        self.places.push(sums);
+        self.places.push(now);
     }
 
     fn finish(mut self) -> Outcome {
-        let free = self
-            .places
-            .iter()
-            .map(|(_, online, all)| (all - online).max(0.0));
+        let free = self.places.iter().map(|p| (p.all - p.online).max(0.0));
         self.out.bound = bound::in_time(&self.out.items, &free.collect::<Vec<_>>());
-        self.out.places = self
-            .places
-            .chunks(500)
-            .map(|chunk| {
-                let count = chunk.len() as f64;
-                let sum = chunk.iter().fold((0.0, 0.0, 0.0), |sum, new| {
-                    (sum.0 + new.0, sum.1 + new.1, sum.2 + new.2)
-                });
-                (sum.0 / count, sum.1 / count, sum.2 / count)
-            })
-            .collect();
+        let points = self.places.chunks(POINT_MS).map(InUse::mean);
+        self.out.places = points.collect();
         self.out
     }
 }
--- a/crates/loadplay/src/report.rs
+++ b/crates/loadplay/src/report.rs
@@ -5,6 +5,7 @@
 use plotters::prelude::*;
 use serde::Serialize;
 
+use crate::outcome::InUse;
 use crate::outcome::Outcome;
 
 /// Size of a plot in pixels.
@@ -79,7 +80,7 @@
 }
 
 /// A line of the plot: its name, its colour and its value at a point.
-type Line = (&'static str, RGBColor, fn(&(f64, f64, f64)) -> f64);
+type Line = (&'static str, RGBColor, fn(&InUse) -> f64);
 
 /// Draws the places in use over time.
 ///
@@ -90,7 +91,7 @@
     let area = SVGBackend::new(path, PLOT_SIZE).into_drawing_area();
     area.fill(&WHITE)?;
     let seconds = play.places.len() as f64 * POINT_S;
-    let most = play.places.iter().map(|p| p.2).fold(1.0, f64::max);
+    let most = play.places.iter().map(|p| p.all).fold(1.0, f64::max);
     let mut chart = ChartBuilder::on(&area)
         .margin(10)
         .x_label_area_size(30)
@@ -102,9 +103,9 @@
         .y_desc("places")
         .draw()?;
     let lines: [Line; 3] = [
-        ("items", BLUE, |p| p.0),
-        ("online", RED, |p| p.1),
-        ("all places", BLACK, |p| p.2),
+        ("items", BLUE, |p| p.items),
+        ("online", RED, |p| p.online),
+        ("all places", BLACK, |p| p.all),
     ];
     for (name, colour, value) in lines {
         let points = play.places.iter().zip(0..);
--- a/crates/loadplay/src/target.rs
+++ b/crates/loadplay/src/target.rs
@@ -78,3 +78,8 @@
         });
     }
 }
+
+/// Returns a target's name.
+pub(crate) fn name(target: usize) -> String {
+    format!("t{target}")
+}
