--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -17,6 +17,7 @@
 
 use crate::context::Context;
 use crate::context::lock;
+use crate::context::millis;
 use crate::follow::Pace;
 use crate::follow::Seen;
 use crate::follow::follow;
@@ -290,7 +291,8 @@
         }
     }
     slog::info!(ctx.logger, "target's entry is gone"; "target" => id, "offset" => offset,
-        "kept_for_now" => until.is_some());
+        "kept_for_now" => until.is_some(),
+        "kept_ms" => until.map(|at| millis(at.saturating_duration_since(Instant::now()))));
     if until.is_none() {
         drop_target(ctx, id);
     }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -84,14 +84,15 @@
     ) -> Result<u64, StoreError> {
         let started = Instant::now();
         let res = (self.calls.append)(topic, part, entries).await;
-        self.note("append", started.elapsed(), res.as_ref().err());
+        self.note("append", topic, started.elapsed(), res.as_ref().err());
         res
     }
 
     pub(crate) async fn read(&self, read: Read) -> Result<Tail, StoreError> {
         let started = Instant::now();
+        let topic = read.topic;
         let res = (self.calls.read)(read).await;
-        self.note("read", started.elapsed(), res.as_ref().err());
+        self.note("read", topic, started.elapsed(), res.as_ref().err());
         res
     }
 
@@ -103,7 +104,7 @@
     ) -> Result<Page, StoreError> {
         let started = Instant::now();
         let res = (self.calls.newest)(topic, part, after).await;
-        self.note("newest", started.elapsed(), res.as_ref().err());
+        self.note("newest", topic, started.elapsed(), res.as_ref().err());
         res
     }
 
@@ -131,7 +132,7 @@
         Ok((end, records))
     }
 
-    fn note(&self, call: &'static str, took: Duration, err: Option<&StoreError>) {
+    fn note(&self, call: &'static str, topic: Topic, took: Duration, err: Option<&StoreError>) {
         let outcome = match err {
             None => "done",
             Some(StoreError::Refused(_)) => "refused",
@@ -145,7 +146,13 @@
                 self.metrics.time(Timed::StoreCall, call, took);
                 self.answered();
             }
-            Some(err) => self.failed(call, *err),
+            Some(err) => {
+                // When a call began says what its failure is evidence of.
+                slog::warn!(self.logger, "store call failed"; "call" => call,
+                    "topic" => ?topic, "error" => err.to_string(),
+                    "took_ms" => took.as_millis());
+                self.failed(call, *err);
+            }
         }
     }
 
