Show that a failed call about something else keeps a target that is gone

Three cases: a reading of the hosts, of job records or of the configuration breaks off, and the host keeps a target whose entry goes afterwards.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -137,6 +137,11 @@
         lock(&self.places).ids().count()
     }
 
+    /// Returns whether a target is in use.
+    pub fn is_target_known(&self, target: &str) -> bool {
+        lock(&self.places).spec(target).is_some()
+    }
+
     /// Returns what all hosts run at a target, as far as known.
     pub fn load_of(&self, target: &str) -> places::Load {
         lock(&self.places).load(target)
--- a/crates/gateway/tests/catalog.rs
+++ b/crates/gateway/tests/catalog.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use notchwharf_gateway::ports::Topic;
+use rstest::rstest;
 use world::Running;
 use world::World;
 use world::until;
@@ -50,6 +52,43 @@
     assert!(gone.elapsed() < Duration::from_millis(1_500));
 }
 
+/// Regression. Requests reached a target 2,098 ms after the store had said that
+/// it was gone; 2,000 ms are allowed.
+///
+/// Connections to the store fell silent for a moment, then the store served
+/// again. Several seconds later the entry went, and nine hosts read so within
+/// 4 ms. Seven stopped at once. Two kept the target for 2.2 s from the last
+/// failed call they had noticed, as if its entry might have lapsed.
+///
+/// The cause: that call was about something else, and had failed long before it
+/// was noticed. The log of failed calls showed a reading of the hosts, begun
+/// 10.7 s before on a connection that fell silent meanwhile, and a reading of
+/// job records on a kept connection that had been silent for 3 s. No call that
+/// was begun after the silence failed.
+#[rstest]
+#[tokio::test]
+async fn a_failed_call_about_something_else_keeps_no_target_that_is_gone(
+    #[values(Topic::Hosts, Topic::Jobs, Topic::Config)] topic: Topic,
+) {
+    let world = World::new(&["t1", "t2"]);
+    let host = world.start_ready("a1").await;
+    until("all are known", || host.ctx().targets_known() == 2).await;
+    let before = world.store.readings(topic);
+    world.store.break_reading(topic);
+    // The next one begins after the failure was noticed.
+    until("it is read again", || {
+        world.store.readings(topic) > before + 1
+    })
+    .await;
+    world.store.drop_target("t1");
+    world.store.put_target("t3", "up");
+    until("the later record is known", || {
+        host.ctx().is_target_known("t3")
+    })
+    .await;
+    assert!(!host.ctx().is_target_known("t1"));
+}
+
 #[tokio::test]
 async fn an_entry_that_lapsed_in_an_outage_is_kept_until_it_is_back() {
     let world = World::new(&["t1", "t2"]);
--- a/crates/gateway/tests/world/store.rs
+++ b/crates/gateway/tests/world/store.rs
@@ -47,6 +47,8 @@
     parts: HashMap<(Topic, u32), Part>,
     fates: HashMap<Topic, VecDeque<Fate>>,
     listings: HashMap<Topic, usize>,
+    readings: HashMap<Topic, usize>,
+    broken: HashMap<Topic, usize>,
 }
 
 /// The store, or one door to it.
@@ -102,6 +104,18 @@
         part.map_or(0, |part| part.records.len())
     }
 
+    /// Breaks the next reading of a topic off, or the one that waits.
+    pub fn break_reading(&self, topic: Topic) {
+        let mut state = self.state.lock().unwrap();
+        *state.broken.entry(topic).or_default() += 1;
+    }
+
+    /// Returns how many readings of a topic were begun.
+    pub fn readings(&self, topic: Topic) -> usize {
+        let state = self.state.lock().unwrap();
+        state.readings.get(&topic).copied().unwrap_or_default()
+    }
+
     /// Returns how often pages of a topic were read.
     pub fn listings(&self, topic: Topic) -> usize {
         let state = self.state.lock().unwrap();
@@ -179,10 +193,27 @@
         Ok(())
     }
 
+    fn count_reading(&self, topic: Topic) {
+        let mut state = self.state.lock().unwrap();
+        *state.readings.entry(topic).or_default() += 1;
+    }
+
+    fn is_whole(&self, topic: Topic) -> Result<(), StoreError> {
+        let mut state = self.state.lock().unwrap();
+        let broken = state.broken.entry(topic).or_default();
+        if *broken == 0 {
+            return Ok(());
+        }
+        *broken -= 1;
+        Err(StoreError::Unknown("connection fell silent"))
+    }
+
     async fn read(&self, read: Read) -> Result<Tail, StoreError> {
         let deadline = tokio::time::Instant::now() + read.wait;
+        self.count_reading(read.topic);
         loop {
             self.is_open()?;
+            self.is_whole(read.topic)?;
             let tail = self.tail(read)?;
             if !tail.records.is_empty() || tokio::time::Instant::now() >= deadline {
                 return Ok(tail);
