--- a/crates/config/src/gateway.rs
+++ b/crates/config/src/gateway.rs
@@ -37,6 +37,9 @@
     /// The platform's store.
     #[serde(default)]
     pub store: Store,
+    /// Which targets are used.
+    #[serde(default)]
+    pub targets: Targets,
     /// Online requests.
     #[serde(default)]
     pub online: Online,
@@ -116,6 +119,29 @@
     }
 }
 
+/// Which targets are used. The platform names these times.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Targets {
+    /// Time after the store's acknowledgement that a target leaves or is gone
+    /// within which requests may still reach it. From 500 to 600_000; 2_000 by
+    /// default.
+    pub drain_ms: u64,
+    /// Time after a fault of the store or of the way there within which
+    /// requests may reach a target that is gone. From 500 to 600_000; 3_000 by
+    /// default.
+    pub settle_ms: u64,
+}
+
+impl Default for Targets {
+    fn default() -> Self {
+        Self {
+            drain_ms: 2_000,
+            settle_ms: 3_000,
+        }
+    }
+}
+
 /// Online requests.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -276,6 +302,13 @@
     range("store.record_bytes_max", record_bytes_max, 1_024, 16 << 20)?;
     let call_bytes_max = s.store.call_bytes_max;
     range("store.call_bytes_max", call_bytes_max, 1_024, 128 << 20)?;
+    range("targets.drain_ms", s.targets.drain_ms, 500, TEN_MINUTES_MS)?;
+    range(
+        "targets.settle_ms",
+        s.targets.settle_ms,
+        500,
+        TEN_MINUTES_MS,
+    )?;
     let connect_timeout_ms = s.online.connect_timeout_ms;
     range(
         "online.connect_timeout_ms",
@@ -309,6 +342,10 @@
         ("store.record_bytes_max", record_bytes_max),
         ("store.call_bytes_max", call_bytes_max.saturating_add(1)),
     )?;
+    below(
+        ("online.connect_timeout_ms", connect_timeout_ms),
+        ("targets.drain_ms", s.targets.drain_ms),
+    )?;
     below(
         ("peers.beat_ms", s.peers.beat_ms),
         ("peers.down_ms", s.peers.down_ms),
--- a/crates/config/tests/gateway.rs
+++ b/crates/config/tests/gateway.rs
@@ -27,6 +27,14 @@
     r#"{"host": {"name": "a", "data_centre": "d"}, "peers": {"beat_ms": 2000}}"#,
     "peers.beat_ms: 2000 must be below peers.down_ms, which is 1200"
 )]
+#[case::no_time_to_drain(
+    r#"{"host": {"name": "a", "data_centre": "d"}, "targets": {"drain_ms": 100}}"#,
+    "targets.drain_ms: 100 is not between 500 and 600000"
+)]
+#[case::drained_before_connected(
+    r#"{"host": {"name": "a", "data_centre": "d"}, "online": {"connect_timeout_ms": 2000}}"#,
+    "online.connect_timeout_ms: 2000 must be below targets.drain_ms, which is 2000"
+)]
 #[case::record_longer_than_a_call(
     r#"{"host": {"name": "a", "data_centre": "d"}, "store": {"call_bytes_max": 1024}}"#,
     "store.record_bytes_max: 262144 must be below"
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -1,52 +1,74 @@
 //! Routes and targets as the store or a peer tells them.
 //!
 //! Every record has an offset, and nothing older than what is known counts,
-//! whoever tells it. A target whose entry is gone is taken out at once, except
-//! shortly after the store was away: entries lapse then although their targets
-//! live, and come back within a known time.
+//! whoever tells it. What is believed of targets is [`belief`]'s to decide; here
+//! it is read, logged and put to use, one reading after the other: targets in
+//! use and what peers are told never tell of different readings.
 
-use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
+use notchwharf_config::gateway::Settings;
+use notchwharf_config::routes::Table;
+use notchwharf_listen::Phase;
+use notchwharf_routing::belief;
+use notchwharf_routing::belief::Answered;
+use notchwharf_routing::belief::Belief;
+use notchwharf_routing::belief::Bounds;
+use notchwharf_routing::belief::Change;
+use notchwharf_routing::belief::Contact;
+use notchwharf_routing::places::Places;
 use notchwharf_routing::places::TargetId;
 use serde::Deserialize;
 use serde::Serialize;
+use tokio::sync::watch;
 
 use crate::context::Context;
 use crate::context::lock;
 use crate::context::millis;
+use crate::context::ms;
 use crate::follow::Pace;
+use crate::follow::Reading;
 use crate::follow::Seen;
-use crate::follow::follow;
 use crate::metrics::Counted;
+use crate::metrics::Metrics;
+use crate::ports::Decode;
 use crate::ports::Entry;
 use crate::ports::Stored;
 use crate::ports::Topic;
-use notchwharf_listen::Phase;
+use crate::ports::Unreadable;
+use crate::store::Store;
 
-/// How the configuration is read; a reading's wait is also how soon an outage
-/// is noticed. Operators' changes must be in force within two seconds.
+/// How the configuration is read. Operators' changes must be in force within
+/// two seconds, or three from a fault of the connection: one that falls silent
+/// is noticed within this wait and the store's timeout, 1.7 s by default.
 const CONFIG_PACE: Pace = Pace {
-    wait: Duration::from_secs(2),
+    wait: Duration::from_secs(1),
     gap: Duration::from_millis(150),
+    pause_max: Duration::from_millis(200),
 };
 /// How targets are read. A target that leaves must get nothing new two seconds
-/// later; when a fleet starts, its targets' entries come by the dozen.
+/// later, or three from a fault of the connection; when a fleet starts, its
+/// targets' entries come by the dozen.
 const TARGETS_PACE: Pace = Pace {
-    wait: Duration::from_secs(2),
+    wait: Duration::from_secs(1),
     gap: Duration::from_millis(300),
+    pause_max: Duration::from_millis(200),
 };
-/// Time after an outage of the store within which a missing entry may only
-/// have lapsed: those of living targets are back about two seconds after it.
-const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
+/// Time after the store's return within which it has the entries of living
+/// targets again, as the platform names it.
+const LAPSE: Duration = Duration::from_secs(2);
+/// Time for news of an entry beside the pause between two readings: an answer
+/// of the store takes some milliseconds.
+const NEWS: Duration = Duration::from_millis(50);
 /// Time between two looks at targets whose entries are missing.
-const SWEEP: Duration = Duration::from_millis(200);
-
-/// A record that came with its offset.
-type Versioned = (u64, Bytes);
+const SWEEP: Duration = Duration::from_millis(50);
+/// Time for which a host that has used up its share of a processor may stand
+/// still in the middle of sending a request.
+const STANDSTILL: Duration = Duration::from_millis(100);
 
 /// The configuration's record.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -56,13 +78,27 @@
     value: Vec<u8>,
 }
 
-/// What is known of routes and targets, in the form in which it came.
-#[derive(Debug, Default)]
-pub(crate) struct Catalog {
+/// What is known, in the form in which it came.
+#[derive(Debug)]
+struct Known {
     config: Option<Config>,
-    targets: HashMap<TargetId, Versioned>,
-    targets_end: u64,
-    doubtful: HashMap<TargetId, Instant>,
+    targets: Belief<Bytes>,
+}
+
+/// Routes and targets that a host knows, and where they are put to use.
+pub(crate) struct Catalog {
+    known: Mutex<Known>,
+    uses: Uses,
+}
+
+/// Where routes and targets are put to use.
+pub(crate) struct Uses {
+    pub(crate) store: Store,
+    pub(crate) decode: Decode,
+    pub(crate) places: Arc<Mutex<Places>>,
+    pub(crate) routes: watch::Sender<Option<Arc<Table>>>,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) logger: slog::Logger,
 }
 
 /// What one host tells another of routes and targets.
@@ -89,238 +125,293 @@
     }
 }
 
+/// What changed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct News {
+    /// Whether other routes are in force.
+    pub(crate) routes: bool,
+    /// Whether targets came, changed or went.
+    pub(crate) targets: bool,
+}
+
+/// Returns the times on which the belief in targets depends.
+fn bounds(settings: &Settings) -> Bounds {
+    Bounds {
+        drain: ms(settings.targets.drain_ms),
+        settle: ms(settings.targets.settle_ms),
+        lapse: LAPSE + TARGETS_PACE.gap + NEWS,
+        in_flight: ms(settings.online.connect_timeout_ms) + SWEEP + STANDSTILL,
+    }
+}
+
 impl Catalog {
+    /// Returns a catalog that knows nothing yet.
+    pub(crate) fn new(settings: &Settings, uses: Uses) -> Self {
+        let known = Known {
+            config: None,
+            targets: Belief::new(bounds(settings)),
+        };
+        Self {
+            known: Mutex::new(known),
+            uses,
+        }
+    }
+
     pub(crate) fn versions(&self) -> Versions {
+        let known = lock(&self.known);
         Versions {
-            config: self.config.as_ref().map_or(0, |c| c.offset + 1),
-            targets: self.targets_end,
+            config: known.config.as_ref().map_or(0, |c| c.offset + 1),
+            targets: known.targets.end(),
         }
     }
 
-    /// Returns what is known. Targets whose entries are missing are left out:
-    /// whoever takes this over must not keep them longer than this host does.
+    /// Returns what is known, for a peer.
     pub(crate) fn snapshot(&self) -> Snapshot {
-        let listed = self.targets.iter();
-        let listed = listed.filter(|(id, _)| !self.doubtful.contains_key(*id));
-        let targets = listed.map(|(id, (offset, bytes))| {
-            let bytes = bytes.to_vec();
-            (id.clone(), *offset, bytes)
-        });
+        let known = lock(&self.known);
+        let targets = known.targets.entries();
+        let targets = targets.map(|(id, offset, bytes)| (id.clone(), offset, bytes.to_vec()));
         Snapshot {
-            config: self.config.clone(),
+            config: known.config.clone(),
             targets: targets.collect(),
-            targets_end: self.targets_end,
+            targets_end: known.targets.end(),
         }
     }
-}
 
-/// Starts to follow routes and targets.
-pub(crate) fn start(ctx: &Arc<Context>) {
-    tokio::spawn(follow(
-        Arc::clone(ctx),
-        Topic::Config,
-        CONFIG_PACE,
-        |ctx, seen| {
-            let (Seen::All(_, records) | Seen::More(_, records)) = seen;
-            for record in records {
-                take_config(ctx, record, "store");
-            }
-        },
-    ));
-    tokio::spawn(follow(
-        Arc::clone(ctx),
-        Topic::Targets,
-        TARGETS_PACE,
-        |ctx, seen| match seen {
-            Seen::All(end, records) => take_all_targets(ctx, end, records, "store"),
-            Seen::More(_, records) => {
-                for record in records {
-                    take_target(ctx, record);
-                }
-            }
-        },
-    ));
-    tokio::spawn(sweep(Arc::clone(ctx)));
-}
-
-/// Takes in what a peer knows.
-pub(crate) fn take_snapshot(ctx: &Arc<Context>, snapshot: Snapshot) {
-    if let Some(config) = snapshot.config {
-        let record = stored(config.offset, config.key, config.value);
-        take_config(ctx, record, "peer");
-    }
-    if snapshot.targets_end <= lock(&ctx.catalog).targets_end {
-        return;
+    /// Takes in what a peer knows.
+    pub(crate) fn take_snapshot(&self, snapshot: Snapshot, now: Instant) -> News {
+        let config = snapshot.config.map(|config| Stored {
+            offset: config.offset,
+            entry: Entry {
+                key: config.key,
+                value: Some(config.value.into()),
+            },
+        });
+        let routes = config.is_some_and(|record| self.take_config(record, "peer"));
+        let records = snapshot.targets.into_iter();
+        let records = records.map(|(id, offset, value)| belief::Record {
+            id,
+            offset,
+            value: Some(value.into()),
+        });
+        let records: Vec<_> = records.collect();
+        let contact = self.uses.store.contact(Topic::Targets);
+        let mut known = lock(&self.known);
+        let end = snapshot.targets_end;
+        if end > known.targets.end() {
+            let count = records.len();
+            slog::info!(self.uses.logger, "targets listed"; "targets" => count,
+                "offset" => end, "source" => "peer");
+        }
+        let decode = self.uses.decode.target;
+        let changes = known
+            .targets
+            .told(now, &contact, end, records, |value| decode(value));
+        let targets = self.put_to_use(known.targets.none_before(), &contact, changes, now);
+        News { routes, targets }
     }
-    let records = snapshot.targets.into_iter();
-    let records = records.map(|(id, offset, value)| stored(offset, id, value));
-    take_all_targets(ctx, snapshot.targets_end, records.collect(), "peer");
-}
 
-fn stored(offset: u64, key: String, value: Vec<u8>) -> Stored {
-    let value = Some(value.into());
-    Stored {
-        offset,
-        entry: Entry { key, value },
+    /// Takes in a reading of the configuration.
+    fn read_config(&self, reading: Reading) -> News {
+        // The reader tries again, and the store's wrapper has logged why.
+        let records = reading.seen.map(Seen::records).unwrap_or_default();
+        let mut news = News::default();
+        for record in records {
+            news.routes |= self.take_config(record, "store");
+        }
+        news
     }
-}
 
-fn take_config(ctx: &Arc<Context>, record: Stored, source: &'static str) {
-    let offset = record.offset;
-    let Some(value) = record.entry.value else {
-        return;
-    };
-    let Some(decoded) = (ctx.decode.config)(&record.entry.key, &value) else {
-        return;
-    };
-    let table = match decoded {
-        Ok(table) => table,
-        Err(err) => {
-            slog::error!(ctx.logger, "configuration not taken"; "offset" => offset,
-                "source" => source, "error" => err.to_string());
-            return;
-        }
-    };
-    {
-        let mut catalog = lock(&ctx.catalog);
-        if catalog.config.as_ref().is_some_and(|c| c.offset >= offset) {
-            return;
+    /// Takes in a configuration; returns whether it is in force now.
+    fn take_config(&self, record: Stored, source: &'static str) -> bool {
+        let Uses {
+            decode,
+            routes,
+            metrics,
+            logger,
+            ..
+        } = &self.uses;
+        let offset = record.offset;
+        let Some(value) = record.entry.value else {
+            return false;
+        };
+        let Some(decoded) = (decode.config)(&record.entry.key, &value) else {
+            return false;
+        };
+        let table = match decoded {
+            Ok(table) => table,
+            Err(err) => {
+                slog::error!(logger, "configuration not taken"; "offset" => offset,
+                    "source" => source, "error" => err.to_string());
+                return false;
+            }
+        };
+        // Held until the routes are in force: an older one must not overtake.
+        let mut known = lock(&self.known);
+        if known.config.as_ref().is_some_and(|c| c.offset >= offset) {
+            return false;
         }
-        catalog.config = Some(Config {
+        known.config = Some(Config {
             offset,
             key: record.entry.key,
             value: value.to_vec(),
         });
+        let version = table.version();
+        let before = routes.send_replace(Some(Arc::new(table)));
+        metrics.count(Counted::Changes, "configuration");
+        slog::info!(logger, "configuration in force"; "version" => version,
+            "before" => before.map(|t| t.version()), "offset" => offset, "source" => source);
+        true
     }
-    let version = table.version();
-    let before = ctx.table().map(|t| t.version());
-    ctx.routes.send_replace(Some(Arc::new(table)));
-    ctx.enter(Phase::Ready);
-    ctx.metrics.count(Counted::Changes, "configuration");
-    slog::info!(ctx.logger, "configuration in force"; "version" => version,
-        "before" => before, "offset" => offset, "source" => source);
-    ctx.peers.tell();
-}
-
-fn take_all_targets(ctx: &Arc<Context>, end: u64, records: Vec<Stored>, source: &'static str) {
-    let known: Vec<TargetId> = {
-        let catalog = lock(&ctx.catalog);
-        if end < catalog.targets_end {
-            return;
-        }
-        catalog.targets.keys().cloned().collect()
-    };
-    let gone = known
-        .into_iter()
-        .filter(|id| !records.iter().any(|r| &r.entry.key == id));
-    let gone: Vec<TargetId> = gone.collect();
-    slog::info!(ctx.logger, "targets listed"; "targets" => records.len(),
-        "missing" => gone.len(), "offset" => end, "source" => source);
-    for record in records {
-        if let Some(value) = record.entry.value {
-            upsert(ctx, record.offset, &record.entry.key, value);
-        }
-    }
-    for id in gone {
-        remove(ctx, &id, end);
-    }
-    let mut catalog = lock(&ctx.catalog);
-    catalog.targets_end = catalog.targets_end.max(end);
-}
 
-fn take_target(ctx: &Arc<Context>, record: Stored) {
-    {
-        let mut catalog = lock(&ctx.catalog);
-        if record.offset < catalog.targets_end {
-            return;
+    /// Takes in a reading of targets.
+    fn read_targets(&self, reading: Reading, now: Instant) -> News {
+        let Reading { asked, seen } = reading;
+        let decode = |value: &Bytes| (self.uses.decode.target)(value);
+        let contact = self.uses.store.contact(Topic::Targets);
+        let mut known = lock(&self.known);
+        // As of before this reading: what it tells is newer than that.
+        let none_before = known.targets.none_before();
+        let changes = match seen {
+            Ok(Seen::All { end, records }) => {
+                slog::info!(self.uses.logger, "targets listed"; "targets" => records.len(),
+                    "offset" => end, "source" => "store");
+                let records = records.into_iter().map(record).collect();
+                let answered = Answered::whole(asked, now);
+                known
+                    .targets
+                    .list(&answered, &contact, end, records, decode)
+            }
+            Ok(Seen::More { records, is_whole }) => {
+                let records = records.into_iter().map(record).collect();
+                let answered = Answered {
+                    asked,
+                    at: now,
+                    is_whole,
+                };
+                known.targets.read(&answered, &contact, records, decode)
+            }
+            // The reader tries again; the store's wrapper knows of the failure.
+            Err(_) => return News::default(),
+        };
+        let targets = self.put_to_use(none_before, &contact, changes, now);
+        News {
+            targets,
+            ..News::default()
         }
-        catalog.targets_end = record.offset + 1;
-    }
-    match record.entry.value {
-        Some(value) => upsert(ctx, record.offset, &record.entry.key, value),
-        None => remove(ctx, &record.entry.key, record.offset),
     }
-}
 
-fn upsert(ctx: &Arc<Context>, offset: u64, id: &str, value: Bytes) {
-    let spec = match (ctx.decode.target)(&value) {
-        Ok(spec) => spec,
-        Err(err) => {
-            slog::error!(ctx.logger, "target not taken"; "target" => id, "offset" => offset,
-                "error" => err.to_string());
+    /// Takes out targets whose entries have not come back in time.
+    fn sweep(&self, now: Instant) {
+        let mut known = lock(&self.known);
+        if !known.targets.is_in_doubt() {
             return;
         }
-    };
-    {
-        let mut catalog = lock(&ctx.catalog);
-        if catalog
+        for id in known
             .targets
-            .get(id)
-            .is_some_and(|(known, _)| *known > offset)
+            .expire(now, &self.uses.store.contact(Topic::Targets))
         {
-            return;
+            slog::info!(self.uses.logger, "target's entry did not come back";
+                "target" => id.as_str());
+            self.take_out(&id);
         }
-        catalog.targets.insert(id.to_owned(), (offset, value));
-        catalog.doubtful.remove(id);
-    }
-    let mut places = lock(&ctx.places);
-    if places.spec(id) != Some(&spec) {
-        slog::info!(ctx.logger, "target"; "target" => id, "addr" => spec.addr.to_string(),
-            "service" => spec.service.as_str(), "leaving" => spec.leaving, "offset" => offset);
-        ctx.metrics.count(Counted::Changes, "target");
     }
-    places.upsert(id, spec);
-    drop(places);
-    ctx.items.wake();
-}
 
-fn remove(ctx: &Arc<Context>, id: &str, offset: u64) {
-    let until = ctx.store.troubled_until(LAPSE_GRACE);
-    {
-        let mut catalog = lock(&ctx.catalog);
-        if !catalog.targets.contains_key(id) {
-            return;
-        }
-        match until {
-            Some(until) => {
-                catalog.doubtful.entry(id.to_owned()).or_insert(until);
-            }
-            None => {
-                catalog.targets.remove(id);
+    /// Puts changes to use while what is believed is held, so that no other
+    /// reading comes in between; returns whether there were any.
+    fn put_to_use(
+        &self,
+        none_before: Option<Instant>,
+        contact: &Contact,
+        changes: Vec<Change<Unreadable>>,
+        now: Instant,
+    ) -> bool {
+        let is_any = !changes.is_empty();
+        let logger = &self.uses.logger;
+        for change in changes {
+            match change {
+                Change::Put { id, offset, spec } => {
+                    let mut places = lock(&self.uses.places);
+                    if places.spec(&id) != Some(&spec) {
+                        slog::info!(logger, "target"; "target" => id.as_str(),
+                            "addr" => spec.addr.to_string(), "service" => spec.service.as_str(),
+                            "leaving" => spec.leaving, "offset" => offset);
+                        self.uses.metrics.count(Counted::Changes, "target");
+                    }
+                    places.upsert(&id, spec);
+                }
+                Change::Unreadable { id, offset, error } => {
+                    slog::error!(logger, "target not taken"; "target" => id, "offset" => offset,
+                        "error" => error.to_string());
+                }
+                Change::Gone { id, offset } => {
+                    slog::info!(logger, "target's entry is gone"; "target" => id.as_str(),
+                        "offset" => offset, "kept_for_now" => false);
+                    self.take_out(&id);
+                }
+                Change::Kept { id, offset, until } => {
+                    self.uses.metrics.count(Counted::Changes, "target kept");
+                    let ago = |at: Option<Instant>| at.map(|at| millis(now - at));
+                    slog::info!(logger, "target's entry is gone"; "target" => id,
+                        "offset" => offset, "kept_for_now" => true,
+                        "kept_ms" => millis(until.saturating_duration_since(now)),
+                        "none_before_ms_ago" => ago(none_before),
+                        "away_ms_ago" => ago(contact.away_at()),
+                        "back_ms_ago" => ago(contact.back_at()));
+                }
             }
         }
+        is_any
+    }
+
+    fn take_out(&self, id: &str) {
+        lock(&self.uses.places).remove(id);
+        self.uses.metrics.count(Counted::Changes, "target gone");
     }
-    slog::info!(ctx.logger, "target's entry is gone"; "target" => id, "offset" => offset,
-        "kept_for_now" => until.is_some(),
-        "kept_ms" => until.map(|at| millis(at.saturating_duration_since(Instant::now()))));
-    if until.is_none() {
-        drop_target(ctx, id);
+}
+
+fn record(stored: Stored) -> belief::Record<Bytes> {
+    belief::Record {
+        id: stored.entry.key,
+        offset: stored.offset,
+        value: stored.entry.value,
     }
 }
 
-fn drop_target(ctx: &Arc<Context>, id: &str) {
-    lock(&ctx.places).remove(id);
-    ctx.metrics.count(Counted::Changes, "target gone");
+/// Starts to follow routes and targets.
+pub(crate) fn start(ctx: &Arc<Context>) {
+    let shared = Arc::clone(ctx);
+    tokio::spawn(
+        ctx.follower()
+            .follow(Topic::Config, CONFIG_PACE, move |reading| {
+                let news = shared.catalog.read_config(reading);
+                tell(&shared, news);
+            }),
+    );
+    let shared = Arc::clone(ctx);
+    tokio::spawn(
+        ctx.follower()
+            .follow(Topic::Targets, TARGETS_PACE, move |reading| {
+                let news = shared.catalog.read_targets(reading, Instant::now());
+                tell(&shared, news);
+            }),
+    );
+    tokio::spawn(sweep(Arc::clone(ctx)));
+}
+
+/// Lets those know who act on routes and targets.
+pub(crate) fn tell(ctx: &Context, news: News) {
+    if news.routes {
+        ctx.enter(Phase::Ready);
+        ctx.peers.tell();
+    }
+    if news.targets {
+        ctx.items.wake();
+    }
 }
 
-/// Takes out targets whose entries have not come back in time.
 async fn sweep(ctx: Arc<Context>) {
     let mut ticks = ctx.timer.subscribe(SWEEP);
     while ticks.recv().await.is_some() && ctx.phase() != Phase::Stopped {
-        let now = Instant::now();
-        let overdue: Vec<TargetId> = {
-            let mut catalog = lock(&ctx.catalog);
-            let due = catalog.doubtful.iter().filter(|(_, until)| now >= **until);
-            let due: Vec<TargetId> = due.map(|(id, _)| id.clone()).collect();
-            for id in &due {
-                catalog.doubtful.remove(id);
-                catalog.targets.remove(id);
-            }
-            due
-        };
-        for id in overdue {
-            slog::info!(ctx.logger, "target's entry did not come back"; "target" => id.as_str());
-            drop_target(&ctx, &id);
-        }
+        ctx.catalog.sweep(Instant::now());
     }
 }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -20,7 +20,9 @@
 use tokio::sync::watch;
 
 use crate::blobs::Blobs;
+use crate::catalog;
 use crate::catalog::Catalog;
+use crate::follow::Follower;
 use crate::items::Items;
 use crate::journal::Journal;
 use crate::metrics::Metrics;
@@ -63,9 +65,9 @@
     pub(crate) store: Store,
     pub(crate) targets: Targets,
     pub(crate) decode: Decode,
-    pub(crate) places: Mutex<Places>,
+    pub(crate) places: Arc<Mutex<Places>>,
     pub(crate) budget: Mutex<Budget>,
-    pub(crate) catalog: Mutex<Catalog>,
+    pub(crate) catalog: Catalog,
     /// The job records.
     pub journal: Journal,
     pub(crate) blobs: Blobs,
@@ -91,10 +93,20 @@
             reserve: settings.batch.reserve,
             ..places::Config::default()
         };
+        let places = Arc::new(Mutex::new(Places::new(cfg, rand::random())));
+        let routes = watch::Sender::new(None);
+        let uses = catalog::Uses {
+            store: store.clone(),
+            decode: ports.decode,
+            places: Arc::clone(&places),
+            routes: routes.clone(),
+            metrics: Arc::clone(&metrics),
+            logger: logger.clone(),
+        };
         Self {
             timer: Timer::start(),
             phase: watch::Sender::new(Phase::Starting),
-            routes: watch::Sender::new(None),
+            routes,
             in_flight: Gauge::default(),
             connections: Gauge::default(),
             started: Instant::now(),
@@ -102,9 +114,9 @@
             writer: format!("{}.{:x}", settings.host.name, rand::random::<u64>()),
             targets: ports.targets,
             decode: ports.decode,
-            places: Mutex::new(Places::new(cfg, rand::random())),
+            places,
             budget: Mutex::new(Budget::new(RETRY_SHARE_PERCENT)),
-            catalog: Mutex::default(),
+            catalog: Catalog::new(&settings, uses),
             journal: Journal::default(),
             blobs: Blobs::new(store.clone(), &settings.store),
             peers: Peers::default(),
@@ -164,6 +176,15 @@
         self.store.is_up()
     }
 
+    /// Returns what following a topic takes.
+    pub(crate) fn follower(&self) -> Follower {
+        Follower {
+            store: self.store.clone(),
+            logger: self.logger.clone(),
+            phase: self.phase.subscribe(),
+        }
+    }
+
     /// Moves on to a phase; never back.
     pub(crate) fn enter(&self, phase: Phase) {
         self.phase.send_if_modified(|now| {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,100 +1,159 @@
 //! Follows a topic: its newest records first, then each new one.
 
-use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
+
+use notchwharf_listen::Phase;
+use tokio::sync::watch;
 
-use crate::context::Context;
 use crate::ports::Read;
 use crate::ports::StoreError;
 use crate::ports::Stored;
 use crate::ports::Topic;
+use crate::store::Store;
 
 /// Bytes read at once.
 const READ_BYTES: u64 = 1 << 20;
 /// First pause after a call failed.
 const PAUSE_MIN: Duration = Duration::from_millis(100);
-/// Longest pause: what was missed must be known soon after the store is back.
-const PAUSE_MAX: Duration = Duration::from_millis(400);
 
 /// What was read.
 #[derive(Debug)]
 pub(crate) enum Seen {
     /// The newest record of every key, as of an offset.
-    All(u64, Vec<Stored>),
-    /// Records that follow those before, and the offset that follows them.
-    More(u64, Vec<Stored>),
+    All {
+        /// The offset; some records may be newer, see [`Store::all_newest`].
+        end: u64,
+        /// The records.
+        records: Vec<Stored>,
+    },
+    /// Records that follow those before.
+    More {
+        /// The records.
+        records: Vec<Stored>,
+        /// Whether the last one is the topic's newest.
+        is_whole: bool,
+    },
+}
+
+impl Seen {
+    /// Returns the records.
+    pub(crate) fn records(self) -> Vec<Stored> {
+        let (Self::All { records, .. } | Self::More { records, .. }) = self;
+        records
+    }
+}
+
+/// One try to read.
+#[derive(Debug)]
+pub(crate) struct Reading {
+    /// When it was begun.
+    pub(crate) asked: Instant,
+    /// What came of it.
+    pub(crate) seen: Result<Seen, StoreError>,
 }
 
 /// How a topic is read.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Pace {
-    /// Time that a reading waits for a record.
+    /// Time that a reading waits for a record; also how long a connection may
+    /// be silent unnoticed, beside the store's timeout.
     pub(crate) wait: Duration,
     /// Time between two readings that find records: what is written meanwhile
     /// is read together.
     pub(crate) gap: Duration,
+    /// Longest pause after a call failed: what was missed must be known soon
+    /// after the store is back.
+    pub(crate) pause_max: Duration,
 }
 
-/// Follows a topic until the host stops.
-pub(crate) async fn follow(
-    ctx: Arc<Context>,
-    topic: Topic,
-    pace: Pace,
-    mut sink: impl FnMut(&Arc<Context>, Seen),
-) {
-    let followed = async {
+/// What reading takes.
+#[derive(Clone)]
+pub(crate) struct Follower {
+    pub(crate) store: Store,
+    pub(crate) logger: slog::Logger,
+    pub(crate) phase: watch::Receiver<Phase>,
+}
+
+impl Follower {
+    /// Follows a topic until the host stops. The sink gets every try, but for
+    /// those that find their records expired: the listing that follows counts.
+    pub(crate) async fn follow(mut self, topic: Topic, pace: Pace, mut sink: impl FnMut(Reading)) {
+        let mut phase = self.phase.clone();
+        tokio::select! {
+            () = self.read_on(topic, pace, &mut sink) => {}
+            // A host whose phase nobody sets any more has stopped as well.
+            _ = phase.wait_for(|p| *p == Phase::Stopped) => {}
+        }
+    }
+
+    async fn read_on(&mut self, topic: Topic, pace: Pace, sink: &mut impl FnMut(Reading)) {
         let mut from = None;
         let mut pause = PAUSE_MIN;
+        let mut is_failing = false;
         loop {
-            match step(&ctx, topic, from, pace.wait).await {
-                Ok(seen) => {
-                    let (Seen::All(end, _) | Seen::More(end, _)) = &seen;
-                    from = Some(*end);
+            let asked = Instant::now();
+            // After a failure what matters is how soon the store is back.
+            let wait = if is_failing {
+                Duration::ZERO
+            } else {
+                pace.wait
+            };
+            let seen = self.step(topic, from, wait).await;
+            is_failing = seen.is_err();
+            let rest = match &seen {
+                Ok((next, seen)) => {
+                    from = Some(*next);
                     pause = PAUSE_MIN;
-                    let is_empty = matches!(&seen, Seen::More(_, records) if records.is_empty());
-                    sink(&ctx, seen);
-                    if !is_empty {
-                        tokio::time::sleep(pace.gap).await;
-                    }
+                    let is_empty = matches!(seen, Seen::More { records, .. } if records.is_empty());
+                    if is_empty { Duration::ZERO } else { pace.gap }
                 }
                 Err(StoreError::Expired) => {
-                    slog::info!(ctx.logger, "records expired, listing anew";
+                    slog::info!(self.logger, "records expired, listing anew";
                         "topic" => ?topic, "from" => from);
                     from = None;
+                    continue;
                 }
                 // The store's wrapper has counted and logged it.
                 Err(_) => {
-                    tokio::time::sleep(pause).await;
-                    pause = (pause * 2).min(PAUSE_MAX);
+                    let rest = pause;
+                    pause = (pause * 2).min(pace.pause_max);
+                    rest
                 }
+            };
+            let seen = seen.map(|(_, seen)| seen);
+            sink(Reading { asked, seen });
+            if !rest.is_zero() {
+                tokio::time::sleep(rest).await;
             }
         }
-    };
-    tokio::select! {
-        () = followed => {}
-        () = ctx.stopped() => {}
     }
-}
 
-async fn step(
-    ctx: &Context,
-    topic: Topic,
-    from: Option<u64>,
-    wait: Duration,
-) -> Result<Seen, StoreError> {
-    let Some(from) = from else {
-        let (end, records) = ctx.store.all_newest(topic, 0).await?;
-        return Ok(Seen::All(end, records));
-    };
-    let read = Read {
-        topic,
-        part: 0,
-        from,
-        bytes_max: READ_BYTES,
-        wait,
-    };
-    let tail = ctx.store.read(read).await?;
-    // A read may end before the newest record: go on behind the last one.
-    let end = tail.records.last().map_or(from, |r| r.offset + 1);
-    Ok(Seen::More(end, tail.records))
+    /// Reads once; returns also where to go on.
+    async fn step(
+        &self,
+        topic: Topic,
+        from: Option<u64>,
+        wait: Duration,
+    ) -> Result<(u64, Seen), StoreError> {
+        let Some(from) = from else {
+            let (end, records) = self.store.all_newest(topic, 0).await?;
+            return Ok((end, Seen::All { end, records }));
+        };
+        let read = Read {
+            topic,
+            part: 0,
+            from,
+            bytes_max: READ_BYTES,
+            wait,
+        };
+        let tail = self.store.read(read).await?;
+        // A read may end before the newest record: go on behind the last one.
+        let next = tail.records.last().map_or(from, |r| r.offset + 1);
+        let seen = Seen::More {
+            records: tail.records,
+            is_whole: next >= tail.end,
+        };
+        Ok((next, seen))
+    }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -42,7 +42,6 @@
 use crate::context::Context;
 use crate::context::lock;
 use crate::context::ms;
-use crate::follow::follow;
 use crate::metrics::Counted;
 use crate::ports::Topic;
 
@@ -189,12 +188,13 @@
     // The context is new, so nothing was set in it before.
     let _ = ctx.peers.socket.set(socket);
     tokio::spawn(list::enter(Arc::clone(ctx)));
-    tokio::spawn(follow(
-        Arc::clone(ctx),
-        Topic::Hosts,
-        list::PACE,
-        list::take,
-    ));
+    let shared = Arc::clone(ctx);
+    tokio::spawn(
+        ctx.follower()
+            .follow(Topic::Hosts, list::PACE, move |reading| {
+                list::take(&shared, reading);
+            }),
+    );
     tokio::spawn(status::send(Arc::clone(ctx)));
     tokio::spawn(status::receive(Arc::clone(ctx)));
     tokio::spawn(relay::run(Arc::clone(ctx)));
--- a/crates/gateway/src/peers/list.rs
+++ b/crates/gateway/src/peers/list.rs
@@ -13,7 +13,7 @@
 use crate::context::Context;
 use crate::context::lock;
 use crate::follow::Pace;
-use crate::follow::Seen;
+use crate::follow::Reading;
 use crate::ports::Entry;
 use crate::ports::Topic;
 
@@ -22,6 +22,7 @@
 pub(super) const PACE: Pace = Pace {
     wait: Duration::from_secs(10),
     gap: Duration::from_millis(700),
+    pause_max: Duration::from_millis(400),
 };
 
 /// Pause before the host's own entry is written again.
@@ -65,9 +66,12 @@
     }
 }
 
-pub(super) fn take(ctx: &Arc<Context>, seen: Seen) {
-    let (Seen::All(_, records) | Seen::More(_, records)) = seen;
-    for record in records {
+pub(super) fn take(ctx: &Arc<Context>, reading: Reading) {
+    // The reader tries again, and the store's wrapper has logged why.
+    let Ok(seen) = reading.seen else {
+        return;
+    };
+    for record in seen.records() {
         let host = record.entry.key;
         if host == ctx.host() {
             continue;
--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -41,7 +41,10 @@
         Err(err) => Err(err.reason().to_owned()),
     };
     match snapshot {
-        Ok(snapshot) => catalog::take_snapshot(&ctx, snapshot),
+        Ok(snapshot) => {
+            let news = ctx.catalog.take_snapshot(snapshot, Instant::now());
+            catalog::tell(&ctx, news);
+        }
         Err(detail) => slog::warn!(ctx.logger, "peer not asked";
             "addr" => addr.to_string(), "error" => detail),
     }
@@ -49,6 +52,6 @@
 
 /// Returns the routes and targets that this host knows, for a peer.
 pub(super) fn snapshot(ctx: &Context) -> Vec<u8> {
-    let snapshot = lock(&ctx.catalog).snapshot();
+    let snapshot = ctx.catalog.snapshot();
     postcard::to_stdvec(&snapshot).expect("Snapshots are representable.")
 }
--- a/crates/gateway/src/peers/status.rs
+++ b/crates/gateway/src/peers/status.rs
@@ -27,7 +27,7 @@
 const DATAGRAM_BYTES_MAX: usize = 65_536;
 
 fn own_status(ctx: &Context, number: u64) -> Status {
-    let versions = lock(&ctx.catalog).versions();
+    let versions = ctx.catalog.versions();
     let (loads, failing) = {
         let places = lock(&ctx.places);
         let loads = places.own().map(|(target, load)| news::Load {
@@ -133,7 +133,7 @@
     if host == ctx.host() {
         return;
     }
-    let own = lock(&ctx.catalog).versions();
+    let own = ctx.catalog.versions();
     let theirs = Versions {
         config: status.config,
         targets: status.targets,
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -193,9 +193,13 @@
 /// Why a call of the store failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StoreError {
-    /// The store did nothing.
+    /// The store did nothing: it said so, or was not reached. The fault is no
+    /// older than the call.
     Refused(&'static str),
-    /// The store may have done it, or may do it yet.
+    /// The store did nothing, since it is asked too often.
+    Throttled,
+    /// The store may have done it, or may do it yet. The call may have been
+    /// lost with a connection that had been silent for long.
     Unknown(&'static str),
     /// The records asked for are gone; later ones remain.
     Expired,
@@ -207,6 +211,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Refused(why) => write!(f, "refused: {why}"),
+            Self::Throttled => f.write_str("refused: too many calls"),
             Self::Unknown(why) => write!(f, "no answer: {why}"),
             Self::Expired => f.write_str("the records are gone"),
             Self::NoRoom => f.write_str("the store is full"),
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -3,12 +3,17 @@
 //! Whether the store answers is a belief of the host that others depend on:
 //! who takes over jobs, and whether a target's missing entry means anything.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 
+use notchwharf_routing::belief::Contact;
+use notchwharf_routing::belief::Failure;
+
 use crate::context::lock;
+use crate::context::millis;
 use crate::metrics::Counted;
 use crate::metrics::Metrics;
 use crate::metrics::Timed;
@@ -38,8 +43,10 @@
     failures: u32,
     lost_since: Option<Instant>,
     regained_at: Option<Instant>,
-    last_failure: Option<Instant>,
-    last_answer: Option<Instant>,
+    /// How calls of all topics have gone.
+    contact: Contact,
+    /// How those of each topic have: the store may lose some of its partitions.
+    by_topic: HashMap<Topic, Contact>,
 }
 
 impl Store {
@@ -64,16 +71,11 @@
         health.lost_since.is_none() && is_settled
     }
 
-    /// Returns until when an outage of the store has effects that last a time
-    /// beyond it; nothing if there are none now.
-    pub(crate) fn troubled_until(&self, time: Duration) -> Option<Instant> {
-        let now = Instant::now();
+    /// Returns how calls have gone, as far as it concerns one topic.
+    pub(crate) fn contact(&self, topic: Topic) -> Contact {
         let health = lock(&self.health);
-        let until = match health.lost_since {
-            Some(_) => now + time,
-            None => health.last_failure.max(health.regained_at)? + time,
-        };
-        (until > now).then_some(until)
+        let of_topic = health.by_topic.get(&topic).copied();
+        health.contact.and(of_topic.unwrap_or_default())
     }
 
     pub(crate) async fn append(
@@ -82,17 +84,17 @@
         part: u32,
         entries: Vec<Entry>,
     ) -> Result<u64, StoreError> {
-        let started = Instant::now();
+        let begun = Instant::now();
         let res = (self.calls.append)(topic, part, entries).await;
-        self.note("append", topic, started.elapsed(), res.as_ref().err());
+        self.note("append", topic, begun, res.as_ref().err());
         res
     }
 
     pub(crate) async fn read(&self, read: Read) -> Result<Tail, StoreError> {
-        let started = Instant::now();
+        let begun = Instant::now();
         let topic = read.topic;
         let res = (self.calls.read)(read).await;
-        self.note("read", topic, started.elapsed(), res.as_ref().err());
+        self.note("read", topic, begun, res.as_ref().err());
         res
     }
 
@@ -102,9 +104,9 @@
         part: u32,
         after: Option<String>,
     ) -> Result<Page, StoreError> {
-        let started = Instant::now();
+        let begun = Instant::now();
         let res = (self.calls.newest)(topic, part, after).await;
-        self.note("newest", topic, started.elapsed(), res.as_ref().err());
+        self.note("newest", topic, begun, res.as_ref().err());
         res
     }
 
@@ -132,55 +134,57 @@
         Ok((end, records))
     }
 
-    fn note(&self, call: &'static str, topic: Topic, took: Duration, err: Option<&StoreError>) {
+    fn note(&self, call: &'static str, topic: Topic, begun: Instant, err: Option<&StoreError>) {
+        let now = Instant::now();
+        let took = now - begun;
         let outcome = match err {
             None => "done",
-            Some(StoreError::Refused(_)) => "refused",
+            Some(StoreError::Refused(_) | StoreError::Throttled) => "refused",
             Some(StoreError::Unknown(_)) => "unknown",
             Some(StoreError::Expired) => "expired",
             Some(StoreError::NoRoom) => "no room",
         };
         self.metrics.count(Counted::Store, outcome);
-        match err {
+        let failure = match err {
             None | Some(StoreError::Expired) => {
                 self.metrics.time(Timed::StoreCall, call, took);
-                self.answered();
+                return self.answered(topic, now);
             }
-            Some(err) => {
-                // When a call began says what its failure is evidence of.
-                slog::warn!(self.logger, "store call failed"; "call" => call,
-                    "topic" => ?topic, "error" => err.to_string(),
-                    "took_ms" => took.as_millis());
-                self.failed(call, *err);
-            }
-        }
+            Some(StoreError::Refused(_)) => Failure::Refused,
+            Some(StoreError::Unknown(_)) => Failure::Lost,
+            Some(StoreError::Throttled | StoreError::NoRoom) => Failure::Throttled,
+        };
+        // When a call was begun says what its failure is evidence of.
+        slog::warn!(self.logger, "store call failed"; "call" => call, "topic" => ?topic,
+            "error" => err.map(ToString::to_string), "took_ms" => millis(took));
+        self.failed(topic, begun, now, failure);
     }
 
-    fn answered(&self) {
+    fn answered(&self, topic: Topic, now: Instant) {
         let mut health = lock(&self.health);
         health.failures = 0;
-        health.last_answer = Some(Instant::now());
+        health.contact.answered(now);
+        health.by_topic.entry(topic).or_default().answered(now);
         if let Some(since) = health.lost_since.take() {
-            health.regained_at = Some(Instant::now());
+            health.regained_at = Some(now);
             drop(health);
-            slog::info!(self.logger, "store regained"; "lost_ms" => since.elapsed().as_millis());
+            slog::info!(self.logger, "store regained"; "lost_ms" => millis(now - since));
         }
     }
 
-    fn failed(&self, call: &'static str, err: StoreError) {
-        let now = Instant::now();
+    fn failed(&self, topic: Topic, begun: Instant, now: Instant, failure: Failure) {
         let mut health = lock(&self.health);
+        let last_answer = health.contact.last_answer();
+        health.contact.failed(begun, now, failure);
+        let of_topic = health.by_topic.entry(topic).or_default();
+        of_topic.failed(begun, now, failure);
         health.failures += 1;
-        health.last_failure = Some(now);
         if health.failures < LOST_AFTER || health.lost_since.is_some() {
             return;
         }
         health.lost_since = Some(now);
-        let answered = health
-            .last_answer
-            .map(|at| now.duration_since(at).as_millis());
         drop(health);
-        slog::warn!(self.logger, "store lost"; "call" => call, "error" => err.to_string(),
-            "last_answer_ms_ago" => answered);
+        slog::warn!(self.logger, "store lost";
+            "last_answer_ms_ago" => last_answer.map(|at| millis(now - at)));
     }
 }
--- /dev/null
+++ b/crates/routing/src/belief.rs
@@ -0,0 +1,404 @@
+//! Which targets there are, as one host believes from what it reads and is told.
+//!
+//! Targets enter themselves in the platform's store. An entry that goes means
+//! that its target leaves, and shortly afterwards nothing may reach it; but
+//! entries of living targets lapse too while the store is away. [`Belief`] tells
+//! the two apart by evidence that is dated by when calls were begun, not by when
+//! their failure was noticed ([`Contact`]).
+//!
+//! ```
+//! use std::time::{Duration, Instant};
+//! use notchwharf_routing::belief::{Answered, Belief, Bounds, Change, Contact, Record};
+//! use notchwharf_routing::places::Spec;
+//!
+//! let start = Instant::now();
+//! let at = |ms| start + Duration::from_millis(ms);
+//! let decode = |_: &u8| Ok::<_, ()>(Spec::default());
+//! let contact = Contact::default();
+//! let mut belief = Belief::new(Bounds::default());
+//! let entry = Record { id: "t1".into(), offset: 0, value: Some(1) };
+//! belief.list(&Answered::whole(at(0), at(5)), &contact, 1, vec![entry], decode);
+//!
+//! // No call of the store has failed, so an entry that goes is gone.
+//! let gone = Record { id: "t1".into(), offset: 1, value: None };
+//! let changes = belief.read(&Answered::whole(at(10), at(800)), &contact, vec![gone], decode);
+//! assert!(matches!(&changes[..], [Change::Gone { .. }]));
+//! ```
+//!
+//! A fixed time after any failed call was rejected: such a call may be about
+//! something else, or be evidence of a fault long past. Asking a target whether
+//! it lives was rejected too: one that leaves answers as well as any.
+
+mod contact;
+
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+pub use self::contact::Contact;
+pub use self::contact::Failure;
+use crate::places::Spec;
+use crate::places::TargetId;
+
+/// Times on which a belief depends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// Time after the store's acknowledgement that an entry is gone within
+    /// which requests may still reach its target. 2 s by default, from the
+    /// platform's settings.
+    pub drain: Duration,
+    /// Time after a fault of the store, or of the way there, within which a
+    /// request may reach a target that is gone. 3 s by default, from the
+    /// platform's settings.
+    pub settle: Duration,
+    /// Time after the store's return within which the entries of living targets
+    /// are back and known here: the platform names about two seconds, and news
+    /// waits for 0.3 s between two readings. 2.35 s by default.
+    pub lapse: Duration,
+    /// The longest time from the choice of a target to the moment at which the
+    /// request reaches it. 400 ms by default: 250 to connect, 50 between two
+    /// looks at overdue entries, 100 for a processor that must wait its turn.
+    pub in_flight: Duration,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self {
+            drain: Duration::from_secs(2),
+            settle: Duration::from_secs(3),
+            lapse: Duration::from_millis(2_350),
+            in_flight: Duration::from_millis(400),
+        }
+    }
+}
+
+/// A record of a target's entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record<V> {
+    /// The target.
+    pub id: TargetId,
+    /// The record's place in the store's order.
+    pub offset: u64,
+    /// The entry; nothing if it is gone.
+    pub value: Option<V>,
+}
+
+/// When a reading of entries was made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Answered {
+    /// When it was asked for.
+    pub asked: Instant,
+    /// When its answer came.
+    pub at: Instant,
+    /// Whether it went to the newest record there was.
+    pub is_whole: bool,
+}
+
+impl Answered {
+    /// Returns a reading that went to the newest record.
+    pub fn whole(asked: Instant, at: Instant) -> Self {
+        Self {
+            asked,
+            at,
+            is_whole: true,
+        }
+    }
+}
+
+/// What becomes of the targets in use.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change<E> {
+    /// A target is as described.
+    Put {
+        /// The target.
+        id: TargetId,
+        /// Where its record stands.
+        offset: u64,
+        /// What its entry says.
+        spec: Spec,
+    },
+    /// An entry cannot be read; what was believed before stays.
+    Unreadable {
+        /// The target.
+        id: TargetId,
+        /// Where its record stands.
+        offset: u64,
+        /// What is wrong.
+        error: E,
+    },
+    /// An entry is gone and its target with it.
+    Gone {
+        /// The target.
+        id: TargetId,
+        /// Up to where the store's order was known.
+        offset: u64,
+    },
+    /// An entry is gone that may only have lapsed; its target stays for now.
+    Kept {
+        /// The target.
+        id: TargetId,
+        /// Up to where the store's order was known.
+        offset: u64,
+        /// Until when it stays if nothing else happens.
+        until: Instant,
+    },
+}
+
+/// An entry that is missing and may only have lapsed.
+#[derive(Clone, Copy, Debug)]
+struct Doubt {
+    /// When it was missed.
+    missed: Instant,
+    /// Whether another host said so, which then reached the store.
+    is_told: bool,
+    /// The time before which the store had not acknowledged that it is gone.
+    none_before: Option<Instant>,
+}
+
+/// A target's newest entry.
+#[derive(Clone, Debug)]
+struct Known<V> {
+    offset: u64,
+    value: V,
+}
+
+/// Which targets there are.
+///
+/// All changes of one reading are made in one call, so what [`Belief::entries`]
+/// and [`Belief::end`] tell others belongs together.
+#[derive(Clone, Debug)]
+pub struct Belief<V> {
+    bounds: Bounds,
+    /// When the newest complete reading was asked for: the store had
+    /// acknowledged nothing before that is not known.
+    none_before: Option<Instant>,
+    known: HashMap<TargetId, Known<V>>,
+    doubts: HashMap<TargetId, Doubt>,
+    end: u64,
+}
+
+/// Where records came from, for the judgement of those that are missing.
+#[derive(Clone, Copy, Debug)]
+struct Source<'a> {
+    at: Instant,
+    is_told: bool,
+    contact: &'a Contact,
+}
+
+impl<V> Belief<V> {
+    /// Returns a belief without targets.
+    pub fn new(bounds: Bounds) -> Self {
+        Self {
+            bounds,
+            none_before: None,
+            known: HashMap::new(),
+            doubts: HashMap::new(),
+            end: 0,
+        }
+    }
+
+    /// Returns the offset that follows the newest record taken in.
+    pub fn end(&self) -> u64 {
+        self.end
+    }
+
+    /// Returns the time before which the store had acknowledged nothing that is
+    /// not known: when the newest complete reading was asked for.
+    pub fn none_before(&self) -> Option<Instant> {
+        self.none_before
+    }
+
+    /// Returns the entries for another host. Those that are missing are left
+    /// out: whoever takes this over must not keep them longer than this host.
+    pub fn entries(&self) -> impl Iterator<Item = (&TargetId, u64, &V)> {
+        let known = self.known.iter();
+        let sure = known.filter(|(id, _)| !self.doubts.contains_key(*id));
+        sure.map(|(id, known)| (id, known.offset, &known.value))
+    }
+
+    /// Takes in a listing of all entries as of an offset. Pages of a listing are
+    /// read one after the other, so some entries may be newer than it.
+    pub fn list<E>(
+        &mut self,
+        answered: &Answered,
+        contact: &Contact,
+        end: u64,
+        records: Vec<Record<V>>,
+        decode: impl Fn(&V) -> Result<Spec, E>,
+    ) -> Vec<Change<E>> {
+        let source = Source {
+            at: answered.at,
+            is_told: false,
+            contact,
+        };
+        let changes = self.take_all(source, end, records, decode);
+        self.advance(answered);
+        changes
+    }
+
+    /// Takes in records that follow those before.
+    pub fn read<E>(
+        &mut self,
+        answered: &Answered,
+        contact: &Contact,
+        records: Vec<Record<V>>,
+        decode: impl Fn(&V) -> Result<Spec, E>,
+    ) -> Vec<Change<E>> {
+        let source = Source {
+            at: answered.at,
+            is_told: false,
+            contact,
+        };
+        let mut changes = Vec::new();
+        for record in records {
+            if record.offset < self.end {
+                continue;
+            }
+            self.end = record.offset + 1;
+            changes.extend(self.take(source, record, &decode));
+        }
+        self.advance(answered);
+        changes
+    }
+
+    /// Takes in what another host lists; nothing if it knows no more than this
+    /// one.
+    pub fn told<E>(
+        &mut self,
+        at: Instant,
+        contact: &Contact,
+        end: u64,
+        records: Vec<Record<V>>,
+        decode: impl Fn(&V) -> Result<Spec, E>,
+    ) -> Vec<Change<E>> {
+        if end <= self.end {
+            return Vec::new();
+        }
+        let source = Source {
+            at,
+            is_told: true,
+            contact,
+        };
+        self.take_all(source, end, records, decode)
+    }
+
+    /// Returns whether any entry is missing that may only have lapsed.
+    pub fn is_in_doubt(&self) -> bool {
+        !self.doubts.is_empty()
+    }
+
+    /// Takes out the targets whose entries have not come back in time.
+    pub fn expire(&mut self, now: Instant, contact: &Contact) -> Vec<TargetId> {
+        let due = self.doubts.iter();
+        let due = due.filter(|(_, doubt)| now >= self.until(doubt, contact));
+        let due: Vec<TargetId> = due.map(|(id, _)| id.clone()).collect();
+        for id in &due {
+            self.doubts.remove(id);
+            self.known.remove(id);
+        }
+        due
+    }
+
+    fn take_all<E>(
+        &mut self,
+        source: Source<'_>,
+        end: u64,
+        records: Vec<Record<V>>,
+        decode: impl Fn(&V) -> Result<Spec, E>,
+    ) -> Vec<Change<E>> {
+        if end < self.end {
+            return Vec::new();
+        }
+        self.end = end;
+        let missing = self
+            .known
+            .keys()
+            .filter(|id| !records.iter().any(|r| &r.id == *id));
+        let missing: Vec<TargetId> = missing.cloned().collect();
+        let mut changes = Vec::new();
+        for record in records {
+            changes.extend(self.take(source, record, &decode));
+        }
+        for id in missing {
+            changes.extend(self.miss(source, id, end));
+        }
+        changes
+    }
+
+    fn take<E>(
+        &mut self,
+        source: Source<'_>,
+        record: Record<V>,
+        decode: impl Fn(&V) -> Result<Spec, E>,
+    ) -> Option<Change<E>> {
+        let Record { id, offset, value } = record;
+        if self.known.get(&id).is_some_and(|k| k.offset > offset) {
+            return None;
+        }
+        let Some(value) = value else {
+            return self.miss(source, id, offset);
+        };
+        match decode(&value) {
+            Ok(spec) => {
+                self.doubts.remove(&id);
+                self.known.insert(id.clone(), Known { offset, value });
+                Some(Change::Put { id, offset, spec })
+            }
+            Err(error) => Some(Change::Unreadable { id, offset, error }),
+        }
+    }
+
+    /// Judges an entry that is missing.
+    fn miss<E>(&mut self, source: Source<'_>, id: TargetId, offset: u64) -> Option<Change<E>> {
+        if !self.known.contains_key(&id) {
+            return None;
+        }
+        let fresh = Doubt {
+            missed: source.at,
+            is_told: source.is_told,
+            none_before: self.none_before,
+        };
+        let doubt = *self.doubts.get(&id).unwrap_or(&fresh);
+        let until = self.until(&doubt, source.contact);
+        if until <= source.at {
+            self.doubts.remove(&id);
+            self.known.remove(&id);
+            return Some(Change::Gone { id, offset });
+        }
+        self.doubts.insert(id.clone(), doubt);
+        Some(Change::Kept { id, offset, until })
+    }
+
+    fn advance(&mut self, answered: &Answered) {
+        if answered.is_whole {
+            self.none_before = Some(answered.asked);
+        }
+    }
+
+    /// Returns until when a target stays whose entry is missing.
+    ///
+    /// Two times are safe, and the later one holds: the entry went after
+    /// `none_before`, and a host that met a fault may go by what it knew until
+    /// that has settled. Both are counted from when a call was begun. Within
+    /// them the target stays as long as its entry may yet come back: for some
+    /// time from the store's return, and all the while it is away.
+    fn until(&self, doubt: &Doubt, contact: &Contact) -> Instant {
+        let bounds = &self.bounds;
+        let Some(away) = contact.away_at() else {
+            // The store served all the while: the entry cannot have lapsed.
+            return doubt.missed;
+        };
+        let drain = bounds.drain.saturating_sub(bounds.in_flight);
+        let settle = bounds.settle.saturating_sub(bounds.in_flight);
+        let by_entry = doubt.none_before.map(|at| at + drain);
+        let by_fault = away + settle;
+        let safe = by_entry.map_or(by_fault, |at| at.max(by_fault));
+        match contact.back_at() {
+            Some(back) if doubt.missed >= back + bounds.lapse => doubt.missed,
+            Some(back) => safe.min(back + bounds.lapse),
+            // Whoever told it had the store back by then.
+            None if doubt.is_told => safe.min(doubt.missed + bounds.lapse),
+            None => safe,
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/src/belief/contact.rs
@@ -0,0 +1,100 @@
+//! How a host's calls of the store have gone, in times that prove something.
+//!
+//! When a failure is noticed proves little: a call that waits on a connection
+//! that has fallen silent fails seconds later, and a kept connection may have
+//! been silent long before it was used. Only what a failed call shows of the
+//! time at which it was begun, or later, is evidence.
+
+use std::time::Instant;
+
+/// Why a call failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// The store refused it, or was not reached: a fault after it was begun.
+    Refused,
+    /// The store serves, but not so many calls: entries do not lapse.
+    Throttled,
+    /// It was lost, perhaps with a connection that had been silent before.
+    Lost,
+}
+
+/// How calls have gone, of one kind or of all.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Contact {
+    last_answer: Option<Instant>,
+    /// When a call was lost, if none was answered since.
+    lost_at: Option<Instant>,
+    away_at: Option<Instant>,
+    back_at: Option<Instant>,
+}
+
+impl Contact {
+    /// Returns the latest time at which, or later, there was a fault; nothing
+    /// if none was proved.
+    pub fn away_at(&self) -> Option<Instant> {
+        self.away_at
+    }
+
+    /// Returns when calls were answered again after the last fault; nothing
+    /// before that.
+    pub fn back_at(&self) -> Option<Instant> {
+        self.back_at
+    }
+
+    /// Returns when the last answer came.
+    pub fn last_answer(&self) -> Option<Instant> {
+        self.last_answer
+    }
+
+    /// Returns whether a call was answered at a time or later.
+    pub fn is_answered_since(&self, time: Instant) -> bool {
+        self.last_answer.is_some_and(|at| at >= time)
+    }
+
+    /// Returns what two kinds of calls prove together. A store may fail calls
+    /// of one kind only, and a pause between two calls may hide an outage.
+    #[must_use]
+    pub fn and(self, other: Self) -> Self {
+        let is_away = self.is_away() || other.is_away();
+        Self {
+            last_answer: self.last_answer.max(other.last_answer),
+            lost_at: self.lost_at.max(other.lost_at),
+            away_at: self.away_at.max(other.away_at),
+            back_at: self.back_at.max(other.back_at).filter(|_| !is_away),
+        }
+    }
+
+    /// Returns whether calls have failed and none was answered since.
+    fn is_away(&self) -> bool {
+        self.away_at.is_some() && self.back_at.is_none()
+    }
+
+    /// Notes an answer.
+    pub fn answered(&mut self, at: Instant) {
+        self.last_answer = Some(at);
+        self.lost_at = None;
+        if self.is_away() {
+            self.back_at = Some(at);
+        }
+    }
+
+    /// Notes a failure of a call that was begun at a time.
+    ///
+    /// A lost call is no evidence if another was answered since it began, and
+    /// one alone is none either: its connection may have been silent for long.
+    /// The next one is. The caller gives up all idle connections when a call
+    /// fails, so none that is used then has been idle since before.
+    pub fn failed(&mut self, begun: Instant, noticed: Instant, failure: Failure) {
+        let fault = match failure {
+            Failure::Throttled => return,
+            Failure::Refused => begun,
+            Failure::Lost if self.is_answered_since(begun) => return,
+            Failure::Lost => match self.lost_at.replace(noticed) {
+                Some(before) if begun >= before => before,
+                _ => return,
+            },
+        };
+        self.away_at = self.away_at.max(Some(fault));
+        self.back_at = None;
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -5,10 +5,12 @@
 //! and [`slots`] how much batch work a target is given beside online work.
 //! [`items`] says how long an item of a job still takes.
 //! [`places`] does the work of the first and the last where hosts share all
-//! targets and tell one another what they run. All take time as input and do
+//! targets and tell one another what they run, and [`belief`] which targets
+//! there are. All take time as input and do
 //! no I/O.
 
 pub mod admission;
+pub mod belief;
 pub mod budget;
 pub mod items;
 pub mod limit;
--- /dev/null
+++ b/crates/routing/tests/belief.rs
@@ -0,0 +1,323 @@
+//! Which targets there are, as a host believes.
+#![allow(clippy::unwrap_used, reason = "Tests fail by panicking.")]
+
+use std::time::Duration;
+use std::time::Instant;
+
+use notchwharf_routing::belief::Answered;
+use notchwharf_routing::belief::Belief;
+use notchwharf_routing::belief::Bounds;
+use notchwharf_routing::belief::Change;
+use notchwharf_routing::belief::Contact;
+use notchwharf_routing::belief::Failure;
+use notchwharf_routing::belief::Record;
+use notchwharf_routing::places::Spec;
+use proptest::prelude::*;
+use rstest::rstest;
+
+/// A host with its belief and what it knows of the store, on one clock.
+struct Host {
+    start: Instant,
+    contact: Contact,
+    belief: Belief<u8>,
+}
+
+impl Host {
+    /// Returns a host that has listed some targets at 0 ms.
+    fn new(targets: &[&str]) -> Self {
+        let mut host = Self {
+            start: Instant::now() + Duration::from_secs(60),
+            contact: Contact::default(),
+            belief: Belief::new(Bounds::default()),
+        };
+        host.list(0, targets);
+        host
+    }
+
+    fn at(&self, ms: u64) -> Instant {
+        self.start + Duration::from_millis(ms)
+    }
+
+    fn list(&mut self, ms: u64, targets: &[&str]) -> Vec<Change<()>> {
+        let end = self.belief.end() + 10;
+        let records = targets.iter().map(|id| put(id, end - 1)).collect();
+        let answered = Answered::whole(self.at(ms), self.at(ms));
+        self.contact.answered(answered.at);
+        self.belief
+            .list(&answered, &self.contact, end, records, decode)
+    }
+
+    /// Reads a record that was asked for and answered at these times.
+    fn read(&mut self, asked: u64, at: u64, record: Option<Record<u8>>) -> Vec<Change<()>> {
+        let answered = Answered::whole(self.at(asked), self.at(at));
+        self.contact.answered(answered.at);
+        let records = record.into_iter().collect();
+        self.belief.read(&answered, &self.contact, records, decode)
+    }
+
+    fn reads_that_it_is_gone(&mut self, asked: u64, at: u64, id: &str) -> Vec<Change<()>> {
+        let record = gone(id, self.belief.end());
+        self.read(asked, at, Some(record))
+    }
+
+    fn fails(&mut self, begun: u64, noticed: u64, failure: Failure) {
+        let (begun, noticed) = (self.at(begun), self.at(noticed));
+        self.contact.failed(begun, noticed, failure);
+    }
+
+    /// The store refuses calls from one time to another.
+    fn refused(&mut self, from: u64, to: u64) {
+        for ms in (from..to).step_by(200) {
+            self.fails(ms, ms, Failure::Refused);
+        }
+    }
+
+    fn expire(&mut self, ms: u64) -> Vec<String> {
+        let now = self.at(ms);
+        self.belief.expire(now, &self.contact)
+    }
+
+    fn known(&self) -> Vec<&String> {
+        let mut ids: Vec<&String> = self.belief.entries().map(|(id, _, _)| id).collect();
+        ids.sort();
+        ids
+    }
+}
+
+fn decode(value: &u8) -> Result<Spec, ()> {
+    if *value == 0 {
+        return Err(());
+    }
+    Ok(Spec::default())
+}
+
+fn put(id: &str, offset: u64) -> Record<u8> {
+    Record {
+        id: id.to_owned(),
+        offset,
+        value: Some(1),
+    }
+}
+
+fn gone(id: &str, offset: u64) -> Record<u8> {
+    Record {
+        value: None,
+        ..put(id, offset)
+    }
+}
+
+fn is_gone(changes: &[Change<()>]) -> bool {
+    matches!(changes, [Change::Gone { .. }])
+}
+
+fn is_kept(changes: &[Change<()>]) -> bool {
+    matches!(changes, [Change::Kept { .. }])
+}
+
+/// What was lost may have been lost with a connection that was silent long
+/// before; none of these shows that the store was away when the entry went.
+#[rstest]
+#[case::nothing_failed(&[])]
+#[case::one_call_was_lost(&[(4_000, 4_500, Failure::Lost)])]
+#[case::a_call_that_waited_was_lost(&[(10, 4_990, Failure::Lost)])]
+#[case::two_that_were_begun_together(&[(10, 4_000, Failure::Lost), (10, 4_500, Failure::Lost)])]
+#[case::calls_are_too_many(&[(4_000, 4_100, Failure::Throttled), (4_300, 4_400, Failure::Throttled)])]
+#[case::an_outage_long_ago(&[(100, 100, Failure::Refused), (200, 200, Failure::Refused)])]
+fn an_entry_that_goes_is_gone_at_once(#[case] failures: &[(u64, u64, Failure)]) {
+    let mut host = Host::new(&["t1", "t2"]);
+    for (begun, noticed, failure) in failures {
+        host.fails(*begun, *noticed, *failure);
+        if *noticed < 1_000 {
+            host.read(1_000, 1_000, None);
+        }
+    }
+    host.read(4_995, 4_995, None);
+    assert!(is_gone(&host.reads_that_it_is_gone(5_000, 5_100, "t1")));
+    assert_eq!(host.known(), ["t2"]);
+}
+
+/// A call that was lost is no evidence once another has been answered.
+#[test]
+fn an_answer_since_a_call_began_clears_its_loss() {
+    let mut host = Host::new(&["t1"]);
+    host.fails(1_000, 1_500, Failure::Lost);
+    host.read(1_600, 1_610, None);
+    host.fails(1_000, 1_700, Failure::Lost);
+    assert_eq!(host.contact.away_at(), None);
+}
+
+#[rstest]
+#[case::refused(Failure::Refused)]
+#[case::lost(Failure::Lost)]
+fn an_entry_that_lapsed_in_an_outage_is_kept_until_it_is_back(#[case] failure: Failure) {
+    let mut host = Host::new(&["t1", "t2"]);
+    for ms in (1_000..5_000).step_by(200) {
+        host.fails(ms, ms + 1, failure);
+    }
+    assert!(is_kept(&host.reads_that_it_is_gone(5_000, 5_010, "t1")));
+    assert!(is_kept(&host.reads_that_it_is_gone(5_300, 5_310, "t2")));
+    assert!(host.known().is_empty(), "Peers are told of none in doubt.");
+    assert!(host.expire(7_000).is_empty());
+    let back = put("t1", host.belief.end());
+    host.read(7_000, 7_010, Some(back));
+    assert_eq!(host.expire(7_400), ["t2"]);
+    assert_eq!(host.known(), ["t1"]);
+}
+
+/// The store returns for a moment only: entries cannot come back meanwhile.
+#[test]
+fn a_second_outage_keeps_what_the_first_one_left_in_doubt() {
+    let mut host = Host::new(&["t1"]);
+    host.refused(1_000, 5_000);
+    assert!(is_kept(&host.reads_that_it_is_gone(5_000, 5_010, "t1")));
+    host.refused(5_400, 9_000);
+    assert!(host.expire(9_000).is_empty());
+    host.read(9_010, 9_010, None);
+    assert!(host.expire(11_200).is_empty());
+    assert_eq!(host.expire(11_400), ["t1"]);
+}
+
+/// Without the outage's end in sight, what a peer tells counts after a time.
+#[test]
+fn a_host_that_stays_cut_drops_what_a_peer_says_is_gone() {
+    let mut host = Host::new(&["t1", "t2"]);
+    host.refused(1_000, 5_000);
+    let end = host.belief.end() + 5;
+    let now = host.at(5_000);
+    let records = vec![put("t2", end - 1)];
+    let changes = host.belief.told(now, &host.contact, end, records, decode);
+    assert!(changes.iter().any(|c| matches!(c, Change::Kept { .. })));
+    host.refused(5_000, 9_000);
+    assert!(host.expire(7_300).is_empty());
+    assert_eq!(host.expire(7_400), ["t1"]);
+}
+
+#[test]
+fn what_a_peer_knows_counts_only_if_it_is_newer() {
+    let mut host = Host::new(&["t1"]);
+    let (now, end) = (host.at(100), host.belief.end());
+    let changes = host.belief.told(now, &host.contact, end, vec![], decode);
+    assert!(changes.is_empty());
+    assert_eq!(host.known(), ["t1"]);
+}
+
+/// Regression: records were taken in after the offset had moved on, so another
+/// host could be told an offset that covered a record it was not told of.
+#[test]
+fn entries_and_their_end_belong_together() {
+    let mut host = Host::new(&["t1"]);
+    let end = host.belief.end();
+    host.read(10, 20, Some(put("t2", end)));
+    assert_eq!(host.belief.end(), end + 1);
+    assert_eq!(host.known(), ["t1", "t2"]);
+}
+
+/// Pages of a listing are read one after the other: an entry that was written
+/// again meanwhile is newer than the listing, and not missing.
+#[test]
+fn an_entry_that_is_newer_than_its_listing_is_there() {
+    let mut host = Host::new(&["t1", "t2"]);
+    let end = host.belief.end() + 5;
+    let answered = Answered::whole(host.at(100), host.at(120));
+    let records = vec![put("t1", end - 1), put("t2", end + 2)];
+    host.belief
+        .list(&answered, &host.contact, end, records, decode);
+    assert_eq!(host.known(), ["t1", "t2"]);
+    let older = gone("t2", end + 1);
+    assert!(host.read(130, 140, Some(older)).is_empty());
+    assert_eq!(host.known(), ["t1", "t2"]);
+}
+
+#[test]
+fn an_unreadable_entry_changes_nothing() {
+    let mut host = Host::new(&["t1"]);
+    let record = Record {
+        value: Some(0),
+        ..put("t1", host.belief.end())
+    };
+    let changes = host.read(10, 20, Some(record));
+    assert!(matches!(&changes[..], [Change::Unreadable { .. }]));
+    assert_eq!(host.known(), ["t1"]);
+}
+
+/// What happens to a reading.
+#[derive(Clone, Copy, Debug)]
+enum Outcome {
+    Answered,
+    Failed(Failure),
+}
+
+fn outcome() -> impl Strategy<Value = Outcome> {
+    prop_oneof![
+        3 => Just(Outcome::Answered),
+        2 => Just(Outcome::Failed(Failure::Refused)),
+        2 => Just(Outcome::Failed(Failure::Lost)),
+        1 => Just(Outcome::Failed(Failure::Throttled)),
+    ]
+}
+
+/// How long an idle connection may have been silent before it is used.
+const IDLE_MS: u64 = 10_000;
+/// Time between two looks at overdue entries in the property below; the time
+/// in flight covers it.
+const LOOK_MS: u64 = 10;
+
+proptest! {
+    /// A target that is gone is never sent anything that reaches it later than
+    /// is allowed, whatever readings meet: within the drain time of its entry's
+    /// end, or of a fault as early as the failures allow it to have been.
+    #[test]
+    fn a_target_that_is_gone_gets_nothing_beyond_its_time(
+        readings in proptest::collection::vec((0u64..400, 1u64..1_700, outcome()), 1..30),
+        gone_ms in 0u64..15_000,
+    ) {
+        let bounds = Bounds::default();
+        let mut host = Host::new(&["t1"]);
+        let mut faults: Vec<Instant> = Vec::new();
+        let mut lost_ms = None;
+        let mut is_told = false;
+        let mut ms = 0;
+        for (gap, took, outcome) in readings {
+            let begun = ms + gap;
+            let until = begun + took;
+            // Until the reading ends the host uses what it keeps.
+            while ms < until {
+                if is_told {
+                    host.expire(ms);
+                }
+                if host.belief.is_in_doubt() {
+                    let reaches = host.at(ms) + bounds.in_flight;
+                    let allowed = host.at(gone_ms) + bounds.drain;
+                    let is_settling = faults.iter().any(|f| reaches <= *f + bounds.settle);
+                    prop_assert!(reaches <= allowed || is_settling);
+                }
+                ms += LOOK_MS;
+            }
+            ms = until;
+            match outcome {
+                Outcome::Answered if gone_ms < ms && !is_told => {
+                    is_told = true;
+                    lost_ms = None;
+                    host.reads_that_it_is_gone(begun, ms, "t1");
+                }
+                Outcome::Answered => {
+                    lost_ms = None;
+                    host.read(begun, ms, None);
+                }
+                Outcome::Failed(failure) => {
+                    let fault = match (failure, lost_ms) {
+                        (Failure::Throttled, _) => None,
+                        (Failure::Refused, _) => Some(host.at(begun)),
+                        (Failure::Lost, None) => Some(host.at(begun) - Duration::from_millis(IDLE_MS)),
+                        (Failure::Lost, Some(before)) => Some(host.at(before)),
+                    };
+                    faults.extend(fault);
+                    if failure == Failure::Lost {
+                        lost_ms = Some(ms);
+                    }
+                    host.fails(begun, ms, failure);
+                }
+            }
+        }
+    }
+}
