Do not take calls that fail late for the loss of the store

Readings that had waited on silent connections counted as failures in a row when they were noticed, though the store had answered calls begun since: two hosts counted it as lost 0.22 and 0.28 s after its last answer and refused jobs for 0.11 s. Change: a lost call counts only if none was answered since it was begun; refusals count as before. Losses of the store are counted (metric). Ruled out: dropping waiting reads from the count altogether, which would leave a host without jobs blind for seconds.

--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -174,16 +174,23 @@
 
     fn failed(&self, topic: Topic, begun: Instant, now: Instant, failure: Failure) {
         let mut health = lock(&self.health);
+        let is_late = failure == Failure::Lost && health.contact.is_answered_since(begun);
         let last_answer = health.contact.last_answer();
         health.contact.failed(begun, now, failure);
         let of_topic = health.by_topic.entry(topic).or_default();
         of_topic.failed(begun, now, failure);
+        // The store has answered since the call was begun: what that was lost
+        // with says nothing of the store now.
+        if is_late {
+            return;
+        }
         health.failures += 1;
         if health.failures < LOST_AFTER || health.lost_since.is_some() {
             return;
         }
         health.lost_since = Some(now);
         drop(health);
+        self.metrics.count(Counted::Changes, "store lost");
         slog::warn!(self.logger, "store lost";
             "last_answer_ms_ago" => last_answer.map(|at| millis(now - at)));
     }
--- a/crates/gateway/tests/catalog.rs
+++ b/crates/gateway/tests/catalog.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use notchwharf_gateway::metrics::Counted;
 use notchwharf_gateway::ports::Topic;
 use rstest::rstest;
 use world::Running;
@@ -89,6 +90,33 @@
     assert!(!host.ctx().is_target_known("t1"));
 }
 
+/// Regression. Two hosts counted the store as lost 0.2 s after its last answer
+/// and refused jobs for a moment: readings that had waited 2.7 s on connections
+/// that had fallen silent were noticed to fail one after the other. Their log
+/// showed answers to calls that had been begun since.
+#[tokio::test]
+async fn readings_that_fail_late_do_not_make_the_store_lost() {
+    let world = World::new(&["t1"]);
+    let host = world.start_ready("a1").await;
+    let before = world.store.readings(Topic::Jobs);
+    until("the store has answered since", || {
+        world.store.readings(Topic::Jobs) > before + 1
+    })
+    .await;
+    let hosts = world.store.readings(Topic::Hosts);
+    let config = world.store.readings(Topic::Config);
+    world.store.break_reading(Topic::Hosts);
+    world.store.break_reading(Topic::Config);
+    until("both are read again", || {
+        world.store.readings(Topic::Hosts) > hosts && world.store.readings(Topic::Config) > config
+    })
+    .await;
+    assert_eq!(
+        host.ctx().metrics.counted(Counted::Changes, "store lost"),
+        0
+    );
+}
+
 #[tokio::test]
 async fn an_entry_that_lapsed_in_an_outage_is_kept_until_it_is_back() {
     let world = World::new(&["t1", "t2"]);
