Count entries that are newer than their listing as there

Cause, found by reading: pages of a listing are read one after the other, and an entry written meanwhile was dropped from it by its offset. Its living target counted as missing until the next reading. Change: a listing keeps such records; readers that take in each record once leave them out themselves (job records, progress, upkeep), as before. Ruled out: going back to the first page until nothing changes, which a fleet that writes all the time never ends. Before and after: an_entry_written_while_a_listing_is_read_is_not_missing fails with the records left out, passes now.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -10,6 +10,7 @@
 use crate::ports::StoreError;
 use crate::ports::Stored;
 use crate::ports::Topic;
+use crate::store::Listing;
 use crate::store::Store;
 
 /// Bytes read at once.
@@ -22,7 +23,7 @@
 pub(crate) enum Seen {
     /// The newest record of every key, as of an offset.
     All {
-        /// The offset; some records may be newer, see [`Store::all_newest`].
+        /// The offset; some records may be newer, see [`Listing`].
         end: u64,
         /// The records.
         records: Vec<Stored>,
@@ -137,7 +138,7 @@
         wait: Duration,
     ) -> Result<(u64, Seen), StoreError> {
         let Some(from) = from else {
-            let (end, records) = self.store.all_newest(topic, 0).await?;
+            let Listing { end, records } = self.store.all_newest(topic, 0).await?;
             return Ok((end, Seen::All { end, records }));
         };
         let read = Read {
--- a/crates/gateway/src/journal/read.rs
+++ b/crates/gateway/src/journal/read.rs
@@ -77,8 +77,8 @@
     let journal = &ctx.journal;
     let started = Instant::now();
     if !journal.is_loaded() {
-        let (end, records) = ctx.store.all_newest(Topic::Jobs, PART).await?;
-        journal.rebuild(ctx, end, records);
+        let listing = ctx.store.all_newest(Topic::Jobs, PART).await?;
+        journal.rebuild(ctx, listing.end, listing.before_end());
     }
     loop {
         let from = journal.jobs().end();
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -230,7 +230,8 @@
     is_open: impl Fn(&str) -> bool,
 ) -> Result<(), StoreError> {
     for part in parts() {
-        let (_, records) = ctx.store.all_newest(Topic::Progress, part).await?;
+        let listing = ctx.store.all_newest(Topic::Progress, part).await?;
+        let records = listing.before_end();
         let keys = records.into_iter().map(|record| record.entry.key);
         let stale = keys.filter(|key| key.rsplit_once('/').is_none_or(|(job, _)| !is_open(job)));
         let stale: Vec<Entry> = stale.map(tombstone).collect();
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -49,6 +49,24 @@
     by_topic: HashMap<Topic, Contact>,
 }
 
+/// The newest record of each key.
+#[derive(Debug)]
+pub(crate) struct Listing {
+    /// The offset from which later records are to be read.
+    pub(crate) end: u64,
+    /// The records in their order; some may be newer than the end.
+    pub(crate) records: Vec<Stored>,
+}
+
+impl Listing {
+    /// Returns the records that stood before the end, for a reader that takes
+    /// in each record once and goes on from there.
+    pub(crate) fn before_end(mut self) -> Vec<Stored> {
+        self.records.retain(|r| r.offset < self.end);
+        self.records
+    }
+}
+
 impl Store {
     pub(crate) fn new(calls: ports::Store, metrics: Arc<Metrics>, logger: slog::Logger) -> Self {
         Self {
@@ -110,14 +128,10 @@
         res
     }
 
-    /// Returns the newest record of each key, and the offset from which later
-    /// ones are to be read. Pages are no snapshot: what was written while they
-    /// were read has that offset or a later one.
-    pub(crate) async fn all_newest(
-        &self,
-        topic: Topic,
-        part: u32,
-    ) -> Result<(u64, Vec<Stored>), StoreError> {
+    /// Returns the newest record of each key. Pages are no snapshot: a record
+    /// that was written while they were read has the listing's end as offset or
+    /// a later one, and whoever goes on reading from the end reads it again.
+    pub(crate) async fn all_newest(&self, topic: Topic, part: u32) -> Result<Listing, StoreError> {
         let mut page = self.newest(topic, part, None).await?;
         let end = page.end;
         let mut records = page.records;
@@ -129,9 +143,8 @@
             }
             records.append(&mut page.records);
         }
-        records.retain(|r| r.offset < end);
         records.sort_by_key(|r| r.offset);
-        Ok((end, records))
+        Ok(Listing { end, records })
     }
 
     fn note(&self, call: &'static str, topic: Topic, begun: Instant, err: Option<&StoreError>) {
--- a/crates/gateway/src/upkeep.rs
+++ b/crates/gateway/src/upkeep.rs
@@ -58,7 +58,7 @@
 }
 
 async fn round(ctx: &Context, before: u64) -> Result<(), StoreError> {
-    let (_, records) = ctx.store.all_newest(Topic::Jobs, 0).await?;
+    let records = ctx.store.all_newest(Topic::Jobs, 0).await?.before_end();
     let mut jobs = Jobs::default();
     let mut keys: Vec<(String, JobId, Option<u64>)> = Vec::new();
     for record in records {
--- a/crates/gateway/tests/catalog.rs
+++ b/crates/gateway/tests/catalog.rs
@@ -117,6 +117,20 @@
     );
 }
 
+/// Regression, found by reading: an entry that was written again between two
+/// pages of a listing was left out of it, and its living target taken out until
+/// the next reading. Here there is no next reading.
+#[tokio::test]
+async fn an_entry_written_while_a_listing_is_read_is_not_missing() {
+    let world = World::new(&["t1", "t2", "t3", "t4"]);
+    world.store.put_target_between_pages("t4", "up");
+    for _ in 0..1_000 {
+        world.store.break_reading(Topic::Targets);
+    }
+    let host = world.start_ready("a1").await;
+    until("all are known", || host.ctx().targets_known() == 4).await;
+}
+
 #[tokio::test]
 async fn an_entry_that_lapsed_in_an_outage_is_kept_until_it_is_back() {
     let world = World::new(&["t1", "t2"]);
--- a/crates/gateway/tests/world/store.rs
+++ b/crates/gateway/tests/world/store.rs
@@ -49,6 +49,7 @@
     listings: HashMap<Topic, usize>,
     readings: HashMap<Topic, usize>,
     broken: HashMap<Topic, usize>,
+    between_pages: HashMap<Topic, Entry>,
 }
 
 /// The store, or one door to it.
@@ -110,6 +111,16 @@
         *state.broken.entry(topic).or_default() += 1;
     }
 
+    /// Puts a target once the next page of a listing that has more was read.
+    pub fn put_target_between_pages(&self, target: &str, text: &str) {
+        let entry = Entry {
+            key: target.to_owned(),
+            value: Some(text.to_owned().into()),
+        };
+        let mut state = self.state.lock().unwrap();
+        state.between_pages.insert(Topic::Targets, entry);
+    }
+
     /// Returns how many readings of a topic were begun.
     pub fn readings(&self, topic: Topic) -> usize {
         let state = self.state.lock().unwrap();
@@ -236,6 +247,18 @@
     }
 
     fn newest(&self, topic: Topic, part: u32, after: Option<&str>) -> Result<Page, StoreError> {
+        let page = self.page(topic, part, after)?;
+        let entry = page.has_more.then(|| {
+            let mut state = self.state.lock().unwrap();
+            state.between_pages.remove(&topic)
+        });
+        if let Some(entry) = entry.flatten() {
+            self.append_now(topic, part, vec![entry]);
+        }
+        Ok(page)
+    }
+
+    fn page(&self, topic: Topic, part: u32, after: Option<&str>) -> Result<Page, StoreError> {
         self.is_open()?;
         let mut state = self.state.lock().unwrap();
         *state.listings.entry(topic).or_default() += 1;
