--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -5,6 +5,9 @@
 //! it is read, logged and put to use, one reading after the other: targets in
 //! use and what peers are told never tell of different readings.
 
+mod follow;
+mod told;
+
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -13,7 +16,6 @@
 use bytes::Bytes;
 use notchwharf_config::gateway::Settings;
 use notchwharf_config::routes::Table;
-use notchwharf_listen::Phase;
 use notchwharf_routing::belief;
 use notchwharf_routing::belief::Answered;
 use notchwharf_routing::belief::Belief;
@@ -21,16 +23,11 @@
 use notchwharf_routing::belief::Change;
 use notchwharf_routing::belief::Contact;
 use notchwharf_routing::places::Places;
-use notchwharf_routing::places::TargetId;
-use serde::Deserialize;
-use serde::Serialize;
 use tokio::sync::watch;
 
-use crate::context::Context;
 use crate::context::lock;
 use crate::context::millis;
 use crate::context::ms;
-use crate::follow::Pace;
 use crate::follow::Reading;
 use crate::follow::Seen;
 use crate::metrics::Counted;
@@ -42,42 +39,24 @@
 use crate::ports::Unreadable;
 use crate::store::Store;
 
-/// How the configuration is read. Operators' changes must be in force within
-/// two seconds, or three from a fault of the connection: one that falls silent
-/// is noticed within this wait and the store's timeout, 1.7 s by default.
-const CONFIG_PACE: Pace = Pace {
-    wait: Duration::from_secs(1),
-    gap: Duration::from_millis(150),
-    pause_max: Duration::from_millis(200),
-};
-/// How targets are read. A target that leaves must get nothing new two seconds
-/// later, or three from a fault of the connection; when a fleet starts, its
-/// targets' entries come by the dozen.
-const TARGETS_PACE: Pace = Pace {
-    wait: Duration::from_secs(1),
-    gap: Duration::from_millis(300),
-    pause_max: Duration::from_millis(200),
-};
+use self::follow::SWEEP;
+use self::follow::TARGETS_PACE;
+pub(crate) use self::follow::start;
+pub(crate) use self::follow::tell;
+use self::told::Config;
+pub(crate) use self::told::Snapshot;
+pub(crate) use self::told::Versions;
+
 /// Time after the store's return within which it has the entries of living
 /// targets again, as the platform names it.
 const LAPSE: Duration = Duration::from_secs(2);
 /// Time for news of an entry beside the pause between two readings: an answer
 /// of the store takes some milliseconds.
 const NEWS: Duration = Duration::from_millis(50);
-/// Time between two looks at targets whose entries are missing.
-const SWEEP: Duration = Duration::from_millis(50);
 /// Time for which a host that has used up its share of a processor may stand
 /// still in the middle of sending a request.
 const STANDSTILL: Duration = Duration::from_millis(100);
 
-/// The configuration's record.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-struct Config {
-    offset: u64,
-    key: String,
-    value: Vec<u8>,
-}
-
 /// What is known, in the form in which it came.
 #[derive(Debug)]
 struct Known {
@@ -101,30 +80,6 @@
     pub(crate) logger: slog::Logger,
 }
 
-/// What one host tells another of routes and targets.
-#[derive(Debug, Default, Serialize, Deserialize)]
-pub(crate) struct Snapshot {
-    config: Option<Config>,
-    targets: Vec<(TargetId, u64, Vec<u8>)>,
-    targets_end: u64,
-}
-
-/// How new a host's knowledge is; higher is newer.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Versions {
-    /// One more than the offset of the configuration; zero for none.
-    pub(crate) config: u64,
-    /// The offset that follows the newest record of a target.
-    pub(crate) targets: u64,
-}
-
-impl Versions {
-    /// Returns whether anything is newer than another host's.
-    pub(crate) fn is_ahead_of(self, other: Self) -> bool {
-        self.config > other.config || self.targets > other.targets
-    }
-}
-
 /// What changed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct News {
@@ -376,42 +331,3 @@
         value: stored.entry.value,
     }
 }
-
-/// Starts to follow routes and targets.
-pub(crate) fn start(ctx: &Arc<Context>) {
-    let shared = Arc::clone(ctx);
-    tokio::spawn(
-        ctx.follower()
-            .follow(Topic::Config, CONFIG_PACE, move |reading| {
-                let news = shared.catalog.read_config(reading);
-                tell(&shared, news);
-            }),
-    );
-    let shared = Arc::clone(ctx);
-    tokio::spawn(
-        ctx.follower()
-            .follow(Topic::Targets, TARGETS_PACE, move |reading| {
-                let news = shared.catalog.read_targets(reading, Instant::now());
-                tell(&shared, news);
-            }),
-    );
-    tokio::spawn(sweep(Arc::clone(ctx)));
-}
-
-/// Lets those know who act on routes and targets.
-pub(crate) fn tell(ctx: &Context, news: News) {
-    if news.routes {
-        ctx.enter(Phase::Ready);
-        ctx.peers.tell();
-    }
-    if news.targets {
-        ctx.items.wake();
-    }
-}
-
-async fn sweep(ctx: Arc<Context>) {
-    let mut ticks = ctx.timer.subscribe(SWEEP);
-    while ticks.recv().await.is_some() && ctx.phase() != Phase::Stopped {
-        ctx.catalog.sweep(Instant::now());
-    }
-}
