Do not miss an entry that is newer than a peer's listing

One pass over a listing in place of one for each known target: at 1,400 targets two million comparisons of names. Test: the case joins an_entry_that_is_newer_than_its_listing_is_there.

--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -150,17 +150,14 @@
         });
         let records: Vec<_> = records.collect();
         let contact = self.uses.store.contact(Topic::Targets);
-        let mut known = lock(&self.known);
+        let decode = |value: &Bytes| (self.uses.decode.target)(value);
         let end = snapshot.targets_end;
+        let mut known = lock(&self.known);
         if end > known.targets.end() {
-            let count = records.len();
-            slog::info!(self.uses.logger, "targets listed"; "targets" => count,
+            slog::info!(self.uses.logger, "targets listed"; "targets" => records.len(),
                 "offset" => end, "source" => "peer");
         }
-        let decode = self.uses.decode.target;
-        let changes = known
-            .targets
-            .told(now, &contact, end, records, |value| decode(value));
+        let changes = known.targets.told(now, &contact, end, records, decode);
         let targets = self.put_to_use(known.targets.none_before(), &contact, changes, now);
         News { routes, targets }
     }
@@ -261,10 +258,8 @@
         if !known.targets.is_in_doubt() {
             return;
         }
-        for id in known
-            .targets
-            .expire(now, &self.uses.store.contact(Topic::Targets))
-        {
+        let contact = self.uses.store.contact(Topic::Targets);
+        for id in known.targets.expire(now, &contact) {
             slog::info!(self.uses.logger, "target's entry did not come back";
                 "target" => id.as_str());
             self.take_out(&id);
--- a/crates/routing/src/belief.rs
+++ b/crates/routing/src/belief.rs
@@ -32,6 +32,7 @@
 mod contact;
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -310,11 +311,14 @@
             return Vec::new();
         }
         self.end = end;
-        let missing = self
-            .known
-            .keys()
-            .filter(|id| !records.iter().any(|r| &r.id == *id));
-        let missing: Vec<TargetId> = missing.cloned().collect();
+        let missing = {
+            let listed: HashSet<&TargetId> = records.iter().map(|r| &r.id).collect();
+            // An entry that is newer than the listing is not missing from it.
+            let older = self.known.iter().filter(|(_, known)| known.offset < end);
+            let missing = older.filter(|(id, _)| !listed.contains(id));
+            let missing: Vec<TargetId> = missing.map(|(id, _)| id.clone()).collect();
+            missing
+        };
         let mut changes = Vec::new();
         for record in records {
             changes.extend(self.take(source, record, &decode));
--- a/crates/routing/tests/belief.rs
+++ b/crates/routing/tests/belief.rs
@@ -225,6 +225,10 @@
     assert_eq!(host.known(), ["t1", "t2"]);
     let older = gone("t2", end + 1);
     assert!(host.read(130, 140, Some(older)).is_empty());
+    let now = host.at(150);
+    let of_peer = vec![put("t1", end - 1)];
+    host.belief
+        .told(now, &host.contact, end + 2, of_peer, decode);
     assert_eq!(host.known(), ["t1", "t2"]);
 }
 
