Let only readings of targets prove a fault that keeps an entry

Change: other calls only make it possible that an entry lapsed, and keep it within the drain time from the last reading that still had it; a fault is proved by readings of targets. Two tests of the belief.

--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -21,7 +21,7 @@
 use notchwharf_routing::belief::Belief;
 use notchwharf_routing::belief::Bounds;
 use notchwharf_routing::belief::Change;
-use notchwharf_routing::belief::Contact;
+use notchwharf_routing::belief::Evidence;
 use notchwharf_routing::places::Places;
 use tokio::sync::watch;
 
@@ -35,7 +35,6 @@
 use crate::ports::Decode;
 use crate::ports::Entry;
 use crate::ports::Stored;
-use crate::ports::Topic;
 use crate::ports::Unreadable;
 use crate::store::Store;
 
@@ -149,7 +148,7 @@
             value: Some(value.into()),
         });
         let records: Vec<_> = records.collect();
-        let contact = self.uses.store.contact(Topic::Targets);
+        let evidence = self.uses.store.evidence();
         let decode = |value: &Bytes| (self.uses.decode.target)(value);
         let end = snapshot.targets_end;
         let mut known = lock(&self.known);
@@ -157,8 +156,8 @@
             slog::info!(self.uses.logger, "targets listed"; "targets" => records.len(),
                 "offset" => end, "source" => "peer");
         }
-        let changes = known.targets.told(now, &contact, end, records, decode);
-        let targets = self.put_to_use(known.targets.none_before(), &contact, changes, now);
+        let changes = known.targets.told(now, &evidence, end, records, decode);
+        let targets = self.put_to_use(known.targets.none_before(), &evidence, changes, now);
         News { routes, targets }
     }
 
@@ -219,7 +218,7 @@
     fn read_targets(&self, reading: Reading, now: Instant) -> News {
         let Reading { asked, seen } = reading;
         let decode = |value: &Bytes| (self.uses.decode.target)(value);
-        let contact = self.uses.store.contact(Topic::Targets);
+        let evidence = self.uses.store.evidence();
         let mut known = lock(&self.known);
         // As of before this reading: what it tells is newer than that.
         let none_before = known.targets.none_before();
@@ -231,7 +230,7 @@
                 let answered = Answered::whole(asked, now);
                 known
                     .targets
-                    .list(&answered, &contact, end, records, decode)
+                    .list(&answered, &evidence, end, records, decode)
             }
             Ok(Seen::More { records, is_whole }) => {
                 let records = records.into_iter().map(record).collect();
@@ -240,12 +239,12 @@
                     at: now,
                     is_whole,
                 };
-                known.targets.read(&answered, &contact, records, decode)
+                known.targets.read(&answered, &evidence, records, decode)
             }
             // The reader tries again; the store's wrapper knows of the failure.
             Err(_) => return News::default(),
         };
-        let targets = self.put_to_use(none_before, &contact, changes, now);
+        let targets = self.put_to_use(none_before, &evidence, changes, now);
         News {
             targets,
             ..News::default()
@@ -258,8 +257,8 @@
         if !known.targets.is_in_doubt() {
             return;
         }
-        let contact = self.uses.store.contact(Topic::Targets);
-        for id in known.targets.expire(now, &contact) {
+        let evidence = self.uses.store.evidence();
+        for id in known.targets.expire(now, &evidence) {
             slog::info!(self.uses.logger, "target's entry did not come back";
                 "target" => id.as_str());
             self.take_out(&id);
@@ -271,7 +270,7 @@
     fn put_to_use(
         &self,
         none_before: Option<Instant>,
-        contact: &Contact,
+        evidence: &Evidence,
         changes: Vec<Change<Unreadable>>,
         now: Instant,
     ) -> bool {
@@ -305,8 +304,8 @@
                         "offset" => offset, "kept_for_now" => true,
                         "kept_ms" => millis(until.saturating_duration_since(now)),
                         "none_before_ms_ago" => ago(none_before),
-                        "away_ms_ago" => ago(contact.away_at()),
-                        "back_ms_ago" => ago(contact.back_at()));
+                        "away_ms_ago" => ago(evidence.readings.away_at()),
+                        "back_ms_ago" => ago(evidence.readings.back_at()));
                 }
             }
         }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -3,13 +3,13 @@
 //! Whether the store answers is a belief of the host that others depend on:
 //! who takes over jobs, and whether a target's missing entry means anything.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 
 use notchwharf_routing::belief::Contact;
+use notchwharf_routing::belief::Evidence;
 use notchwharf_routing::belief::Failure;
 
 use crate::context::lock;
@@ -43,10 +43,10 @@
     failures: u32,
     lost_since: Option<Instant>,
     regained_at: Option<Instant>,
-    /// How calls of all topics have gone.
-    contact: Contact,
-    /// How those of each topic have: the store may lose some of its partitions.
-    by_topic: HashMap<Topic, Contact>,
+    /// How all calls have gone.
+    calls: Contact,
+    /// How those have that read the entries of targets.
+    readings: Contact,
 }
 
 /// The newest record of each key.
@@ -89,11 +89,13 @@
         health.lost_since.is_none() && is_settled
     }
 
-    /// Returns how calls have gone, as far as it concerns one topic.
-    pub(crate) fn contact(&self, topic: Topic) -> Contact {
+    /// Returns what is known for the judgement of targets' missing entries.
+    pub(crate) fn evidence(&self) -> Evidence {
         let health = lock(&self.health);
-        let of_topic = health.by_topic.get(&topic).copied();
-        health.contact.and(of_topic.unwrap_or_default())
+        Evidence {
+            readings: health.readings,
+            calls: health.calls,
+        }
     }
 
     pub(crate) async fn append(
@@ -176,8 +178,10 @@
     fn answered(&self, topic: Topic, now: Instant) {
         let mut health = lock(&self.health);
         health.failures = 0;
-        health.contact.answered(now);
-        health.by_topic.entry(topic).or_default().answered(now);
+        health.calls.answered(now);
+        if topic == Topic::Targets {
+            health.readings.answered(now);
+        }
         if let Some(since) = health.lost_since.take() {
             health.regained_at = Some(now);
             drop(health);
@@ -187,11 +191,12 @@
 
     fn failed(&self, topic: Topic, begun: Instant, now: Instant, failure: Failure) {
         let mut health = lock(&self.health);
-        let is_late = failure == Failure::Lost && health.contact.is_answered_since(begun);
-        let last_answer = health.contact.last_answer();
-        health.contact.failed(begun, now, failure);
-        let of_topic = health.by_topic.entry(topic).or_default();
-        of_topic.failed(begun, now, failure);
+        let is_late = failure == Failure::Lost && health.calls.is_answered_since(begun);
+        let last_answer = health.calls.last_answer();
+        health.calls.failed(begun, now, failure);
+        if topic == Topic::Targets {
+            health.readings.failed(begun, now, failure);
+        }
         // The store has answered since the call was begun: what that was lost
         // with says nothing of the store now.
         if is_late {
--- a/crates/routing/src/belief.rs
+++ b/crates/routing/src/belief.rs
@@ -4,24 +4,24 @@
 //! that its target leaves, and shortly afterwards nothing may reach it; but
 //! entries of living targets lapse too while the store is away. [`Belief`] tells
 //! the two apart by evidence that is dated by when calls were begun, not by when
-//! their failure was noticed ([`Contact`]).
+//! their failure was noticed ([`Contact`], [`Evidence`]).
 //!
 //! ```
 //! use std::time::{Duration, Instant};
-//! use notchwharf_routing::belief::{Answered, Belief, Bounds, Change, Contact, Record};
+//! use notchwharf_routing::belief::{Answered, Belief, Bounds, Change, Evidence, Record};
 //! use notchwharf_routing::places::Spec;
 //!
 //! let start = Instant::now();
 //! let at = |ms| start + Duration::from_millis(ms);
 //! let decode = |_: &u8| Ok::<_, ()>(Spec::default());
-//! let contact = Contact::default();
+//! let evidence = Evidence::default();
 //! let mut belief = Belief::new(Bounds::default());
 //! let entry = Record { id: "t1".into(), offset: 0, value: Some(1) };
-//! belief.list(&Answered::whole(at(0), at(5)), &contact, 1, vec![entry], decode);
+//! belief.list(&Answered::whole(at(0), at(5)), &evidence, 1, vec![entry], decode);
 //!
 //! // No call of the store has failed, so an entry that goes is gone.
 //! let gone = Record { id: "t1".into(), offset: 1, value: None };
-//! let changes = belief.read(&Answered::whole(at(10), at(800)), &contact, vec![gone], decode);
+//! let changes = belief.read(&Answered::whole(at(10), at(800)), &evidence, vec![gone], decode);
 //! assert!(matches!(&changes[..], [Change::Gone { .. }]));
 //! ```
 //!
@@ -37,6 +37,7 @@
 use std::time::Instant;
 
 pub use self::contact::Contact;
+pub use self::contact::Evidence;
 pub use self::contact::Failure;
 use crate::places::Spec;
 use crate::places::TargetId;
@@ -183,7 +184,7 @@
 struct Source<'a> {
     at: Instant,
     is_told: bool,
-    contact: &'a Contact,
+    evidence: &'a Evidence,
 }
 
 impl<V> Belief<V> {
@@ -222,7 +223,7 @@
     pub fn list<E>(
         &mut self,
         answered: &Answered,
-        contact: &Contact,
+        evidence: &Evidence,
         end: u64,
         records: Vec<Record<V>>,
         decode: impl Fn(&V) -> Result<Spec, E>,
@@ -230,7 +231,7 @@
         let source = Source {
             at: answered.at,
             is_told: false,
-            contact,
+            evidence,
         };
         let changes = self.take_all(source, end, records, decode);
         self.advance(answered);
@@ -241,14 +242,14 @@
     pub fn read<E>(
         &mut self,
         answered: &Answered,
-        contact: &Contact,
+        evidence: &Evidence,
         records: Vec<Record<V>>,
         decode: impl Fn(&V) -> Result<Spec, E>,
     ) -> Vec<Change<E>> {
         let source = Source {
             at: answered.at,
             is_told: false,
-            contact,
+            evidence,
         };
         let mut changes = Vec::new();
         for record in records {
@@ -267,7 +268,7 @@
     pub fn told<E>(
         &mut self,
         at: Instant,
-        contact: &Contact,
+        evidence: &Evidence,
         end: u64,
         records: Vec<Record<V>>,
         decode: impl Fn(&V) -> Result<Spec, E>,
@@ -278,7 +279,7 @@
         let source = Source {
             at,
             is_told: true,
-            contact,
+            evidence,
         };
         self.take_all(source, end, records, decode)
     }
@@ -289,9 +290,9 @@
     }
 
     /// Takes out the targets whose entries have not come back in time.
-    pub fn expire(&mut self, now: Instant, contact: &Contact) -> Vec<TargetId> {
+    pub fn expire(&mut self, now: Instant, evidence: &Evidence) -> Vec<TargetId> {
         let due = self.doubts.iter();
-        let due = due.filter(|(_, doubt)| now >= self.until(doubt, contact));
+        let due = due.filter(|(_, doubt)| now >= self.until(doubt, evidence));
         let due: Vec<TargetId> = due.map(|(id, _)| id.clone()).collect();
         for id in &due {
             self.doubts.remove(id);
@@ -363,7 +364,7 @@
             none_before: self.none_before,
         };
         let doubt = *self.doubts.get(&id).unwrap_or(&fresh);
-        let until = self.until(&doubt, source.contact);
+        let until = self.until(&doubt, source.evidence);
         if until <= source.at {
             self.doubts.remove(&id);
             self.known.remove(&id);
@@ -383,21 +384,23 @@
     ///
     /// Two times are safe, and the later one holds: the entry went after
     /// `none_before`, and a host that met a fault may go by what it knew until
-    /// that has settled. Both are counted from when a call was begun. Within
-    /// them the target stays as long as its entry may yet come back: for some
-    /// time from the store's return, and all the while it is away.
-    fn until(&self, doubt: &Doubt, contact: &Contact) -> Instant {
+    /// that has settled. Both are counted from when a call was begun. Only
+    /// readings of entries prove a fault that matters here: a call of another
+    /// kind may be refused for a reason of its own. Within them the target stays
+    /// as long as its entry may yet come back: for some time from the store's
+    /// return, and all the while it is away.
+    fn until(&self, doubt: &Doubt, evidence: &Evidence) -> Instant {
         let bounds = &self.bounds;
-        let Some(away) = contact.away_at() else {
+        if !evidence.is_any_fault() {
             // The store served all the while: the entry cannot have lapsed.
             return doubt.missed;
-        };
+        }
         let drain = bounds.drain.saturating_sub(bounds.in_flight);
         let settle = bounds.settle.saturating_sub(bounds.in_flight);
         let by_entry = doubt.none_before.map(|at| at + drain);
-        let by_fault = away + settle;
-        let safe = by_entry.map_or(by_fault, |at| at.max(by_fault));
-        match contact.back_at() {
+        let by_fault = evidence.readings.away_at().map(|at| at + settle);
+        let safe = by_entry.max(by_fault).unwrap_or(doubt.missed);
+        match evidence.back_at() {
             Some(back) if doubt.missed >= back + bounds.lapse => doubt.missed,
             Some(back) => safe.min(back + bounds.lapse),
             // Whoever told it had the store back by then.
--- a/crates/routing/src/belief/contact.rs
+++ b/crates/routing/src/belief/contact.rs
@@ -18,7 +18,7 @@
     Lost,
 }
 
-/// How calls have gone, of one kind or of all.
+/// How calls of one kind, or all, have gone.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Contact {
     last_answer: Option<Instant>,
@@ -51,19 +51,6 @@
         self.last_answer.is_some_and(|at| at >= time)
     }
 
-    /// Returns what two kinds of calls prove together. A store may fail calls
-    /// of one kind only, and a pause between two calls may hide an outage.
-    #[must_use]
-    pub fn and(self, other: Self) -> Self {
-        let is_away = self.is_away() || other.is_away();
-        Self {
-            last_answer: self.last_answer.max(other.last_answer),
-            lost_at: self.lost_at.max(other.lost_at),
-            away_at: self.away_at.max(other.away_at),
-            back_at: self.back_at.max(other.back_at).filter(|_| !is_away),
-        }
-    }
-
     /// Returns whether calls have failed and none was answered since.
     fn is_away(&self) -> bool {
         self.away_at.is_some() && self.back_at.is_none()
@@ -98,3 +85,29 @@
         self.back_at = None;
     }
 }
+
+/// What the judgement of missing entries goes by.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Evidence {
+    /// How the readings of targets' entries have gone. The store may lose a
+    /// part of its topics only.
+    pub readings: Contact,
+    /// How all calls of the store have gone. A pause between two readings may
+    /// hide an outage from them.
+    pub calls: Contact,
+}
+
+impl Evidence {
+    /// Returns whether the store may have been away: any calls have failed.
+    pub(super) fn is_any_fault(&self) -> bool {
+        self.readings.away_at.is_some() || self.calls.away_at.is_some()
+    }
+
+    /// Returns when the store was back; nothing while it is away.
+    pub(super) fn back_at(&self) -> Option<Instant> {
+        if self.readings.is_away() || self.calls.is_away() {
+            return None;
+        }
+        self.readings.back_at.max(self.calls.back_at)
+    }
+}
--- a/crates/routing/tests/belief.rs
+++ b/crates/routing/tests/belief.rs
@@ -8,7 +8,7 @@
 use notchwharf_routing::belief::Belief;
 use notchwharf_routing::belief::Bounds;
 use notchwharf_routing::belief::Change;
-use notchwharf_routing::belief::Contact;
+use notchwharf_routing::belief::Evidence;
 use notchwharf_routing::belief::Failure;
 use notchwharf_routing::belief::Record;
 use notchwharf_routing::places::Spec;
@@ -18,7 +18,7 @@
 /// A host with its belief and what it knows of the store, on one clock.
 struct Host {
     start: Instant,
-    contact: Contact,
+    evidence: Evidence,
     belief: Belief<u8>,
 }
 
@@ -27,7 +27,7 @@
     fn new(targets: &[&str]) -> Self {
         let mut host = Self {
             start: Instant::now() + Duration::from_secs(60),
-            contact: Contact::default(),
+            evidence: Evidence::default(),
             belief: Belief::new(Bounds::default()),
         };
         host.list(0, targets);
@@ -42,17 +42,19 @@
         let end = self.belief.end() + 10;
         let records = targets.iter().map(|id| put(id, end - 1)).collect();
         let answered = Answered::whole(self.at(ms), self.at(ms));
-        self.contact.answered(answered.at);
+        self.evidence.readings.answered(answered.at);
+        self.evidence.calls.answered(answered.at);
         self.belief
-            .list(&answered, &self.contact, end, records, decode)
+            .list(&answered, &self.evidence, end, records, decode)
     }
 
     /// Reads a record that was asked for and answered at these times.
     fn read(&mut self, asked: u64, at: u64, record: Option<Record<u8>>) -> Vec<Change<()>> {
         let answered = Answered::whole(self.at(asked), self.at(at));
-        self.contact.answered(answered.at);
+        self.evidence.readings.answered(answered.at);
+        self.evidence.calls.answered(answered.at);
         let records = record.into_iter().collect();
-        self.belief.read(&answered, &self.contact, records, decode)
+        self.belief.read(&answered, &self.evidence, records, decode)
     }
 
     fn reads_that_it_is_gone(&mut self, asked: u64, at: u64, id: &str) -> Vec<Change<()>> {
@@ -62,7 +64,8 @@
 
     fn fails(&mut self, begun: u64, noticed: u64, failure: Failure) {
         let (begun, noticed) = (self.at(begun), self.at(noticed));
-        self.contact.failed(begun, noticed, failure);
+        self.evidence.readings.failed(begun, noticed, failure);
+        self.evidence.calls.failed(begun, noticed, failure);
     }
 
     /// The store refuses calls from one time to another.
@@ -74,7 +77,7 @@
 
     fn expire(&mut self, ms: u64) -> Vec<String> {
         let now = self.at(ms);
-        self.belief.expire(now, &self.contact)
+        self.belief.expire(now, &self.evidence)
     }
 
     fn known(&self) -> Vec<&String> {
@@ -143,7 +146,7 @@
     host.fails(1_000, 1_500, Failure::Lost);
     host.read(1_600, 1_610, None);
     host.fails(1_000, 1_700, Failure::Lost);
-    assert_eq!(host.contact.away_at(), None);
+    assert_eq!(host.evidence.readings.away_at(), None);
 }
 
 #[rstest]
@@ -164,6 +167,31 @@
     assert_eq!(host.known(), ["t1"]);
 }
 
+/// Calls of another kind may be refused for a reason of their own. What they
+/// show keeps an entry no longer than is allowed from its end.
+#[test]
+fn refusals_of_other_calls_keep_an_entry_within_its_drain_time_only() {
+    let mut host = Host::new(&["t1", "t2"]);
+    host.read(4_000, 5_000, None);
+    let begun = host.at(5_050);
+    host.evidence.calls.failed(begun, begun, Failure::Refused);
+    assert!(is_kept(&host.reads_that_it_is_gone(5_000, 5_100, "t1")));
+    assert!(host.expire(5_550).is_empty());
+    assert_eq!(host.expire(5_600), ["t1"]);
+}
+
+/// An outage that falls into the pause between two readings.
+#[test]
+fn an_outage_that_no_reading_met_keeps_what_lapsed_in_it() {
+    let mut host = Host::new(&["t1"]);
+    let begun = host.at(100);
+    host.evidence.calls.failed(begun, begun, Failure::Refused);
+    assert!(is_kept(&host.reads_that_it_is_gone(300, 310, "t1")));
+    let back = put("t1", host.belief.end());
+    host.read(600, 610, Some(back));
+    assert!(host.expire(5_000).is_empty());
+}
+
 /// The store returns for a moment only: entries cannot come back meanwhile.
 #[test]
 fn a_second_outage_keeps_what_the_first_one_left_in_doubt() {
@@ -185,7 +213,7 @@
     let end = host.belief.end() + 5;
     let now = host.at(5_000);
     let records = vec![put("t2", end - 1)];
-    let changes = host.belief.told(now, &host.contact, end, records, decode);
+    let changes = host.belief.told(now, &host.evidence, end, records, decode);
     assert!(changes.iter().any(|c| matches!(c, Change::Kept { .. })));
     host.refused(5_000, 9_000);
     assert!(host.expire(7_300).is_empty());
@@ -196,7 +224,7 @@
 fn what_a_peer_knows_counts_only_if_it_is_newer() {
     let mut host = Host::new(&["t1"]);
     let (now, end) = (host.at(100), host.belief.end());
-    let changes = host.belief.told(now, &host.contact, end, vec![], decode);
+    let changes = host.belief.told(now, &host.evidence, end, vec![], decode);
     assert!(changes.is_empty());
     assert_eq!(host.known(), ["t1"]);
 }
@@ -221,14 +249,14 @@
     let answered = Answered::whole(host.at(100), host.at(120));
     let records = vec![put("t1", end - 1), put("t2", end + 2)];
     host.belief
-        .list(&answered, &host.contact, end, records, decode);
+        .list(&answered, &host.evidence, end, records, decode);
     assert_eq!(host.known(), ["t1", "t2"]);
     let older = gone("t2", end + 1);
     assert!(host.read(130, 140, Some(older)).is_empty());
     let now = host.at(150);
     let of_peer = vec![put("t1", end - 1)];
     host.belief
-        .told(now, &host.contact, end + 2, of_peer, decode);
+        .told(now, &host.evidence, end + 2, of_peer, decode);
     assert_eq!(host.known(), ["t1", "t2"]);
 }
 
