Split entries and their changes off the belief in targets

No change of behaviour: records, readings and changes in a file of their own, one function for what a reading is (list and read had it twice).

--- a/crates/routing/src/belief.rs
+++ b/crates/routing/src/belief.rs
@@ -30,6 +30,7 @@
 //! it lives was rejected too: one that leaves answers as well as any.
 
 mod contact;
+mod entry;
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -39,6 +40,9 @@
 pub use self::contact::Contact;
 pub use self::contact::Evidence;
 pub use self::contact::Failure;
+pub use self::entry::Answered;
+pub use self::entry::Change;
+pub use self::entry::Record;
 use crate::places::Spec;
 use crate::places::TargetId;
 
@@ -74,78 +78,6 @@
     }
 }
 
-/// A record of a target's entry.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Record<V> {
-    /// The target.
-    pub id: TargetId,
-    /// The record's place in the store's order.
-    pub offset: u64,
-    /// The entry; nothing if it is gone.
-    pub value: Option<V>,
-}
-
-/// When a reading of entries was made.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Answered {
-    /// When it was asked for.
-    pub asked: Instant,
-    /// When its answer came.
-    pub at: Instant,
-    /// Whether it went to the newest record there was.
-    pub is_whole: bool,
-}
-
-impl Answered {
-    /// Returns a reading that went to the newest record.
-    pub fn whole(asked: Instant, at: Instant) -> Self {
-        Self {
-            asked,
-            at,
-            is_whole: true,
-        }
-    }
-}
-
-/// What becomes of the targets in use.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Change<E> {
-    /// A target is as described.
-    Put {
-        /// The target.
-        id: TargetId,
-        /// Where its record stands.
-        offset: u64,
-        /// What its entry says.
-        spec: Spec,
-    },
-    /// An entry cannot be read; what was believed before stays.
-    Unreadable {
-        /// The target.
-        id: TargetId,
-        /// Where its record stands.
-        offset: u64,
-        /// What is wrong.
-        error: E,
-    },
-    /// An entry is gone and its target with it.
-    Gone {
-        /// The target.
-        id: TargetId,
-        /// Up to where the store's order was known.
-        offset: u64,
-    },
-    /// An entry is gone that may only have lapsed; its target stays for now.
-    Kept {
-        /// The target.
-        id: TargetId,
-        /// Up to where the store's order was known.
-        offset: u64,
-        /// Until when it stays if nothing else happens.
-        until: Instant,
-    },
-}
-
 /// An entry that is missing and may only have lapsed.
 #[derive(Clone, Copy, Debug)]
 struct Doubt {
@@ -187,6 +119,17 @@
     evidence: &'a Evidence,
 }
 
+impl<'a> Source<'a> {
+    /// Returns what a reading of this host is.
+    fn reading(answered: &Answered, evidence: &'a Evidence) -> Self {
+        Self {
+            at: answered.at,
+            is_told: false,
+            evidence,
+        }
+    }
+}
+
 impl<V> Belief<V> {
     /// Returns a belief without targets.
     pub fn new(bounds: Bounds) -> Self {
@@ -228,11 +171,7 @@
         records: Vec<Record<V>>,
         decode: impl Fn(&V) -> Result<Spec, E>,
     ) -> Vec<Change<E>> {
-        let source = Source {
-            at: answered.at,
-            is_told: false,
-            evidence,
-        };
+        let source = Source::reading(answered, evidence);
         let changes = self.take_all(source, end, records, decode);
         self.advance(answered);
         changes
@@ -246,11 +185,7 @@
         records: Vec<Record<V>>,
         decode: impl Fn(&V) -> Result<Spec, E>,
     ) -> Vec<Change<E>> {
-        let source = Source {
-            at: answered.at,
-            is_told: false,
-            evidence,
-        };
+        let source = Source::reading(answered, evidence);
         let mut changes = Vec::new();
         for record in records {
             if record.offset < self.end {
--- /dev/null
+++ b/crates/routing/src/belief/entry.rs
@@ -0,0 +1,78 @@
+//! Records of targets' entries, how they are read, and what they change.
+
+use std::time::Instant;
+
+use crate::places::Spec;
+use crate::places::TargetId;
+
+/// A record of a target's entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record<V> {
+    /// The target.
+    pub id: TargetId,
+    /// The record's place in the store's order.
+    pub offset: u64,
+    /// The entry; nothing if it is gone.
+    pub value: Option<V>,
+}
+
+/// When a reading of entries was made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Answered {
+    /// When it was asked for.
+    pub asked: Instant,
+    /// When its answer came.
+    pub at: Instant,
+    /// Whether it went to the newest record there was.
+    pub is_whole: bool,
+}
+
+impl Answered {
+    /// Returns a reading that went to the newest record.
+    pub fn whole(asked: Instant, at: Instant) -> Self {
+        Self {
+            asked,
+            at,
+            is_whole: true,
+        }
+    }
+}
+
+/// What becomes of the targets in use.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change<E> {
+    /// A target is as described.
+    Put {
+        /// The target.
+        id: TargetId,
+        /// Where its record stands.
+        offset: u64,
+        /// What its entry says.
+        spec: Spec,
+    },
+    /// An entry cannot be read; what was believed before stays.
+    Unreadable {
+        /// The target.
+        id: TargetId,
+        /// Where its record stands.
+        offset: u64,
+        /// What is wrong.
+        error: E,
+    },
+    /// An entry is gone and its target with it.
+    Gone {
+        /// The target.
+        id: TargetId,
+        /// Up to where the store's order was known.
+        offset: u64,
+    },
+    /// An entry is gone that may only have lapsed; its target stays for now.
+    Kept {
+        /// The target.
+        id: TargetId,
+        /// Up to where the store's order was known.
+        offset: u64,
+        /// Until when it stays if nothing else happens.
+        until: Instant,
+    },
+}
