Say once when a lost call tells nothing, and what an adapter owes

No change of behaviour. The rule that a call lost before a later answer is no evidence stood in the contact and again in the store's wrapper; the contact says it for both. The port names the adapter's duty on which the judgement of missing entries rests. A follower is not changed by reading. Ruled out: one record of outages for both uses; the loss of the store counts failures in a row, the judgement goes by proved faults.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -79,7 +79,7 @@
 impl Follower {
     /// Follows a topic until the host stops. The sink gets every try, but for
     /// those that find their records expired: the listing that follows counts.
-    pub(crate) async fn follow(mut self, topic: Topic, pace: Pace, mut sink: impl FnMut(Reading)) {
+    pub(crate) async fn follow(self, topic: Topic, pace: Pace, mut sink: impl FnMut(Reading)) {
         let mut phase = self.phase.clone();
         tokio::select! {
             () = self.read_on(topic, pace, &mut sink) => {}
@@ -88,7 +88,7 @@
         }
     }
 
-    async fn read_on(&mut self, topic: Topic, pace: Pace, sink: &mut impl FnMut(Reading)) {
+    async fn read_on(&self, topic: Topic, pace: Pace, sink: &mut impl FnMut(Reading)) {
         let mut from = None;
         let mut pause = PAUSE_MIN;
         let mut is_failing = false;
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -231,6 +231,10 @@
 pub type ReadNewest = dyn Fn(Topic, u32, Option<String>) -> StoreFuture<Page> + Send + Sync;
 
 /// A store of ordered topics.
+///
+/// An adapter that keeps connections gives up all idle ones when a call fails:
+/// how long a missing entry may be believed in rests on a call that follows a
+/// failure not using a connection that was idle before it.
 #[derive(Clone)]
 pub struct Store {
     /// Appends records.
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -191,14 +191,12 @@
 
     fn failed(&self, topic: Topic, begun: Instant, now: Instant, failure: Failure) {
         let mut health = lock(&self.health);
-        let is_late = failure == Failure::Lost && health.calls.is_answered_since(begun);
+        let is_late = health.calls.is_late(begun, failure);
         let last_answer = health.calls.last_answer();
         health.calls.failed(begun, now, failure);
         if topic == Topic::Targets {
             health.readings.failed(begun, now, failure);
         }
-        // The store has answered since the call was begun: what that was lost
-        // with says nothing of the store now.
         if is_late {
             return;
         }
--- a/crates/routing/src/belief/contact.rs
+++ b/crates/routing/src/belief/contact.rs
@@ -46,9 +46,11 @@
         self.last_answer
     }
 
-    /// Returns whether a call was answered at a time or later.
-    pub fn is_answered_since(&self, time: Instant) -> bool {
-        self.last_answer.is_some_and(|at| at >= time)
+    /// Returns whether a failure tells nothing of the store now: the call was
+    /// lost, and another has been answered since it was begun.
+    pub fn is_late(&self, begun: Instant, failure: Failure) -> bool {
+        let is_answered_since = self.last_answer.is_some_and(|at| at >= begun);
+        failure == Failure::Lost && is_answered_since
     }
 
     /// Returns whether calls have failed and none was answered since.
@@ -72,10 +74,12 @@
     /// The next one is. The caller gives up all idle connections when a call
     /// fails, so none that is used then has been idle since before.
     pub fn failed(&mut self, begun: Instant, noticed: Instant, failure: Failure) {
+        if self.is_late(begun, failure) {
+            return;
+        }
         let fault = match failure {
             Failure::Throttled => return,
             Failure::Refused => begun,
-            Failure::Lost if self.is_answered_since(begun) => return,
             Failure::Lost => match self.lost_at.replace(noticed) {
                 Some(before) if begun >= before => before,
                 _ => return,
