--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -41,6 +41,8 @@
 use crate::progress;
 use crate::target::Class;
 use crate::target::Running;
+use crate::work;
+use crate::work::Part;
 
 use self::registry::Registry;
 
@@ -216,7 +218,8 @@
     let gap = ms(ctx.settings.batch.start_gap_ms);
     let most = ctx.settings.batch.running_max as usize;
     while ctx.phase() == Phase::Ready && lock(&ctx.items.running).len() < most {
-        let Some(next) = next(ctx) else {
+        let next = work::timed(&ctx.metrics, Part::Items, || next(ctx));
+        let Some(next) = next else {
             return;
         };
         match next {
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -39,6 +39,8 @@
 use crate::ports::StoreError;
 use crate::ports::Stored;
 use crate::upkeep;
+use crate::work;
+use crate::work::Part;
 
 /// The only partition: one order for all jobs, a few records a second.
 const PART: u32 = 0;
@@ -221,9 +223,11 @@
         }
         let end = {
             let mut state = lock(&self.state);
-            for record in records {
-                state.apply(ctx, record);
-            }
+            work::timed(&ctx.metrics, Part::Records, || {
+                for record in records {
+                    state.apply(ctx, record);
+                }
+            });
             state.jobs.end()
         };
         self.changed.send_replace(end);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod store;
 mod target;
 mod upkeep;
+mod work;
 
 /// The name of a request, chosen by its caller.
 pub type RequestId = String;
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -19,6 +19,7 @@
 use crate::peers;
 use crate::ports::Ports;
 use crate::upkeep;
+use crate::work;
 use notchwharf_listen::Phase;
 
 const DRAIN_PERIOD: Duration = Duration::from_millis(20);
@@ -52,6 +53,7 @@
         peers::start(&ctx, socket, listener);
         items::start(&ctx);
         tokio::spawn(upkeep::run(Arc::clone(&ctx)));
+        tokio::spawn(work::report(Arc::clone(&ctx)));
         slog::info!(ctx.logger, "started"; "incarnation" => ctx.incarnation,
             "peer_listen" => addr.to_string(),
             "data_centre" => ctx.settings.host.data_centre.as_str());
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -23,9 +23,13 @@
     Datagrams,
     /// Changes of what the host believes, by kind.
     Changes,
+    /// Pieces of work, by part.
+    Work,
+    /// Their time in microseconds, by part.
+    WorkMicros,
 }
 
-const COUNTERS: [Counter; 7] = [
+const COUNTERS: [Counter; 9] = [
     counter("notchwharf_requests_total", "Online requests.", "outcome"),
     counter("notchwharf_offers_total", "Offers to targets.", "outcome"),
     counter("notchwharf_items_total", "Items of jobs.", "event"),
@@ -37,6 +41,8 @@
     ),
     counter("notchwharf_datagrams_total", "Datagrams.", "direction"),
     counter("notchwharf_changes_total", "Changes of belief.", "kind"),
+    counter("notchwharf_work_total", "Pieces of work.", "part"),
+    counter("notchwharf_work_us_total", "Their time.", "part"),
 ];
 
 /// What is timed.
@@ -77,7 +83,12 @@
 impl Metrics {
     /// Counts one.
     pub fn count(&self, what: Counted, label: &str) {
-        self.0.add(what as usize, label, 1);
+        self.add(what, label, 1);
+    }
+
+    /// Adds to what is counted.
+    pub fn add(&self, what: Counted, label: &str, by: u64) {
+        self.0.add(what as usize, label, by);
     }
 
     /// Returns what was counted.
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -36,6 +36,8 @@
 use crate::ports::Reply;
 use crate::target::Class;
 use crate::target::Running;
+use crate::work;
+use crate::work::Part;
 
 use self::flow::Flow;
 use self::trace::Trace;
@@ -190,7 +192,9 @@
             objective: self.objective(),
             ahead: Ahead::default(),
         };
-        let chosen = lock(&self.ctx.places).choose_online(&want, now);
+        let chosen = work::timed(&self.ctx.metrics, Part::Placing, || {
+            lock(&self.ctx.places).choose_online(&want, now)
+        });
         let choice = match chosen {
             Ok(choice) => choice,
             Err(refusal) if offers == 0 && self.runs == 0 => return Err(refused(refusal)),
--- a/crates/gateway/src/peers/relay.rs
+++ b/crates/gateway/src/peers/relay.rs
@@ -22,11 +22,14 @@
 use notchwharf_proto::news::Status;
 use notchwharf_routing::places::HostId;
 use rand::seq::IndexedRandom as _;
+use tokio::net::UdpSocket;
 
 use super::Peer;
 use crate::context::Context;
 use crate::context::lock;
 use crate::metrics::Counted;
+use crate::work;
+use crate::work::Part;
 
 /// Hosts of a data centre from which on news is passed on inside it. Below, all
 /// are told: the way over another host costs more time than it saves bytes.
@@ -109,13 +112,19 @@
         let Some(socket) = ctx.peers.socket.get() else {
             return;
         };
-        for part in parts(&ctx, &heard) {
-            let bytes = news::encode(&News::PassedOn(part));
-            for addr in &near {
-                // Lost, the next one makes up for it.
-                let _ = socket.try_send_to(&bytes, *addr);
-                ctx.metrics.count(Counted::Datagrams, "passed on");
-            }
+        work::timed(&ctx.metrics, Part::NewsPassedOn, || {
+            pass_on(&ctx, &heard, &near, socket);
+        });
+    }
+}
+
+fn pass_on(ctx: &Context, heard: &HashSet<HostId>, near: &[SocketAddr], socket: &UdpSocket) {
+    for part in parts(ctx, heard) {
+        let bytes = news::encode(&News::PassedOn(part));
+        for addr in near {
+            // Lost, the next one makes up for it.
+            let _ = socket.try_send_to(&bytes, *addr);
+            ctx.metrics.count(Counted::Datagrams, "passed on");
         }
     }
 }
--- a/crates/gateway/src/peers/status.rs
+++ b/crates/gateway/src/peers/status.rs
@@ -11,6 +11,7 @@
 use notchwharf_proto::news::Status;
 use notchwharf_routing::items::turn::Waiting;
 use notchwharf_routing::places::Load;
+use tokio::net::UdpSocket;
 
 use super::Peer;
 use super::pull;
@@ -22,6 +23,8 @@
 use crate::context::lock;
 use crate::context::ms;
 use crate::metrics::Counted;
+use crate::work;
+use crate::work::Part;
 
 /// Bytes of a datagram at most: what UDP carries.
 const DATAGRAM_BYTES_MAX: usize = 65_536;
@@ -72,19 +75,13 @@
         // Without news the beat, or what others are still to be told, is due.
         is_far_due = news.is_ok() && far_told.elapsed() < far.gap;
         number += 1;
-        let bytes = news::encode(&News::Status(own_status(&ctx, number)));
-        let receivers = receivers(&ctx, !is_far_due);
-        if let Some(told) = receivers.far {
-            far = told;
-        }
-        for addr in receivers.addrs {
-            let Some(socket) = ctx.peers.socket.get() else {
-                return;
-            };
-            // Lost, the next one makes up for it.
-            let _ = socket.try_send_to(&bytes, addr);
-            ctx.metrics.count(Counted::Datagrams, "sent");
-        }
+        let Some(socket) = ctx.peers.socket.get() else {
+            return;
+        };
+        let told = work::timed(&ctx.metrics, Part::NewsTold, || {
+            tell(&ctx, number, !is_far_due, socket)
+        });
+        far = told.unwrap_or(far);
         if !is_far_due {
             far_told = Instant::now();
         }
@@ -92,6 +89,19 @@
     }
 }
 
+/// Tells peers how this host is; returns how those far away were told, if they
+/// were.
+fn tell(ctx: &Context, number: u64, with_far: bool, socket: &UdpSocket) -> Option<Far> {
+    let bytes = news::encode(&News::Status(own_status(ctx, number)));
+    let receivers = receivers(ctx, with_far);
+    for addr in receivers.addrs {
+        // Lost, the next one makes up for it.
+        let _ = socket.try_send_to(&bytes, addr);
+        ctx.metrics.count(Counted::Datagrams, "sent");
+    }
+    receivers.far
+}
+
 pub(super) async fn receive(ctx: Arc<Context>) {
     let Some(socket) = ctx.peers.socket.get() else {
         return;
@@ -107,16 +117,23 @@
             continue;
         };
         ctx.metrics.count(Counted::Datagrams, "received");
-        match news::decode(&buf[..len]) {
-            Some(News::Status(status)) => take_status(&ctx, Some(addr), status),
-            Some(News::PassedOn(news)) => {
-                for status in news {
-                    take_status(&ctx, None, status);
-                }
+        work::timed(&ctx.metrics, Part::NewsTakenIn, || {
+            take(&ctx, addr, &buf[..len]);
+        });
+    }
+}
+
+/// Takes in a datagram.
+fn take(ctx: &Arc<Context>, addr: SocketAddr, bytes: &[u8]) {
+    match news::decode(bytes) {
+        Some(News::Status(status)) => take_status(ctx, Some(addr), status),
+        Some(News::PassedOn(news)) => {
+            for status in news {
+                take_status(ctx, None, status);
             }
-            Some(News::Cut(cut)) => take_cut(&ctx, cut),
-            None => ctx.metrics.count(Counted::Datagrams, "unreadable"),
         }
+        Some(News::Cut(cut)) => take_cut(ctx, cut),
+        None => ctx.metrics.count(Counted::Datagrams, "unreadable"),
     }
 }
 
