Divide large fleets into cells by data centre, with sums between them

Cause: what hosts tell one another grew with the square of the fleet.

Change: a fleet of more than 96 hosts (peers.cell_hosts_max) is a cell for each data centre. Inside, hosts tell one another each change as before; to other cells each host sends a sum of what its cell runs, every 50 ms, to a host drawn from all. Who is together (routing::cells), and who tells whom and when (routing::telling) is pure code, played in virtual time with 30, 300 and 1,000 hosts. Hosts near are not told again whenever far ones are. News that changes nothing costs no more than its decoding. A cell that falls silent as a whole, for 3 s or more, has its jobs taken over by others. Fleets of 96 hosts or fewer talk as before, but for near and far being told apart.

--- a/crates/config/src/gateway.rs
+++ b/crates/config/src/gateway.rs
@@ -100,6 +100,9 @@
     /// From 10 to 60_000; 350 by default: results may be read by callers at
     /// any host within a second.
     pub poll_ms: u64,
+    /// Partitions of each topic. From 1 to 100_000; 24 by default. The platform
+    /// names it, and all hosts of a fleet must have the same.
+    pub parts: u32,
     /// Bytes of one record at most. From 1_024 to 16_777_216; 262_144 by default.
     pub record_bytes_max: u64,
     /// Bytes of the records of one call at most. From 1_024 to 134_217_728;
@@ -113,6 +116,7 @@
             addr: any_port(),
             timeout_ms: 700,
             poll_ms: 350,
+            parts: 24,
             record_bytes_max: 262_144,
             call_bytes_max: 2_097_152,
         }
@@ -229,6 +233,10 @@
     /// Time after which a silent host counts as down. From 20 to 600_000;
     /// 1_200 by default, four beats.
     pub down_ms: u64,
+    /// Hosts from which on the fleet is divided into cells, whose hosts share
+    /// targets and tell one another what they run. From 2 to 100_000; 96 by
+    /// default. All hosts of a fleet must have the same.
+    pub cell_hosts_max: u32,
 }
 
 impl Default for Peers {
@@ -237,6 +245,7 @@
             news_ms: 2,
             beat_ms: 300,
             down_ms: 1_200,
+            cell_hosts_max: 96,
         }
     }
 }
@@ -298,6 +307,7 @@
     name("host.data_centre", &s.host.data_centre)?;
     range("store.timeout_ms", s.store.timeout_ms, 10, MINUTE_MS)?;
     range("store.poll_ms", s.store.poll_ms, 10, MINUTE_MS)?;
+    range("store.parts", s.store.parts, 1, 100_000)?;
     let record_bytes_max = s.store.record_bytes_max;
     range("store.record_bytes_max", record_bytes_max, 1_024, 16 << 20)?;
     let call_bytes_max = s.store.call_bytes_max;
@@ -334,6 +344,8 @@
     range("peers.news_ms", s.peers.news_ms, 1, 10_000)?;
     range("peers.beat_ms", s.peers.beat_ms, 10, MINUTE_MS)?;
     range("peers.down_ms", s.peers.down_ms, 20, TEN_MINUTES_MS)?;
+    let cell_hosts_max = s.peers.cell_hosts_max;
+    range("peers.cell_hosts_max", cell_hosts_max, 2, 100_000)?;
     range("shutdown.notice_ms", s.shutdown.notice_ms, 0, MINUTE_MS)?;
     let drain_timeout_ms = s.shutdown.drain_timeout_ms;
     range("shutdown.drain_timeout_ms", drain_timeout_ms, 10, 3_600_000)?;
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -119,7 +119,7 @@
             catalog: Catalog::new(&settings, uses),
             journal: Journal::default(),
             blobs: Blobs::new(store.clone(), &settings.store),
-            peers: Peers::default(),
+            peers: Peers::new(&settings.peers),
             items: Items::default(),
             progress: Progress::default(),
             store,
--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -95,9 +95,9 @@
         lock(&self.backlog).waiting()
     }
 
-    /// Takes in which items wait at a peer.
-    pub(crate) fn peer_waits(&self, host: &str, waiting: Vec<Waiting>) {
-        lock(&self.line).tell(host, waiting, Instant::now());
+    /// Takes in which items wait at a peer; returns whether that is news.
+    pub(crate) fn peer_waits(&self, host: &str, waiting: Vec<Waiting>) -> bool {
+        lock(&self.line).tell(host, waiting, Instant::now())
     }
 
     /// Forgets what waits at a peer that is down.
--- a/crates/gateway/src/items/take_over.rs
+++ b/crates/gateway/src/items/take_over.rs
@@ -11,6 +11,7 @@
 
 use crate::context::Context;
 use crate::context::ms;
+use crate::peers;
 use crate::peers::STORELESS_MAX;
 
 /// Time between two looks at jobs whose owners are gone.
@@ -55,6 +56,7 @@
     let jobs = ctx.journal.jobs();
     let orphans = jobs.open().filter(|job| {
         job.owner != ctx.host()
+            && peers::looks_after(ctx, &job.owner)
             && !ctx.peers.keeps_jobs(&job.owner)
             && ctx.peers.is_successor(ctx.host(), &job.accepted.job)
     });
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,7 +1,7 @@
 //! Other hosts: who they are, what they run, and what they know.
 //!
 //! Hosts find one another in the store and then speak by datagram: each tells
-//! all others what it runs as soon as that changes. A host that is cut from the
+//! all others of its cell what it runs as soon as that changes. A host that is cut from the
 //! store takes routes and targets from a peer that knows newer ones.
 //!
 //! The gossip of the membership package was rejected here: it spreads news in
@@ -9,6 +9,7 @@
 //! between hosts use plain HTTP and not JSON-RPC, since the one there is hands
 //! over bytes as they came.
 
+mod cell;
 mod list;
 mod pull;
 mod receivers;
@@ -26,6 +27,7 @@
 
 use bytes::Bytes;
 use notchwharf_config::DataCentreId;
+use notchwharf_config::gateway::Peers as Settings;
 use notchwharf_ledger::rendezvous;
 use notchwharf_listen::Phase;
 use notchwharf_proto::news;
@@ -45,6 +47,8 @@
 use crate::metrics::Counted;
 use crate::ports::Topic;
 
+use self::cell::FAR_WORD_MAX;
+use self::cell::Neighbours;
 pub(crate) use self::list::leave;
 use self::relay::Relay;
 pub(crate) use self::rpc::NotAnswered;
@@ -57,7 +61,7 @@
 const SWEEP: Duration = Duration::from_millis(100);
 
 /// Other hosts.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Peers {
     known: Mutex<HashMap<HostId, Peer>>,
     dirty: Notify,
@@ -66,6 +70,7 @@
     lost_at: Mutex<Option<Instant>>,
     socket: OnceLock<UdpSocket>,
     relay: Relay,
+    neighbours: Neighbours,
 }
 
 #[derive(Debug)]
@@ -80,6 +85,9 @@
     /// Since when it does not reach the store.
     storeless_since: Option<Instant>,
     status: Status,
+    /// When it last told of its cell, being in another one, and whether it reached
+    /// the store.
+    far_word: Option<(Instant, bool)>,
 }
 
 impl Peer {
@@ -93,12 +101,27 @@
             ahead_since: None,
             storeless_since: None,
             status: Status::default(),
+            far_word: None,
         }
     }
 }
 
 impl Peers {
-    /// Returns the number of other hosts that are alive.
+    /// Returns that no other host is known yet.
+    pub(crate) fn new(settings: &Settings) -> Self {
+        let cell_hosts_max = usize::try_from(settings.cell_hosts_max).unwrap_or(usize::MAX);
+        Self {
+            known: Mutex::default(),
+            dirty: Notify::default(),
+            pulled_at: Mutex::default(),
+            lost_at: Mutex::default(),
+            socket: OnceLock::new(),
+            relay: Relay::default(),
+            neighbours: Neighbours::new(cell_hosts_max),
+        }
+    }
+
+    /// Returns the number of other hosts of this host's cell that are alive.
     pub(crate) fn alive(&self) -> usize {
         let known = lock(&self.known);
         known.values().filter(|peer| peer.is_alive).count()
@@ -145,14 +168,28 @@
         lock(&self.lost_at).is_some_and(|at| at.elapsed() < time)
     }
 
+    /// Returns the hosts of other cells that have just said that they reach the
+    /// store: the store may turn away a whole data centre.
+    fn able_far(&self) -> Vec<HostId> {
+        let known = lock(&self.known);
+        let able = known.iter().filter(|(_, peer)| {
+            let word = peer.far_word;
+            word.is_some_and(|(at, store_up)| store_up && at.elapsed() < FAR_WORD_MAX)
+        });
+        able.map(|(host, _)| host.clone()).collect()
+    }
+
     /// Returns the number of peers that reach the store.
     pub(crate) fn with_store(&self) -> usize {
-        self.able().len()
+        self.able().len() + self.able_far().len()
     }
 
     /// Returns the addresses of some peers that reach the store.
     pub(crate) fn with_store_addrs(&self, most: usize) -> Vec<SocketAddr> {
-        let able = self.able();
+        let mut able = self.able();
+        if able.len() < most {
+            able.extend(self.able_far());
+        }
         let known = lock(&self.known);
         let chosen = able.sample(&mut rand::rng(), most);
         chosen
@@ -174,7 +211,8 @@
         rpc::call(addr, rpc::JOBS, body, timeout).await
     }
 
-    /// Returns whether this host is the one that should take a job over.
+    /// Returns whether this host is the one of its cell that should take a job
+    /// over.
     pub(crate) fn is_successor(&self, own: &str, job: &str) -> bool {
         let able = self.able();
         let mut hosts: Vec<&str> = able.iter().map(String::as_str).collect();
@@ -183,6 +221,16 @@
     }
 }
 
+/// Returns whether this host looks after the jobs of another that may be gone.
+pub(crate) fn looks_after(ctx: &Context, host: &str) -> bool {
+    cell::looks_after(ctx, host)
+}
+
+/// Returns whether a task of the whole fleet is for a host of this one's cell.
+pub(crate) fn is_for_cell(ctx: &Context, task: &str) -> bool {
+    cell::is_for_cell(ctx, task)
+}
+
 /// Starts to speak with other hosts.
 pub(crate) fn start(ctx: &Arc<Context>, socket: UdpSocket, listener: TcpListener) {
     // The context is new, so nothing was set in it before.
@@ -198,6 +246,7 @@
     tokio::spawn(status::send(Arc::clone(ctx)));
     tokio::spawn(status::receive(Arc::clone(ctx)));
     tokio::spawn(relay::run(Arc::clone(ctx)));
+    tokio::spawn(cell::run(Arc::clone(ctx)));
     tokio::spawn(sweep(Arc::clone(ctx)));
     tokio::spawn(rpc::serve(Arc::clone(ctx), listener));
 }
--- a/crates/gateway/src/peers/list.rs
+++ b/crates/gateway/src/peers/list.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 
 use super::Peer;
+use super::cell;
 use crate::context::Context;
 use crate::context::lock;
 use crate::follow::Pace;
@@ -87,6 +88,7 @@
                 "peer" => host, "error" => err.to_string()),
         }
     }
+    cell::divide(ctx);
     ctx.peers.tell();
 }
 
--- a/crates/gateway/src/peers/receivers.rs
+++ b/crates/gateway/src/peers/receivers.rs
@@ -1,91 +1,79 @@
-//! Whom a host tells what it runs, and how often.
+//! Where a host sends what it tells, by the decisions of [`telling`].
 
-use std::collections::HashMap;
 use std::net::IpAddr;
 use std::net::SocketAddr;
-use std::time::Duration;
 use std::time::Instant;
 
-use super::relay;
+use notchwharf_routing::cells::Cells;
+use notchwharf_routing::places::HostId;
+use notchwharf_routing::telling;
+use notchwharf_routing::telling::Due;
+use notchwharf_routing::telling::Own;
+use notchwharf_routing::telling::Pace;
+
+use super::Peer;
 use crate::context::Context;
 use crate::context::lock;
 
-/// Time between two datagrams to a peer that is down.
-const DOWN_BEAT: Duration = Duration::from_secs(1);
-
-/// Time between two tellings of hosts in other data centres, for each of those
-/// that are told themselves: what a host sends stays flat.
-const REMOTE_GAP_PER_HOST: Duration = Duration::from_micros(1_500);
-
-/// Whom to tell.
+/// Where to send.
 #[derive(Debug, Default)]
 pub(super) struct Receivers {
     pub(super) addrs: Vec<SocketAddr>,
     /// How hosts in other data centres are told, if they are now.
-    pub(super) far: Option<Far>,
-}
-
-/// How hosts in other data centres are told.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Far {
-    /// Time until they are told again.
-    pub(super) gap: Duration,
-    /// Whether any of them hear of it by others only.
-    is_passed_on: bool,
-}
-
-impl Far {
-    /// Returns the time after which they are told without news. Those that are
-    /// to pass it on may be down, so it is shorter with them.
-    pub(super) fn beat(self, beat: Duration) -> Duration {
-        match self.is_passed_on {
-            true => beat.min(2 * self.gap),
-            false => beat,
-        }
-    }
-
-    /// Adds one data centre of which so many hosts are told themselves.
-    fn add(&mut self, told: usize, is_passed_on: bool) {
-        if is_passed_on {
-            self.gap = self.gap.max(relay::GAP);
-            self.is_passed_on = true;
-        } else {
-            self.gap += REMOTE_GAP_PER_HOST * u32::try_from(told).unwrap_or(u32::MAX);
-        }
-    }
+    pub(super) pace: Option<Pace>,
 }
 
-/// Returns where to send: to peers that live, and now and then to the others
-/// and to the hosts that the settings name.
-pub(super) fn receivers(ctx: &Context, with_far: bool) -> Receivers {
+/// Returns where to send in this host's cell: to peers that live, and now and
+/// then to the others and to the hosts that the settings name.
+pub(super) fn receivers(ctx: &Context, due: Due) -> Receivers {
     let now = Instant::now();
+    let own = own(ctx, ctx.peers.neighbours.told(now));
     let mut known = lock(&ctx.peers.known);
-    let mut addrs = Vec::new();
-    let mut far_hosts: HashMap<Option<&str>, Vec<SocketAddr>> = HashMap::new();
-    for peer in known.values_mut() {
-        let told = peer.told.map(|at| now.duration_since(at));
-        if peer.is_alive && !relay::is_near(ctx, peer) {
-            let hosts = far_hosts.entry(peer.data_centre.as_deref()).or_default();
-            hosts.push(peer.addr);
-        } else if peer.is_alive || told.is_none_or(|ago| ago >= DOWN_BEAT) {
-            peer.told = Some(now);
-            addrs.push(peer.addr);
-        }
+    let told = {
+        let peers: Vec<telling::Peer<'_>> = known.iter().map(peer).collect();
+        telling::receivers(&own, &peers, due, now, &mut rand::rng())
+    };
+    let mut all: Vec<&mut Peer> = known.values_mut().collect();
+    for place in &told.near {
+        all[*place].told = Some(now);
     }
-    let far = with_far.then(|| {
-        let mut far = Far::default();
-        for hosts in far_hosts.values() {
-            let (told, is_passed_on) = relay::told(hosts);
-            far.add(told.len(), is_passed_on);
-            addrs.extend(told);
-        }
-        far
-    });
-    if !known.values().any(|peer| peer.is_alive) {
+    let addrs = told.near.iter().chain(&told.far);
+    let mut addrs: Vec<SocketAddr> = addrs.map(|place| all[*place].addr).collect();
+    if !all.iter().any(|peer| peer.is_alive) {
         let own = ctx.settings.host.peer_listen;
         let seeds = ctx.settings.host.seeds.iter();
         let seeds = seeds.map(|ip: &IpAddr| SocketAddr::new(*ip, own.port()));
         addrs.extend(seeds.filter(|addr| *addr != own));
     }
-    Receivers { addrs, far }
+    Receivers {
+        addrs,
+        pace: told.pace,
+    }
+}
+
+/// Returns where to pass on what hosts far away told.
+pub(super) fn passed_on_to(ctx: &Context) -> Vec<SocketAddr> {
+    let own = own(ctx, ctx.peers.neighbours.cells());
+    let known = lock(&ctx.peers.known);
+    let peers: Vec<telling::Peer<'_>> = known.iter().map(peer).collect();
+    let told = telling::passed_on_to(&own, &peers);
+    let all: Vec<&Peer> = known.values().collect();
+    told.into_iter().map(|place| all[place].addr).collect()
+}
+
+fn own(ctx: &Context, cells: Cells) -> Own<'_> {
+    Own {
+        host: ctx.host(),
+        data_centre: &ctx.settings.host.data_centre,
+        cells,
+    }
+}
+
+fn peer<'a>((host, peer): (&'a HostId, &'a Peer)) -> telling::Peer<'a> {
+    telling::Peer {
+        host,
+        data_centre: peer.data_centre.as_deref(),
+        is_alive: peer.is_alive,
+        told: peer.told,
+    }
 }
--- a/crates/gateway/src/peers/relay.rs
+++ b/crates/gateway/src/peers/relay.rs
@@ -1,52 +1,31 @@
 //! News of hosts in other data centres, passed on inside one's own.
 //!
-//! Where a data centre has many hosts, each of them being told by all others
-//! far away costs bytes between data centres by the square of the fleet. So a
-//! host tells a few of them, drawn anew each time, and those pass on what they
-//! were told to all hosts near them, several hosts' news in one datagram. News
-//! comes later by the pause between two passings; the draw makes it come as
-//! long as any host there lives.
+//! Who is told and who passes on is decided in [`telling`]; here it is noted and
+//! sent.
 //!
-//! Fixed relays were rejected: their death silences all whose news they pass
-//! on until that is noticed, just when others look for owners that are gone.
+//! [`telling`]: notchwharf_routing::telling
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::time::Duration;
 
 use notchwharf_listen::Phase;
 use notchwharf_proto::news;
 use notchwharf_proto::news::News;
 use notchwharf_proto::news::Status;
 use notchwharf_routing::places::HostId;
-use rand::seq::IndexedRandom as _;
+use notchwharf_routing::telling::PASSING_GAP;
 use tokio::net::UdpSocket;
 
 use super::Peer;
+use super::receivers::passed_on_to;
 use crate::context::Context;
 use crate::context::lock;
 use crate::metrics::Counted;
 use crate::work;
 use crate::work::Part;
 
-/// Hosts of a data centre from which on news is passed on inside it. Below, all
-/// are told: the way over another host costs more time than it saves bytes.
-const HOSTS_MIN: usize = 9;
-
-/// The same as the hosts inside see it: they must pass on whenever somebody far
-/// away tells only some, and both may know of different hosts at a time.
-const HOSTS_MIN_INSIDE: usize = HOSTS_MIN / 2;
-
-/// Hosts of a data centre that are told: two, for one may just have died.
-const TOLD: usize = 2;
-
-/// Time between two tellings of data centres in which news is passed on, and
-/// between two passings: together a quarter of the time after which a silent
-/// host counts as down.
-pub(super) const GAP: Duration = Duration::from_millis(100);
-
 /// Bytes of news in one datagram: what the least link carries in one packet.
 const BYTES_MAX: usize = 1_200;
 
@@ -88,25 +67,16 @@
     parts
 }
 
-/// Returns which hosts of a data centre far away to tell, and whether they are
-/// to pass the news on.
-pub(super) fn told(hosts: &[SocketAddr]) -> (Vec<SocketAddr>, bool) {
-    if hosts.len() < HOSTS_MIN {
-        return (hosts.to_vec(), false);
-    }
-    (
-        hosts.sample(&mut rand::rng(), TOLD).copied().collect(),
-        true,
-    )
-}
-
 /// Passes news on inside this host's data centre.
 pub(super) async fn run(ctx: Arc<Context>) {
-    let mut ticks = ctx.timer.subscribe(GAP);
+    let mut ticks = ctx.timer.subscribe(PASSING_GAP);
     while ticks.recv().await.is_some() && ctx.phase() != Phase::Stopped {
-        let near = near(&ctx);
         let heard = ctx.peers.relay.take();
-        if near.len() + 1 < HOSTS_MIN_INSIDE {
+        if heard.is_empty() {
+            continue;
+        }
+        let near = passed_on_to(&ctx);
+        if near.is_empty() {
             continue;
         }
         let Some(socket) = ctx.peers.socket.get() else {
@@ -129,13 +99,6 @@
     }
 }
 
-/// Returns where the other hosts of this data centre are.
-fn near(ctx: &Context) -> Vec<SocketAddr> {
-    let known = lock(&ctx.peers.known);
-    let near = known.values().filter(|p| p.is_alive && is_near(ctx, p));
-    near.map(|peer| peer.addr).collect()
-}
-
 /// Returns whether a peer stands in this host's data centre.
 pub(super) fn is_near(ctx: &Context, peer: &Peer) -> bool {
     peer.data_centre.as_ref() == Some(&ctx.settings.host.data_centre)
--- a/crates/gateway/src/peers/status.rs
+++ b/crates/gateway/src/peers/status.rs
@@ -11,11 +11,15 @@
 use notchwharf_proto::news::Status;
 use notchwharf_routing::items::turn::Waiting;
 use notchwharf_routing::places::Load;
+use notchwharf_routing::places::TargetKey;
+use notchwharf_routing::telling::Due;
+use notchwharf_routing::telling::Pace;
+use notchwharf_routing::telling::Schedule;
 use tokio::net::UdpSocket;
 
 use super::Peer;
+use super::cell;
 use super::pull;
-use super::receivers::Far;
 use super::receivers::receivers;
 use super::relay;
 use crate::catalog::Versions;
@@ -62,28 +66,22 @@
 /// Tells peers what this host runs, when that changes and in each beat.
 pub(super) async fn send(ctx: Arc<Context>) {
     let settings = &ctx.settings.peers;
-    let beat = ms(settings.beat_ms);
     let gap = ms(settings.news_ms);
+    let mut schedule = Schedule::new(ms(settings.beat_ms), Instant::now());
     let mut number = 0;
-    let mut far_told = Instant::now();
-    let mut is_far_due = true;
-    let mut far = Far::default();
     while ctx.phase() != Phase::Stopped {
-        let wait = if is_far_due { far.gap } else { far.beat(beat) };
-        let wait = wait.saturating_sub(far_told.elapsed());
+        let wait = schedule.wait(Instant::now());
         let news = tokio::time::timeout(wait, ctx.peers.dirty.notified()).await;
-        // Without news the beat, or what others are still to be told, is due.
-        is_far_due = news.is_ok() && far_told.elapsed() < far.gap;
+        let due = schedule.due(news.is_ok(), Instant::now());
         number += 1;
         let Some(socket) = ctx.peers.socket.get() else {
             return;
         };
-        let told = work::timed(&ctx.metrics, Part::NewsTold, || {
-            tell(&ctx, number, !is_far_due, socket)
+        let pace = work::timed(&ctx.metrics, Part::NewsTold, || {
+            tell(&ctx, number, due, socket)
         });
-        far = told.unwrap_or(far);
-        if !is_far_due {
-            far_told = Instant::now();
+        if let Some(pace) = pace {
+            schedule.keep_pace(pace);
         }
         tokio::time::sleep(gap).await;
     }
@@ -91,15 +89,17 @@
 
 /// Tells peers how this host is; returns how those far away were told, if they
 /// were.
-fn tell(ctx: &Context, number: u64, with_far: bool, socket: &UdpSocket) -> Option<Far> {
-    let bytes = news::encode(&News::Status(own_status(ctx, number)));
-    let receivers = receivers(ctx, with_far);
-    for addr in receivers.addrs {
-        // Lost, the next one makes up for it.
-        let _ = socket.try_send_to(&bytes, addr);
-        ctx.metrics.count(Counted::Datagrams, "sent");
+fn tell(ctx: &Context, number: u64, due: Due, socket: &UdpSocket) -> Option<Pace> {
+    let receivers = receivers(ctx, due);
+    if !receivers.addrs.is_empty() {
+        let bytes = news::encode(&News::Status(own_status(ctx, number)));
+        for addr in receivers.addrs {
+            // Lost, the next one makes up for it.
+            let _ = socket.try_send_to(&bytes, addr);
+            ctx.metrics.count(Counted::Datagrams, "sent");
+        }
     }
-    receivers.far
+    receivers.pace
 }
 
 pub(super) async fn receive(ctx: Arc<Context>) {
@@ -133,6 +133,7 @@
             }
         }
         Some(News::Cut(cut)) => take_cut(ctx, cut),
+        Some(News::Cell(told)) => cell::take(ctx, told),
         None => ctx.metrics.count(Counted::Datagrams, "unreadable"),
     }
 }
@@ -147,7 +148,8 @@
 /// Takes in how a host is, from its own address or passed on by another.
 fn take_status(ctx: &Arc<Context>, addr: Option<SocketAddr>, status: Status) {
     let host = status.host.clone();
-    if host == ctx.host() {
+    // One of another cell divides the fleet differently for a moment.
+    if host == ctx.host() || !is_of_cell(ctx, &host) {
         return;
     }
     let own = ctx.catalog.versions();
@@ -155,35 +157,28 @@
         config: status.config,
         targets: status.targets,
     };
-    let Some(heard) = note_status(ctx, addr, &status, theirs.is_ahead_of(own)) else {
+    let incarnation = status.incarnation;
+    let jobs = status.jobs;
+    let loads: Vec<(TargetKey, Load)> = status.loads.iter().map(load).collect();
+    let waiting: Vec<Waiting> = status.waiting.iter().map(waiting).collect();
+    let failing = status.failing.clone();
+    let Some(heard) = note_status(ctx, addr, status, theirs.is_ahead_of(own)) else {
         return;
     };
     if addr.is_some() && !heard.is_near {
         ctx.peers.relay.put(&host);
     }
-    let loads = status.loads.iter().map(|load| {
-        let counted = Load {
-            online: load.online,
-            batch: load.batch,
-        };
-        (load.target, counted)
-    });
-    let failing = if heard.is_near {
-        status.failing
-    } else {
-        vec![]
-    };
-    let waiting = status.waiting.iter().map(|w| Waiting {
-        due_unix_ms: w.due_unix_ms,
-        items: w.items,
-    });
-    ctx.items.peer_waits(&host, waiting.collect());
-    lock(&ctx.places).peer_runs(&host, loads, failing, Instant::now());
-    ctx.journal.told(status.jobs);
-    ctx.items.wake();
+    // A target may fail callers of one data centre only.
+    let failing = if heard.is_near { failing } else { vec![] };
+    let waits = ctx.items.peer_waits(&host, waiting);
+    let runs = lock(&ctx.places).peer_runs(&host, loads, failing, Instant::now());
+    ctx.journal.told(jobs);
+    if waits || runs {
+        ctx.items.wake();
+    }
     if heard.is_new {
         slog::info!(ctx.logger, "host up"; "peer" => host.as_str(),
-            "incarnation" => status.incarnation, "addr" => heard.addr.to_string(),
+            "incarnation" => incarnation, "addr" => heard.addr.to_string(),
             "passed_on" => addr.is_none());
         ctx.metrics.count(Counted::Changes, "host up");
         ctx.peers.tell();
@@ -193,6 +188,32 @@
     }
 }
 
+/// Returns whether a host is of this one's cell, as far as the list tells.
+fn is_of_cell(ctx: &Context, host: &str) -> bool {
+    let cells = ctx.peers.neighbours.cells();
+    if !cells.is_divided() {
+        return true;
+    }
+    let known = lock(&ctx.peers.known);
+    let peer = known.get(host);
+    peer.is_some_and(|peer| cell::is_together(ctx, cells, host, peer))
+}
+
+pub(super) fn load(told: &news::Load) -> (TargetKey, Load) {
+    let load = Load {
+        online: told.online,
+        batch: told.batch,
+    };
+    (told.target, load)
+}
+
+fn waiting(told: &news::Waiting) -> Waiting {
+    Waiting {
+        due_unix_ms: told.due_unix_ms,
+        items: told.items,
+    }
+}
+
 /// What a status says of its sender.
 struct Heard {
     /// Where the host is.
@@ -210,7 +231,7 @@
 fn note_status(
     ctx: &Context,
     addr: Option<SocketAddr>,
-    status: &Status,
+    status: Status,
     is_ahead: bool,
 ) -> Option<Heard> {
     let now = Instant::now();
@@ -233,7 +254,6 @@
     if status.leaving && !peer.status.leaving {
         *lock(&ctx.peers.lost_at) = Some(now);
     }
-    peer.status = status.clone();
     peer.storeless_since = match status.store_up {
         true => None,
         false => Some(peer.storeless_since.unwrap_or(now)),
@@ -244,6 +264,7 @@
         None
     };
     peer.ahead_since = ahead_since;
+    peer.status = status;
     let is_long = ahead_since.is_some_and(|since| now.duration_since(since) >= pull::AHEAD_MAX);
     Some(Heard {
         is_new: !std::mem::replace(&mut peer.is_alive, true),
--- a/crates/gateway/src/upkeep.rs
+++ b/crates/gateway/src/upkeep.rs
@@ -23,6 +23,7 @@
 
 use crate::context::Context;
 use crate::context::unix_ms;
+use crate::peers;
 use crate::ports::Entry;
 use crate::ports::StoreError;
 use crate::ports::Topic;
@@ -48,7 +49,8 @@
         if forgotten > 0 {
             slog::info!(ctx.logger, "jobs forgotten"; "jobs" => forgotten);
         }
-        if !ctx.store.is_up() || !ctx.peers.is_successor(ctx.host(), TASK) {
+        let is_ours = peers::is_for_cell(&ctx, TASK) && ctx.peers.is_successor(ctx.host(), TASK);
+        if !ctx.store.is_up() || !is_ours {
             continue;
         }
         if let Err(err) = round(&ctx, before).await {
--- a/crates/proto/src/news.rs
+++ b/crates/proto/src/news.rs
@@ -23,6 +23,27 @@
     Cut(Cut),
     /// How hosts far away are, passed on by one that was told.
     PassedOn(Vec<Status>),
+    /// What the hosts of another cell run together.
+    Cell(CellStatus),
+}
+
+/// What a host tells of its cell to one of another.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CellStatus {
+    /// The host.
+    pub host: String,
+    /// Where it stands.
+    pub data_centre: String,
+    /// Whether it reaches the store.
+    pub store_up: bool,
+    /// How new its configuration is; higher is newer.
+    pub config: u64,
+    /// How new its list of targets is; higher is newer.
+    pub targets: u64,
+    /// How far it knows the job records.
+    pub jobs: u64,
+    /// What all hosts of its cell run, as far as it knows.
+    pub loads: Vec<Load>,
 }
 
 /// How a host is, and what it runs.
--- a/crates/routing/src/items/turn.rs
+++ b/crates/routing/src/items/turn.rs
@@ -69,13 +69,16 @@
 }
 
 impl Line {
-    /// Takes in what waits at a peer; it replaces what was known.
-    pub fn tell(&mut self, host: &str, waiting: Vec<Waiting>, now: Instant) {
+    /// Takes in what waits at a peer; it replaces what was known. Returns whether
+    /// it differs.
+    pub fn tell(&mut self, host: &str, waiting: Vec<Waiting>, now: Instant) -> bool {
         if waiting.is_empty() {
-            self.peers.remove(host);
-            return;
+            return self.peers.remove(host).is_some();
         }
         let before = self.peers.get(host);
+        if before.is_some_and(|peer| peer.waiting == waiting) {
+            return false;
+        }
         let has_moved = before.is_some_and(|peer| count(&peer.waiting) > count(&waiting));
         let moved_at = match has_moved {
             true => Some(now),
@@ -83,6 +86,7 @@
         };
         self.peers
             .insert(host.to_owned(), Peer { waiting, moved_at });
+        true
     }
 
     /// Forgets a peer: it is down.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -5,15 +5,17 @@
 //! and [`slots`] how much batch work a target is given beside online work.
 //! [`items`] says how long an item of a job still takes.
 //! [`places`] does the work of the first and the last where hosts share all
-//! targets and tell one another what they run, and [`belief`] which targets
-//! there are. All take time as input and do
-//! no I/O.
+//! targets and tell one another what they run, [`cells`] which hosts and targets
+//! these are in a large fleet, [`telling`] who tells whom, and [`belief`] which
+//! targets there are. All take time as input and do no I/O.
 
 pub mod admission;
 pub mod belief;
 pub mod budget;
+pub mod cells;
 pub mod items;
 pub mod limit;
 pub mod places;
 pub mod slots;
 pub mod table;
+pub mod telling;
--- a/crates/routing/src/places.rs
+++ b/crates/routing/src/places.rs
@@ -100,6 +100,9 @@
     pub slots: u32,
     /// Whether it must get nothing new.
     pub leaving: bool,
+    /// The time of day at which it started, if it tells; another one under the
+    /// same name means that it started anew and knows nothing of before.
+    pub born_unix_ms: Option<u64>,
 }
 
 impl Default for Spec {
@@ -110,6 +113,7 @@
             addr: SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)),
             slots: 1,
             leaving: false,
+            born_unix_ms: None,
         }
     }
 }
@@ -228,6 +232,8 @@
     targets: HashMap<TargetId, Target>,
     keys: HashMap<TargetKey, TargetId>,
     peers: HashMap<HostId, Peer>,
+    /// What the hosts of other cells run, by the cell's name.
+    cells: HashMap<String, Peer>,
     /// How long online requests of a service usually take, in seconds.
     durations_s: HashMap<String, f64>,
     /// Since when items have found places at a service's targets.
@@ -249,6 +255,7 @@
             targets: HashMap::new(),
             keys: HashMap::new(),
             peers: HashMap::new(),
+            cells: HashMap::new(),
             durations_s: HashMap::new(),
             open_since: HashMap::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -258,6 +265,11 @@
     /// Takes in what is known of a target.
     pub fn upsert(&mut self, id: &str, spec: Spec) {
         if let Some(target) = self.targets.get_mut(id) {
+            if target.spec.born_unix_ms != spec.born_unix_ms {
+                // How it answered, and that it was full, was before it started anew.
+                target.health = Health::default();
+                target.full_at = None;
+            }
             target.spec = spec;
             return;
         }
@@ -265,9 +277,12 @@
         let mut others = Load::default();
         let mut failing_at = 0;
         for peer in self.peers.values() {
-            others.add(peer.loads.get(&key).copied().unwrap_or_default());
+            others.add(peer.load(key).unwrap_or_default());
             failing_at += u32::from(peer.failing.contains(&key));
         }
+        for cell in self.cells.values() {
+            others.add(cell.load(key).unwrap_or_default());
+        }
         let target = Target {
             key,
             spec,
--- a/crates/routing/src/places/choice.rs
+++ b/crates/routing/src/places/choice.rs
@@ -147,7 +147,7 @@
     fn most_items(&self, target: &Target, host: &str) -> Option<&HostId> {
         let own = (target.own.batch, host);
         let peers = self.peers.iter().filter_map(|(id, peer)| {
-            let load = peer.loads.get(&target.key)?;
+            let load = peer.load(target.key)?;
             Some((load.batch, id))
         });
         let most = peers.max()?;
--- a/crates/routing/src/places/counts.rs
+++ b/crates/routing/src/places/counts.rs
@@ -37,13 +37,21 @@
 }
 
 /// What a peer told.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, PartialEq, Eq)]
 pub(super) struct Peer {
-    pub(super) loads: HashMap<TargetKey, Load>,
+    /// A few targets: the list is searched from its start.
+    pub(super) loads: Vec<(TargetKey, Load)>,
     /// Targets that fail as the peer sees them, where its word counts.
     pub(super) failing: Vec<TargetKey>,
 }
 
+impl Peer {
+    pub(super) fn load(&self, key: TargetKey) -> Option<Load> {
+        let known = self.loads.iter().find(|(known, _)| *known == key);
+        known.map(|(_, load)| *load)
+    }
+}
+
 impl Places {
     /// Returns what this host runs, target by target.
     pub fn own(&self) -> impl Iterator<Item = (TargetKey, Load)> {
@@ -66,7 +74,8 @@
         })
     }
 
-    /// Takes in what a peer runs; it replaces what the peer ran before.
+    /// Takes in what a peer runs; it replaces what the peer ran before. Returns
+    /// whether it differs: most of what is told in a calm hour does not.
     ///
     /// The peer's word on targets that fail is given if it counts: a target
     /// may fail callers in one data centre only, so that of a peer elsewhere
@@ -77,17 +86,76 @@
         loads: impl IntoIterator<Item = (TargetKey, Load)>,
         failing: Vec<TargetKey>,
         now: Instant,
-    ) {
-        let loads: HashMap<TargetKey, Load> = loads.into_iter().collect();
-        let before = self.peers.remove(host).unwrap_or_default();
-        self.subtract(&before);
-        for (key, load) in &loads {
+    ) -> bool {
+        let told = Peer {
+            loads: loads.into_iter().collect(),
+            failing,
+        };
+        let before = match self.peers.get_mut(host) {
+            Some(known) if *known == told => return false,
+            Some(known) => std::mem::take(known),
+            None => Peer::default(),
+        };
+        self.replace(&before, &told, now);
+        match self.peers.get_mut(host) {
+            Some(known) => *known = told,
+            None => {
+                self.peers.insert(host.to_owned(), told);
+            }
+        }
+        true
+    }
+
+    /// Takes in what the hosts of another cell run together; it replaces what
+    /// they ran before. Returns whether it differs.
+    pub fn cell_runs(&mut self, cell: &str, loads: Vec<(TargetKey, Load)>, now: Instant) -> bool {
+        let told = Peer {
+            loads,
+            failing: Vec::new(),
+        };
+        let before = self.cells.remove(cell).unwrap_or_default();
+        let is_news = before != told;
+        self.replace(&before, &told, now);
+        self.cells.insert(cell.to_owned(), told);
+        is_news
+    }
+
+    /// Forgets what the hosts of other cells run.
+    pub fn forget_cells(&mut self) {
+        for (_, cell) in std::mem::take(&mut self.cells) {
+            self.subtract(&cell);
+        }
+    }
+
+    /// Forgets what the hosts of a cell run: it is gone. Returns whether anything
+    /// was known of it.
+    pub fn cell_down(&mut self, cell: &str) -> bool {
+        let Some(cell) = self.cells.remove(cell) else {
+            return false;
+        };
+        self.subtract(&cell);
+        true
+    }
+
+    /// Returns what this host and its peers run, target by target: what a cell tells
+    /// others of itself.
+    pub fn sum(&self) -> Vec<(TargetKey, Load)> {
+        let mut sum: HashMap<TargetKey, Load> = self.own().collect();
+        for (key, load) in self.peers.values().flat_map(|peer| &peer.loads) {
+            sum.entry(*key).or_default().add(*load);
+        }
+        sum.into_iter().collect()
+    }
+
+    fn replace(&mut self, before: &Peer, told: &Peer, now: Instant) {
+        self.subtract(before);
+        for (key, load) in &told.loads {
             if let Some(target) = self.target_by_key(*key) {
                 target.others.add(*load);
                 target.note_load(now);
             }
         }
-        for key in &failing {
+        for key in &told.failing {
             let is_news = !before.failing.contains(key);
             if let Some(target) = self.target_by_key(*key) {
                 target.failing_at += 1;
@@ -96,7 +164,6 @@
                 }
             }
         }
-        self.peers.insert(host.to_owned(), Peer { loads, failing });
     }
 
     /// Returns the targets that fail as this host sees them.
--- /dev/null
+++ b/crates/routing/tests/cells.rs
@@ -0,0 +1,84 @@
+//! Cells of a fleet: who is together, and who moves when the fleet grows.
+#![allow(clippy::unwrap_used, reason = "Tests fail by panicking.")]
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+use std::time::Instant;
+
+use notchwharf_routing::cells::Cells;
+use notchwharf_routing::cells::Division;
+use rstest::rstest;
+
+const CELL_HOSTS_MAX: usize = 96;
+
+fn of(hosts: &[usize]) -> Cells {
+    Cells::of_fleet(hosts.iter().copied(), CELL_HOSTS_MAX)
+}
+
+/// Returns the names of the cells of a fleet.
+fn names(hosts: &[usize]) -> BTreeSet<String> {
+    let cells = of(hosts);
+    let mut names = BTreeSet::new();
+    for (number, hosts) in hosts.iter().enumerate() {
+        let data_centre = format!("d{number}");
+        names.extend((0..*hosts).map(|host| cells.of((&format!("{number}-{host}"), &data_centre))));
+    }
+    names
+}
+
+#[rstest]
+#[case::one_host(&[1], 1)]
+#[case::a_fleet_that_is_one_cell(&[32, 32, 32], 1)]
+#[case::one_host_more(&[33, 32, 32], 3)]
+#[case::five_data_centres(&[54, 61, 61, 63, 56], 5)]
+#[case::many_small_ones(&[19; 19], 19)]
+#[case::one_that_is_too_large(&[97], 2)]
+#[case::some_that_are(&[20, 300], 8)]
+fn a_large_fleet_has_a_cell_for_each_data_centre_or_more(
+    #[case] hosts: &[usize],
+    #[case] cells: usize,
+) {
+    assert_eq!(names(hosts).len(), cells);
+}
+
+#[test]
+fn hosts_are_together_if_their_cells_have_one_name() {
+    let cells = of(&[20, 300]);
+    let hosts: Vec<(String, &str)> = (0..200)
+        .map(|number| (format!("h{number}"), ["d0", "d1"][number % 2]))
+        .collect();
+    for (one, one_at) in &hosts {
+        for (other, other_at) in &hosts {
+            let are_together = cells.are_together((one, one_at), (other, other_at));
+            let have_one_name = cells.of((one, one_at)) == cells.of((other, other_at));
+            assert_eq!(are_together, have_one_name);
+        }
+    }
+}
+
+#[test]
+fn a_cell_that_is_split_keeps_its_hosts_together() {
+    let (few, many) = (of(&[190]), of(&[200]));
+    let names: Vec<String> = (0..200).map(|number| format!("h{number}")).collect();
+    for one in &names {
+        for other in &names {
+            let together = |cells: Cells| cells.are_together((one, "d"), (other, "d"));
+            assert!(!together(many) || together(few));
+        }
+    }
+}
+
+#[test]
+fn after_a_change_hosts_go_on_telling_those_that_may_not_know_of_it() {
+    let start = Instant::now();
+    let at = |seconds| start + Duration::from_secs(seconds);
+    let mut division = Division::new(CELL_HOSTS_MAX);
+    assert!(!division.note_hosts([45, 45], at(0)));
+    assert!(division.note_hosts([50, 50], at(1)));
+    assert!(division.cells().is_divided());
+    assert!(!division.told(at(2)).is_divided());
+    assert!(division.told(at(7)).is_divided());
+    // Fewer hosts: those of the cell that is now one were told apart.
+    assert!(division.note_hosts([40, 40], at(8)));
+    assert!(!division.told(at(9)).is_divided());
+}
--- a/crates/routing/tests/places.rs
+++ b/crates/routing/tests/places.rs
@@ -311,3 +311,66 @@
         Some("t1")
     );
 }
+
+#[test]
+fn what_other_cells_run_counts_until_they_tell_otherwise() {
+    let mut places = places(0, &[("t1", NEAR, 2), ("t2", FAR, 2)]);
+    let now = Instant::now();
+    places.cell_runs("d2", vec![(key_of("t1"), load(2, 0))], now);
+    places.cell_runs("d3", vec![(key_of("t2"), load(1, 0))], now);
+    places.peer_runs("h2", [(key_of("t2"), load(0, 1))], vec![], now);
+    assert_eq!(places.load("t1"), load(2, 0));
+    assert_eq!(places.load("t2"), load(1, 1));
+    // A target that is known later finds what was told of it.
+    places.cell_runs("d2", vec![(key_of("t3"), load(1, 0))], now);
+    places.upsert("t3", spec(NEAR, 2));
+    assert_eq!(places.load("t1"), load(0, 0));
+    assert_eq!(places.load("t3"), load(1, 0));
+    places.cell_down("d3");
+    assert_eq!(places.load("t2"), load(0, 1));
+    places.forget_cells();
+    assert_eq!(places.load("t3"), load(0, 0));
+}
+
+#[test]
+fn a_cell_s_sum_holds_what_its_hosts_run_and_nothing_of_other_cells() {
+    let mut places = places(0, &[("t1", NEAR, 4), ("t2", FAR, 4)]);
+    let now = Instant::now();
+    places.begin_online("t1", now);
+    places.peer_runs("h2", [(key_of("t1"), load(1, 2))], vec![], now);
+    places.peer_runs("h3", [(key_of("t2"), load(0, 1))], vec![], now);
+    places.cell_runs("d2", vec![(key_of("t2"), load(3, 0))], now);
+    let mut sum = places.sum();
+    sum.sort_by_key(|(key, _)| *key);
+    let mut expected = vec![(key_of("t1"), load(2, 2)), (key_of("t2"), load(0, 1))];
+    expected.sort_by_key(|(key, _)| *key);
+    assert_eq!(sum, expected);
+}
+
+#[test]
+fn no_host_of_another_cell_is_asked_to_cut() {
+    let mut places = places(0, &[("t1", NEAR, 1)]);
+    let now = Instant::now();
+    places.cell_runs("d2", vec![(key_of("t1"), load(0, 1))], now);
+    let choice = places.choose_online(&want(&[]), now).unwrap();
+    assert_eq!(choice.room, Room::Queue);
+}
+
+#[test]
+fn a_target_that_started_anew_under_its_name_is_judged_anew() {
+    let mut places = places(0, &[]);
+    let now = Instant::now();
+    let born = |ms| Spec {
+        born_unix_ms: Some(ms),
+        ..spec(NEAR, 1)
+    };
+    places.upsert("t1", born(1_000));
+    places.upsert("t2", born(1_000));
+    places.failed("t1", now);
+    assert!(places.is_failing("t1", now));
+    // The same entry again says nothing new.
+    places.upsert("t1", born(1_000));
+    assert!(places.is_failing("t1", now));
+    places.upsert("t1", born(2_000));
+    assert!(!places.is_failing("t1", now));
+}
