--- a/crates/gateway/tests/world/store.rs
+++ b/crates/gateway/tests/world/store.rs
@@ -18,7 +18,7 @@
 use notchwharf_gateway::ports::Topic;
 
 pub const CONFIG_KEY: &str = "configuration";
-/// Keys in one page; small, so that tests turn pages.
+/// Keys in one page, unless a test says otherwise; few, so that tests turn pages.
 const PAGE: usize = 3;
 
 /// What happens to an append.
@@ -42,16 +42,32 @@
     first: u64,
 }
 
-#[derive(Default)]
 struct State {
     parts: HashMap<(Topic, u32), Part>,
+    page: usize,
     fates: HashMap<Topic, VecDeque<Fate>>,
     listings: HashMap<Topic, usize>,
+    listed: HashMap<Topic, usize>,
     readings: HashMap<Topic, usize>,
     broken: HashMap<Topic, usize>,
     between_pages: HashMap<Topic, Entry>,
 }
 
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            parts: HashMap::new(),
+            page: PAGE,
+            fates: HashMap::new(),
+            listings: HashMap::new(),
+            listed: HashMap::new(),
+            readings: HashMap::new(),
+            broken: HashMap::new(),
+            between_pages: HashMap::new(),
+        }
+    }
+}
+
 /// The store, or one door to it.
 #[derive(Clone, Default)]
 pub struct ScriptedStore {
@@ -133,6 +149,17 @@
         state.listings.get(&topic).copied().unwrap_or_default()
     }
 
+    /// Returns how many records of a topic all its pages held.
+    pub fn listed(&self, topic: Topic) -> usize {
+        let state = self.state.lock().unwrap();
+        state.listed.get(&topic).copied().unwrap_or_default()
+    }
+
+    /// Sets how many keys a page holds.
+    pub fn set_page(&self, keys: usize) {
+        self.state.lock().unwrap().page = keys;
+    }
+
     /// Returns the keys of a topic that have a value, over all partitions.
     pub fn keys(&self, topic: Topic) -> usize {
         let state = self.state.lock().unwrap();
@@ -262,6 +289,7 @@
         self.is_open()?;
         let mut state = self.state.lock().unwrap();
         *state.listings.entry(topic).or_default() += 1;
+        let most = state.page;
         let part = state.parts.entry((topic, part)).or_default();
         let mut newest: BTreeMap<&str, &Stored> = BTreeMap::new();
         for record in &part.records {
@@ -271,11 +299,13 @@
             let is_behind = after.is_none_or(|after| r.entry.key.as_str() > after);
             is_behind && r.entry.value.is_some()
         });
-        let mut records: Vec<Stored> = following.take(PAGE + 1).cloned().collect();
-        let has_more = records.len() > PAGE;
-        records.truncate(PAGE);
+        let mut records: Vec<Stored> = following.take(most + 1).cloned().collect();
+        let has_more = records.len() > most;
+        records.truncate(most);
+        let end = part.records.len() as u64;
+        *state.listed.entry(topic).or_default() += records.len();
         Ok(Page {
-            end: part.records.len() as u64,
+            end,
             records,
             has_more,
         })
