Read a job's results together, from partitions that hold little else

Cause: a result that the store's history has dropped is read by its key, and the store answers with all keys that follow it in the partition, up to 500 records or 1 MB. Each result cost such a page, of one of eight partitions.

Ruled out: writing blobs anew before the history drops them (somebody has to be agreed on to do so for hosts that are gone; each blob several times); one record for a job (its first results are read while the last run).

--- a/crates/gateway/src/jobs.rs
+++ b/crates/gateway/src/jobs.rs
@@ -84,11 +84,7 @@
 
 impl Payload {
     pub(crate) async fn read(ctx: &Context, accepted: &Accepted) -> Result<Self, StoreError> {
-        let mut bytes = Vec::new();
-        for blob in &accepted.payload {
-            let part = ctx.blobs.read(Topic::Payloads, blob).await?;
-            bytes.extend_from_slice(&part);
-        }
+        let bytes = ctx.blobs.read(Topic::Payloads, &accepted.payload).await?;
         postcard::from_bytes(&bytes).map_err(|_| StoreError::Expired)
     }
 }
--- a/crates/gateway/src/jobs/read.rs
+++ b/crates/gateway/src/jobs/read.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use notchwharf_ledger::jobs::Blob;
+use notchwharf_ledger::jobs::Listed;
 use notchwharf_ledger::jobs::Outcome;
 
 use super::ItemResult;
@@ -15,6 +17,7 @@
 use super::passed_on::Call;
 use super::passed_on::here_or_passed_on;
 use super::sync;
+use crate::blobs::joined;
 use crate::context::Context;
 use crate::context::millis;
 use crate::error::JobCall;
@@ -109,34 +112,27 @@
         next: from,
         results: Vec::new(),
     };
-    let mut bytes = 0;
-    for entry in listed {
-        let blobs = match &entry.outcome {
-            Outcome::Completed(blobs) => Some(blobs),
+    let fitting = fitting(&listed);
+    let blobs: Vec<Blob> = fitting.iter().flat_map(blobs).cloned().collect();
+    let mut parts = ctx.blobs.read_all(Topic::Results, &blobs).await.into_iter();
+    for entry in fitting {
+        let text = match &entry.outcome {
             Outcome::Failed(_) => None,
-        };
-        let size: usize = blobs
-            .iter()
-            .flat_map(|b| b.iter())
-            .map(|b| b.bytes as usize)
-            .sum();
-        if bytes + size > READ_BYTES_MAX && !reading.results.is_empty() {
-            break;
-        }
-        let text = match blobs {
-            None => None,
-            Some(blobs) => match text(ctx, blobs).await {
-                Ok(text) => Some(text),
-                // What is here already is worth having.
-                Err(_) if !reading.results.is_empty() => break,
-                Err(err) => {
-                    slog::warn!(ctx.logger, "result not read"; "job" => job,
-                        "error" => err.to_string());
-                    return Err(not_now(ctx, "a result cannot be read"));
+            Outcome::Completed(blobs) => {
+                let parts: Result<Vec<Bytes>, StoreError> =
+                    parts.by_ref().take(blobs.len()).collect();
+                match parts {
+                    Ok(parts) => Some(joined(parts)),
+                    // What is here already is worth having.
+                    Err(_) if !reading.results.is_empty() => break,
+                    Err(err) => {
+                        slog::warn!(ctx.logger, "result not read"; "job" => job,
+                            "error" => err.to_string());
+                        return Err(not_now(ctx, "a result cannot be read"));
+                    }
                 }
-            },
+            }
         };
-        bytes += size;
         reading.next += 1;
         let item = accepted.items[entry.item as usize].id.clone();
         reading.results.push(ItemResult { item, text });
@@ -144,15 +140,27 @@
     Ok(reading)
 }
 
-async fn text(ctx: &Context, blobs: &[notchwharf_ledger::jobs::Blob]) -> Result<Bytes, StoreError> {
-    if let [blob] = blobs {
-        return ctx.blobs.read(Topic::Results, blob).await;
-    }
-    let mut whole = Vec::new();
-    for blob in blobs {
-        whole.extend_from_slice(&ctx.blobs.read(Topic::Results, blob).await?);
+/// Returns the results that one reading may return: the first, and as many
+/// more as stay below its bytes.
+fn fitting(listed: &[Listed]) -> &[Listed] {
+    let mut bytes = 0;
+    let sizes = listed.iter().map(|entry| {
+        let sizes = blobs(entry).iter().map(|b| b.bytes as usize);
+        sizes.sum::<usize>()
+    });
+    let count = sizes.take_while(|size| {
+        bytes += size;
+        bytes <= READ_BYTES_MAX
+    });
+    let count = count.count().max(1).min(listed.len());
+    &listed[..count]
+}
+
+fn blobs(entry: &Listed) -> &[Blob] {
+    match &entry.outcome {
+        Outcome::Completed(blobs) => blobs,
+        Outcome::Failed(_) => &[],
     }
-    Ok(whole.into())
 }
 
 /// Returns the body of an item.
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -28,7 +28,6 @@
 use crate::backlog::ItemKey;
 use crate::blobs::RECORD_OVERHEAD_BYTES;
 use crate::blobs::part_of;
-use crate::blobs::parts;
 use crate::context::Context;
 use crate::context::lock;
 use crate::context::ms;
@@ -38,6 +37,10 @@
 use crate::ports::Topic;
 use crate::upkeep::tombstone;
 
+/// Partitions of the records, all of which are listed to drop those that nobody
+/// needs: they hold open items only, so few partitions hold little each.
+const PARTS: u32 = 8;
+
 /// How far an item has got.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Saved {
@@ -155,9 +158,11 @@
             key: record_key(key),
             value: value.clone(),
         });
-        let appended = ctx
-            .store
-            .append(Topic::Progress, part_of(ctx.host()), entries.collect());
+        let appended = ctx.store.append(
+            Topic::Progress,
+            part_of(ctx.host(), PARTS),
+            entries.collect(),
+        );
         if let Err(err) = appended.await {
             progress.not_written(batch);
             return Err(err);
@@ -178,7 +183,7 @@
     job: &str,
     hosts: &[HostId],
 ) -> Result<HashMap<u32, Saved>, StoreError> {
-    let mut written: Vec<u32> = hosts.iter().map(|host| part_of(host)).collect();
+    let mut written: Vec<u32> = hosts.iter().map(|host| part_of(host, PARTS)).collect();
     written.sort_unstable();
     written.dedup();
     let mut found: HashMap<u32, Saved> = HashMap::new();
@@ -229,7 +234,7 @@
     ctx: &Context,
     is_open: impl Fn(&str) -> bool,
 ) -> Result<(), StoreError> {
-    for part in parts() {
+    for part in 0..PARTS {
         let listing = ctx.store.all_newest(Topic::Progress, part).await?;
         let records = listing.before_end();
         let keys = records.into_iter().map(|record| record.entry.key);
