--- a/crates/routing/src/belief.rs
+++ b/crates/routing/src/belief.rs
@@ -284,7 +284,11 @@
                 self.known.insert(id.clone(), Known { offset, value });
                 Some(Change::Put { id, offset, spec })
             }
-            Err(error) => Some(Change::Unreadable { id, offset, error }),
+            Err(error) => {
+                self.doubts.remove(&id);
+                self.known.remove(&id);
+                Some(Change::Unreadable { id, offset, error })
+            }
         }
     }
 
--- a/crates/routing/src/belief/entry.rs
+++ b/crates/routing/src/belief/entry.rs
@@ -50,7 +50,9 @@
         /// What its entry says.
         spec: Spec,
     },
-    /// An entry cannot be read; what was believed before stays.
+    /// An entry cannot be read, so it names no target. What it said before may
+    /// be over: a target that leaves would get requests for good. A living one
+    /// writes its entry again with its next heartbeat.
     Unreadable {
         /// The target.
         id: TargetId,
