--- a/crates/gateway/src/peers/status.rs
+++ b/crates/gateway/src/peers/status.rs
@@ -72,7 +72,6 @@
     while ctx.phase() != Phase::Stopped {
         let wait = schedule.wait(Instant::now());
         let news = tokio::time::timeout(wait, ctx.peers.dirty.notified()).await;
-        schedule.keep_to(ctx.peers.neighbours.cells());
         let due = schedule.due(news.is_ok(), Instant::now());
         number += 1;
         let Some(socket) = ctx.peers.socket.get() else {
--- a/crates/routing/src/telling.rs
+++ b/crates/routing/src/telling.rs
@@ -47,12 +47,6 @@
 /// host counts as down.
 pub const PASSING_GAP: Duration = Duration::from_millis(100);
 
-/// Least time between two tellings of hosts near by in a fleet that is divided, where
-/// these are some sixty: what changes meanwhile is told together. The first change
-/// after it is told at once, so that at most one change in three waits, 20 ms on
-/// average.
-const NEAR_GAP_DIVIDED: Duration = Duration::from_millis(50);
-
 /// The host that tells.
 #[derive(Clone, Copy, Debug)]
 pub struct Own<'a> {
@@ -153,9 +147,6 @@
     pace: Pace,
     near_told: Instant,
     far_told: Instant,
-    near_gap: Duration,
-    /// Whether there is news that those near by have not been told.
-    is_near_behind: bool,
     /// Whether there is news that those far away have not been told.
     is_far_behind: bool,
 }
@@ -168,30 +159,26 @@
             pace: Pace::default(),
             near_told: now,
             far_told: now,
-            near_gap: Duration::ZERO,
-            is_near_behind: true,
             is_far_behind: true,
         }
     }
 
     /// Returns the time until somebody is to be told without further news.
     pub fn wait(&self, now: Instant) -> Duration {
-        let near = (self.near_told + self.near_gap()).saturating_duration_since(now);
+        let near = (self.near_told + self.beat).saturating_duration_since(now);
         let far = (self.far_told + self.far_gap()).saturating_duration_since(now);
         near.min(far)
     }
 
     /// Returns who is to be told now, which is then counted as done.
     pub fn due(&mut self, is_news: bool, now: Instant) -> Due {
-        self.is_near_behind |= is_news;
         self.is_far_behind |= is_news;
         let due = Due {
-            near: now.duration_since(self.near_told) >= self.near_gap(),
+            near: is_news || now.duration_since(self.near_told) >= self.beat,
             far: now.duration_since(self.far_told) >= self.far_gap(),
         };
         if due.near {
             self.near_told = now;
-            self.is_near_behind = false;
         }
         if due.far {
             self.far_told = now;
@@ -205,21 +192,6 @@
         self.pace = pace;
     }
 
-    /// Takes in how the fleet is divided.
-    pub fn keep_to(&mut self, cells: Cells) {
-        self.near_gap = match cells.is_divided() {
-            true => NEAR_GAP_DIVIDED,
-            false => Duration::ZERO,
-        };
-    }
-
-    fn near_gap(&self) -> Duration {
-        match self.is_near_behind {
-            true => self.near_gap,
-            false => self.beat,
-        }
-    }
-
     fn far_gap(&self) -> Duration {
         match self.is_far_behind {
             true => self.pace.gap,
--- a/crates/routing/tests/telling.rs
+++ b/crates/routing/tests/telling.rs
@@ -217,10 +217,7 @@
         }
         let now = self.start + self.now;
         let is_news = std::mem::take(&mut self.hosts[host].is_news);
-        let cells = self.cells;
-        let schedule = &mut self.hosts[host].schedule;
-        schedule.keep_to(cells);
-        let due = schedule.due(is_news, now);
+        let due = self.hosts[host].schedule.due(is_news, now);
         let mut rng = self.rng.clone();
         let told = telling::receivers(&self.own(host), &self.peers(host), due, now, &mut rng);
         self.rng = rng;
@@ -364,12 +361,7 @@
     let mut fleet = Fleet::new(hosts, CELL_HOSTS_MAX, 2);
     fleet.play_until(Duration::from_secs(2));
     let near = percentile_95(&mut fleet.near_delays);
-    println!("{hosts} hosts: news of hosts near by is {near:?} old");
-    let most = match fleet.cells.is_divided() {
-        true => Duration::from_millis(50),
-        false => Duration::from_millis(5),
-    };
-    assert!(near <= most, "{near:?}");
+    assert!(near <= Duration::from_millis(5), "{near:?}");
     // Where the fleet is divided, other data centres hear sums only.
     assert_eq!(fleet.far_delays.is_empty(), fleet.cells.is_divided());
     if !fleet.cells.is_divided() {
