Log which request it was that a target broke off

Cause: lines of broken streams have the id of one attempt. A caller that sends the same content again gives it another id, so nobody can tell from the logs whether one request or many broke off.

Change: such lines carry a fingerprint of the host that the request names, its method, path, caller and body. It is worked out only when something broke off. Ruled out: xxHash, which is used elsewhere, since a caller can make two bodies with the same one.

No decision changes.

--- /dev/null
+++ b/crates/gateway/src/fingerprint.rs
@@ -0,0 +1,24 @@
+//! The fingerprint of a request or an item, see [`fingerprint`].
+
+use notchwharf_routing::fingerprint;
+use notchwharf_routing::fingerprint::Content;
+use notchwharf_routing::fingerprint::Fingerprint;
+
+use crate::context::Context;
+use crate::ports::Forward;
+
+/// Returns the fingerprint of a request to a host.
+pub(crate) fn of(ctx: &Context, host: &str, forward: &Forward) -> Fingerprint {
+    fingerprint::of(&Content {
+        host,
+        method: forward.method.as_str(),
+        path: &forward.path,
+        caller: (ctx.decode.caller)(&forward.headers),
+        body: &forward.body,
+    })
+}
+
+/// Returns a fingerprint as log lines have it.
+pub(crate) fn text(fingerprint: Fingerprint) -> String {
+    format!("{fingerprint:032x}")
+}
--- a/crates/gateway/src/items/run.rs
+++ b/crates/gateway/src/items/run.rs
@@ -18,6 +18,7 @@
 use crate::context::lock;
 use crate::context::millis;
 use crate::context::ms;
+use crate::fingerprint;
 use crate::metrics::Counted;
 use crate::ports::Call;
 use crate::ports::NoReply;
@@ -69,10 +70,13 @@
     // looks there.
     drop(entry);
     ctx.metrics.count(Counted::Items, label(ended));
+    let broke_off = matches!(ended, Ended::Broken(_) | Ended::NotRun(NoReply::Unknown(_)));
+    let fingerprint = broke_off.then(|| fingerprint::of(&ctx, &item.host, &item.forward));
     slog::info!(ctx.logger, "item run"; "job" => item.key.0.as_str(),
         "id" => item.forward.id.as_str(), "target" => target.as_str(), "ended" => label(ended),
         "from_event" => had, "last_event" => item.last_event, "failures" => item.failures,
-        "took_ms" => millis(started.elapsed()));
+        "took_ms" => millis(started.elapsed()),
+        "fingerprint" => fingerprint.map(fingerprint::text));
     note(&ctx, &target, ended);
     let events = item.events().saturating_sub(count(had));
     lock(&ctx.items.usual)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod catalog;
 pub mod context;
 pub mod error;
+mod fingerprint;
 mod follow;
 mod items;
 pub mod jobs;
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -17,6 +17,7 @@
 use hyper::StatusCode;
 use notchwharf_config::routes::Route;
 use notchwharf_ledger::rendezvous::hash;
+use notchwharf_routing::fingerprint::Fingerprint;
 use notchwharf_routing::items::turn::Ahead;
 use notchwharf_routing::places::Choice;
 use notchwharf_routing::places::Refusal;
@@ -28,6 +29,7 @@
 use crate::context::Context;
 use crate::context::lock;
 use crate::error::Failure;
+use crate::fingerprint;
 use crate::metrics::Counted;
 use crate::ports::Body;
 use crate::ports::Call;
@@ -103,6 +105,7 @@
         trace: Trace::new(ctx, &req.forward.id, &route, table.version(), arrived),
         ctx: Arc::clone(ctx),
         forward: Arc::new(req.forward),
+        host: req.host,
         affinity: req.affinity,
         deadline: arrived + wait,
         service,
@@ -124,6 +127,8 @@
 struct Sending {
     ctx: Arc<Context>,
     forward: Arc<Forward>,
+    /// The host that the request names.
+    host: String,
     route: Arc<Route>,
     service: String,
     affinity: u64,
@@ -149,6 +154,7 @@
             trace: self.trace.take(),
             ctx: Arc::clone(&self.ctx),
             forward: Arc::clone(&self.forward),
+            host: std::mem::take(&mut self.host),
             route: Arc::clone(&self.route),
             service: self.service.clone(),
             tried: std::mem::take(&mut self.tried),
@@ -179,6 +185,10 @@
         }
     }
 
+    fn fingerprint(&self) -> Fingerprint {
+        fingerprint::of(&self.ctx, &self.host, &self.forward)
+    }
+
     fn choose(&mut self, offers: u32) -> Result<Choice, Failure> {
         let now = Instant::now();
         if self.deadline.saturating_duration_since(now) < LEFT_MIN {
@@ -282,7 +292,8 @@
     fn note(&mut self, target: &TargetId, err: NoReply) {
         let now = Instant::now();
         self.ctx.metrics.count(Counted::Offers, err.reason());
-        self.trace.offer_failed(target, err);
+        let fingerprint = err.may_have_run().then(|| self.fingerprint());
+        self.trace.offer_failed(target, err, fingerprint);
         let mut places = lock(&self.ctx.places);
         match err {
             NoReply::Full => places.refused(target, now),
--- a/crates/gateway/src/online/flow.rs
+++ b/crates/gateway/src/online/flow.rs
@@ -245,9 +245,10 @@
         let target = begun.running.target().clone();
         // The target stops as soon as its connection is closed.
         drop(begun);
+        let fingerprint = self.sending.fingerprint();
         self.sending
             .trace
-            .broke_off(&target, reason, self.last_event);
+            .broke_off(&target, reason, self.last_event, fingerprint);
         lock(&self.sending.ctx.places).failed(&target, Instant::now());
         self.sending.runs += 1;
         self.sending.tried.push(target);
--- a/crates/gateway/src/online/trace.rs
+++ b/crates/gateway/src/online/trace.rs
@@ -9,6 +9,7 @@
 
 use hyper::StatusCode;
 use notchwharf_config::routes::Route;
+use notchwharf_routing::fingerprint::Fingerprint;
 use notchwharf_routing::places::Choice;
 use notchwharf_routing::places::Room;
 use notchwharf_routing::places::TargetId;
@@ -19,6 +20,7 @@
 use crate::context::lock;
 use crate::context::millis;
 use crate::error::Failure;
+use crate::fingerprint;
 use crate::metrics::Counted;
 use crate::metrics::Timed;
 use crate::ports::NoReply;
@@ -102,24 +104,38 @@
         };
     }
 
-    pub(super) fn offer_failed(&self, target: &TargetId, err: NoReply) {
+    /// Tells that an offer failed, and which request it was if it may have run.
+    pub(super) fn offer_failed(
+        &self,
+        target: &TargetId,
+        err: NoReply,
+        fingerprint: Option<Fingerprint>,
+    ) {
         let Some(told) = &self.told else {
             return;
         };
         slog::info!(told.ctx.logger, "offer failed"; "id" => told.id.as_str(),
             "target" => target.as_str(), "reason" => err.reason(),
             "may_have_run" => err.may_have_run(), "offers" => told.offers,
+            "fingerprint" => fingerprint.map(fingerprint::text),
             "after_ms" => millis(told.arrived.elapsed()));
     }
 
-    pub(super) fn broke_off(&self, target: &TargetId, reason: &'static str, last: Option<u64>) {
+    pub(super) fn broke_off(
+        &self,
+        target: &TargetId,
+        reason: &'static str,
+        last: Option<u64>,
+        fingerprint: Fingerprint,
+    ) {
         let Some(told) = &self.told else {
             return;
         };
         told.ctx.metrics.count(Counted::Offers, reason);
         slog::info!(told.ctx.logger, "stream broke off"; "id" => told.id.as_str(),
             "target" => target.as_str(), "reason" => reason, "last_event" => last,
-            "resumable" => told.route.resumable, "after_ms" => millis(told.arrived.elapsed()));
+            "resumable" => told.route.resumable, "after_ms" => millis(told.arrived.elapsed()),
+            "fingerprint" => fingerprint::text(fingerprint));
     }
 
     /// Returns the time since the request arrived.
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -254,7 +254,11 @@
 /// in a way that can be read, is zero.
 pub type DecodeSize = fn(headers: &HeaderMap) -> Size;
 
-/// What records and items mean.
+/// Reads who calls from a request's headers; nothing where callers are not told
+/// apart.
+pub type DecodeCaller = fn(headers: &HeaderMap) -> &[u8];
+
+/// What records, requests and items mean.
 #[derive(Clone, Copy)]
 pub struct Decode {
     /// Reads a configuration.
@@ -263,6 +267,8 @@
     pub target: DecodeTarget,
     /// Reads an item's size.
     pub size: DecodeSize,
+    /// Reads who calls.
+    pub caller: DecodeCaller,
 }
 
 /// A record that does not say what it should.
