--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -126,6 +126,7 @@
                 config: decode_config,
                 target: decode_target,
                 size: |_| Size::default(),
+                caller: |_| b"",
             },
         };
         let logger = slog::Logger::root(slog::Discard, slog::o!());
@@ -171,7 +172,11 @@
 
     /// Sends a request and returns its whole answer.
     pub async fn ask(&self, path: &str, id: &str) -> Result<Whole, Failure> {
-        let answer = online::serve(self.ctx(), request(path, id), Instant::now()).await?;
+        self.send(request(path, id)).await
+    }
+
+    async fn send(&self, req: online::Request) -> Result<Whole, Failure> {
+        let answer = online::serve(self.ctx(), req, Instant::now()).await?;
         let body = answer.body.collect().await;
         Ok(Whole {
             status: answer.status,
@@ -180,6 +185,13 @@
         })
     }
 
+    /// Sends a request with a body and returns its whole answer.
+    pub async fn ask_with(&self, path: &str, id: &str, body: &str) -> Result<Whole, Failure> {
+        let mut req = request(path, id);
+        req.forward.body = Bytes::from(body.to_owned());
+        self.send(req).await
+    }
+
     pub async fn submit(&self, job: &str, items: u32, tokens: u32) -> Result<(), JobCall> {
         jobs::submit(self.ctx(), submission(job, items, tokens)).await
     }
--- a/crates/gateway/tests/world/targets.rs
+++ b/crates/gateway/tests/world/targets.rs
@@ -1,6 +1,7 @@
 //! Targets that do what the test says.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -42,6 +43,8 @@
     AtOnce,
     /// It answers well and does not sign.
     Unsigned,
+    /// It crashes once its answer has begun.
+    Crash,
     /// It gives no answer, for this reason.
     None(NoReply),
 }
@@ -53,6 +56,12 @@
     runs: Vec<(String, String, Option<u64>)>,
     active: HashMap<(String, String), usize>,
     is_slow: bool,
+    /// Bodies of requests under which a target crashes once its answer has begun.
+    deadly: HashSet<Bytes>,
+    /// Targets that have crashed and are not back yet.
+    down: HashSet<String>,
+    /// How often each target has crashed.
+    crashes: HashMap<String, u32>,
 }
 
 /// All targets.
@@ -100,6 +109,40 @@
         self.state.lock().unwrap().is_slow = false;
     }
 
+    /// Makes targets crash under requests with a body.
+    pub fn set_deadly(&self, body: &str) {
+        let body = Bytes::from(body.to_owned());
+        self.state.lock().unwrap().deadly.insert(body);
+    }
+
+    /// Makes a target crash: all that it runs breaks off, and it refuses
+    /// connections.
+    pub fn crash(&self, target: &str) {
+        let mut state = self.state.lock().unwrap();
+        *state.crashes.entry(target.to_owned()).or_default() += 1;
+        state.down.insert(target.to_owned());
+    }
+
+    /// Lets a target that crashed serve again.
+    pub fn restart(&self, target: &str) {
+        self.state.lock().unwrap().down.remove(target);
+    }
+
+    /// Lets all targets that crashed serve again.
+    pub fn restart_all(&self) {
+        self.state.lock().unwrap().down.clear();
+    }
+
+    /// Returns how often targets have crashed.
+    pub fn crashes(&self) -> u32 {
+        self.state.lock().unwrap().crashes.values().sum()
+    }
+
+    fn crashes_of(&self, target: &str) -> u32 {
+        let state = self.state.lock().unwrap();
+        state.crashes.get(target).copied().unwrap_or(0)
+    }
+
     /// Returns the targets at which a request ran, and after which event.
     pub fn runs(&self, request: &str) -> Vec<(String, Option<u64>)> {
         let state = self.state.lock().unwrap();
@@ -133,6 +176,9 @@
     async fn call(&self, call: Call) -> Result<Reply, NoReply> {
         let act = {
             let mut state = self.state.lock().unwrap();
+            if state.down.contains(&call.target) {
+                return Err(NoReply::NotSent("connection refused"));
+            }
             let scripted = state.by_request.get_mut(&call.forward.id);
             let scripted = scripted.and_then(VecDeque::pop_front);
             let acts = state.acts.entry(call.target.clone()).or_default();
@@ -159,7 +205,16 @@
             }
             Act::Status(status) => Ok(reply(status, true, Full::new(Bytes::new()))),
             Act::Unsigned => Ok(reply(200, false, Full::new(Bytes::from("data: x\n\n")))),
-            _ => Ok(self.stream(&call, act, active)),
+            _ => {
+                let is_deadly = self
+                    .state
+                    .lock()
+                    .unwrap()
+                    .deadly
+                    .contains(&call.forward.body);
+                let act = if is_deadly { Act::Crash } else { act };
+                Ok(self.stream(&call, act, active))
+            }
         }
     }
 
@@ -178,14 +233,25 @@
     fn stream(&self, call: &Call, act: Act, active: Active) -> Reply {
         let first = call.resume_after.map_or(0, |event| event + 1);
         let id = call.forward.id.clone();
+        let target = call.target.clone();
+        let crashes = self.crashes_of(&target);
         let engines = self.clone();
         let state = (first, active);
         let frames = stream::unfold(Some(state), move |state| {
             let engines = engines.clone();
             let id = id.clone();
+            let target = target.clone();
             async move {
                 let (event, active) = state?;
                 engines.until_released(event).await;
+                if act == Act::Crash {
+                    engines.crash(&target);
+                }
+                if engines.crashes_of(&target) != crashes {
+                    drop(active);
+                    let broken = std::io::Error::other("connection reset");
+                    return Some((Err(broken), None));
+                }
                 match act {
                     Act::BreakAfter(events) if event - first >= events => {
                         let half = Bytes::from(format!("id: {event}\nda"));
