Keep requests from targets that crash under them

Cause: what was known of a request's broken runs lived in one attempt of one caller, at one host; items of jobs did not count broken runs at all. Class: state that belongs to what comes again is kept with the one time it came.

Change: hosts remember requests under which targets crashed by a fingerprint of their content (routing::quarantine, pure), tell one another at once and again, and keep those that are blamed in the store. A run that broke off counts only if connections to its target are refused right after it: resets, lost answers and garbled ones do not. Three crashes blame a request if a healthy one would hardly have met them, five in any case; a run that ends well clears it. A suspect runs at no more targets at once, over all hosts, than it may still end. One that is blamed is refused as not run; an item waits until its job may be abandoned.

Ruled out: a fixed number of broken runs (items run for seconds and break off whenever many targets crash), a holder for each suspect that is asked for leave (a way there and back, and its death), evidence from the next refused connection (a target that failed is left alone for 400 ms, and the suspects come meanwhile).

--- a/crates/gateway/src/backlog.rs
+++ b/crates/gateway/src/backlog.rs
@@ -7,6 +7,7 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -14,6 +15,7 @@
 use notchwharf_ledger::jobs::JobId;
 use notchwharf_ledger::jobs::Jobs;
 use notchwharf_ledger::jobs::Offset;
+use notchwharf_routing::fingerprint::Fingerprint;
 use notchwharf_routing::items::queue::Next;
 use notchwharf_routing::items::queue::Queue;
 use notchwharf_routing::items::turn::TOLD_MAX;
@@ -21,7 +23,9 @@
 use notchwharf_routing::items::usual::Size;
 use notchwharf_routing::places::TargetId;
 
+use crate::context::Context;
 use crate::context::millis;
+use crate::fingerprint;
 use crate::ports::Forward;
 use crate::progress::Saved;
 
@@ -65,9 +69,17 @@
     pub(crate) due_after: Duration,
     /// When this host read it; the job is at least as old.
     pub(crate) known_since: Instant,
+    /// The name of its content, once that was asked for.
+    pub(crate) fingerprint: OnceLock<Fingerprint>,
 }
 
 impl Item {
+    /// Returns the name of its content.
+    pub(crate) fn fingerprint(&self, ctx: &Context) -> Fingerprint {
+        let made = || fingerprint::of(ctx, &self.host, &self.forward);
+        *self.fingerprint.get_or_init(made)
+    }
+
     /// Returns when it is due.
     pub(crate) fn due_unix_ms(&self) -> u64 {
         self.submitted_unix_ms
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -31,6 +31,7 @@
 use crate::ports::Ports;
 use crate::ports::Targets;
 use crate::progress::Progress;
+use crate::quarantine::Suspects;
 use crate::store::Store;
 
 /// Offers beyond the first that are made, as a share of successes: enough for
@@ -74,6 +75,7 @@
     pub(crate) peers: Peers,
     pub(crate) items: Items,
     pub(crate) progress: Progress,
+    pub(crate) suspects: Suspects,
 }
 
 impl std::fmt::Debug for Context {
@@ -122,6 +124,7 @@
             peers: Peers::new(&settings.peers),
             items: Items::default(),
             progress: Progress::default(),
+            suspects: Suspects::default(),
             store,
             metrics,
             settings,
--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -25,6 +25,13 @@
         /// Why.
         reason: &'static str,
     },
+    /// Targets crash under the request; nothing ran and nothing will.
+    Crashing {
+        /// When it may be tried once more.
+        retry_after: Duration,
+        /// How many targets were seen to crash.
+        crashes: u32,
+    },
     /// A target found fault with the request; nothing ran.
     Rejected(StatusCode),
     /// It may have run.
@@ -43,6 +50,7 @@
             Self::NotReady { .. } => "not ready",
             Self::NoRoute => "no route",
             Self::NotRun { .. } => "not run",
+            Self::Crashing { .. } => "crashing",
             Self::Rejected(_) => "rejected",
             Self::Unknown { .. } => "unknown",
             Self::TimedOut => "timed out",
@@ -56,6 +64,12 @@
             Self::NotReady { .. } => f.write_str("no configuration is known yet; come back later"),
             Self::NoRoute => f.write_str("no route leads there"),
             Self::NotRun { reason, .. } => write!(f, "not run ({reason}); come back later"),
+            Self::Crashing { crashes, .. } => {
+                write!(
+                    f,
+                    "not run ({crashes} targets crashed under it); do not repeat it soon"
+                )
+            }
             Self::Rejected(status) => write!(f, "the target answered {status} and ran nothing"),
             Self::Unknown { reason } => write!(f, "it may have run ({reason})"),
             Self::TimedOut => f.write_str("it took longer than it may; it may have run"),
--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -39,6 +39,8 @@
 use crate::context::unix_ms;
 use crate::metrics::Counted;
 use crate::progress;
+use crate::quarantine;
+use crate::quarantine::Trial;
 use crate::target::Class;
 use crate::target::Running;
 use crate::work;
@@ -56,6 +58,10 @@
 /// Time between two looks whether they have stopped.
 const HAND_OVER_TICK: Duration = Duration::from_millis(2);
 
+/// Time after which an item that must not run now is looked at again: about as long as
+/// a target takes to crash under one like it, or to run it.
+const KEPT_BACK: Duration = Duration::from_millis(200);
+
 /// Items that run at this host.
 #[derive(Debug, Default)]
 pub(crate) struct Items {
@@ -223,24 +229,55 @@
             return;
         };
         match next {
-            Next::Run(item, place, route, target) => {
+            Next::Run(start) => {
+                let Start {
+                    item,
+                    place,
+                    route,
+                    target,
+                    trial,
+                } = *start;
                 let running = Running::begin(ctx, &target, Class::Batch);
                 let ticket = lock(&ctx.items.running).add(&target, &item, place, running);
-                tokio::spawn(run::run(Arc::clone(ctx), item, route, target, ticket));
+                let run = run::run(Arc::clone(ctx), item, route, target, ticket, trial);
+                tokio::spawn(run);
                 tokio::time::sleep(gap).await;
             }
+            Next::KeepBack(item) => {
+                tokio::spawn(keep_back(Arc::clone(ctx), item));
+            }
             Next::GiveUp(item, reason) => settle::give_up(ctx, &item, reason),
         }
     }
 }
 
+/// Puts an item that must not run now back after a moment, so that it holds up none
+/// behind it.
+async fn keep_back(ctx: Arc<Context>, item: Item) {
+    tokio::time::sleep(KEPT_BACK).await;
+    lock(&ctx.items.backlog).put_back(item);
+    ctx.items.wake();
+}
+
 /// What to do with an item.
 enum Next {
-    Run(Item, queue::Next, Arc<Route>, TargetId),
+    Run(Box<Start>),
+    /// Targets crash under it, or may: not now.
+    KeepBack(Item),
     GiveUp(Item, Reason),
 }
 
-fn next(ctx: &Context) -> Option<Next> {
+/// An item that is about to run.
+struct Start {
+    item: Item,
+    place: queue::Next,
+    route: Arc<Route>,
+    target: TargetId,
+    /// Its run, if it is a suspect.
+    trial: Option<Trial>,
+}
+
+fn next(ctx: &Arc<Context>) -> Option<Next> {
     let table = ctx.table()?;
     let mut backlog = lock(&ctx.items.backlog);
     let usual = lock(&ctx.items.usual);
@@ -276,8 +313,24 @@
     };
     let target = places.choose_batch(&want, Instant::now())?;
     drop(places);
+    let admitted = match ctx.suspects.is_empty() {
+        true => Ok(None),
+        false => quarantine::try_admit(ctx, item.fingerprint(ctx)),
+    };
     let item = backlog.take()?;
-    Some(Next::Run(item, place, route, target))
+    // One that is refused is not given up: its caller is owed a result until its job
+    // may be abandoned, and it may be blamed by mistake.
+    let Ok(trial) = admitted else {
+        return Some(Next::KeepBack(item));
+    };
+    let start = Start {
+        item,
+        place,
+        route,
+        target,
+        trial,
+    };
+    Some(Next::Run(Box::new(start)))
 }
 
 /// Returns whether an item that starts now ends after its job's objective.
--- a/crates/gateway/src/items/load.rs
+++ b/crates/gateway/src/items/load.rs
@@ -1,6 +1,7 @@
 //! Reads what a job's items say, and how far other hosts had got with them.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -118,6 +119,7 @@
             submitted_unix_ms: accepted.submitted_unix_ms,
             due_after,
             known_since: Instant::now(),
+            fingerprint: OnceLock::new(),
         }
     });
     items.collect()
--- a/crates/gateway/src/items/run.rs
+++ b/crates/gateway/src/items/run.rs
@@ -23,6 +23,8 @@
 use crate::ports::Call;
 use crate::ports::NoReply;
 use crate::ports::Reply;
+use crate::quarantine;
+use crate::quarantine::Trial;
 use crate::splice::Events;
 use crate::splice::follows;
 
@@ -46,7 +48,9 @@
     Impossible,
     /// Nothing was run.
     NotRun(NoReply),
-    /// The target broke off, fell silent or sent something else.
+    /// The connection broke in the midst of it.
+    BrokeOff(&'static str),
+    /// The target fell silent or sent something else.
     Broken(&'static str),
 }
 
@@ -56,6 +60,7 @@
     route: Arc<Route>,
     target: TargetId,
     ticket: Ticket,
+    trial: Option<Trial>,
 ) {
     let under_way = ctx.items.runs.enter();
     let started = Instant::now();
@@ -69,24 +74,24 @@
     // Not before the registry is free again: the end of its count wakes whoever
     // looks there.
     drop(entry);
+    let took = started.elapsed();
     ctx.metrics.count(Counted::Items, label(ended));
-    let broke_off = matches!(ended, Ended::Broken(_) | Ended::NotRun(NoReply::Unknown(_)));
-    let fingerprint = broke_off.then(|| fingerprint::of(&ctx, &item.host, &item.forward));
+    let is_broken = matches!(ended, Ended::BrokeOff(_) | Ended::Broken(_));
+    let fingerprint = is_broken.then(|| item.fingerprint(&ctx));
     slog::info!(ctx.logger, "item run"; "job" => item.key.0.as_str(),
         "id" => item.forward.id.as_str(), "target" => target.as_str(), "ended" => label(ended),
         "from_event" => had, "last_event" => item.last_event, "failures" => item.failures,
-        "took_ms" => millis(started.elapsed()),
+        "took_ms" => millis(took),
         "fingerprint" => fingerprint.map(fingerprint::text));
     note(&ctx, &target, ended);
     let events = item.events().saturating_sub(count(had));
-    lock(&ctx.items.usual)
-        .of_mut(&item.route)
-        .ran(events, started.elapsed());
+    lock(&ctx.items.usual).of_mut(&item.route).ran(events, took);
     match ended {
         Ended::Whole => {
             lock(&ctx.items.usual)
                 .of_mut(&item.route)
                 .ended(item.size, item.events());
+            quarantine::ended_well(&ctx, || item.fingerprint(&ctx));
             settle::is_ending(&ctx, &item);
             drop(under_way);
             settle::complete(Arc::clone(&ctx), item).await;
@@ -102,11 +107,32 @@
             }
         }
         Ended::Cut => lock(&ctx.items.backlog).put_back(item),
+        Ended::BrokeOff(_) => {
+            broke_off(&ctx, &item, target, took).await;
+            put_back(&ctx, item).await;
+        }
         Ended::NotRun(_) | Ended::Broken(_) => put_back(&ctx, item).await,
     }
+    // The next run of a suspect begins when it is known how this one ended.
+    drop(trial);
     ctx.items.wake();
 }
 
+/// Finds out whether a target crashed under an item.
+async fn broke_off(ctx: &Arc<Context>, item: &Item, target: TargetId, ran: Duration) {
+    let Some(addr) = lock(&ctx.places).spec(&target).map(|spec| spec.addr) else {
+        return;
+    };
+    let run = quarantine::Run {
+        fingerprint: item.fingerprint(ctx),
+        id: item.forward.id.clone(),
+        target,
+        addr,
+        ran,
+    };
+    quarantine::broke_off(ctx, run).await;
+}
+
 async fn put_back(ctx: &Context, item: Item) {
     tokio::time::sleep(FAILED_PAUSE).await;
     lock(&ctx.items.backlog).put_back(item);
@@ -119,7 +145,7 @@
         Ended::Failed => "failed",
         Ended::Impossible => "impossible",
         Ended::NotRun(err) => err.reason(),
-        Ended::Broken(reason) => reason,
+        Ended::BrokeOff(reason) | Ended::Broken(reason) => reason,
     }
 }
 
@@ -131,7 +157,7 @@
         Ended::Failed => places.failed_item(target, now),
         Ended::NotRun(NoReply::Full) => places.refused(target, now),
         Ended::NotRun(NoReply::Rejected(_)) | Ended::Cut => {}
-        Ended::NotRun(_) | Ended::Broken(_) => places.failed(target, now),
+        Ended::NotRun(_) | Ended::BrokeOff(_) | Ended::Broken(_) => places.failed(target, now),
     }
 }
 
@@ -150,6 +176,7 @@
     let replied = tokio::time::timeout(stall, (ctx.targets.call)(call)).await;
     let reply = match replied {
         Err(_) => return Ended::Broken("silent"),
+        Ok(Err(err @ NoReply::Broken)) => return Ended::BrokeOff(err.reason()),
         Ok(Err(NoReply::Unknown(reason))) => return Ended::Broken(reason),
         Ok(Err(err)) => return Ended::NotRun(err),
         Ok(Ok(reply)) => reply,
@@ -172,9 +199,9 @@
         };
         let frame = match frame {
             Some(Ok(frame)) => frame,
-            Some(Err(_)) => return Ended::Broken("broke off"),
+            Some(Err(_)) => return Ended::BrokeOff("broke off"),
             None if events.is_clean() => return Ended::Whole,
-            None => return Ended::Broken("ended in an event"),
+            None => return Ended::BrokeOff("ended in an event"),
         };
         let Ok(bytes) = frame.into_data() else {
             continue;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod peers;
 pub mod ports;
 mod progress;
+mod quarantine;
 mod splice;
 mod store;
 mod target;
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -18,6 +18,7 @@
 use crate::journal;
 use crate::peers;
 use crate::ports::Ports;
+use crate::quarantine;
 use crate::upkeep;
 use crate::work;
 use notchwharf_listen::Phase;
@@ -51,6 +52,7 @@
         catalog::start(&ctx);
         journal::start(&ctx);
         peers::start(&ctx, socket, listener);
+        quarantine::start(&ctx);
         items::start(&ctx);
         tokio::spawn(upkeep::run(Arc::clone(&ctx)));
         tokio::spawn(work::report(Arc::clone(&ctx)));
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -9,6 +9,7 @@
 mod flow;
 mod trace;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -36,6 +37,9 @@
 use crate::ports::Forward;
 use crate::ports::NoReply;
 use crate::ports::Reply;
+use crate::quarantine;
+use crate::quarantine::KeptBack;
+use crate::quarantine::Trial;
 use crate::target::Class;
 use crate::target::Running;
 use crate::work;
@@ -112,6 +116,7 @@
         route,
         tried: Vec::new(),
         runs: 0,
+        fingerprint: None,
     };
     let answered = sending.answer().await;
     match answered {
@@ -136,6 +141,8 @@
     tried: Vec<TargetId>,
     /// Targets that ran the request or may have.
     runs: u32,
+    /// The name of its content, once that was asked for.
+    fingerprint: Option<Fingerprint>,
     trace: Trace,
 }
 
@@ -143,7 +150,12 @@
 struct Begun {
     reply: Reply,
     running: Running,
+    addr: SocketAddr,
     sent: Instant,
+    /// When the answer's head came.
+    begun: Instant,
+    /// Its run, if it is a suspect.
+    trial: Option<Trial>,
 }
 
 impl Sending {
@@ -167,15 +179,23 @@
     async fn send(&mut self, resume_after: Option<u64>) -> Result<Begun, Failure> {
         let mut offers = 0;
         loop {
+            let trial = self.admit().await?;
             let choice = self.choose(offers)?;
             offers += 1;
+            let sent = Instant::now();
             let err = match self.offer(&choice, resume_after).await {
                 Ok(begun) => match self.judge(begun) {
-                    Ok(begun) => return Ok(begun),
+                    Ok(begun) => return Ok(Begun { trial, ..begun }),
                     Err(err) => err,
                 },
                 Err(err) => err,
             };
+            if err == NoReply::Broken {
+                let ran = sent.elapsed();
+                self.broke_off(&choice.target, choice.addr, ran).await;
+            }
+            // The next run of a suspect begins when it is known how this one ended.
+            drop(trial);
             self.note(&choice.target, err);
             if err.may_have_run() {
                 self.runs += 1;
@@ -185,8 +205,44 @@
         }
     }
 
-    fn fingerprint(&self) -> Fingerprint {
-        fingerprint::of(&self.ctx, &self.host, &self.forward)
+    fn fingerprint(&mut self) -> Fingerprint {
+        let (ctx, host, forward) = (&self.ctx, &self.host, &self.forward);
+        *self
+            .fingerprint
+            .get_or_insert_with(|| fingerprint::of(ctx, host, forward))
+    }
+
+    /// Waits until the request may be sent to a target, as far as targets crash under
+    /// it. That is asked before each offer: news may come at any time.
+    async fn admit(&mut self) -> Result<Option<Trial>, Failure> {
+        if self.ctx.suspects.is_empty() {
+            return Ok(None);
+        }
+        let fingerprint = self.fingerprint();
+        let admitted = quarantine::admit(&self.ctx, fingerprint, self.deadline - LEFT_MIN);
+        admitted.await.map_err(|kept_back| match kept_back {
+            KeptBack::Refused {
+                crashes,
+                retry_after,
+            } if self.runs == 0 => Failure::Crashing {
+                crashes,
+                retry_after,
+            },
+            KeptBack::Refused { .. } => self.given_up("targets crash under it"),
+            KeptBack::Waiting => self.given_up("others like it run"),
+        })
+    }
+
+    /// Finds out whether a target crashed under the request.
+    async fn broke_off(&mut self, target: &TargetId, addr: SocketAddr, ran: Duration) {
+        let run = quarantine::Run {
+            fingerprint: self.fingerprint(),
+            id: self.forward.id.clone(),
+            target: target.clone(),
+            addr,
+            ran,
+        };
+        quarantine::broke_off(&self.ctx, run).await;
     }
 
     fn choose(&mut self, offers: u32) -> Result<Choice, Failure> {
@@ -261,7 +317,10 @@
         Ok(Begun {
             reply,
             running,
+            addr: choice.addr,
             sent,
+            begun: Instant::now(),
+            trial: None,
         })
     }
 
@@ -300,7 +359,7 @@
             NoReply::NotSent(_) | NoReply::OtherTarget => places.failed(target, now),
             NoReply::Unknown(TIMED_OUT) => {}
             NoReply::Unknown(TARGET_FAILED) => places.failed_request(target, now),
-            NoReply::Unknown(_) => places.failed(target, now),
+            NoReply::Broken | NoReply::Unknown(_) => places.failed(target, now),
             NoReply::Rejected(_) => {}
         }
     }
@@ -310,8 +369,10 @@
         match err {
             NoReply::Rejected(status) => return Err(Failure::Rejected(status)),
             NoReply::Unknown(TIMED_OUT) => return Err(Failure::TimedOut),
-            NoReply::Unknown(reason) if !self.route.is_repeatable() => {
-                return Err(Failure::Unknown { reason });
+            err if err.may_have_run() && !self.route.is_repeatable() => {
+                return Err(Failure::Unknown {
+                    reason: err.reason(),
+                });
             }
             _ => {}
         }
--- a/crates/gateway/src/online/flow.rs
+++ b/crates/gateway/src/online/flow.rs
@@ -1,6 +1,7 @@
 //! The body of an answer, passed on as it comes.
 
 use std::io;
+use std::sync::Arc;
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -22,6 +23,7 @@
 use crate::context::ms;
 use crate::error::Failure;
 use crate::ports::Body;
+use crate::quarantine;
 use crate::splice::Events;
 use crate::splice::follows;
 
@@ -50,7 +52,9 @@
 
 /// Why a body went no further.
 enum Stop {
-    /// The target broke off or fell silent.
+    /// The connection broke in the midst of it.
+    BrokeOff(&'static str),
+    /// The target fell silent or sent something else.
     Broken(&'static str),
     /// The time of the request is over.
     TimedOut,
@@ -163,7 +167,7 @@
         };
         let frame = match frame {
             Some(Ok(frame)) => frame,
-            Some(Err(_)) => return Err(Stop::Broken("broke off")),
+            Some(Err(_)) => return Err(Stop::BrokeOff("broke off")),
             None => return self.ended(),
         };
         // Trailers are nothing that callers are promised.
@@ -213,7 +217,7 @@
             None => !self.is_stream || self.last_bytes == EVENT_END,
         };
         if !is_whole {
-            return Err(Stop::Broken("ended in an event"));
+            return Err(Stop::BrokeOff("ended in an event"));
         }
         Ok(None)
     }
@@ -221,8 +225,13 @@
     fn end(&mut self) {
         self.is_done = true;
         if let Some(begun) = self.begun.take() {
+            let is_failed = begun.reply.status.is_server_error();
+            if !is_failed {
+                let ctx = Arc::clone(&self.sending.ctx);
+                quarantine::ended_well(&ctx, || self.sending.fingerprint());
+            }
             let mut places = lock(&self.sending.ctx.places);
-            if begun.reply.status.is_server_error() {
+            if is_failed {
                 places.failed_request(begun.running.target(), Instant::now());
             } else {
                 places.answered(begun.running.target(), None);
@@ -235,21 +244,36 @@
 
     /// Takes the stream to another target, if it may go on there.
     async fn go_on(&mut self, stop: Stop) -> Result<(), Failure> {
-        let reason = match stop {
+        let (reason, may_have_crashed) = match stop {
             Stop::TimedOut => return Err(Failure::TimedOut),
-            Stop::Broken(reason) => reason,
+            Stop::BrokeOff(reason) => (reason, true),
+            Stop::Broken(reason) => (reason, false),
         };
         let Some(begun) = self.begun.take() else {
             return Err(Failure::Unknown { reason });
         };
         let target = begun.running.target().clone();
+        let Begun {
+            reply,
+            running,
+            addr,
+            begun,
+            trial,
+            ..
+        } = begun;
         // The target stops as soon as its connection is closed.
-        drop(begun);
+        drop((reply, running));
         let fingerprint = self.sending.fingerprint();
         self.sending
             .trace
             .broke_off(&target, reason, self.last_event, fingerprint);
         lock(&self.sending.ctx.places).failed(&target, Instant::now());
+        if may_have_crashed {
+            let ran = begun.elapsed();
+            self.sending.broke_off(&target, addr, ran).await;
+        }
+        // The next run of a suspect begins when it is known how this one ended.
+        drop(trial);
         self.sending.runs += 1;
         self.sending.tried.push(target);
         let Some(events) = &mut self.events else {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -17,6 +17,7 @@
 mod relay;
 mod rpc;
 mod status;
+pub(crate) mod suspects;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -254,6 +255,7 @@
     tokio::spawn(relay::run(Arc::clone(ctx)));
     tokio::spawn(cell::run(Arc::clone(ctx)));
     tokio::spawn(loading::run(Arc::clone(ctx)));
+    tokio::spawn(suspects::retell(Arc::clone(ctx)));
     tokio::spawn(sweep(Arc::clone(ctx)));
     tokio::spawn(rpc::serve(Arc::clone(ctx), listener));
 }
--- a/crates/gateway/src/peers/status.rs
+++ b/crates/gateway/src/peers/status.rs
@@ -22,6 +22,7 @@
 use super::pull;
 use super::receivers::receivers;
 use super::relay;
+use super::suspects;
 use crate::catalog::Versions;
 use crate::context::Context;
 use crate::context::lock;
@@ -134,6 +135,7 @@
         }
         Some(News::Cut(cut)) => take_cut(ctx, cut),
         Some(News::Cell(told)) => cell::take(ctx, addr, told),
+        Some(News::Suspects(told)) => suspects::take(ctx, &told),
         None => ctx.metrics.count(Counted::Datagrams, "unreadable"),
     }
 }
@@ -182,6 +184,7 @@
             "passed_on" => addr.is_none());
         ctx.metrics.count(Counted::Changes, "host up");
         ctx.peers.tell();
+        suspects::tell_newcomer(ctx, heard.addr);
     }
     if heard.is_pull_due && pull::may_pull(ctx) {
         tokio::spawn(pull::pull(Arc::clone(ctx), heard.addr));
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -88,6 +88,8 @@
     Rejected(StatusCode),
     /// Another incarnation answers at the address; it ran nothing.
     OtherTarget,
+    /// Its connection broke before an answer; it may have run the request.
+    Broken,
     /// It may have run the request, or runs it still.
     Unknown(&'static str),
 }
@@ -95,7 +97,7 @@
 impl NoReply {
     /// Returns whether the request may have run.
     pub fn may_have_run(self) -> bool {
-        matches!(self, Self::Unknown(_))
+        matches!(self, Self::Broken | Self::Unknown(_))
     }
 
     /// Returns the reason in a word or two.
@@ -105,13 +107,27 @@
             Self::Full => "target full",
             Self::Rejected(_) => "rejected",
             Self::OtherTarget => "other target at address",
+            Self::Broken => "connection broke",
         }
     }
 }
 
+/// Whether anybody listens at a target's address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Presence {
+    /// Connections are accepted.
+    Listening,
+    /// Connections are refused: its process has ended.
+    Gone,
+    /// Nothing came back in time: the way there or its machine may be at fault.
+    Silent,
+}
+
 /// Targets.
 #[derive(Clone)]
 pub struct Targets {
+    /// Looks whether anybody listens at an address.
+    pub probe: Arc<dyn Fn(SocketAddr) -> BoxFuture<'static, Presence> + Send + Sync>,
     /// Sends a request and returns the head of the answer. Dropping the future
     /// or the body of the answer makes the target stop.
     pub call: Arc<dyn Fn(Call) -> BoxFuture<'static, Result<Reply, NoReply>> + Send + Sync>,
@@ -135,6 +151,8 @@
     Results,
     /// How far unfinished items have got.
     Progress,
+    /// Requests that are blamed for crashes of targets.
+    Blamed,
 }
 
 /// A record to append.
--- a/crates/gateway/src/upkeep.rs
+++ b/crates/gateway/src/upkeep.rs
@@ -28,6 +28,7 @@
 use crate::ports::StoreError;
 use crate::ports::Topic;
 use crate::progress;
+use crate::quarantine;
 use notchwharf_listen::Phase;
 
 /// The name by which hosts agree on who does the upkeep.
@@ -83,6 +84,7 @@
         .filter(|j| is_over(j, before))
         .collect();
     drop_blobs(ctx, &over).await?;
+    quarantine::drop_old(ctx).await?;
     progress::drop_stale(ctx, |job| jobs.get(job).is_some_and(Job::is_open)).await?;
     let is_dropped = |job: &JobId, refused: &Option<u64>| match refused {
         Some(submitted) => *submitted < before,
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -327,11 +327,17 @@
 }
 
 fn decode_target(value: &[u8]) -> Result<Spec, Unreadable> {
-    Ok(Spec {
+    let text = String::from_utf8_lossy(value);
+    let (state, addr) = text.split_once(' ').unwrap_or((&text, ""));
+    let spec = Spec {
         service: "s".into(),
         data_centre: "d".into(),
         slots: 2,
-        leaving: value == b"leaving",
+        leaving: state == "leaving",
         ..Spec::default()
+    };
+    Ok(Spec {
+        addr: addr.parse().unwrap_or(spec.addr),
+        ..spec
     })
 }
--- a/crates/gateway/tests/world/store.rs
+++ b/crates/gateway/tests/world/store.rs
@@ -17,6 +17,8 @@
 use notchwharf_gateway::ports::Tail;
 use notchwharf_gateway::ports::Topic;
 
+use super::targets::addr_of;
+
 pub const CONFIG_KEY: &str = "configuration";
 /// Keys in one page, unless a test says otherwise; few, so that tests turn pages.
 const PAGE: usize = 3;
@@ -107,7 +109,8 @@
     }
 
     pub fn put_target(&self, target: &str, text: &str) {
-        self.put(Topic::Targets, target, Some(text));
+        let text = format!("{text} {}", addr_of(target));
+        self.put(Topic::Targets, target, Some(&text));
     }
 
     pub fn drop_target(&self, target: &str) {
--- a/crates/gateway/tests/world/targets.rs
+++ b/crates/gateway/tests/world/targets.rs
@@ -3,6 +3,8 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::collections::VecDeque;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -18,6 +20,7 @@
 use hyper::body::Frame;
 use notchwharf_gateway::ports::Call;
 use notchwharf_gateway::ports::NoReply;
+use notchwharf_gateway::ports::Presence;
 use notchwharf_gateway::ports::Reply;
 use notchwharf_gateway::ports::Targets;
 
@@ -138,6 +141,14 @@
         self.state.lock().unwrap().crashes.values().sum()
     }
 
+    fn presence(&self, addr: SocketAddr) -> Presence {
+        let state = self.state.lock().unwrap();
+        match state.down.iter().any(|target| addr_of(target) == addr) {
+            true => Presence::Gone,
+            false => Presence::Listening,
+        }
+    }
+
     fn crashes_of(&self, target: &str) -> u32 {
         let state = self.state.lock().unwrap();
         state.crashes.get(target).copied().unwrap_or(0)
@@ -165,7 +176,12 @@
 
     pub fn port(&self) -> Targets {
         let engines = self.clone();
+        let looked_at = self.clone();
         Targets {
+            probe: Arc::new(move |addr| {
+                let presence = looked_at.presence(addr);
+                async move { presence }.boxed()
+            }),
             call: Arc::new(move |call| {
                 let engines = engines.clone();
                 async move { engines.call(call).await }.boxed()
@@ -293,6 +309,13 @@
     }
 }
 
+/// Returns where a target answers; nobody listens there in fact.
+pub fn addr_of(target: &str) -> SocketAddr {
+    let hash = |hash: u16, byte: u8| hash.wrapping_mul(31).wrapping_add(byte.into());
+    let port = target.bytes().fold(1, hash);
+    SocketAddr::from((Ipv4Addr::LOCALHOST, port))
+}
+
 fn reply(status: u16, is_signed: bool, body: Full<Bytes>) -> Reply {
     Reply {
         status: StatusCode::from_u16(status).unwrap(),
--- a/crates/proto/src/news.rs
+++ b/crates/proto/src/news.rs
@@ -25,6 +25,41 @@
     PassedOn(Vec<Status>),
     /// What the hosts of another cell run together.
     Cell(CellStatus),
+    /// Requests under which targets crashed.
+    Suspects(Suspects),
+}
+
+/// What a host knows of requests under which targets crashed.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspects {
+    /// The host.
+    pub host: String,
+    /// The requests, some of those that it knows.
+    pub suspects: Vec<Suspect>,
+}
+
+/// A request under which targets crashed.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspect {
+    /// The fingerprint of its content.
+    pub fingerprint: u128,
+    /// How often it was cleared.
+    pub clearances: u32,
+    /// The crashes since.
+    pub crashes: Vec<Crash>,
+    /// How long ago the host began to run it, if it does.
+    pub runs_since_ms: Option<u64>,
+}
+
+/// A target's crash under a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crash {
+    /// Names the life of the target that ended.
+    pub life: u64,
+    /// How long the request had run there.
+    pub ran_ms: u64,
+    /// How long ago it was noticed.
+    pub age_ms: u64,
 }
 
 /// What a host tells of its cell to one of another.
@@ -110,6 +145,16 @@
     postcard::to_stdvec(news).expect("News is always representable.")
 }
 
+/// Returns the number of bytes that a suspect takes in a datagram.
+///
+/// # Panics
+///
+/// Never: the type holds nothing that the codec cannot represent.
+pub fn suspect_bytes(suspect: &Suspect) -> usize {
+    let bytes = postcard::to_stdvec(suspect);
+    bytes.expect("Suspects are always representable.").len()
+}
+
 /// Decodes a datagram; returns nothing for anything else.
 pub fn decode(bytes: &[u8]) -> Option<News> {
     postcard::from_bytes(bytes).ok()
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -7,7 +7,8 @@
 //! [`places`] does the work of the first and the last where hosts share all
 //! targets and tell one another what they run, [`cells`] which hosts and targets
 //! these are in a large fleet, [`telling`] who tells whom, and [`belief`] which
-//! targets there are. [`fingerprint`] names a request by its content. All take time as input and do no I/O.
+//! targets there are. [`fingerprint`] names a request by
+//! its content, and [`quarantine`] keeps those from targets under which they crash. All take time as input and do no I/O.
 
 pub mod admission;
 pub mod belief;
@@ -17,6 +18,7 @@
 pub mod items;
 pub mod limit;
 pub mod places;
+pub mod quarantine;
 pub mod slots;
 pub mod table;
 pub mod telling;
--- /dev/null
+++ b/crates/routing/src/quarantine.rs
@@ -0,0 +1,243 @@
+//! Which requests are kept from targets, since targets crash under them.
+//!
+//! Some requests crash every target that begins to run them, and their callers send
+//! them again: the same content under another id, to any host. A crash also ends what
+//! else ran at the target, so one crash makes suspects of all that it ended, and only
+//! one of these is to blame. What tells them apart is whether they are there the next
+//! time. So hosts remember the requests under which targets crashed by their content,
+//! tell one another, and let
+//!
+//! * a suspect run at no more targets at once, over all hosts, than it may still end;
+//! * a request that is blamed run nowhere until it has been kept away for long;
+//! * a request that ended well go free: it does not crash every target that runs it.
+//!
+//! ```
+//! use std::time::{Duration, Instant};
+//! use notchwharf_routing::quarantine::{Crash, Quarantine, Verdict};
+//!
+//! let now = Instant::now();
+//! let mut quarantine = Quarantine::default();
+//! assert_eq!(quarantine.admit(7, "a1", now), Verdict::Free);
+//! for life in 0..3 {
+//!     let ran = Duration::from_millis(50);
+//!     quarantine.crashed(7, Crash { life, ran, at: now });
+//! }
+//! assert!(matches!(quarantine.admit(7, "a1", now), Verdict::Refused { crashes: 3, .. }));
+//! ```
+//!
+//! # Blame
+//!
+//! Targets also crash for reasons of their own, and a healthy request that is sent
+//! again may be there each time. How likely that is depends on how long it ran: where a
+//! target crashes every seven seconds, one that ran for 50 ms is hit with a chance of
+//! 0.7 in 100, one that ran for 3 s with 40. A request is blamed for three crashes if a
+//! healthy one would have met them with a chance below one in 100,000, and for five in
+//! any case. A fixed number of crashes was rejected: items of jobs run for seconds and
+//! would be taken for the cause whenever many targets crash. So was the rate of crashes
+//! as hosts see it: a request that is to blame raises it.
+//!
+//! # Trade-offs
+//!
+//! Two hosts that admit a suspect within the time that news takes between them both
+//! run it. Asking one host for leave was rejected: it costs a way there and back, and its
+//! death or a cut leaves nobody to ask. A request that is new everywhere may be running
+//! at any number of targets when it is first seen to end one.
+//!
+//! Ages are measured on the clock given. Where that stands still, as a suspended
+//! machine's does, suspects are remembered and kept away for longer, never shorter.
+
+mod suspect;
+
+use std::collections::HashMap;
+use std::collections::hash_map::Entry;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::fingerprint::Fingerprint;
+use crate::places::HostId;
+
+use self::suspect::Suspect;
+
+/// The name of one life of a target, from a start to its end.
+pub type LifeId = u64;
+
+/// Time for which a suspect is remembered after its last crash. A caller's repeats come
+/// within seconds or minutes; each crash leaves about eight suspects, most of which
+/// never come again.
+const REMEMBERED: Duration = Duration::from_secs(600);
+
+/// Requests remembered at most: some 200 bytes each, so 3 MB, and more than a fleet of
+/// 150 targets can crash in a minute with eight requests each. A caller who would fill it to have
+/// his own forgotten must crash that many targets first.
+const SUSPECTS_MAX: usize = 16_384;
+
+/// A target's crash under a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Crash {
+    /// The life of the target that ended.
+    pub life: LifeId,
+    /// How long the request had run there.
+    pub ran: Duration,
+    /// When it was noticed.
+    pub at: Instant,
+}
+
+/// Whether a request may be sent to a target now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It may. If it is a suspect, its run is noted until [`Quarantine::ended`].
+    Free,
+    /// Others with the same content run now; it may when one of them has ended.
+    Wait,
+    /// Targets crash under it.
+    Refused {
+        /// How many were seen to.
+        crashes: u32,
+        /// Time until it may be tried once more.
+        retry_after: Duration,
+    },
+}
+
+/// What one host tells others of a suspect. Times are relative, as hosts' clocks differ.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Told {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// How often it was cleared: crashes from before a clearance do not count.
+    pub clearances: u32,
+    /// The crashes since.
+    pub crashes: Vec<ToldCrash>,
+    /// How long ago the telling host began to run it, if it runs there.
+    pub runs_since: Option<Duration>,
+}
+
+/// A crash as one host tells another of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ToldCrash {
+    /// The life of the target that ended.
+    pub life: LifeId,
+    /// How long the request had run there.
+    pub ran: Duration,
+    /// How long ago it was noticed.
+    pub age: Duration,
+}
+
+/// What became of a suspect by a crash or by what a host told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// Nothing that was not known.
+    None,
+    /// Another crash or clearance, or a run began or ended.
+    News,
+    /// It is refused from now on.
+    Blamed {
+        /// How many targets crashed under it.
+        crashes: u32,
+    },
+}
+
+/// Requests under which targets have crashed.
+#[derive(Clone, Debug, Default)]
+pub struct Quarantine {
+    suspects: HashMap<Fingerprint, Suspect>,
+}
+
+impl Quarantine {
+    /// Returns whether no request is suspected, so that none needs a fingerprint.
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+    }
+
+    /// Returns the number of requests that are remembered.
+    pub fn len(&self) -> usize {
+        self.suspects.len()
+    }
+
+    /// Returns how many crashes under a request count.
+    pub fn crashes(&self, fingerprint: Fingerprint) -> u32 {
+        let suspect = self.suspects.get(&fingerprint);
+        suspect.map_or(0, Suspect::crash_count)
+    }
+
+    /// Decides whether a host may send a request now, and notes the run of a suspect.
+    pub fn admit(&mut self, fingerprint: Fingerprint, host: &str, now: Instant) -> Verdict {
+        match self.suspects.get_mut(&fingerprint) {
+            Some(suspect) => suspect.admit(host, now),
+            None => Verdict::Free,
+        }
+    }
+
+    /// Notes that a host's run of a request has ended.
+    pub fn ended(&mut self, fingerprint: Fingerprint, host: &str) {
+        if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
+            suspect.ended(host);
+        }
+    }
+
+    /// Notes that a target crashed under a request.
+    pub fn crashed(&mut self, fingerprint: Fingerprint, crash: Crash) -> Change {
+        let now = crash.at;
+        self.make_room(now);
+        let suspect = self.suspects.entry(fingerprint);
+        let suspect = suspect.or_insert_with(|| Suspect::new(now));
+        suspect.noting(now, |suspect| suspect.add(crash))
+    }
+
+    /// Notes that a request ended well at a target; returns whether that clears a
+    /// suspect.
+    pub fn ended_well(&mut self, fingerprint: Fingerprint, now: Instant) -> bool {
+        let suspect = self.suspects.get_mut(&fingerprint);
+        suspect.is_some_and(|suspect| suspect.clear(now))
+    }
+
+    /// Takes in what another host tells of a suspect.
+    pub fn take(&mut self, host: &HostId, told: &Told, now: Instant) -> Change {
+        self.make_room(now);
+        let suspect = match self.suspects.entry(told.fingerprint) {
+            Entry::Occupied(known) => known.into_mut(),
+            // A clearance of what is not known here says nothing.
+            Entry::Vacant(_) if told.crashes.is_empty() => return Change::None,
+            Entry::Vacant(new) => new.insert(Suspect::new(now)),
+        };
+        suspect.noting(now, |suspect| suspect.merge(host, told, now))
+    }
+
+    /// Returns what a host tells of a request; nothing if it is not remembered.
+    pub fn told(&self, fingerprint: Fingerprint, host: &str, now: Instant) -> Option<Told> {
+        let suspect = self.suspects.get(&fingerprint)?;
+        Some(suspect.told(fingerprint, host, now))
+    }
+
+    /// Returns what a host tells now and then, for those that missed it: the suspects
+    /// that came more than once, and what has changed lately.
+    pub fn retold(&self, host: &str, now: Instant) -> Vec<Told> {
+        let worth = self.suspects.iter().filter(|(_, s)| s.is_retold(now));
+        worth
+            .map(|(fingerprint, suspect)| suspect.told(*fingerprint, host, now))
+            .collect()
+    }
+
+    /// Forgets suspects that have not been to blame for long.
+    pub fn forget_old(&mut self, now: Instant) {
+        self.suspects
+            .retain(|_, suspect| !suspect.is_forgotten(now));
+    }
+
+    /// Forgets the suspects of which least is known if there are too many.
+    fn make_room(&mut self, now: Instant) {
+        if self.suspects.len() < SUSPECTS_MAX {
+            return;
+        }
+        self.forget_old(now);
+        let mut by_weight: Vec<_> = self
+            .suspects
+            .iter()
+            .map(|(f, s)| (s.weight(), *f))
+            .collect();
+        by_weight.sort_unstable();
+        // Many at a time, so that sorting is seldom.
+        for (_, fingerprint) in by_weight.into_iter().take(SUSPECTS_MAX / 8) {
+            self.suspects.remove(&fingerprint);
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/src/quarantine/suspect.rs
@@ -0,0 +1,242 @@
+//! What is known of one request under which targets crashed.
+//!
+//! Hosts hold this apart and merge what they are told, in any order and as often as it
+//! comes: crashes are a set, and a clearance outdoes all crashes from before it. A
+//! counter was rejected: told twice, it counts twice.
+
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use super::Change;
+use super::Crash;
+use super::REMEMBERED;
+use super::Told;
+use super::ToldCrash;
+use super::Verdict;
+use crate::fingerprint::Fingerprint;
+use crate::places::HostId;
+
+/// Targets that a request may end before it can be blamed.
+const CRASHES_ALLOWED: u32 = 3;
+
+/// Crashes for which a request is blamed however likely they are for a healthy one. Two
+/// beyond those allowed: with one fewer, one item in 400 that runs for
+/// four seconds would be blamed where a target crashes every seven seconds, and so one in
+/// 3,700 (Poisson).
+const CRASHES_BLAMED: u32 = 5;
+
+/// Crashes of a sound target in a second at most: four targets in ten every three
+/// seconds.
+const CRASH_RATE_MAX: f64 = 0.14;
+
+/// The chance of a healthy request to meet the crashes that it met, below which it is
+/// blamed: one in 100,000, with some 1,000 requests a day that meet a crash at all.
+const CHANCE_MIN: f64 = 1e-5;
+
+/// Time for which a blamed request is kept from all targets, after the last crash that
+/// is allowed; each later crash doubles it. So it ends one target in ten minutes, then one
+/// in twenty, if its caller does not give up.
+const KEPT_AWAY: Duration = Duration::from_secs(600);
+
+/// Crashes up to which that time is doubled; it is some five hours then.
+const DOUBLED_MAX: u32 = CRASHES_BLAMED + 3;
+
+/// Time after which a run does not keep others waiting: targets crash some 100 ms after
+/// they begin a request that they cannot bear. It also ends the runs of hosts that
+/// died.
+const RUN_WATCHED: Duration = Duration::from_secs(1);
+
+/// Time for which changes are told again to those that may have missed them: some six
+/// times, each to two hosts.
+const RETOLD: Duration = Duration::from_secs(3);
+
+/// Crashes that are remembered of one request.
+const CRASHES_KEPT: usize = 8;
+
+/// A request under which targets crashed.
+#[derive(Clone, Debug)]
+pub(super) struct Suspect {
+    clearances: u32,
+    crashes: Vec<Crash>,
+    /// When each host began its newest run.
+    runs: HashMap<HostId, Instant>,
+    changed_at: Instant,
+}
+
+impl Suspect {
+    pub(super) fn new(now: Instant) -> Self {
+        Self {
+            clearances: 0,
+            crashes: Vec::new(),
+            runs: HashMap::new(),
+            changed_at: now,
+        }
+    }
+
+    pub(super) fn crash_count(&self) -> u32 {
+        u32::try_from(self.crashes.len()).unwrap_or(u32::MAX)
+    }
+
+    pub(super) fn admit(&mut self, host: &str, now: Instant) -> Verdict {
+        if let Some(retry_after) = self.kept_away(now) {
+            return Verdict::Refused {
+                crashes: self.crash_count(),
+                retry_after,
+            };
+        }
+        if self.crashes.is_empty() {
+            return Verdict::Free;
+        }
+        self.runs
+            .retain(|_, since| is_within(*since, RUN_WATCHED, now));
+        // A run for each target that it may still end; a blamed one is tried alone.
+        let at_once = CRASHES_ALLOWED.saturating_sub(self.crash_count()).max(1);
+        if self.runs.len() >= at_once as usize || self.runs.contains_key(host) {
+            return Verdict::Wait;
+        }
+        self.runs.insert(host.to_owned(), now);
+        Verdict::Free
+    }
+
+    pub(super) fn ended(&mut self, host: &str) {
+        self.runs.remove(host);
+    }
+
+    /// Makes a change and tells what it comes to.
+    pub(super) fn noting(
+        &mut self,
+        now: Instant,
+        change: impl FnOnce(&mut Self) -> bool,
+    ) -> Change {
+        let was_blamed = self.is_blamed();
+        if !change(self) {
+            return Change::None;
+        }
+        self.changed_at = now;
+        if self.is_blamed() && !was_blamed {
+            let crashes = self.crash_count();
+            return Change::Blamed { crashes };
+        }
+        Change::News
+    }
+
+    /// Adds a crash; returns whether it was not known.
+    pub(super) fn add(&mut self, crash: Crash) -> bool {
+        let is_known = self.crashes.iter().any(|known| known.life == crash.life);
+        if is_known || self.crashes.len() >= CRASHES_KEPT {
+            return false;
+        }
+        self.crashes.push(crash);
+        true
+    }
+
+    /// Forgets all crashes; returns whether there were any.
+    pub(super) fn clear(&mut self, now: Instant) -> bool {
+        if self.crashes.is_empty() {
+            return false;
+        }
+        self.clearances += 1;
+        self.crashes.clear();
+        self.changed_at = now;
+        true
+    }
+
+    /// Merges what a host tells; returns whether anything was new.
+    pub(super) fn merge(&mut self, host: &HostId, told: &Told, now: Instant) -> bool {
+        let since = told.runs_since.and_then(|age| now.checked_sub(age));
+        let before = match since {
+            Some(since) => self.runs.insert(host.clone(), since).is_some(),
+            None => self.runs.remove(host).is_some(),
+        };
+        let is_run_news = before != since.is_some();
+        if told.clearances < self.clearances {
+            // That host has missed a clearance, so it is told again.
+            return !told.crashes.is_empty();
+        }
+        let is_cleared = told.clearances > self.clearances;
+        if is_cleared {
+            self.clearances = told.clearances;
+            self.crashes.clear();
+        }
+        let mut is_news = is_cleared || is_run_news;
+        for ToldCrash { life, ran, age } in told.crashes.iter().copied() {
+            let at = now.checked_sub(age).unwrap_or(now);
+            is_news |= self.add(Crash { life, ran, at });
+        }
+        is_news
+    }
+
+    pub(super) fn told(&self, fingerprint: Fingerprint, host: &str, now: Instant) -> Told {
+        let age = |at: Instant| now.saturating_duration_since(at);
+        let crashes = self.crashes.iter().map(|crash| ToldCrash {
+            life: crash.life,
+            ran: crash.ran,
+            age: age(crash.at),
+        });
+        Told {
+            fingerprint,
+            clearances: self.clearances,
+            crashes: crashes.collect(),
+            runs_since: self.runs.get(host).map(|since| age(*since)),
+        }
+    }
+
+    pub(super) fn is_retold(&self, now: Instant) -> bool {
+        self.crashes.len() > 1 || is_within(self.changed_at, RETOLD, now)
+    }
+
+    pub(super) fn is_forgotten(&self, now: Instant) -> bool {
+        let time = match self.is_blamed() {
+            // It is to be known still when it is tried again.
+            true => self.kept_away_for() * 2,
+            false => REMEMBERED,
+        };
+        !is_within(self.newest(), time, now)
+    }
+
+    /// Returns how much would be lost with it: the more crashes, and the newer, the more.
+    pub(super) fn weight(&self) -> (u32, Instant) {
+        (self.crash_count(), self.newest())
+    }
+
+    fn newest(&self) -> Instant {
+        let newest = self.crashes.iter().map(|crash| crash.at).max();
+        newest.unwrap_or(self.changed_at)
+    }
+
+    /// Returns for how much longer it is kept from all targets, if it is.
+    fn kept_away(&self, now: Instant) -> Option<Duration> {
+        if !self.is_blamed() {
+            return None;
+        }
+        let since = now.saturating_duration_since(self.newest());
+        let rest = self.kept_away_for().checked_sub(since)?;
+        (!rest.is_zero()).then_some(rest)
+    }
+
+    fn kept_away_for(&self) -> Duration {
+        let beyond = self.crash_count().min(DOUBLED_MAX) - CRASHES_ALLOWED.min(self.crash_count());
+        KEPT_AWAY * 2u32.pow(beyond)
+    }
+
+    fn is_blamed(&self) -> bool {
+        let crashes = self.crash_count();
+        if crashes < CRASHES_ALLOWED {
+            return false;
+        }
+        crashes >= CRASHES_BLAMED || self.chance_if_healthy() < CHANCE_MIN
+    }
+
+    /// Returns the chance that a healthy request meets as many crashes so soon after it
+    /// began to run.
+    fn chance_if_healthy(&self) -> f64 {
+        let met = self.crashes.iter();
+        met.map(|crash| (CRASH_RATE_MAX * crash.ran.as_secs_f64()).min(1.0))
+            .product()
+    }
+}
+
+fn is_within(at: Instant, time: Duration, now: Instant) -> bool {
+    now.saturating_duration_since(at) < time
+}
