Put the gate before each send in a package of its own

The product's own interface has the same cause (a completion that crashes its targets is tried again at others, and nothing is remembered), so what a host needs around the decisions is shared: the gate, the form of what is told, the times.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -124,7 +124,7 @@
             peers: Peers::new(&settings.peers),
             items: Items::default(),
             progress: Progress::default(),
-            suspects: Suspects::default(),
+            suspects: Suspects::new(&settings.host.name),
             store,
             metrics,
             settings,
--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -21,6 +21,7 @@
 use notchwharf_ledger::jobs::Reason;
 use notchwharf_ledger::rendezvous::hash;
 use notchwharf_listen::Phase;
+use notchwharf_quarantine::gate::Trial;
 use notchwharf_routing::items::queue;
 use notchwharf_routing::items::turn::Line;
 use notchwharf_routing::items::turn::Waiting;
@@ -40,7 +41,6 @@
 use crate::metrics::Counted;
 use crate::progress;
 use crate::quarantine;
-use crate::quarantine::Trial;
 use crate::target::Class;
 use crate::target::Running;
 use crate::work;
@@ -277,7 +277,7 @@
     trial: Option<Trial>,
 }
 
-fn next(ctx: &Arc<Context>) -> Option<Next> {
+fn next(ctx: &Context) -> Option<Next> {
     let table = ctx.table()?;
     let mut backlog = lock(&ctx.items.backlog);
     let usual = lock(&ctx.items.usual);
@@ -313,10 +313,7 @@
     };
     let target = places.choose_batch(&want, Instant::now())?;
     drop(places);
-    let admitted = match ctx.suspects.is_empty() {
-        true => Ok(None),
-        false => quarantine::try_admit(ctx, item.fingerprint(ctx)),
-    };
+    let admitted = quarantine::try_admit(ctx, || item.fingerprint(ctx));
     let item = backlog.take()?;
     // One that is refused is not given up: its caller is owed a result until its job
     // may be abandoned, and it may be blamed by mistake.
--- a/crates/gateway/src/items/run.rs
+++ b/crates/gateway/src/items/run.rs
@@ -8,6 +8,7 @@
 use hyper::StatusCode;
 use notchwharf_config::routes::Route;
 use notchwharf_ledger::jobs::Reason;
+use notchwharf_quarantine::gate::Trial;
 use notchwharf_routing::places::TargetId;
 
 use super::registry::Ticket;
@@ -24,7 +25,6 @@
 use crate::ports::NoReply;
 use crate::ports::Reply;
 use crate::quarantine;
-use crate::quarantine::Trial;
 use crate::splice::Events;
 use crate::splice::follows;
 
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -18,6 +18,8 @@
 use hyper::StatusCode;
 use notchwharf_config::routes::Route;
 use notchwharf_ledger::rendezvous::hash;
+use notchwharf_quarantine::gate::KeptBack;
+use notchwharf_quarantine::gate::Trial;
 use notchwharf_routing::fingerprint::Fingerprint;
 use notchwharf_routing::items::turn::Ahead;
 use notchwharf_routing::places::Choice;
@@ -38,8 +40,6 @@
 use crate::ports::NoReply;
 use crate::ports::Reply;
 use crate::quarantine;
-use crate::quarantine::KeptBack;
-use crate::quarantine::Trial;
 use crate::target::Class;
 use crate::target::Running;
 use crate::work;
@@ -215,11 +215,12 @@
     /// Waits until the request may be sent to a target, as far as targets crash under
     /// it. That is asked before each offer: news may come at any time.
     async fn admit(&mut self) -> Result<Option<Trial>, Failure> {
-        if self.ctx.suspects.is_empty() {
+        let gate = Arc::clone(&self.ctx.suspects.gate);
+        if gate.is_empty() {
             return Ok(None);
         }
         let fingerprint = self.fingerprint();
-        let admitted = quarantine::admit(&self.ctx, fingerprint, self.deadline - LEFT_MIN);
+        let admitted = gate.admit(fingerprint, self.deadline - LEFT_MIN);
         admitted.await.map_err(|kept_back| match kept_back {
             KeptBack::Refused {
                 crashes,
--- a/crates/gateway/src/quarantine/look.rs
+++ b/crates/gateway/src/quarantine/look.rs
@@ -23,7 +23,6 @@
 use crate::context::millis;
 use crate::fingerprint;
 use crate::metrics::Counted;
-use crate::peers::suspects;
 use crate::ports::Presence;
 
 /// Time for which a request that broke off waits for the look: many times the way to a
@@ -115,18 +114,11 @@
         ran,
         at: broken.at,
     };
-    let (change, crashes) = {
-        let mut table = lock(&ctx.suspects.table);
-        let change = table.crashed(fingerprint, crash);
-        (change, table.crashes(fingerprint))
-    };
+    let change = ctx.suspects.gate.crashed(fingerprint, crash);
     slog::info!(ctx.logger, "target crashed under a request"; "id" => broken.run.id.as_str(),
         "target" => broken.run.target.as_str(), "ran_ms" => millis(ran),
-        "crashes" => crashes, "fingerprint" => fingerprint::text(fingerprint));
-    if change == Change::None {
-        return;
-    }
-    suspects::tell_crash(ctx, fingerprint);
+        "crashes" => ctx.suspects.gate.crashes(fingerprint),
+        "fingerprint" => fingerprint::text(fingerprint));
     if let Change::Blamed { crashes } = change {
         note_blamed(ctx, fingerprint, crashes, ctx.host());
         saved::save(ctx, fingerprint);
--- a/crates/gateway/src/quarantine/saved.rs
+++ b/crates/gateway/src/quarantine/saved.rs
@@ -8,7 +8,6 @@
 
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use notchwharf_ledger::jobs::HostId;
 use notchwharf_listen::Phase;
@@ -19,7 +18,6 @@
 use serde::Serialize;
 
 use crate::context::Context;
-use crate::context::lock;
 use crate::context::millis;
 use crate::context::ms;
 use crate::context::unix_ms;
@@ -56,8 +54,7 @@
 
 /// Writes a request down, on its own: until that is done if the store is away.
 pub(super) fn save(ctx: &Arc<Context>, fingerprint: Fingerprint) {
-    let told = lock(ctx.suspects.table()).told(fingerprint, ctx.host(), Instant::now());
-    let Some(told) = told else {
+    let Some(told) = ctx.suspects.gate.told(fingerprint) else {
         return;
     };
     let now_unix_ms = unix_ms();
@@ -137,7 +134,7 @@
         crashes: crashes.collect(),
         runs_since: None,
     };
-    super::take(ctx, &HostId::from(STORE), &told, Instant::now());
+    super::take(ctx, &HostId::from(STORE), &told);
 }
 
 fn decode(key: &str, value: &[u8]) -> Option<(Fingerprint, Saved)> {
--- /dev/null
+++ b/crates/quarantine/tests/news.rs
@@ -0,0 +1,60 @@
+//! What one host tells reaches another as it was.
+#![allow(clippy::unwrap_used, reason = "Tests fail by panicking.")]
+
+use std::time::Duration;
+use std::time::Instant;
+
+use notchwharf_proto::news::News;
+use notchwharf_proto::news::Suspects;
+use notchwharf_quarantine::gate::Gate;
+use notchwharf_quarantine::news::decode;
+use notchwharf_quarantine::news::encode;
+use notchwharf_routing::quarantine::Crash;
+use rstest::rstest;
+
+/// What a link carries in one packet, with its own headers.
+const PACKET_BYTES: usize = 1_280;
+
+fn crash(life: u64) -> Crash {
+    Crash {
+        life,
+        ran: Duration::from_millis(80),
+        at: Instant::now(),
+    }
+}
+
+#[rstest]
+#[case::a_suspect(2)]
+#[case::one_that_is_blamed(3)]
+#[tokio::test]
+async fn a_host_that_is_told_decides_alike(#[case] crashes: u64) {
+    let (there, _to_tell) = Gate::new("a1".into());
+    for life in 0..crashes {
+        there.crashed(7, crash(life));
+    }
+    let (here, _to_tell) = Gate::new("b1".into());
+    for suspect in encode(&there.retold()).iter().flatten() {
+        here.take(&"a1".into(), &decode(suspect));
+    }
+    assert_eq!(here.crashes(7), there.crashes(7));
+    assert_eq!(here.try_admit(7).is_err(), crashes == 3);
+    assert_eq!(there.try_admit(7).is_err(), crashes == 3);
+}
+
+#[tokio::test]
+async fn many_suspects_are_told_in_datagrams_that_fit_a_packet() {
+    let (gate, _to_tell) = Gate::new("a1".into());
+    for request in 0..500 {
+        for life in 0..8 {
+            gate.crashed(request, crash(life));
+        }
+    }
+    let told = gate.retold();
+    let parts = encode(&told);
+    assert_eq!(parts.iter().flatten().count(), told.len());
+    for suspects in parts {
+        let host = "a-host-with-a-long-name".to_owned();
+        let bytes = notchwharf_proto::news::encode(&News::Suspects(Suspects { host, suspects }));
+        assert!(bytes.len() <= PACKET_BYTES, "{}", bytes.len());
+    }
+}
