Keep completions from targets that crash under them, on the product's own interface

A completion may run again, so one under which targets crash was tried at target after target within one call, up to the retry budget, and anew with each call.

Change: the gate of the gateway, before each try; a target whose stream was cut is asked for its incarnation, and another one, or a refused connection, is a crash. Hosts tell one another by datagram. Refused with 503, code targets_crash, not-run and minutes in Retry-After. Looked at and left: items of jobs, whose attempts are counted in the ledger when a target is seen to fail.

Test: ten calls at three hosts crash 12 targets before, 6 at most after; a healthy completion is served.

--- a/crates/gateway/src/peers/suspects.rs
+++ b/crates/gateway/src/peers/suspects.rs
@@ -16,10 +16,9 @@
 use notchwharf_quarantine::gate;
 use notchwharf_quarantine::news::RETELL_GAP;
 use notchwharf_quarantine::news::RETOLD_HOSTS;
-use notchwharf_quarantine::news::TELL_GAP;
 use notchwharf_quarantine::news::decode;
 use notchwharf_quarantine::news::encode;
-use notchwharf_routing::fingerprint::Fingerprint;
+use notchwharf_quarantine::news::tell_changes;
 use notchwharf_routing::quarantine::Told;
 use rand::seq::IteratorRandom as _;
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -30,28 +29,17 @@
 use crate::quarantine;
 
 /// Tells all hosts what changes, until the host stops.
-pub(crate) async fn tell(ctx: Arc<Context>, mut to_tell: UnboundedReceiver<gate::News>) {
-    while let Some(news) = to_tell.recv().await {
-        tell_all(&ctx, news.fingerprint);
-        if news.is_crash {
-            let ctx = Arc::clone(&ctx);
-            tokio::spawn(async move {
-                tokio::time::sleep(TELL_GAP).await;
-                tell_all(&ctx, news.fingerprint);
-            });
-        }
-    }
+pub(crate) async fn tell(ctx: Arc<Context>, to_tell: UnboundedReceiver<gate::News>) {
+    let gate = Arc::clone(&ctx.suspects.gate);
+    tell_changes(gate, to_tell, move |told| tell_all(&ctx, told)).await;
 }
 
-fn tell_all(ctx: &Context, fingerprint: Fingerprint) {
-    let Some(told) = ctx.suspects.gate.told(fingerprint) else {
-        return;
-    };
+fn tell_all(ctx: &Context, told: &Told) {
     let addrs: Vec<SocketAddr> = {
         let known = lock(&ctx.peers.known);
         known.values().map(|peer| peer.addr).collect()
     };
-    send(ctx, &[told], &addrs);
+    send(ctx, std::slice::from_ref(told), &addrs);
 }
 
 /// Tells a host that was not there before what is worth it.
--- a/crates/proto/src/datagram.rs
+++ b/crates/proto/src/datagram.rs
@@ -3,6 +3,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::news::Suspects;
+
 /// A datagram between hosts.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Datagram {
@@ -18,6 +20,8 @@
         /// The number of streams.
         streams: u32,
     },
+    /// Requests under which targets crashed.
+    Suspects(Suspects),
 }
 
 /// Encodes a datagram.
--- a/crates/server/src/api/chat.rs
+++ b/crates/server/src/api/chat.rs
@@ -280,6 +280,7 @@
     match failure {
         Failure::NotRun(Refusal::NoTarget { retry_after }) => Problem::NoTarget { retry_after },
         Failure::NotRun(Refusal::Full { retry_after }) => Problem::Shed { retry_after },
+        Failure::Crashing { retry_after } => Problem::Crashing { retry_after },
         Failure::Rejected(status) => Problem::Rejected(status),
         Failure::Deadline => Problem::Deadline,
         Failure::Broken | Failure::Gone => Problem::Broken,
--- a/crates/server/src/api/error.rs
+++ b/crates/server/src/api/error.rs
@@ -73,6 +73,10 @@
     NoTarget {
         retry_after: Duration,
     },
+    /// Targets crash under the request.
+    Crashing {
+        retry_after: Duration,
+    },
     LogDown,
     NoOwner,
     OutcomeUnknown,
@@ -102,7 +106,7 @@
             Self::Starting | Self::Leaving | Self::NoTarget { .. } | Self::LogDown => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
-            Self::NoOwner => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoOwner | Self::Crashing { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::Deadline => StatusCode::GATEWAY_TIMEOUT,
             Self::OutcomeUnknown | Self::Broken => StatusCode::BAD_GATEWAY,
             Self::Rejected(status) => {
@@ -141,6 +145,7 @@
             Self::Leaving => "leaving",
             Self::Shed { .. } => "overloaded",
             Self::NoTarget { .. } => "no_target",
+            Self::Crashing { .. } => "targets_crash",
             Self::LogDown => "log_unavailable",
             Self::NoOwner => "no_owner",
             Self::OutcomeUnknown => "outcome_unknown",
@@ -152,7 +157,9 @@
 
     pub(crate) fn retry_after(&self) -> Option<Duration> {
         match self {
-            Self::Shed { retry_after } | Self::NoTarget { retry_after } => Some(*retry_after),
+            Self::Shed { retry_after }
+            | Self::NoTarget { retry_after }
+            | Self::Crashing { retry_after } => Some(*retry_after),
             Self::Starting | Self::Leaving | Self::LogDown | Self::NoOwner | Self::Broken => {
                 Some(RETRY_AFTER)
             }
@@ -212,6 +219,10 @@
             Self::Starting => f.write_str("The host has no bundle yet."),
             Self::Leaving => f.write_str("The host is leaving."),
             Self::Shed { .. } => f.write_str("Overloaded; the request was not run."),
+            Self::Crashing { .. } => f.write_str(
+                "Targets crashed under requests with this content; it was not run. Do not \
+                 repeat it soon.",
+            ),
             Self::NoTarget { .. } => f.write_str("No target can take the request now."),
             Self::LogDown => {
                 f.write_str("The platform's log does not answer; the request was not run.")
--- a/crates/server/src/context.rs
+++ b/crates/server/src/context.rs
@@ -49,6 +49,7 @@
 use crate::metrics::Counted;
 use crate::metrics::Metrics;
 use crate::pacer::Pacer;
+use crate::quarantine::Suspects;
 use crate::results::Results;
 use crate::shards::ShardActor;
 use notchwharf_telemetry::gauge::Gauge;
@@ -96,6 +97,7 @@
     pub(crate) connections: Gauge,
     pub(crate) in_flight: Gauge,
     pub(crate) unsettled: Gauge,
+    pub(crate) suspects: Suspects,
     peers: Mutex<HashMap<String, HttpClient>>,
 }
 
@@ -140,6 +142,7 @@
             connections: Gauge::default(),
             in_flight: Gauge::default(),
             unsettled: Gauge::default(),
+            suspects: Suspects::new(&settings.host.name),
             peers: Mutex::default(),
             settings,
             logger,
--- a/crates/server/src/keyed.rs
+++ b/crates/server/src/keyed.rs
@@ -219,7 +219,7 @@
                 replayed: false,
             })
         }
-        Err(Failure::NotRun(_)) => Err(Sent::No),
+        Err(Failure::NotRun(_) | Failure::Crashing { .. }) => Err(Sent::No),
         Err(_) => Err(Sent::Harmless),
     }
 }
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -37,6 +37,7 @@
 mod online;
 mod pacer;
 mod peers;
+mod quarantine;
 mod results;
 mod shards;
 
--- a/crates/server/src/life.rs
+++ b/crates/server/src/life.rs
@@ -26,6 +26,7 @@
 use crate::members::Leave;
 use crate::online;
 use crate::peers;
+use crate::quarantine;
 use crate::results::Results;
 use crate::shards;
 use notchwharf_listen::Phase;
@@ -101,6 +102,7 @@
         shards::start(&ctx);
         let leases = fleet::start(&ctx);
         tokio::spawn(online::repeat_notices(Arc::clone(&ctx)));
+        quarantine::start(&ctx);
         tokio::spawn(api::serve(Arc::clone(&ctx), listen, api::handle));
         tokio::spawn(api::serve(Arc::clone(&ctx), admin, api::admin::handle));
         slog::info!(ctx.logger, "listening";
--- a/crates/server/src/members.rs
+++ b/crates/server/src/members.rs
@@ -29,6 +29,7 @@
 use crate::dispatch::Online;
 use crate::dispatch::Reannounce;
 use crate::metrics::Counted;
+use crate::quarantine;
 use crate::shards::HostGone;
 use notchwharf_listen::Phase;
 
@@ -303,6 +304,7 @@
                 post(&dispatcher, Online { host, streams });
             }
         }
+        Some(Datagram::Suspects(told)) => quarantine::take(shared, &told),
         None => {}
     }
 }
--- a/crates/server/src/online.rs
+++ b/crates/server/src/online.rs
@@ -30,6 +30,7 @@
 use crate::exchange::Times;
 use crate::metrics::Counted;
 use crate::metrics::Timed;
+use crate::quarantine;
 use notchwharf_listen::Phase;
 
 /// Time after which a notice is repeated.
@@ -54,6 +55,11 @@
     Rejected(u16),
     /// The deadline has passed.
     Deadline,
+    /// Targets crash under it; it was not run.
+    Crashing {
+        /// When it may be tried once more.
+        retry_after: Duration,
+    },
     /// Targets broke under it, and no more tries are allowed.
     Broken,
     /// The caller has gone.
@@ -72,6 +78,11 @@
     let mut sent = false;
     let mut pauses = budget::pauses(rand::random());
     loop {
+        let trial = match quarantine::admit(ctx, &req).await {
+            Ok(trial) => trial,
+            Err(_) if sent => return Err(Failure::Broken),
+            Err(failure) => return Err(failure),
+        };
         let chosen = choose(ctx, &mut req, &tried);
         let target = match chosen {
             Ok(target) => target,
@@ -87,10 +98,13 @@
             }
             Err(refusal) => return Err(Failure::NotRun(refusal)),
         };
+        let life = quarantine::life_of(ctx, &target);
+        let began = Instant::now();
         let res = run_on(ctx, &req, &target, &mut progress, grown.as_ref()).await;
         let broken = match res {
             Ok(()) => {
                 lock(&ctx.budget).earn();
+                quarantine::ended_well(ctx, &req);
                 let took = started.elapsed();
                 ctx.metrics
                     .time(Timed::Whole, Class::Online, &req.tenant, took);
@@ -98,6 +112,11 @@
             }
             Err(broken) => broken,
         };
+        if broken == Broken::Cut {
+            quarantine::broke_off(ctx, &req, &target, life, began.elapsed()).await;
+        }
+        // The next run of a suspect begins when it is known how this one ended.
+        drop(trial);
         sent |= !matches!(broken, Broken::NotSent | Broken::Refused(_));
         ctx.metrics.count(Counted::Retries, broken.label());
         match broken {
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -231,6 +231,11 @@
         self.shared.lock().die();
     }
 
+    /// Returns how often it has crashed and started again.
+    pub fn crashes(&self) -> u64 {
+        self.shared.lock().incarnation - 1
+    }
+
     /// Returns the number of streams that run.
     pub fn streams(&self) -> usize {
         self.shared.lock().model.running()
