Keep a request away again however often it is tried, and write the incident up

Found by reading: of one request eight crashes were kept and later ones ignored, so after the eighth the time for which it is kept away was not begun again; and a crash after the first blame was not written to the store. The newest eight are kept now, and each crash of a blamed request is saved. Seen to fail: the new test, at its ninth crash. Only a success clears a request, no longer an answer that says the request is wrong.

--- a/crates/gateway/src/online/flow.rs
+++ b/crates/gateway/src/online/flow.rs
@@ -225,13 +225,13 @@
     fn end(&mut self) {
         self.is_done = true;
         if let Some(begun) = self.begun.take() {
-            let is_failed = begun.reply.status.is_server_error();
-            if !is_failed {
+            let status = begun.reply.status;
+            if status.is_success() {
                 let ctx = Arc::clone(&self.sending.ctx);
                 quarantine::ended_well(&ctx, || self.sending.fingerprint());
             }
             let mut places = lock(&self.sending.ctx.places);
-            if is_failed {
+            if status.is_server_error() {
                 places.failed_request(begun.running.target(), Instant::now());
             } else {
                 places.answered(begun.running.target(), None);
--- a/crates/routing/src/quarantine.rs
+++ b/crates/routing/src/quarantine.rs
@@ -32,7 +32,7 @@
 //! target crashes every seven seconds, one that ran for 50 ms is hit with a chance of
 //! 0.7 in 100, one that ran for 3 s with 40. A request is blamed for three crashes if a
 //! healthy one would have met them with a chance below one in 100,000, and for six in
-//! any case; in between, it takes less with each. A fixed number of crashes was rejected: items of jobs run for seconds and
+//! any case. A fixed number of crashes was rejected: items of jobs run for seconds and
 //! would be taken for the cause whenever many targets crash. So was the rate of crashes
 //! as hosts see it: a request that is to blame raises it.
 //!
@@ -66,9 +66,9 @@
 /// never come again.
 const REMEMBERED: Duration = Duration::from_secs(600);
 
-/// Requests remembered at most: some 200 bytes each, so 3 MB, and more than a fleet of
-/// 150 targets can crash in a minute with eight requests each. A caller who would fill it to have
-/// his own forgotten must crash that many targets first.
+/// Requests remembered at most, some 200 bytes each, so 3 MB. A crash adds about eight,
+/// so a caller who would fill it to have his own forgotten must crash 2,000 targets first,
+/// and those of which more is known stay longest.
 const SUSPECTS_MAX: usize = 16_384;
 
 /// A target's crash under a request.
@@ -129,7 +129,7 @@
     None,
     /// Another crash or clearance, or a run began or ended.
     News,
-    /// It is refused from now on.
+    /// It is refused from now on, or for longer than before.
     Blamed {
         /// How many targets crashed under it.
         crashes: u32,
--- a/crates/routing/src/quarantine/suspect.rs
+++ b/crates/routing/src/quarantine/suspect.rs
@@ -29,8 +29,8 @@
 /// blamed in any case. At first one in 100,000, with some 1,000 requests a day that meet
 /// a crash at all; the fewer targets it may still end, the less it takes. Played for ten
 /// minutes with a crash of each target every 7.5 seconds, 1 of 1,500 items that run for
-/// seven seconds is refused and 3 of 28,500 online requests are, all of them sent again after three
-/// runs that broke off; with a crash every 20 seconds none.
+/// seven seconds is refused and 3 of 28,500 online requests are, all of them sent again
+/// after three runs that broke off; with a crash every 20 seconds none.
 const CHANCES_MIN: [f64; 3] = [1e-5, 1e-5, 1e-4];
 
 /// Time for which a blamed request is kept from all targets, after the last crash that
@@ -38,9 +38,6 @@
 /// in twenty, if its caller does not give up.
 const KEPT_AWAY: Duration = Duration::from_secs(600);
 
-/// Crashes up to which that time is doubled; it is some five hours then.
-const DOUBLED_MAX: u32 = CRASHES_ALLOWED + 5;
-
 /// Time after which a run does not keep others waiting: targets crash some 100 ms after
 /// they begin a request that they cannot bear. It also ends the runs of hosts that
 /// died.
@@ -50,7 +47,8 @@
 /// times, each to two hosts.
 const RETOLD: Duration = Duration::from_secs(3);
 
-/// Crashes that are remembered of one request.
+/// Crashes that are remembered of one request, the newest ones: with so many it is kept
+/// away for more than five hours after each.
 const CRASHES_KEPT: usize = 8;
 
 /// A request under which targets crashed.
@@ -108,12 +106,14 @@
         now: Instant,
         change: impl FnOnce(&mut Self) -> bool,
     ) -> Change {
+        let newest = self.newest();
         let was_blamed = self.is_blamed();
         if !change(self) {
             return Change::None;
         }
         self.changed_at = now;
-        if self.is_blamed() && !was_blamed {
+        let is_crash = !was_blamed || self.newest() > newest;
+        if self.is_blamed() && is_crash {
             let crashes = self.crash_count();
             return Change::Blamed { crashes };
         }
@@ -122,11 +122,19 @@
 
     /// Adds a crash; returns whether it was not known.
     pub(super) fn add(&mut self, crash: Crash) -> bool {
-        let is_known = self.crashes.iter().any(|known| known.life == crash.life);
-        if is_known || self.crashes.len() >= CRASHES_KEPT {
+        if self.crashes.iter().any(|known| known.life == crash.life) {
             return false;
         }
-        self.crashes.push(crash);
+        if self.crashes.len() < CRASHES_KEPT {
+            self.crashes.push(crash);
+            return true;
+        }
+        // The newest says until when it is kept away, so the oldest makes room for it.
+        let oldest = self.crashes.iter_mut().min_by_key(|known| known.at);
+        let Some(oldest) = oldest.filter(|oldest| oldest.at < crash.at) else {
+            return false;
+        };
+        *oldest = crash;
         true
     }
 
@@ -215,7 +223,7 @@
     }
 
     fn kept_away_for(&self) -> Duration {
-        let beyond = self.crash_count().min(DOUBLED_MAX) - CRASHES_ALLOWED.min(self.crash_count());
+        let beyond = self.crash_count().saturating_sub(CRASHES_ALLOWED);
         KEPT_AWAY * 2u32.pow(beyond)
     }
 
--- a/crates/routing/tests/quarantine.rs
+++ b/crates/routing/tests/quarantine.rs
@@ -134,6 +134,23 @@
     assert!(is_refused(verdict), "{verdict:?}");
 }
 
+#[test]
+fn however_often_it_is_tried_it_is_kept_away_again() {
+    let mut now = Instant::now();
+    let mut quarantine = after(&[80, 80, 80], now);
+    for life in 100..120 {
+        let Verdict::Refused { retry_after, .. } = quarantine.admit(REQUEST, "a", now) else {
+            panic!("not refused after {} tries", life - 100);
+        };
+        now += retry_after;
+        assert_eq!(quarantine.admit(REQUEST, "a", now), Verdict::Free);
+        let change = quarantine.crashed(REQUEST, crash(life, SOON, now));
+        assert!(matches!(change, Change::Blamed { .. }), "{change:?}");
+        quarantine.ended(REQUEST, "a");
+        quarantine.forget_old(now);
+    }
+}
+
 #[test]
 fn suspects_that_never_come_again_are_forgotten() {
     let now = Instant::now();
