Let one piece of code pack datagrams, hold what is to be told, and print fingerprints

Read over the whole change: the packing of news into datagrams stood in the relay and again beside the suspects; both kinds of hosts held the gate's channel until somebody read it, in structs alike; a fingerprint was turned into text twice. Now proto::news::parts, the gate itself and routing::fingerprint::text. No behaviour changes; tests keep their assertions (a gate is made without its channel now).

--- a/crates/gateway/src/fingerprint.rs
+++ b/crates/gateway/src/fingerprint.rs
@@ -3,6 +3,7 @@
 use notchwharf_routing::fingerprint;
 use notchwharf_routing::fingerprint::Content;
 use notchwharf_routing::fingerprint::Fingerprint;
+pub(crate) use notchwharf_routing::fingerprint::text;
 
 use crate::context::Context;
 use crate::ports::Forward;
@@ -17,8 +18,3 @@
         body: &forward.body,
     })
 }
-
-/// Returns a fingerprint as log lines have it.
-pub(crate) fn text(fingerprint: Fingerprint) -> String {
-    format!("{fingerprint:032x}")
-}
--- a/crates/gateway/src/peers/relay.rs
+++ b/crates/gateway/src/peers/relay.rs
@@ -26,9 +26,6 @@
 use crate::work;
 use crate::work::Part;
 
-/// Bytes of news in one datagram: what the least link carries in one packet.
-const BYTES_MAX: usize = 1_200;
-
 /// Hosts far away of which there is news to pass on; what it is stands with
 /// each of them as a peer.
 #[derive(Debug, Default)]
@@ -51,20 +48,8 @@
 fn parts(ctx: &Context, hosts: &HashSet<HostId>) -> Vec<Vec<Status>> {
     let known = lock(&ctx.peers.known);
     let news = hosts.iter().filter_map(|host| known.get(host));
-    let mut parts: Vec<Vec<Status>> = Vec::new();
-    let mut bytes = BYTES_MAX;
-    for status in news.map(|peer| peer.status.clone()) {
-        let size = news::encode(&News::Status(status.clone())).len();
-        bytes += size;
-        match parts.last_mut() {
-            Some(part) if bytes <= BYTES_MAX => part.push(status),
-            _ => {
-                bytes = size;
-                parts.push(vec![status]);
-            }
-        }
-    }
-    parts
+    let bytes_of = |status: &Status| news::encode(&News::Status(status.clone())).len();
+    news::parts(news.map(|peer| peer.status.clone()), bytes_of)
 }
 
 /// Passes news on inside this host's data centre.
--- a/crates/gateway/src/peers/suspects.rs
+++ b/crates/gateway/src/peers/suspects.rs
@@ -13,7 +13,6 @@
 use notchwharf_listen::Phase;
 use notchwharf_proto::news;
 use notchwharf_proto::news::News;
-use notchwharf_quarantine::gate;
 use notchwharf_quarantine::news::RETELL_GAP;
 use notchwharf_quarantine::news::RETOLD_HOSTS;
 use notchwharf_quarantine::news::decode;
@@ -21,7 +20,6 @@
 use notchwharf_quarantine::news::tell_changes;
 use notchwharf_routing::quarantine::Told;
 use rand::seq::IteratorRandom as _;
-use tokio::sync::mpsc::UnboundedReceiver;
 
 use crate::context::Context;
 use crate::context::lock;
@@ -29,9 +27,9 @@
 use crate::quarantine;
 
 /// Tells all hosts what changes, until the host stops.
-pub(crate) async fn tell(ctx: Arc<Context>, to_tell: UnboundedReceiver<gate::News>) {
+pub(crate) async fn tell(ctx: Arc<Context>) {
     let gate = Arc::clone(&ctx.suspects.gate);
-    tell_changes(gate, to_tell, move |told| tell_all(&ctx, told)).await;
+    tell_changes(gate, move |told| tell_all(&ctx, told)).await;
 }
 
 fn tell_all(ctx: &Context, told: &Told) {
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -18,18 +18,15 @@
 mod saved;
 
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::time::Duration;
 
 use notchwharf_quarantine::gate::Gate;
 use notchwharf_quarantine::gate::KeptBack;
-use notchwharf_quarantine::gate::News;
 use notchwharf_quarantine::gate::Trial;
 use notchwharf_routing::fingerprint::Fingerprint;
 use notchwharf_routing::places::HostId;
 use notchwharf_routing::quarantine::Change;
 use notchwharf_routing::quarantine::Told;
-use tokio::sync::mpsc::UnboundedReceiver;
 
 use self::look::Looks;
 pub(crate) use self::look::Run;
@@ -37,7 +34,6 @@
 pub(crate) use self::saved::drop_old;
 use crate::backlog::Item;
 use crate::context::Context;
-use crate::context::lock;
 use crate::context::millis;
 use crate::fingerprint;
 use crate::metrics::Counted;
@@ -49,26 +45,20 @@
 pub(crate) struct Suspects {
     pub(crate) gate: Arc<Gate>,
     looks: Looks,
-    /// What other hosts are to be told, until somebody does.
-    to_tell: Mutex<Option<UnboundedReceiver<News>>>,
 }
 
 impl Suspects {
     pub(crate) fn new(host: &str) -> Self {
-        let (gate, to_tell) = Gate::new(host.to_owned());
         Self {
-            gate,
+            gate: Gate::new(host.to_owned()),
             looks: Looks::default(),
-            to_tell: Mutex::new(Some(to_tell)),
         }
     }
 }
 
 /// Starts to tell other hosts, and to remember what was blamed before this host started.
 pub(crate) fn start(ctx: &Arc<Context>) {
-    if let Some(to_tell) = lock(&ctx.suspects.to_tell).take() {
-        tokio::spawn(suspects::tell(Arc::clone(ctx), to_tell));
-    }
+    tokio::spawn(suspects::tell(Arc::clone(ctx)));
     tokio::spawn(saved::load(Arc::clone(ctx)));
 }
 
--- a/crates/proto/src/news.rs
+++ b/crates/proto/src/news.rs
@@ -14,6 +14,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+/// Bytes of news in one datagram: what the least link carries in one packet.
+const PART_BYTES_MAX: usize = 1_200;
+
 /// A datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum News {
@@ -145,6 +148,25 @@
     postcard::to_stdvec(news).expect("News is always representable.")
 }
 
+/// Returns what is to be told in parts that each fit a datagram, by the bytes that each
+/// piece takes.
+pub fn parts<T>(pieces: impl Iterator<Item = T>, bytes_of: impl Fn(&T) -> usize) -> Vec<Vec<T>> {
+    let mut parts: Vec<Vec<T>> = Vec::new();
+    let mut bytes = PART_BYTES_MAX;
+    for piece in pieces {
+        let size = bytes_of(&piece);
+        bytes += size;
+        match parts.last_mut() {
+            Some(part) if bytes <= PART_BYTES_MAX => part.push(piece),
+            _ => {
+                bytes = size;
+                parts.push(vec![piece]);
+            }
+        }
+    }
+    parts
+}
+
 /// Returns the number of bytes that a suspect takes in a datagram.
 ///
 /// # Panics
--- a/crates/quarantine/src/gate.rs
+++ b/crates/quarantine/src/gate.rs
@@ -27,11 +27,11 @@
 
 /// A request of which other hosts are to be told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct News {
+pub(crate) struct News {
     /// The request.
-    pub fingerprint: Fingerprint,
+    pub(crate) fingerprint: Fingerprint,
     /// Whether a target has just crashed under it.
-    pub is_crash: bool,
+    pub(crate) is_crash: bool,
 }
 
 /// Why a request must not be sent to a target now.
@@ -56,6 +56,8 @@
     /// Sent to when a run of a suspect may have ended, for requests that wait for it.
     changed: watch::Sender<()>,
     news: mpsc::UnboundedSender<News>,
+    /// What other hosts are to be told, until somebody does.
+    to_tell: Mutex<Option<mpsc::UnboundedReceiver<News>>>,
 }
 
 /// The run of a suspect; the next one may begin when it is dropped.
@@ -74,16 +76,23 @@
 }
 
 impl Gate {
-    /// Returns a host's gate, and what it is to tell others.
-    pub fn new(host: HostId) -> (Arc<Self>, mpsc::UnboundedReceiver<News>) {
+    /// Returns a host's gate.
+    pub fn new(host: HostId) -> Arc<Self> {
         let (news, to_tell) = mpsc::unbounded_channel();
         let gate = Self {
             host,
             table: Mutex::default(),
             changed: watch::Sender::new(()),
             news,
+            to_tell: Mutex::new(Some(to_tell)),
         };
-        (Arc::new(gate), to_tell)
+        Arc::new(gate)
+    }
+
+    /// Returns what other hosts are to be told, as it comes; once.
+    pub(crate) fn take_news(&self) -> Option<mpsc::UnboundedReceiver<News>> {
+        let to_tell = self.to_tell.lock();
+        to_tell.unwrap_or_else(PoisonError::into_inner).take()
     }
 
     /// Returns whether no request is suspected, so that none needs a fingerprint.
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -10,7 +10,7 @@
 //! use notchwharf_quarantine::gate::{Gate, KeptBack};
 //! use notchwharf_routing::quarantine::Crash;
 //!
-//! let (gate, _news) = Gate::new("a1".into());
+//! let gate = Gate::new("a1".into());
 //! for life in 0..3 {
 //!     let ran = Duration::from_millis(50);
 //!     gate.crashed(7, Crash { life, ran, at: Instant::now() });
--- a/crates/quarantine/src/news.rs
+++ b/crates/quarantine/src/news.rs
@@ -7,10 +7,8 @@
 use notchwharf_proto::news::Suspect;
 use notchwharf_routing::quarantine::Told;
 use notchwharf_routing::quarantine::ToldCrash;
-use tokio::sync::mpsc::UnboundedReceiver;
 
 use crate::gate::Gate;
-use crate::gate::News;
 
 /// Time between two times that suspects are told again: several fit into the time in
 /// which a host that was cut off must be as good as any other.
@@ -23,15 +21,11 @@
 /// and less than requests like it take to come again.
 const TELL_GAP: Duration = Duration::from_millis(50);
 
-/// Bytes of a datagram: what the least link carries in one packet.
-const BYTES_MAX: usize = 1_200;
-
-/// Tells what changes at a gate, crashes twice, until the gate is gone.
-pub async fn tell_changes(
-    gate: Arc<Gate>,
-    mut to_tell: UnboundedReceiver<News>,
-    tell: impl Fn(&Told) + Clone + Send + 'static,
-) {
+/// Tells what changes at a gate, crashes twice. Nothing if somebody does so already.
+pub async fn tell_changes(gate: Arc<Gate>, tell: impl Fn(&Told) + Clone + Send + 'static) {
+    let Some(mut to_tell) = gate.take_news() else {
+        return;
+    };
     while let Some(news) = to_tell.recv().await {
         let Some(told) = gate.told(news.fingerprint) else {
             continue;
@@ -53,20 +47,7 @@
 /// Returns suspects in the form in which hosts are told, in parts that each fit a
 /// datagram.
 pub fn encode(told: &[Told]) -> Vec<Vec<Suspect>> {
-    let mut parts: Vec<Vec<Suspect>> = Vec::new();
-    let mut bytes = BYTES_MAX;
-    for suspect in told.iter().map(encode_one) {
-        let size = news::suspect_bytes(&suspect);
-        bytes += size;
-        match parts.last_mut() {
-            Some(part) if bytes <= BYTES_MAX => part.push(suspect),
-            _ => {
-                bytes = size;
-                parts.push(vec![suspect]);
-            }
-        }
-    }
-    parts
+    news::parts(told.iter().map(encode_one), news::suspect_bytes)
 }
 
 fn encode_one(told: &Told) -> Suspect {
--- a/crates/quarantine/tests/news.rs
+++ b/crates/quarantine/tests/news.rs
@@ -28,11 +28,11 @@
 #[case::one_that_is_blamed(3)]
 #[tokio::test]
 async fn a_host_that_is_told_decides_alike(#[case] crashes: u64) {
-    let (there, _to_tell) = Gate::new("a1".into());
+    let there = Gate::new("a1".into());
     for life in 0..crashes {
         there.crashed(7, crash(life));
     }
-    let (here, _to_tell) = Gate::new("b1".into());
+    let here = Gate::new("b1".into());
     for suspect in encode(&there.retold()).iter().flatten() {
         here.take(&"a1".into(), &decode(suspect));
     }
@@ -43,7 +43,7 @@
 
 #[tokio::test]
 async fn many_suspects_are_told_in_datagrams_that_fit_a_packet() {
-    let (gate, _to_tell) = Gate::new("a1".into());
+    let gate = Gate::new("a1".into());
     for request in 0..500 {
         for life in 0..8 {
             gate.crashed(request, crash(life));
--- a/crates/routing/src/fingerprint.rs
+++ b/crates/routing/src/fingerprint.rs
@@ -53,3 +53,8 @@
     let first = digest.iter().take(size_of::<Fingerprint>());
     first.fold(0, |number, byte| number << u8::BITS | u128::from(*byte))
 }
+
+/// Returns a fingerprint as log lines and records have it.
+pub fn text(fingerprint: Fingerprint) -> String {
+    format!("{fingerprint:032x}")
+}
--- a/crates/server/src/context.rs
+++ b/crates/server/src/context.rs
@@ -34,6 +34,7 @@
 use notchwharf_ledger::record::TargetId;
 use notchwharf_listen::Phase;
 use notchwharf_membership::fact;
+use notchwharf_quarantine::gate::Gate;
 use notchwharf_routing::admission::Admission;
 use notchwharf_routing::budget::Budget;
 use notchwharf_routing::limit::Objectives;
@@ -49,7 +50,6 @@
 use crate::metrics::Counted;
 use crate::metrics::Metrics;
 use crate::pacer::Pacer;
-use crate::quarantine::Suspects;
 use crate::results::Results;
 use crate::shards::ShardActor;
 use notchwharf_telemetry::gauge::Gauge;
@@ -97,7 +97,7 @@
     pub(crate) connections: Gauge,
     pub(crate) in_flight: Gauge,
     pub(crate) unsettled: Gauge,
-    pub(crate) suspects: Suspects,
+    pub(crate) suspects: Arc<Gate>,
     peers: Mutex<HashMap<String, HttpClient>>,
 }
 
@@ -142,7 +142,7 @@
             connections: Gauge::default(),
             in_flight: Gauge::default(),
             unsettled: Gauge::default(),
-            suspects: Suspects::new(&settings.host.name),
+            suspects: Gate::new(settings.host.name.clone()),
             peers: Mutex::default(),
             settings,
             logger,
--- a/crates/server/src/quarantine.rs
+++ b/crates/server/src/quarantine.rs
@@ -9,7 +9,6 @@
 //! others tell, and if all are gone nobody knows.
 
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -18,9 +17,7 @@
 use notchwharf_proto::datagram;
 use notchwharf_proto::datagram::Datagram;
 use notchwharf_proto::news;
-use notchwharf_quarantine::gate::Gate;
 use notchwharf_quarantine::gate::KeptBack;
-use notchwharf_quarantine::gate::News;
 use notchwharf_quarantine::gate::Trial;
 use notchwharf_quarantine::news::RETELL_GAP;
 use notchwharf_quarantine::news::RETOLD_HOSTS;
@@ -36,11 +33,9 @@
 use notchwharf_routing::quarantine::Told;
 use notchwharf_routing::table::Refusal;
 use rand::seq::IteratorRandom as _;
-use tokio::sync::mpsc::UnboundedReceiver;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::context::Context;
-use crate::context::lock;
 use crate::metrics::Counted;
 use crate::online::Failure;
 use crate::online::Request;
@@ -48,32 +43,11 @@
 /// When to come back if requests alike have run for all of the request's time.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Requests under which targets crashed, as this host knows them.
-#[derive(Debug)]
-pub(crate) struct Suspects {
-    gate: Arc<Gate>,
-    /// What other hosts are to be told, until somebody does.
-    to_tell: Mutex<Option<UnboundedReceiver<News>>>,
-}
-
-impl Suspects {
-    pub(crate) fn new(host: &str) -> Self {
-        let (gate, to_tell) = Gate::new(host.to_owned());
-        Self {
-            gate,
-            to_tell: Mutex::new(Some(to_tell)),
-        }
-    }
-}
-
 /// Starts to tell other hosts of suspects.
 pub(crate) fn start(ctx: &Arc<Context>) {
-    if let Some(to_tell) = lock(&ctx.suspects.to_tell).take() {
-        let gate = Arc::clone(&ctx.suspects.gate);
-        let told_by = Arc::clone(ctx);
-        let tell = move |told: &Told| send(&told_by, std::slice::from_ref(told), usize::MAX);
-        tokio::spawn(tell_changes(gate, to_tell, tell));
-    }
+    let told_by = Arc::clone(ctx);
+    let tell = move |told: &Told| send(&told_by, std::slice::from_ref(told), usize::MAX);
+    tokio::spawn(tell_changes(Arc::clone(&ctx.suspects), tell));
     tokio::spawn(retell(Arc::clone(ctx)));
 }
 
@@ -84,7 +58,7 @@
 ///
 /// Returns why it must not; nothing ran by this try.
 pub(crate) async fn admit(ctx: &Context, req: &Request) -> Result<Option<Trial>, Failure> {
-    let gate = &ctx.suspects.gate;
+    let gate = &ctx.suspects;
     if gate.is_empty() {
         return Ok(None);
     }
@@ -99,14 +73,14 @@
 
 /// Notes that a request has ended well, so that it is no suspect any more.
 pub(crate) fn ended_well(ctx: &Context, req: &Request) {
-    let gate = &ctx.suspects.gate;
+    let gate = &ctx.suspects;
     if gate.is_empty() {
         return;
     }
     let fingerprint = fingerprint_of(req);
     if let Some(crashes) = gate.ended_well(fingerprint) {
         slog::info!(ctx.logger, "request cleared"; "crashes" => crashes,
-            "fingerprint" => text(fingerprint));
+            "fingerprint" => fingerprint::text(fingerprint));
     }
 }
 
@@ -145,11 +119,11 @@
         ran,
         at,
     };
-    let change = ctx.suspects.gate.crashed(fingerprint, crash);
+    let change = ctx.suspects.crashed(fingerprint, crash);
     slog::info!(ctx.logger, "target crashed under a request"; "target" => target,
         "id" => req.question.request_id.as_str(), "ran_ms" => ran.as_millis(),
-        "crashes" => ctx.suspects.gate.crashes(fingerprint),
-        "fingerprint" => text(fingerprint));
+        "crashes" => ctx.suspects.crashes(fingerprint),
+        "fingerprint" => fingerprint::text(fingerprint));
     note_blamed(ctx, fingerprint, change, ctx.host());
 }
 
@@ -157,7 +131,7 @@
 pub(crate) fn take(ctx: &Context, told: &news::Suspects) {
     for suspect in &told.suspects {
         let told_one = decode(suspect);
-        let change = ctx.suspects.gate.take(&told.host, &told_one);
+        let change = ctx.suspects.take(&told.host, &told_one);
         note_blamed(ctx, told_one.fingerprint, change, &told.host);
     }
 }
@@ -165,7 +139,7 @@
 fn note_blamed(ctx: &Context, fingerprint: Fingerprint, change: Change, by: &str) {
     if let Change::Blamed { crashes } = change {
         slog::warn!(ctx.logger, "request blamed for crashes"; "crashes" => crashes,
-            "fingerprint" => text(fingerprint), "told_by" => by);
+            "fingerprint" => fingerprint::text(fingerprint), "told_by" => by);
     }
 }
 
@@ -173,8 +147,8 @@
 async fn retell(ctx: Arc<Context>) {
     let mut ticks = ctx.timer.subscribe(RETELL_GAP);
     while ticks.recv().await.is_some() && ctx.phase() != Phase::Stopped {
-        if !ctx.suspects.gate.is_empty() {
-            send(&ctx, &ctx.suspects.gate.retold(), RETOLD_HOSTS);
+        if !ctx.suspects.is_empty() {
+            send(&ctx, &ctx.suspects.retold(), RETOLD_HOSTS);
         }
     }
 }
@@ -214,7 +188,3 @@
         body: &body,
     })
 }
-
-fn text(fingerprint: Fingerprint) -> String {
-    format!("{fingerprint:032x}")
-}
