Know workspaces by the digest of their keys, and jobs by their workspace

Cause: configurations tell who may call, and the product reads that only for its own interface. Two workspaces may choose one name for a job, and what waits is limited for each workspace.

Change: config::access holds keys by digest alone, with the workspace's rank and limit, and decides once what a faulty entry leads to; the product's own interface reads keys by it too. The name of a job in the records begins with its workspace, so waiting tokens are counted by workspace and route, another workspace sees no such job, and records of earlier versions are read as they are.

Ruled out: a workspace field in the acceptance (another format of a record that lies in logs, and all later records would not say whose they are); refusing a configuration for one faulty entry (a key taken away elsewhere in it would hold).

--- a/crates/config/src/bundle.rs
+++ b/crates/config/src/bundle.rs
@@ -26,6 +26,7 @@
 
 use crate::ServingName;
 use crate::TenantId;
+use crate::access;
 use crate::error;
 use crate::json;
 
@@ -219,7 +220,7 @@
 
 /// Returns the digest under which a bundle keeps an API key.
 pub fn key_digest(key: &str) -> String {
-    hex(&Sha256::digest(key.as_bytes()))
+    hex(&access::digest(key))
 }
 
 /// Returns whether a name fits the rule for names in bundles and settings.
--- a/crates/config/src/gateway.rs
+++ b/crates/config/src/gateway.rs
@@ -40,6 +40,9 @@
     /// Which targets are used.
     #[serde(default)]
     pub targets: Targets,
+    /// Who may call.
+    #[serde(default)]
+    pub access: Access,
     /// Online requests.
     #[serde(default)]
     pub online: Online,
@@ -146,6 +149,17 @@
     }
 }
 
+/// Who may call.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Access {
+    /// Time within which the configuration must have been known to be the newest for
+    /// a key to be served. From 500 to 600_000; by default a host serves by what it
+    /// knows, however old. Where it is set, a host that cannot reach the store for so
+    /// long refuses all requests that need a key.
+    pub confirm_within_ms: Option<u64>,
+}
+
 /// Online requests.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -319,6 +333,10 @@
         500,
         TEN_MINUTES_MS,
     )?;
+    if let Some(confirm_within_ms) = s.access.confirm_within_ms {
+        let field = "access.confirm_within_ms";
+        range(field, confirm_within_ms, 500, TEN_MINUTES_MS)?;
+    }
     let connect_timeout_ms = s.online.connect_timeout_ms;
     range(
         "online.connect_timeout_ms",
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -3,9 +3,10 @@
 //! [`settings`] is what one process is told at start. [`bundle`] is what the
 //! whole fleet serves, and [`history`] is the fold that says which bundle is
 //! in force. Where the users' platform keeps the configuration, [`routes`] is
-//! what the fleet serves and [`gateway`] what one process is told. None of it
-//! does any I/O.
+//! what the fleet serves and [`gateway`] what one process is told. [`access`] says who
+//! calls. None of it does any I/O.
 
+pub mod access;
 pub mod bundle;
 mod check;
 pub mod error;
--- a/crates/config/src/routes.rs
+++ b/crates/config/src/routes.rs
@@ -17,6 +17,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::access::Fault;
+use crate::access::Workspace;
+use crate::access::Workspaces;
+
 /// The name of a service, which several targets offer.
 pub type ServiceName = String;
 /// The version of a table; newer ones have higher numbers.
@@ -83,6 +87,8 @@
     pub gap_objective: Option<Duration>,
     /// The terms of its jobs.
     pub jobs: JobTerms,
+    /// Whether anybody may call, also without a key.
+    pub public: bool,
 }
 
 impl Route {
@@ -156,6 +162,8 @@
     routes: HashMap<String, Vec<Arc<Route>>>,
     services: HashMap<ServiceName, Service>,
     limits: Limits,
+    workspaces: Option<Workspaces>,
+    faults: Vec<Fault>,
 }
 
 impl Table {
@@ -181,9 +189,38 @@
             routes: by_host,
             services,
             limits,
+            workspaces: None,
+            faults: Vec::new(),
+        }
+    }
+
+    /// Returns the table with the workspaces that may call; without them anybody may.
+    #[must_use]
+    pub fn with_workspaces(self, entries: Vec<Workspace>) -> Self {
+        let (workspaces, faults) = Workspaces::new(entries);
+        Self {
+            workspaces: Some(workspaces),
+            faults,
+            ..self
         }
     }
 
+    /// Returns what was wrong with entries of workspaces.
+    pub fn faults(&self) -> &[Fault] {
+        &self.faults
+    }
+
+    /// Returns the workspaces that may call; nothing if callers are not told apart.
+    pub fn workspaces(&self) -> Option<&Workspaces> {
+        self.workspaces.as_ref()
+    }
+
+    /// Returns whether a host has a route for jobs that anybody may use.
+    pub fn has_public_jobs(&self, host: &str) -> bool {
+        let routes = self.same_host(host);
+        routes.is_some_and(|routes| routes.iter().any(|r| r.public && r.kind == Kind::Batch))
+    }
+
     /// Returns the table's version.
     pub fn version(&self) -> TableVersion {
         self.version
@@ -203,14 +240,16 @@
     /// longest prefix that begins the path. A port behind the host is passed
     /// over, as is the case of its letters.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
-        let name = host.rsplit_once(':').map_or(host, |(name, _port)| name);
-        let same_host = match self.routes.get(name) {
-            Some(routes) => routes,
-            None => self.routes.get(&name.to_ascii_lowercase())?,
-        };
+        let same_host = self.same_host(host)?;
         same_host.iter().find(|r| path.starts_with(&r.prefix))
     }
 
+    fn same_host(&self, host: &str) -> Option<&Vec<Arc<Route>>> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _port)| name);
+        let exact = self.routes.get(name);
+        exact.or_else(|| self.routes.get(&name.to_ascii_lowercase()))
+    }
+
     /// Returns the route with a name.
     pub fn by_name(&self, name: &str) -> Option<&Arc<Route>> {
         let mut all = self.routes.values().flatten();
--- a/crates/ledger/src/jobs.rs
+++ b/crates/ledger/src/jobs.rs
@@ -23,6 +23,7 @@
 //! conditions and without lasting keys needs. Here the store orders all hosts'
 //! appends and loses no newest record, so neither leases nor snapshots remain.
 
+mod name;
 mod record;
 mod snapshot;
 
@@ -34,6 +35,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+pub use self::name::job_id;
+pub use self::name::workspace_of;
 pub use self::record::Accepted;
 pub use self::record::Blob;
 pub use self::record::ItemSpec;
@@ -63,9 +66,9 @@
     Accepted,
     /// The job had been accepted before, by another try.
     Repeated,
-    /// The job does not fit the route's limit; it never runs by this try.
+    /// The job does not fit the limit; it never runs by this try.
     OverQuota {
-        /// Tokens that wait on the route already.
+        /// Tokens of its workspace that wait on the route already.
         waiting: u64,
     },
     /// The host runs the job's items from now on.
@@ -139,12 +142,28 @@
     }
 }
 
+/// What one limit on waiting tokens counts together: a workspace's items on a route.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Pool {
+    workspace: Option<String>,
+    route: String,
+}
+
+impl Pool {
+    fn of(accepted: &Accepted) -> Self {
+        Self {
+            workspace: workspace_of(&accepted.job).map(str::to_owned),
+            route: accepted.route.clone(),
+        }
+    }
+}
+
 /// The state that the stream's records lead to.
 #[derive(Clone, Debug, Default)]
 pub struct Jobs {
     jobs: HashMap<JobId, Job>,
     open: BTreeSet<JobId>,
-    waiting: HashMap<String, u64>,
+    waiting: HashMap<Pool, u64>,
     refused: VecDeque<AttemptId>,
     end: Offset,
 }
@@ -176,16 +195,29 @@
         self.open.iter().filter_map(|job| self.jobs.get(job))
     }
 
-    /// Returns the tokens of items that wait on a route.
+    /// Returns the tokens of items that wait on a route and belong to no workspace.
     pub fn waiting_tokens(&self, route: &str) -> u64 {
-        self.waiting.get(route).copied().unwrap_or(0)
+        self.waiting_tokens_of(None, route)
+    }
+
+    /// Returns the tokens of a workspace's items that wait on a route.
+    pub fn waiting_tokens_of(&self, workspace: Option<&str>, route: &str) -> u64 {
+        let pool = Pool {
+            workspace: workspace.map(str::to_owned),
+            route: route.to_owned(),
+        };
+        self.waiting_in(&pool)
+    }
+
+    fn waiting_in(&self, pool: &Pool) -> u64 {
+        self.waiting.get(pool).copied().unwrap_or(0)
     }
 
     /// Forgets a job whose records were removed from the stream.
     pub fn forget(&mut self, job: &str) {
         self.open.remove(job);
         if let Some(job) = self.jobs.remove(job) {
-            self.release(&job.accepted.route, job.waiting_tokens);
+            self.release(&Pool::of(&job.accepted), job.waiting_tokens);
         }
     }
 
@@ -207,7 +239,8 @@
             }
             return Applied::Repeated;
         }
-        let waiting = self.waiting_tokens(&accepted.route);
+        let pool = Pool::of(&accepted);
+        let waiting = self.waiting_in(&pool);
         if self.refused.contains(&accepted.attempt) {
             return Applied::OverQuota { waiting };
         }
@@ -222,7 +255,7 @@
             }
             return Applied::OverQuota { waiting };
         }
-        *self.waiting.entry(accepted.route.clone()).or_default() += tokens;
+        *self.waiting.entry(pool).or_default() += tokens;
         let job = Job {
             owner: accepted.host.clone(),
             owner_before: None,
@@ -268,11 +301,11 @@
         let tokens = u64::from(job.accepted.items[place].tokens);
         let tokens = tokens.min(job.waiting_tokens);
         job.waiting_tokens -= tokens;
-        let route = job.accepted.route.clone();
+        let pool = Pool::of(&job.accepted);
         if !job.is_open() {
             self.open.remove(&job.accepted.job);
         }
-        self.release(&route, tokens);
+        self.release(&pool, tokens);
         Applied::Listed
     }
 
@@ -284,14 +317,14 @@
             return Applied::Ignored(Ignored::AlreadyEnded);
         }
         let tokens = std::mem::take(&mut job.waiting_tokens);
-        let route = job.accepted.route.clone();
+        let pool = Pool::of(&job.accepted);
         self.open.remove(&job.accepted.job);
-        self.release(&route, tokens);
+        self.release(&pool, tokens);
         Applied::Ended
     }
 
-    fn release(&mut self, route: &str, tokens: u64) {
-        if let Some(waiting) = self.waiting.get_mut(route) {
+    fn release(&mut self, pool: &Pool, tokens: u64) {
+        if let Some(waiting) = self.waiting.get_mut(pool) {
             debug_assert!(*waiting >= tokens, "Only what waits is released.");
             *waiting = waiting.saturating_sub(tokens);
         }
--- a/crates/ledger/src/jobs/record.rs
+++ b/crates/ledger/src/jobs/record.rs
@@ -49,7 +49,7 @@
 /// A job that a host took in.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Accepted {
-    /// The job.
+    /// The job, which tells its workspace: see [`job_id`](super::job_id).
     pub job: JobId,
     /// The try that this record belongs to.
     pub attempt: AttemptId,
@@ -57,7 +57,8 @@
     pub host: HostId,
     /// The name of the route.
     pub route: String,
-    /// Tokens that may wait on the route, with this job's; nothing for no limit.
+    /// Tokens of the workspace that may wait on the route, with this job's; nothing for
+    /// no limit.
     pub tokens_max: Option<u64>,
     /// The host's time of day, for the order in which jobs run.
     pub submitted_unix_ms: u64,
--- a/crates/ledger/src/jobs/snapshot.rs
+++ b/crates/ledger/src/jobs/snapshot.rs
@@ -17,6 +17,7 @@
 use super::Jobs;
 use super::Listed;
 use super::Offset;
+use super::Pool;
 
 /// The state that the stream's records up to an offset lead to.
 ///
@@ -58,13 +59,12 @@
 
     /// Returns the state that a snapshot was made of.
     pub fn restore(snapshot: Snapshot) -> Self {
-        let mut waiting: HashMap<String, u64> = HashMap::new();
+        let mut waiting: HashMap<Pool, u64> = HashMap::new();
         let mut open = BTreeSet::new();
         let mut jobs = HashMap::new();
         for state in snapshot.jobs {
             let job = state.restore();
-            let route = job.accepted.route.clone();
-            *waiting.entry(route).or_default() += job.waiting_tokens;
+            *waiting.entry(Pool::of(&job.accepted)).or_default() += job.waiting_tokens;
             if job.is_open() {
                 open.insert(job.accepted.job.clone());
             }
--- a/crates/ledger/tests/jobs.rs
+++ b/crates/ledger/tests/jobs.rs
@@ -9,6 +9,8 @@
 use notchwharf_ledger::jobs::Outcome;
 use notchwharf_ledger::jobs::Reason;
 use notchwharf_ledger::jobs::Record;
+use notchwharf_ledger::jobs::job_id;
+use notchwharf_ledger::jobs::workspace_of;
 use proptest::collection::vec;
 use proptest::prelude::*;
 use rstest::rstest;
@@ -204,3 +206,61 @@
         prop_assert_eq!(taken_over.snapshot(), read.snapshot());
     }
 }
+
+/// A workspace's job as it stands in the stream, and one of another.
+fn of_workspace(workspace: Option<&str>, tokens: u32) -> Record {
+    let Record::Accepted(accepted) = accepted(1, u64::from(tokens), 1, tokens) else {
+        unreachable!("It is an acceptance.");
+    };
+    let job = job_id(workspace, &accepted.job);
+    Record::Accepted(Accepted { job, ..accepted })
+}
+
+#[test]
+fn what_waits_is_counted_by_workspace_and_a_name_belongs_to_each() {
+    let mut jobs = Jobs::default();
+    let applied = |jobs: &mut Jobs, record| jobs.apply(jobs.end(), record);
+    assert_eq!(
+        applied(&mut jobs, of_workspace(Some("choir"), 90)),
+        Applied::Accepted
+    );
+    assert_eq!(
+        applied(&mut jobs, of_workspace(Some("strings"), 80)),
+        Applied::Accepted
+    );
+    // One that was accepted before workspaces were told is counted by itself.
+    assert_eq!(
+        applied(&mut jobs, of_workspace(None, 70)),
+        Applied::Accepted
+    );
+    let more = Record::Accepted(Accepted {
+        job: job_id(Some("choir"), "more"),
+        ..match of_workspace(Some("choir"), 20) {
+            Record::Accepted(accepted) => accepted,
+            _ => unreachable!("It is an acceptance."),
+        }
+    });
+    assert_eq!(applied(&mut jobs, more), Applied::OverQuota { waiting: 90 });
+    let restored = Jobs::restore(jobs.snapshot());
+    for jobs in [&jobs, &restored] {
+        assert_eq!(jobs.waiting_tokens_of(Some("choir"), "r"), 90);
+        assert_eq!(jobs.waiting_tokens_of(Some("strings"), "r"), 80);
+        assert_eq!(jobs.waiting_tokens("r"), 70);
+    }
+}
+
+/// Records of versions that knew no workspaces lie in the log, byte for byte like this.
+#[test]
+fn a_record_without_a_workspace_is_read_as_it_was_written() {
+    let written = [
+        0, 2, b'j', b'1', 7, 2, b'a', b'1', 1, b'r', 1, 100, 5, 1, 2, b'i', b'1', 90, 0,
+    ];
+    let Some(Record::Accepted(read)) = Record::decode(&written) else {
+        panic!("It is an acceptance.");
+    };
+    assert_eq!((read.job.as_str(), read.route.as_str()), ("j1", "r"));
+    assert_eq!(workspace_of(&read.job), None);
+    let mut jobs = Jobs::default();
+    assert_eq!(jobs.apply(0, Record::Accepted(read)), Applied::Accepted);
+    assert_eq!(jobs.waiting_tokens("r"), 90);
+}
--- a/crates/server/src/api/auth.rs
+++ b/crates/server/src/api/auth.rs
@@ -4,6 +4,8 @@
 
 use hyper::HeaderMap;
 use hyper::header::AUTHORIZATION;
+use hyper::header::HeaderValue;
+use notchwharf_config::access;
 use notchwharf_config::bundle::Class;
 use notchwharf_config::bundle::Tenant;
 use notchwharf_config::bundle::key_digest;
@@ -12,6 +14,9 @@
 use crate::bundle::Active;
 use crate::context::Context;
 
+/// The scheme under which callers present keys.
+const SCHEME: &str = "Bearer";
+
 /// The tenant that calls, and the bundle by which it was judged.
 pub(crate) struct Caller {
     pub(crate) active: Arc<Active>,
@@ -64,6 +69,7 @@
 }
 
 fn bearer(headers: &HeaderMap) -> Option<&str> {
-    let value = headers.get(AUTHORIZATION)?.to_str().ok()?;
-    value.strip_prefix("Bearer ")
+    let values = headers.get_all(AUTHORIZATION);
+    // All that is wrong with a key has the same answer here.
+    access::key(SCHEME, values.iter().map(HeaderValue::as_bytes)).ok()
 }
