Serve callers by their keys, and show targets the workspace alone

Cause: the adapter left a configuration's workspaces aside and passed the Authorization header on like any other.

Change: gateway::access finds out who calls before anything else. A key that is not known is refused for good only by a configuration that was the newest when the request arrived; otherwise the host looks again (one call of the store shared by all that wait, at most ten a second), and without the store the request is refused as not run. The key and whatever a caller says about itself are dropped and the true workspace set on every path: online, resumed streams, items, jobs. Calls about jobs are a workspace's by any of its keys. Suspects of crashes are told apart by workspace and not by key.

Ruled out: serving unknown keys while the store is away (a key taken away would live again with each outage); 401 by whatever configuration is known (a key that was just added would be denied).

--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -5,6 +5,7 @@
 //! it is read, logged and put to use, one reading after the other: targets in
 //! use and what peers are told never tell of different readings.
 
+mod config;
 mod follow;
 mod told;
 
@@ -25,6 +26,7 @@
 use notchwharf_routing::places::Places;
 use tokio::sync::watch;
 
+use crate::context::Context;
 use crate::context::lock;
 use crate::context::millis;
 use crate::context::ms;
@@ -38,10 +40,12 @@
 use crate::ports::Unreadable;
 use crate::store::Store;
 
+use self::config::Removed;
+pub(crate) use self::config::confirm;
 use self::follow::SWEEP;
 use self::follow::TARGETS_GAP;
 pub(crate) use self::follow::start;
-pub(crate) use self::follow::tell;
+use self::follow::tell;
 use self::told::Config;
 pub(crate) use self::told::Snapshot;
 pub(crate) use self::told::Versions;
@@ -60,12 +64,17 @@
 #[derive(Debug)]
 struct Known {
     config: Option<Config>,
+    /// When the configuration was known to be the newest.
+    config_as_of: Option<Instant>,
+    removed: Removed,
     targets: Belief<Bytes>,
 }
 
 /// Routes and targets that a host knows, and where they are put to use.
 pub(crate) struct Catalog {
     known: Mutex<Known>,
+    /// When the store was last asked whether the configuration is the newest.
+    look: tokio::sync::Mutex<Option<Instant>>,
     uses: Uses,
 }
 
@@ -88,6 +97,22 @@
     pub(crate) targets: bool,
 }
 
+/// Takes in what a peer knows, and lets those know who act on it.
+pub(crate) async fn take_snapshot(ctx: &Context, mut snapshot: Snapshot) {
+    if let Some(told) = snapshot.config.take() {
+        let record = Stored {
+            offset: told.offset,
+            entry: Entry {
+                key: told.key,
+                value: Some(told.value.into()),
+            },
+        };
+        config::take(ctx, record, "peer").await;
+    }
+    let news = ctx.catalog.take_targets(snapshot, Instant::now());
+    tell(ctx, news);
+}
+
 /// Returns the times on which the belief in targets depends.
 fn bounds(settings: &Settings) -> Bounds {
     Bounds {
@@ -103,10 +128,13 @@
     pub(crate) fn new(settings: &Settings, uses: Uses) -> Self {
         let known = Known {
             config: None,
+            config_as_of: None,
+            removed: Removed::default(),
             targets: Belief::new(bounds(settings)),
         };
         Self {
             known: Mutex::new(known),
+            look: tokio::sync::Mutex::default(),
             uses,
         }
     }
@@ -131,16 +159,8 @@
         }
     }
 
-    /// Takes in what a peer knows.
-    pub(crate) fn take_snapshot(&self, snapshot: Snapshot, now: Instant) -> News {
-        let config = snapshot.config.map(|config| Stored {
-            offset: config.offset,
-            entry: Entry {
-                key: config.key,
-                value: Some(config.value.into()),
-            },
-        });
-        let routes = config.is_some_and(|record| self.take_config(record, "peer"));
+    /// Takes in the targets that a peer knows.
+    fn take_targets(&self, snapshot: Snapshot, now: Instant) -> News {
         let records = snapshot.targets.into_iter();
         let records = records.map(|(id, offset, value)| belief::Record {
             id,
@@ -158,60 +178,10 @@
         }
         let changes = known.targets.told(now, &evidence, end, records, decode);
         let targets = self.put_to_use(known.targets.none_before(), &evidence, changes, now);
-        News { routes, targets }
-    }
-
-    /// Takes in a reading of the configuration.
-    fn read_config(&self, reading: Reading) -> News {
-        // The reader tries again, and the store's wrapper has logged why.
-        let records = reading.seen.map(Seen::records).unwrap_or_default();
-        let mut news = News::default();
-        for record in records {
-            news.routes |= self.take_config(record, "store");
-        }
-        news
-    }
-
-    /// Takes in a configuration; returns whether it is in force now.
-    fn take_config(&self, record: Stored, source: &'static str) -> bool {
-        let Uses {
-            decode,
-            routes,
-            metrics,
-            logger,
-            ..
-        } = &self.uses;
-        let offset = record.offset;
-        let Some(value) = record.entry.value else {
-            return false;
-        };
-        let Some(decoded) = (decode.config)(&record.entry.key, &value) else {
-            return false;
-        };
-        let table = match decoded {
-            Ok(table) => table,
-            Err(err) => {
-                slog::error!(logger, "configuration not taken"; "offset" => offset,
-                    "source" => source, "error" => err.to_string());
-                return false;
-            }
-        };
-        // Held until the routes are in force: an older one must not overtake.
-        let mut known = lock(&self.known);
-        if known.config.as_ref().is_some_and(|c| c.offset >= offset) {
-            return false;
+        News {
+            targets,
+            ..News::default()
         }
-        known.config = Some(Config {
-            offset,
-            key: record.entry.key,
-            value: value.to_vec(),
-        });
-        let version = table.version();
-        let before = routes.send_replace(Some(Arc::new(table)));
-        metrics.count(Counted::Changes, "configuration");
-        slog::info!(logger, "configuration in force"; "version" => version,
-            "before" => before.map(|t| t.version()), "offset" => offset, "source" => source);
-        true
     }
 
     /// Takes in a reading of targets.
--- a/crates/gateway/src/catalog/follow.rs
+++ b/crates/gateway/src/catalog/follow.rs
@@ -6,8 +6,10 @@
 
 use notchwharf_config::gateway::Settings;
 use notchwharf_listen::Phase;
+use tokio::sync::mpsc;
 
 use super::News;
+use super::config;
 use crate::context::Context;
 use crate::context::ms;
 use crate::follow::Pace;
@@ -61,11 +63,19 @@
     // What a peer told need not be listed again.
     let from = Some(ctx.catalog.versions().config).filter(|end| *end > 0);
     let follower = ctx.follower();
-    let sink = |reading| {
-        let news = ctx.catalog.read_config(reading);
-        tell(&ctx, news);
+    // A large configuration takes a while to read; what is read later waits.
+    let (readings, mut read) = mpsc::unbounded_channel();
+    let sink = move |reading| {
+        // The receiver lives until the follower has ended.
+        let _ = readings.send(reading);
+    };
+    let following = follower.follow(Topic::Config, pace, from, sink);
+    let taking = async {
+        while let Some(reading) = read.recv().await {
+            config::read(&ctx, reading).await;
+        }
     };
-    follower.follow(Topic::Config, pace, from, sink).await;
+    tokio::join!(following, taking);
 }
 
 async fn follow_targets(ctx: Arc<Context>) {
@@ -81,7 +91,7 @@
 }
 
 /// Lets those know who act on routes and targets.
-pub(crate) fn tell(ctx: &Context, news: News) {
+pub(super) fn tell(ctx: &Context, news: News) {
     if news.routes {
         ctx.enter(Phase::Ready);
         ctx.peers.tell();
--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
+use notchwharf_config::access::NoKey;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -32,6 +33,13 @@
         /// How many targets were seen to crash.
         crashes: u32,
     },
+    /// Nobody calls who may; nothing ran.
+    NoCaller(NoCaller),
+    /// The workspace has sent as much as it may; nothing ran and nothing will.
+    OverLimit {
+        /// When there is room again.
+        retry_after: Duration,
+    },
     /// A target found fault with the request; nothing ran.
     Rejected(StatusCode),
     /// It may have run.
@@ -51,6 +59,8 @@
             Self::NoRoute => "no route",
             Self::NotRun { .. } => "not run",
             Self::Crashing { .. } => "crashing",
+            Self::NoCaller(reason) => reason.label(),
+            Self::OverLimit { .. } => "over limit",
             Self::Rejected(_) => "rejected",
             Self::Unknown { .. } => "unknown",
             Self::TimedOut => "timed out",
@@ -70,6 +80,10 @@
                     "not run ({crashes} targets crashed under it); do not repeat it soon"
                 )
             }
+            Self::NoCaller(reason) => reason.fmt(f),
+            Self::OverLimit { .. } => {
+                f.write_str("not run (the workspace's limit is reached); come back later")
+            }
             Self::Rejected(status) => write!(f, "the target answered {status} and ran nothing"),
             Self::Unknown { reason } => write!(f, "it may have run ({reason})"),
             Self::TimedOut => f.write_str("it took longer than it may; it may have run"),
@@ -79,6 +93,40 @@
 
 impl std::error::Error for Failure {}
 
+/// Why nobody calls who may.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoCaller {
+    /// The request presents no key.
+    NoKey(NoKey),
+    /// No configuration held its key.
+    Unknown,
+    /// Its key was taken away.
+    Removed,
+}
+
+impl NoCaller {
+    /// Returns the reason as logs and metrics name it.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::NoKey(reason) => reason.label(),
+            Self::Unknown => "unknown key",
+            Self::Removed => "removed key",
+        }
+    }
+}
+
+impl fmt::Display for NoCaller {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NoKey(reason) => reason.fmt(f),
+            Self::Unknown => f.write_str("no workspace holds the API key"),
+            Self::Removed => f.write_str("the API key was taken away"),
+        }
+    }
+}
+
+impl std::error::Error for NoCaller {}
+
 /// Why a call about a job was not done.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum JobCall {
--- a/crates/gateway/src/fingerprint.rs
+++ b/crates/gateway/src/fingerprint.rs
@@ -8,13 +8,17 @@
 use crate::context::Context;
 use crate::ports::Forward;
 
-/// Returns the fingerprint of a request to a host.
+/// Returns the fingerprint of a request to a host. It is the workspace that counts and
+/// not the key: a caller with two keys does not get the targets of both.
 pub(crate) fn of(ctx: &Context, host: &str, forward: &Forward) -> Fingerprint {
     fingerprint::of(&Content {
         host,
         method: forward.method.as_str(),
         path: &forward.path,
-        caller: (ctx.decode.caller)(&forward.headers),
+        caller: match &forward.workspace {
+            Some(workspace) => workspace.as_bytes(),
+            None => (ctx.decode.caller)(&forward.headers),
+        },
         body: &forward.body,
     })
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -142,6 +142,17 @@
         }
     }
 
+    /// Reads once without waiting, from an offset on or all that there is.
+    pub(crate) async fn once(&self, topic: Topic, from: Option<u64>) -> Reading {
+        let asked = Instant::now();
+        let mut seen = self.step(topic, from, Duration::ZERO).await;
+        if matches!(seen, Err(StoreError::Expired)) {
+            seen = self.step(topic, None, Duration::ZERO).await;
+        }
+        let seen = seen.map(|(_, seen)| seen);
+        Reading { asked, seen }
+    }
+
     /// Reads once; returns also where to go on.
     async fn step(
         &self,
--- a/crates/gateway/src/items/load.rs
+++ b/crates/gateway/src/items/load.rs
@@ -9,6 +9,7 @@
 use notchwharf_ledger::jobs::Accepted;
 use notchwharf_ledger::jobs::HostId;
 use notchwharf_ledger::jobs::Offset;
+use notchwharf_ledger::jobs::workspace_of;
 
 use super::sync;
 use crate::backlog::Item;
@@ -93,10 +94,15 @@
     let table = ctx.table();
     let route = table.as_ref().and_then(|t| t.by_name(&accepted.route));
     let due_after = route.map_or(DUE_MAX, |route| due(&route.jobs));
+    let is_told_apart = table.as_ref().is_some_and(|t| t.workspaces().is_some());
+    let workspace = workspace_of(&accepted.job);
     let specs = accepted.items.iter();
     let both = specs.zip(payload.items).zip(0..);
     let items = both.map(|((spec, item), number)| {
-        let headers = item.headers();
+        let mut headers = item.headers();
+        if is_told_apart || workspace.is_some() {
+            (ctx.decode.mark)(&mut headers, workspace);
+        }
         Item {
             size: (ctx.decode.size)(&headers),
             key: (accepted.job.clone(), number),
@@ -108,6 +114,7 @@
                 headers,
                 path: item.path,
                 body: item.body.into(),
+                workspace: workspace.map(str::to_owned),
             }),
             text: Vec::new(),
             last_event: None,
--- a/crates/gateway/src/jobs.rs
+++ b/crates/gateway/src/jobs.rs
@@ -3,6 +3,10 @@
 //! Any host answers for any job. It says that there is none only after reading
 //! the job records to their end; when it cannot read them it passes the call on
 //! to a peer that can, and says so if there is none.
+//!
+//! A job belongs to the workspace whose key it came with, whose name is part of its own
+//! in the records: for another workspace there is no such job, and each of the
+//! workspace's keys will do for it.
 
 mod passed_on;
 mod read;
@@ -16,9 +20,12 @@
 use hyper::header::HeaderValue;
 use notchwharf_ledger::jobs::Accepted;
 use notchwharf_ledger::jobs::ItemSpec;
+use notchwharf_ledger::jobs::JobId;
+use notchwharf_ledger::jobs::job_id;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::access::Caller;
 use crate::context::Context;
 use crate::error::JobCall;
 use crate::ports::StoreError;
@@ -41,8 +48,8 @@
 /// A job as its caller submits it.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Submission {
-    /// The job's name.
-    pub job: String,
+    /// The job's name in the records, with its workspace.
+    pub job: JobId,
     /// The host that the request named.
     pub host: String,
     /// The path of the request.
@@ -75,6 +82,18 @@
     }
 }
 
+/// Returns the name in the records of a job that a caller names. A job that was taken
+/// in before callers were told apart keeps its own.
+pub fn id_of(ctx: &Context, caller: &Caller, name: &str) -> JobId {
+    let own = job_id(caller.name(), name);
+    let before = job_id(None, name);
+    let jobs = ctx.journal.jobs();
+    if jobs.get(&own).is_none() && jobs.get(&before).is_some() {
+        return before;
+    }
+    own
+}
+
 /// What the items of a job say.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Payload {
--- a/crates/gateway/src/jobs/submit.rs
+++ b/crates/gateway/src/jobs/submit.rs
@@ -8,6 +8,7 @@
 use notchwharf_ledger::jobs::Accepted;
 use notchwharf_ledger::jobs::Applied;
 use notchwharf_ledger::jobs::Record;
+use notchwharf_ledger::jobs::workspace_of;
 
 use super::Payload;
 use super::Res;
@@ -25,7 +26,7 @@
 use crate::metrics::Counted;
 use crate::ports::Topic;
 
-/// When to come back after a route's limit left no room: about the time in
+/// When to come back after a limit on waiting tokens left no room: about the time in
 /// which a few items end.
 const QUOTA_RETRY: Duration = Duration::from_secs(1);
 
@@ -73,7 +74,9 @@
     let tokens: u64 = specs.iter().map(|s| u64::from(s.tokens)).sum();
     let tokens_max = route.jobs.tokens_max;
     let is_over = || {
-        let waiting = ctx.journal.jobs().waiting_tokens(&route.name);
+        let workspace = workspace_of(&submission.job);
+        let jobs = ctx.journal.jobs();
+        let waiting = jobs.waiting_tokens_of(workspace, &route.name);
         tokens_max.is_some_and(|max| waiting + tokens > max)
     };
     if is_over() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! `catalog` follows routes and targets. What a host knows beside that comes
 //! from its peers by datagram and is lost without harm.
 
+pub mod access;
 mod backlog;
 pub mod blobs;
 mod catalog;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -17,6 +17,10 @@
     Items,
     /// Calls about jobs by outcome.
     Jobs,
+    /// Requests without a caller who may, by reason.
+    Access,
+    /// Decisions about limits of workspaces, by outcome.
+    Limits,
     /// Calls of the store by outcome.
     Store,
     /// Datagrams between hosts by direction.
@@ -29,11 +33,21 @@
     WorkMicros,
 }
 
-const COUNTERS: [Counter; 9] = [
+const COUNTERS: [Counter; 11] = [
     counter("notchwharf_requests_total", "Online requests.", "outcome"),
     counter("notchwharf_offers_total", "Offers to targets.", "outcome"),
     counter("notchwharf_items_total", "Items of jobs.", "event"),
     counter("notchwharf_job_calls_total", "Calls about jobs.", "outcome"),
+    counter(
+        "notchwharf_access_refused_total",
+        "No caller who may.",
+        "reason",
+    ),
+    counter(
+        "notchwharf_limit_decisions_total",
+        "Limits of workspaces.",
+        "outcome",
+    ),
     counter(
         "notchwharf_store_calls_total",
         "Calls of the store.",
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -7,9 +7,9 @@
 //! same answer, after its last whole event.
 
 mod flow;
+mod sending;
 mod trace;
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -17,43 +17,22 @@
 use hyper::HeaderMap;
 use hyper::StatusCode;
 use notchwharf_config::routes::Route;
-use notchwharf_ledger::rendezvous::hash;
-use notchwharf_quarantine::gate::KeptBack;
-use notchwharf_quarantine::gate::Trial;
-use notchwharf_routing::fingerprint::Fingerprint;
-use notchwharf_routing::items::turn::Ahead;
-use notchwharf_routing::places::Choice;
-use notchwharf_routing::places::Refusal;
-use notchwharf_routing::places::Room;
-use notchwharf_routing::places::TargetId;
-use notchwharf_routing::places::Want;
-use notchwharf_routing::places::key_of;
+use notchwharf_config::routes::Table;
 
+use crate::access;
+use crate::access::Identified;
+use crate::access::Presented;
 use crate::context::Context;
-use crate::context::lock;
 use crate::error::Failure;
-use crate::fingerprint;
 use crate::metrics::Counted;
 use crate::ports::Body;
-use crate::ports::Call;
 use crate::ports::Forward;
-use crate::ports::NoReply;
-use crate::ports::Reply;
-use crate::quarantine;
-use crate::target::Class;
-use crate::target::Running;
-use crate::work;
-use crate::work::Part;
 
-use self::flow::Flow;
+use self::sending::Sending;
 use self::trace::Trace;
 
-/// Targets that one request is offered to before it is refused.
-const OFFERS_MAX: u32 = 4;
-/// When to come back while no configuration is known.
-const NOT_READY_RETRY: Duration = Duration::from_millis(500);
-/// Time left below which an offer makes no sense: an answer takes longer.
-const LEFT_MIN: Duration = Duration::from_millis(20);
+/// Time that a caller is taken to wait who does not say.
+const NO_DEADLINE: Duration = Duration::from_secs(60);
 
 /// A request of a caller.
 #[derive(Clone, Debug)]
@@ -91,317 +70,45 @@
 /// # Errors
 ///
 /// Returns why there is no answer of a target, and whether it may have run.
-pub async fn serve(ctx: &Arc<Context>, req: Request, arrived: Instant) -> Result<Answer, Failure> {
-    let table = ctx.table().ok_or(Failure::NotReady {
-        retry_after: NOT_READY_RETRY,
-    })?;
-    let path = req.forward.path.split('?').next().unwrap_or_default();
-    let Some(route) = table.find(&req.host, path).cloned() else {
-        trace::no_route(ctx, &req, table.version());
-        return Err(Failure::NoRoute);
-    };
+pub async fn serve(
+    ctx: &Arc<Context>,
+    mut req: Request,
+    arrived: Instant,
+) -> Result<Answer, Failure> {
+    let Identified { table, caller } = who_calls(ctx, &req, arrived).await?;
+    let route = which_route(ctx, &table, &req)?;
+    access::mark(ctx, &mut req.forward.headers, &caller);
+    req.forward.workspace = caller.name().map(str::to_owned);
     let wait = req.deadline.map_or(route.timeout, |d| d.min(route.timeout));
-    let service = route
-        .service(hash(&req.forward.id))
-        .cloned()
-        .unwrap_or_default();
-    let mut sending = Sending {
-        trace: Trace::new(ctx, &req.forward.id, &route, table.version(), arrived),
-        ctx: Arc::clone(ctx),
-        forward: Arc::new(req.forward),
-        host: req.host,
-        affinity: req.affinity,
-        deadline: arrived + wait,
-        service,
-        route,
-        tried: Vec::new(),
-        runs: 0,
-        fingerprint: None,
-    };
-    let answered = sending.answer().await;
-    match answered {
-        Ok(flow) => flow.start().await,
-        Err(failure) => {
-            sending.trace.failed(&failure);
-            Err(failure)
-        }
-    }
-}
-
-/// A request on its way to a target.
-struct Sending {
-    ctx: Arc<Context>,
-    forward: Arc<Forward>,
-    /// The host that the request names.
-    host: String,
-    route: Arc<Route>,
-    service: String,
-    affinity: u64,
-    deadline: Instant,
-    tried: Vec<TargetId>,
-    /// Targets that ran the request or may have.
-    runs: u32,
-    /// The name of its content, once that was asked for.
-    fingerprint: Option<Fingerprint>,
-    trace: Trace,
+    let trace = Trace::new(ctx, &req.forward, &route, table.version(), arrived);
+    let sending = Sending::new(ctx, req, route, trace, arrived + wait);
+    sending.send_whole().await
 }
 
-/// A target's answer whose body is to come.
-struct Begun {
-    reply: Reply,
-    running: Running,
-    addr: SocketAddr,
-    sent: Instant,
-    /// When the answer's head came.
-    begun: Instant,
-    /// Its run, if it is a suspect.
-    trial: Option<Trial>,
+/// Finds out who calls.
+async fn who_calls(ctx: &Context, req: &Request, arrived: Instant) -> Result<Identified, Failure> {
+    let presented = Presented {
+        id: &req.forward.id,
+        host: &req.host,
+        path: path_of(req),
+        headers: &req.forward.headers,
+    };
+    let deadline = arrived + req.deadline.unwrap_or(NO_DEADLINE);
+    let identified = access::of_request(ctx, presented, deadline).await;
+    identified.inspect_err(|failure| {
+        ctx.metrics.count(Counted::Requests, failure.label());
+    })
 }
 
-impl Sending {
-    /// Sends the request until a target answers.
-    async fn answer(&mut self) -> Result<Flow, Failure> {
-        let begun = self.send(None).await?;
-        let sending = Sending {
-            trace: self.trace.take(),
-            ctx: Arc::clone(&self.ctx),
-            forward: Arc::clone(&self.forward),
-            host: std::mem::take(&mut self.host),
-            route: Arc::clone(&self.route),
-            service: self.service.clone(),
-            tried: std::mem::take(&mut self.tried),
-            ..*self
-        };
-        Ok(Flow::new(sending, begun))
-    }
-
-    /// Offers the request to targets until one answers.
-    async fn send(&mut self, resume_after: Option<u64>) -> Result<Begun, Failure> {
-        let mut offers = 0;
-        loop {
-            let trial = self.admit().await?;
-            let choice = self.choose(offers)?;
-            offers += 1;
-            let sent = Instant::now();
-            let err = match self.offer(&choice, resume_after).await {
-                Ok(begun) => match self.judge(begun) {
-                    Ok(begun) => return Ok(Begun { trial, ..begun }),
-                    Err(err) => err,
-                },
-                Err(err) => err,
-            };
-            if err == NoReply::Broken {
-                let ran = sent.elapsed();
-                self.broke_off(&choice.target, choice.addr, ran).await;
-            }
-            // The next run of a suspect begins when it is known how this one ended.
-            drop(trial);
-            self.note(&choice.target, err);
-            if err.may_have_run() {
-                self.runs += 1;
-            }
-            self.tried.push(choice.target);
-            self.may_go_on(err, offers)?;
-        }
-    }
-
-    fn fingerprint(&mut self) -> Fingerprint {
-        let (ctx, host, forward) = (&self.ctx, &self.host, &self.forward);
-        *self
-            .fingerprint
-            .get_or_insert_with(|| fingerprint::of(ctx, host, forward))
-    }
-
-    /// Waits until the request may be sent to a target, as far as targets crash under
-    /// it. That is asked before each offer: news may come at any time.
-    async fn admit(&mut self) -> Result<Option<Trial>, Failure> {
-        let gate = Arc::clone(&self.ctx.suspects.gate);
-        if gate.is_empty() {
-            return Ok(None);
-        }
-        let fingerprint = self.fingerprint();
-        let admitted = gate.admit(fingerprint, self.deadline - LEFT_MIN);
-        admitted.await.map_err(|kept_back| match kept_back {
-            KeptBack::Refused {
-                crashes,
-                retry_after,
-            } if self.runs == 0 => Failure::Crashing {
-                crashes,
-                retry_after,
-            },
-            KeptBack::Refused { .. } => self.given_up("targets crash under it"),
-            KeptBack::Waiting => self.given_up("others like it run"),
-        })
-    }
-
-    /// Finds out whether a target crashed under the request.
-    async fn broke_off(&mut self, target: &TargetId, addr: SocketAddr, ran: Duration) {
-        let run = quarantine::Run {
-            fingerprint: self.fingerprint(),
-            id: self.forward.id.clone(),
-            target: target.clone(),
-            addr,
-            ran,
-        };
-        quarantine::broke_off(&self.ctx, run).await;
-    }
-
-    fn choose(&mut self, offers: u32) -> Result<Choice, Failure> {
-        let now = Instant::now();
-        if self.deadline.saturating_duration_since(now) < LEFT_MIN {
-            return Err(self.given_up("no time left"));
-        }
-        let want = Want {
-            service: &self.service,
-            data_centre: &self.ctx.settings.host.data_centre,
-            affinity: self.affinity,
-            tried: &self.tried,
-            objective: self.objective(),
-            ahead: Ahead::default(),
-        };
-        let chosen = work::timed(&self.ctx.metrics, Part::Placing, || {
-            lock(&self.ctx.places).choose_online(&want, now)
-        });
-        let choice = match chosen {
-            Ok(choice) => choice,
-            Err(refusal) if offers == 0 && self.runs == 0 => return Err(refused(refusal)),
-            Err(_) => return Err(self.given_up("no other target")),
-        };
-        self.trace.chose(&choice);
-        match &choice.room {
-            Room::CutOwn => {
-                self.ctx.items.cut_one(&choice.target);
-            }
-            Room::CutPeer(host) => self.ctx.peers.ask_cut(host, key_of(&choice.target)),
-            Room::Free | Room::Queue => {}
-        }
-        Ok(choice)
-    }
-
-    /// Returns the time to the first event that is still to be met, for a
-    /// request that may be refused: one that may have run is not.
-    fn objective(&self) -> Option<Duration> {
-        let objective = self.route.objective;
-        if self.runs > 0 || objective.is_zero() {
-            return None;
-        }
-        Some(objective.saturating_sub(self.trace.age()))
-    }
-
-    /// Returns how to answer when no further offer is made.
-    fn given_up(&self, reason: &'static str) -> Failure {
-        if self.runs > 0 {
-            return Failure::Unknown { reason };
-        }
-        Failure::NotRun {
-            retry_after: RETRY_AFTER,
-            reason,
-        }
-    }
-
-    async fn offer(&self, choice: &Choice, resume_after: Option<u64>) -> Result<Begun, NoReply> {
-        let running = Running::begin(&self.ctx, &choice.target, Class::Online);
-        let sent = Instant::now();
-        let call = Call {
-            forward: Arc::clone(&self.forward),
-            target: choice.target.clone(),
-            addr: choice.addr,
-            left: self.deadline.saturating_duration_since(sent),
-            resume_after,
-        };
-        let replied = (self.ctx.targets.call)(call);
-        let until = tokio::time::Instant::from_std(self.deadline);
-        let reply = match tokio::time::timeout_at(until, replied).await {
-            Ok(reply) => reply?,
-            Err(_) => return Err(NoReply::Unknown(TIMED_OUT)),
-        };
-        Ok(Begun {
-            reply,
-            running,
-            addr: choice.addr,
-            sent,
-            begun: Instant::now(),
-            trial: None,
-        })
-    }
-
-    /// Returns an answer that may be passed on, or what it amounts to.
-    fn judge(&self, begun: Begun) -> Result<Begun, NoReply> {
-        let status = begun.reply.status;
-        if status.is_success() && !begun.reply.is_signed {
-            return Err(NoReply::Unknown("unsigned success"));
-        }
-        // These statuses promise that nothing ran, and the target has not
-        // said so.
-        let promises = [
-            StatusCode::SERVICE_UNAVAILABLE,
-            StatusCode::TOO_MANY_REQUESTS,
-            StatusCode::REQUEST_TIMEOUT,
-            StatusCode::MISDIRECTED_REQUEST,
-        ];
-        if promises.contains(&status) {
-            return Err(NoReply::Unknown("refused without saying so"));
-        }
-        let runs_left = self.runs + 1 < self.route.attempts_max;
-        if status.is_server_error() && self.route.is_repeatable() && runs_left {
-            return Err(NoReply::Unknown(TARGET_FAILED));
-        }
-        Ok(begun)
-    }
-
-    fn note(&mut self, target: &TargetId, err: NoReply) {
-        let now = Instant::now();
-        self.ctx.metrics.count(Counted::Offers, err.reason());
-        let fingerprint = err.may_have_run().then(|| self.fingerprint());
-        self.trace.offer_failed(target, err, fingerprint);
-        let mut places = lock(&self.ctx.places);
-        match err {
-            NoReply::Full => places.refused(target, now),
-            NoReply::NotSent(_) | NoReply::OtherTarget => places.failed(target, now),
-            NoReply::Unknown(TIMED_OUT) => {}
-            NoReply::Unknown(TARGET_FAILED) => places.failed_request(target, now),
-            NoReply::Broken | NoReply::Unknown(_) => places.failed(target, now),
-            NoReply::Rejected(_) => {}
-        }
-    }
-
-    /// Returns whether the request may be offered to another target.
-    fn may_go_on(&mut self, err: NoReply, offers: u32) -> Result<(), Failure> {
-        match err {
-            NoReply::Rejected(status) => return Err(Failure::Rejected(status)),
-            NoReply::Unknown(TIMED_OUT) => return Err(Failure::TimedOut),
-            err if err.may_have_run() && !self.route.is_repeatable() => {
-                return Err(Failure::Unknown {
-                    reason: err.reason(),
-                });
-            }
-            _ => {}
-        }
-        if self.runs >= self.route.attempts_max || offers >= OFFERS_MAX {
-            return Err(self.given_up(err.reason()));
-        }
-        if !lock(&self.ctx.budget).spend() {
-            return Err(self.given_up("too many retries"));
-        }
-        Ok(())
-    }
+/// Finds the route that answers.
+fn which_route(ctx: &Context, table: &Table, req: &Request) -> Result<Arc<Route>, Failure> {
+    let route = table.find(&req.host, path_of(req)).cloned();
+    route.ok_or_else(|| {
+        trace::no_route(ctx, req, table.version());
+        Failure::NoRoute
+    })
 }
 
-/// Why an offer ended when the request's time was over.
-const TIMED_OUT: &str = "timed out";
-/// Why an offer came to nothing when the target answered that it failed.
-const TARGET_FAILED: &str = "target failed";
-/// When to come back after targets refused or could not be reached: about the
-/// time in which a place falls free.
-const RETRY_AFTER: Duration = Duration::from_millis(150);
-
-fn refused(refusal: Refusal) -> Failure {
-    let (retry_after, reason) = match refusal {
-        Refusal::NoTarget { retry_after } => (retry_after, "no target"),
-        Refusal::Full { retry_after } => (retry_after, "all targets full"),
-    };
-    Failure::NotRun {
-        retry_after,
-        reason,
-    }
+fn path_of(req: &Request) -> &str {
+    req.forward.path.split('?').next().unwrap_or_default()
 }
--- a/crates/gateway/src/online/flow.rs
+++ b/crates/gateway/src/online/flow.rs
@@ -17,8 +17,8 @@
 use notchwharf_config::routes::Kind;
 
 use super::Answer;
-use super::Begun;
-use super::Sending;
+use super::sending::Begun;
+use super::sending::Sending;
 use crate::context::lock;
 use crate::context::ms;
 use crate::error::Failure;
--- /dev/null
+++ b/crates/gateway/src/online/sending.rs
@@ -0,0 +1,340 @@
+//! A request on its way to a target: offered, judged, and offered again.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use hyper::StatusCode;
+use notchwharf_config::routes::Route;
+use notchwharf_ledger::rendezvous::hash;
+use notchwharf_quarantine::gate::KeptBack;
+use notchwharf_quarantine::gate::Trial;
+use notchwharf_routing::fingerprint::Fingerprint;
+use notchwharf_routing::items::turn::Ahead;
+use notchwharf_routing::places::Choice;
+use notchwharf_routing::places::Refusal;
+use notchwharf_routing::places::Room;
+use notchwharf_routing::places::TargetId;
+use notchwharf_routing::places::Want;
+use notchwharf_routing::places::key_of;
+
+use super::Answer;
+use super::Request;
+use super::flow::Flow;
+use super::trace::Trace;
+use crate::context::Context;
+use crate::context::lock;
+use crate::error::Failure;
+use crate::fingerprint;
+use crate::metrics::Counted;
+use crate::ports::Call;
+use crate::ports::Forward;
+use crate::ports::NoReply;
+use crate::ports::Reply;
+use crate::quarantine;
+use crate::target::Class;
+use crate::target::Running;
+use crate::work;
+use crate::work::Part;
+
+/// Targets that one request is offered to before it is refused.
+const OFFERS_MAX: u32 = 4;
+/// Time left below which an offer makes no sense: an answer takes longer.
+const LEFT_MIN: Duration = Duration::from_millis(20);
+
+/// A request on its way to a target.
+pub(super) struct Sending {
+    pub(super) ctx: Arc<Context>,
+    pub(super) forward: Arc<Forward>,
+    /// The host that the request names.
+    pub(super) host: String,
+    pub(super) route: Arc<Route>,
+    pub(super) service: String,
+    pub(super) affinity: u64,
+    pub(super) deadline: Instant,
+    pub(super) tried: Vec<TargetId>,
+    /// Targets that ran the request or may have.
+    pub(super) runs: u32,
+    /// The name of its content, once that was asked for.
+    pub(super) fingerprint: Option<Fingerprint>,
+    pub(super) trace: Trace,
+}
+
+/// A target's answer whose body is to come.
+pub(super) struct Begun {
+    pub(super) reply: Reply,
+    pub(super) running: Running,
+    pub(super) addr: SocketAddr,
+    pub(super) sent: Instant,
+    /// When the answer's head came.
+    pub(super) begun: Instant,
+    /// Its run, if it is a suspect.
+    pub(super) trial: Option<Trial>,
+}
+
+impl Sending {
+    pub(super) fn new(
+        ctx: &Arc<Context>,
+        req: Request,
+        route: Arc<Route>,
+        trace: Trace,
+        deadline: Instant,
+    ) -> Self {
+        let service = route.service(hash(&req.forward.id));
+        Self {
+            trace,
+            ctx: Arc::clone(ctx),
+            forward: Arc::new(req.forward),
+            host: req.host,
+            affinity: req.affinity,
+            deadline,
+            service: service.cloned().unwrap_or_default(),
+            route,
+            tried: Vec::new(),
+            runs: 0,
+            fingerprint: None,
+        }
+    }
+
+    /// Sends the request until a target answers, and passes its answer on.
+    pub(super) async fn send_whole(mut self) -> Result<Answer, Failure> {
+        match self.send(None).await {
+            Ok(begun) => Flow::new(self, begun).start().await,
+            Err(failure) => {
+                self.trace.failed(&failure);
+                Err(failure)
+            }
+        }
+    }
+
+    /// Offers the request to targets until one answers.
+    pub(super) async fn send(&mut self, resume_after: Option<u64>) -> Result<Begun, Failure> {
+        let mut offers = 0;
+        loop {
+            let trial = self.admit().await?;
+            let choice = self.choose(offers)?;
+            offers += 1;
+            let sent = Instant::now();
+            let err = match self.offer(&choice, resume_after).await {
+                Ok(begun) => match self.judge(begun) {
+                    Ok(begun) => return Ok(Begun { trial, ..begun }),
+                    Err(err) => err,
+                },
+                Err(err) => err,
+            };
+            if err == NoReply::Broken {
+                let ran = sent.elapsed();
+                self.broke_off(&choice.target, choice.addr, ran).await;
+            }
+            // The next run of a suspect begins when it is known how this one ended.
+            drop(trial);
+            self.note(&choice.target, err);
+            if err.may_have_run() {
+                self.runs += 1;
+            }
+            self.tried.push(choice.target);
+            self.may_go_on(err, offers)?;
+        }
+    }
+
+    pub(super) fn fingerprint(&mut self) -> Fingerprint {
+        let (ctx, host, forward) = (&self.ctx, &self.host, &self.forward);
+        *self
+            .fingerprint
+            .get_or_insert_with(|| fingerprint::of(ctx, host, forward))
+    }
+
+    /// Waits until the request may be sent to a target, as far as targets crash under
+    /// it. That is asked before each offer: news may come at any time.
+    async fn admit(&mut self) -> Result<Option<Trial>, Failure> {
+        let gate = Arc::clone(&self.ctx.suspects.gate);
+        if gate.is_empty() {
+            return Ok(None);
+        }
+        let fingerprint = self.fingerprint();
+        let admitted = gate.admit(fingerprint, self.deadline - LEFT_MIN);
+        admitted.await.map_err(|kept_back| match kept_back {
+            KeptBack::Refused {
+                crashes,
+                retry_after,
+            } if self.runs == 0 => Failure::Crashing {
+                crashes,
+                retry_after,
+            },
+            KeptBack::Refused { .. } => self.given_up("targets crash under it"),
+            KeptBack::Waiting => self.given_up("others like it run"),
+        })
+    }
+
+    /// Finds out whether a target crashed under the request.
+    pub(super) async fn broke_off(&mut self, target: &TargetId, addr: SocketAddr, ran: Duration) {
+        let run = quarantine::Run {
+            fingerprint: self.fingerprint(),
+            id: self.forward.id.clone(),
+            target: target.clone(),
+            addr,
+            ran,
+        };
+        quarantine::broke_off(&self.ctx, run).await;
+    }
+
+    fn choose(&mut self, offers: u32) -> Result<Choice, Failure> {
+        let now = Instant::now();
+        if self.deadline.saturating_duration_since(now) < LEFT_MIN {
+            return Err(self.given_up("no time left"));
+        }
+        let want = Want {
+            service: &self.service,
+            data_centre: &self.ctx.settings.host.data_centre,
+            affinity: self.affinity,
+            tried: &self.tried,
+            objective: self.objective(),
+            ahead: Ahead::default(),
+        };
+        let chosen = work::timed(&self.ctx.metrics, Part::Placing, || {
+            lock(&self.ctx.places).choose_online(&want, now)
+        });
+        let choice = match chosen {
+            Ok(choice) => choice,
+            Err(refusal) if offers == 0 && self.runs == 0 => return Err(refused(refusal)),
+            Err(_) => return Err(self.given_up("no other target")),
+        };
+        self.trace.chose(&choice);
+        match &choice.room {
+            Room::CutOwn => {
+                self.ctx.items.cut_one(&choice.target);
+            }
+            Room::CutPeer(host) => self.ctx.peers.ask_cut(host, key_of(&choice.target)),
+            Room::Free | Room::Queue => {}
+        }
+        Ok(choice)
+    }
+
+    /// Returns the time to the first event that is still to be met, for a
+    /// request that may be refused: one that may have run is not.
+    fn objective(&self) -> Option<Duration> {
+        let objective = self.route.objective;
+        if self.runs > 0 || objective.is_zero() {
+            return None;
+        }
+        Some(objective.saturating_sub(self.trace.age()))
+    }
+
+    /// Returns how to answer when no further offer is made.
+    fn given_up(&self, reason: &'static str) -> Failure {
+        if self.runs > 0 {
+            return Failure::Unknown { reason };
+        }
+        Failure::NotRun {
+            retry_after: RETRY_AFTER,
+            reason,
+        }
+    }
+
+    async fn offer(&self, choice: &Choice, resume_after: Option<u64>) -> Result<Begun, NoReply> {
+        let running = Running::begin(&self.ctx, &choice.target, Class::Online);
+        let sent = Instant::now();
+        let call = Call {
+            forward: Arc::clone(&self.forward),
+            target: choice.target.clone(),
+            addr: choice.addr,
+            left: self.deadline.saturating_duration_since(sent),
+            resume_after,
+        };
+        let replied = (self.ctx.targets.call)(call);
+        let until = tokio::time::Instant::from_std(self.deadline);
+        let reply = match tokio::time::timeout_at(until, replied).await {
+            Ok(reply) => reply?,
+            Err(_) => return Err(NoReply::Unknown(TIMED_OUT)),
+        };
+        Ok(Begun {
+            reply,
+            running,
+            addr: choice.addr,
+            sent,
+            begun: Instant::now(),
+            trial: None,
+        })
+    }
+
+    /// Returns an answer that may be passed on, or what it amounts to.
+    fn judge(&self, begun: Begun) -> Result<Begun, NoReply> {
+        let status = begun.reply.status;
+        if status.is_success() && !begun.reply.is_signed {
+            return Err(NoReply::Unknown("unsigned success"));
+        }
+        // These statuses promise that nothing ran, and the target has not
+        // said so.
+        let promises = [
+            StatusCode::SERVICE_UNAVAILABLE,
+            StatusCode::TOO_MANY_REQUESTS,
+            StatusCode::REQUEST_TIMEOUT,
+            StatusCode::MISDIRECTED_REQUEST,
+        ];
+        if promises.contains(&status) {
+            return Err(NoReply::Unknown("refused without saying so"));
+        }
+        let runs_left = self.runs + 1 < self.route.attempts_max;
+        if status.is_server_error() && self.route.is_repeatable() && runs_left {
+            return Err(NoReply::Unknown(TARGET_FAILED));
+        }
+        Ok(begun)
+    }
+
+    fn note(&mut self, target: &TargetId, err: NoReply) {
+        let now = Instant::now();
+        self.ctx.metrics.count(Counted::Offers, err.reason());
+        let fingerprint = err.may_have_run().then(|| self.fingerprint());
+        self.trace.offer_failed(target, err, fingerprint);
+        let mut places = lock(&self.ctx.places);
+        match err {
+            NoReply::Full => places.refused(target, now),
+            NoReply::NotSent(_) | NoReply::OtherTarget => places.failed(target, now),
+            NoReply::Unknown(TIMED_OUT) => {}
+            NoReply::Unknown(TARGET_FAILED) => places.failed_request(target, now),
+            NoReply::Broken | NoReply::Unknown(_) => places.failed(target, now),
+            NoReply::Rejected(_) => {}
+        }
+    }
+
+    /// Returns whether the request may be offered to another target.
+    fn may_go_on(&mut self, err: NoReply, offers: u32) -> Result<(), Failure> {
+        match err {
+            NoReply::Rejected(status) => return Err(Failure::Rejected(status)),
+            NoReply::Unknown(TIMED_OUT) => return Err(Failure::TimedOut),
+            err if err.may_have_run() && !self.route.is_repeatable() => {
+                return Err(Failure::Unknown {
+                    reason: err.reason(),
+                });
+            }
+            _ => {}
+        }
+        if self.runs >= self.route.attempts_max || offers >= OFFERS_MAX {
+            return Err(self.given_up(err.reason()));
+        }
+        if !lock(&self.ctx.budget).spend() {
+            return Err(self.given_up("too many retries"));
+        }
+        Ok(())
+    }
+}
+
+/// Why an offer ended when the request's time was over.
+const TIMED_OUT: &str = "timed out";
+/// Why an offer came to nothing when the target answered that it failed.
+const TARGET_FAILED: &str = "target failed";
+/// When to come back after targets refused or could not be reached: about the
+/// time in which a place falls free.
+const RETRY_AFTER: Duration = Duration::from_millis(150);
+
+fn refused(refusal: Refusal) -> Failure {
+    let (retry_after, reason) = match refusal {
+        Refusal::NoTarget { retry_after } => (retry_after, "no target"),
+        Refusal::Full { retry_after } => (retry_after, "all targets full"),
+    };
+    Failure::NotRun {
+        retry_after,
+        reason,
+    }
+}
--- a/crates/gateway/src/online/trace.rs
+++ b/crates/gateway/src/online/trace.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use hyper::StatusCode;
+use notchwharf_config::access::WorkspaceName;
 use notchwharf_config::routes::Route;
 use notchwharf_routing::fingerprint::Fingerprint;
 use notchwharf_routing::places::Choice;
@@ -23,6 +24,7 @@
 use crate::fingerprint;
 use crate::metrics::Counted;
 use crate::metrics::Timed;
+use crate::ports::Forward;
 use crate::ports::NoReply;
 
 /// What happened to a request so far; dropped untold, its caller has left.
@@ -34,6 +36,7 @@
 struct Told {
     ctx: Arc<Context>,
     id: RequestId,
+    workspace: Option<WorkspaceName>,
     route: Arc<Route>,
     version: u64,
     arrived: Instant,
@@ -56,14 +59,15 @@
 impl Trace {
     pub(super) fn new(
         ctx: &Arc<Context>,
-        id: &RequestId,
+        forward: &Forward,
         route: &Arc<Route>,
         version: u64,
         arrived: Instant,
     ) -> Self {
         let told = Told {
             ctx: Arc::clone(ctx),
-            id: id.clone(),
+            id: forward.id.clone(),
+            workspace: forward.workspace.clone(),
             route: Arc::clone(route),
             version,
             arrived,
@@ -81,14 +85,6 @@
         }
     }
 
-    /// Moves the trace on; what is left behind tells nothing.
-    pub(super) fn take(&mut self) -> Self {
-        Self {
-            told: self.told.take(),
-            failure: self.failure,
-        }
-    }
-
     pub(super) fn chose(&mut self, choice: &Choice) {
         let Some(told) = &mut self.told else {
             return;
@@ -194,6 +190,7 @@
         }
         slog::info!(self.ctx.logger, "request"; "id" => self.id.as_str(), "outcome" => outcome,
             "why" => failure.map(ToString::to_string),
+            "workspace" => self.workspace.as_deref(),
             "route" => self.route.name.as_str(), "routes_version" => self.version,
             "target" => self.target.as_deref(), "room" => self.room, "load" => self.load,
             "offers" => self.offers, "status" => self.status.map(|s| s.as_u16()),
--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -44,8 +44,7 @@
     };
     match snapshot {
         Ok(snapshot) => {
-            let news = ctx.catalog.take_snapshot(snapshot, Instant::now());
-            catalog::tell(&ctx, news);
+            catalog::take_snapshot(&ctx, snapshot).await;
         }
         Err(detail) => slog::warn!(ctx.logger, "peer not asked";
             "addr" => addr.to_string(), "error" => detail),
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -16,6 +16,8 @@
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::StatusCode;
+use notchwharf_config::access::NoKey;
+use notchwharf_config::access::WorkspaceName;
 use notchwharf_config::routes::Table;
 use notchwharf_routing::items::usual::Size;
 use notchwharf_routing::places::Spec;
@@ -39,6 +41,8 @@
     pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
+    /// The workspace that sent it, where workspaces are told apart.
+    pub workspace: Option<WorkspaceName>,
 }
 
 /// A request to one target.
@@ -276,6 +280,13 @@
 /// apart.
 pub type DecodeCaller = fn(headers: &HeaderMap) -> &[u8];
 
+/// Reads the key that a request presents.
+pub type DecodeKey = fn(headers: &HeaderMap) -> Result<&str, NoKey>;
+
+/// Takes out of a request's headers whatever its caller said about itself, and tells
+/// the workspace, if there is one, in its place.
+pub type Mark = fn(headers: &mut HeaderMap, workspace: Option<&str>);
+
 /// What records, requests and items mean.
 #[derive(Clone, Copy)]
 pub struct Decode {
@@ -285,8 +296,12 @@
     pub target: DecodeTarget,
     /// Reads an item's size.
     pub size: DecodeSize,
-    /// Reads who calls.
+    /// Reads who calls, where workspaces are not told.
     pub caller: DecodeCaller,
+    /// Reads the key that a request presents.
+    pub key: DecodeKey,
+    /// Tells targets the workspace.
+    pub mark: Mark,
 }
 
 /// A record that does not say what it should.
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -22,6 +22,8 @@
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::StatusCode;
+use notchwharf_config::access;
+use notchwharf_config::access::NoKey;
 use notchwharf_config::gateway;
 use notchwharf_config::gateway::Settings;
 use notchwharf_config::routes::JobTerms;
@@ -55,6 +57,10 @@
 pub const WAIT_MAX: Duration = Duration::from_secs(20);
 /// The host that requests name.
 pub const HOST: &str = "a.example";
+/// The header in which requests carry keys.
+pub const KEY: &str = "x-key";
+/// The header in which targets are told the workspace.
+pub const WORKSPACE: &str = "x-workspace";
 /// A stream that may be resumed.
 pub const RESUMABLE: &str = "/resumable/";
 /// A stream that may not.
@@ -127,6 +133,8 @@
                 target: decode_target,
                 size: |_| Size::default(),
                 caller: |_| b"",
+                key: world_key,
+                mark: world_mark,
             },
         };
         let logger = slog::Logger::root(slog::Discard, slog::o!());
@@ -237,6 +245,7 @@
             path: path.to_owned(),
             headers: HeaderMap::new(),
             body: Bytes::new(),
+            workspace: None,
         },
         host: HOST.to_owned(),
         deadline: Some(Duration::from_secs(10)),
@@ -265,6 +274,19 @@
     }
 }
 
+fn world_key(headers: &HeaderMap) -> Result<&str, NoKey> {
+    let values = headers.get_all(KEY).iter();
+    access::key("Key", values.map(hyper::header::HeaderValue::as_bytes))
+}
+
+fn world_mark(headers: &mut HeaderMap, workspace: Option<&str>) {
+    headers.remove(KEY);
+    headers.remove(WORKSPACE);
+    if let Some(workspace) = workspace {
+        headers.insert(WORKSPACE, workspace.parse().unwrap());
+    }
+}
+
 /// Waits until something is so.
 pub async fn until(what: &str, mut is_so: impl FnMut() -> bool) {
     let started = Instant::now();
