--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -25,7 +25,7 @@
 //! // A host that starts does not lend at once: it may have lent before.
 //! let later = start + Duration::from_secs(4);
 //! node.tick(&[], &[1], true, true, later);
-//! let after = later + Duration::from_secs(1);
+//! let after = later + Duration::from_millis(500);
 //! node.tick(&[], &[1], true, true, after);
 //! let asked = node.ask(choir, Duration::ZERO, after);
 //! assert!(matches!(asked, Asked::Answered { taken: Taken::Given { .. }, .. }));
--- a/crates/quota/src/node.rs
+++ b/crates/quota/src/node.rs
@@ -18,9 +18,11 @@
 use crate::terms::Terms;
 
 /// Time between two calls of a holder to lend it parts, in a fleet of up to
-/// [`HOSTS_PER_CALL`] hosts. Each call costs a datagram to every host and one back: 60
-/// bytes a second a host in all.
-const CALL_GAP: Duration = Duration::from_millis(300);
+/// [`HOSTS_PER_CALL`] hosts. Each call costs a datagram to every host and one back, some
+/// 30 bytes. With 300 ms and four calls in the time for which parts are lent, hosts that
+/// all lost power refused limited workspaces for 1.9 s; that time is the least between
+/// their start and the first request that is let in.
+const CALL_GAP: Duration = Duration::from_millis(200);
 /// Hosts up to which the time between two calls does not grow: a holder sends as many
 /// datagrams a second however large the fleet is.
 const HOSTS_PER_CALL: usize = 100;
@@ -29,8 +31,8 @@
 const STARTING: Duration = Duration::from_secs(3);
 /// Calls of a host that has just started in the time of one later.
 const CALLS_STARTING: u32 = 3;
-/// Calls within the time for which a part is lent: three may be lost in a row.
-const CALLS_VALID: u32 = 4;
+/// Calls within the time for which a part is lent: two may be lost in a row.
+const CALLS_VALID: u32 = 3;
 /// Questions that a host has open at most; beyond, the oldest are forgotten.
 const OPEN_MAX: usize = 4_096;
 
