--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -29,6 +29,7 @@
 use notchwharf_quota::WorkspaceKey;
 use notchwharf_quota::host_key;
 use notchwharf_quota::workspace_key;
+use rand::RngExt as _;
 use tokio::sync::oneshot;
 
 use crate::context::Context;
@@ -46,8 +47,9 @@
 /// Part of a route's objective for which a request may wait for room: the rest is for
 /// its first event.
 const PATIENCE_PART: u32 = 2;
-/// When to come back if nobody could tell: holders are found anew within a second.
-const UNKNOWN_RETRY: Duration = Duration::from_millis(300);
+/// Time over which those are spread who are told to come back since nobody could tell:
+/// holders that have just begun let in what flows in, and callers come back once.
+const UNKNOWN_SPREAD_MS: u64 = 500;
 /// Least time to come back: sooner costs a connection for a place in the same queue.
 const RETRY_MIN: Duration = Duration::from_millis(50);
 
@@ -156,8 +158,10 @@
         }
         Taken::CannotTell => {
             ctx.metrics.count(Counted::Limits, "nobody could tell");
+            let retry_after = lock(&ctx.limits.node).come_back(Instant::now());
+            let drawn = rand::rng().random_range(0..UNKNOWN_SPREAD_MS);
             Err(Failure::NotRun {
-                retry_after: UNKNOWN_RETRY,
+                retry_after: retry_after + Duration::from_millis(drawn),
                 reason: "nobody could tell the workspace's limit",
             })
         }
--- a/crates/quota/src/node.rs
+++ b/crates/quota/src/node.rs
@@ -235,6 +235,14 @@
         }
     }
 
+    /// Returns when to come back where nobody could tell: a host that has just started
+    /// lends its parts when those that it may have lent before are back.
+    pub fn come_back(&self, now: Instant) -> Duration {
+        let gap = call_gap(self.hosts);
+        let lends_at = self.started + gap * (CALLS_VALID + 1);
+        lends_at.saturating_duration_since(now).max(gap)
+    }
+
     /// Returns whether any workspace is limited.
     pub fn has_limits(&self) -> bool {
         self.slots.iter().any(|slot| slot.holder.has_limits())
