--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -37,14 +37,15 @@
 mod bucket;
 mod holder;
 mod lender;
+mod message;
 mod node;
 mod terms;
 
 pub use self::holder::Taken;
-pub use self::node::Asked;
-pub use self::node::Message;
+pub use self::message::Asked;
+pub use self::message::Message;
+pub use self::message::Reaction;
 pub use self::node::Node;
-pub use self::node::Reaction;
 pub use self::terms::Bounds;
 pub use self::terms::Terms;
 
--- a/crates/quota/src/node.rs
+++ b/crates/quota/src/node.rs
@@ -1,11 +1,11 @@
 //! One host's part in all this: what it lends, what it holds, and what it asks.
 
+mod questions;
+
 use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
 
-use serde::Deserialize;
-use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::HostKey;
@@ -15,8 +15,14 @@
 use crate::holder::Holder;
 use crate::holder::Taken;
 use crate::lender::Lender;
+use crate::message::Message;
+use crate::message::Reaction;
+use crate::message::millis;
+use crate::message::short_millis;
 use crate::terms::Terms;
 
+use self::questions::Open;
+
 /// Time between two calls of a holder to lend it parts, in a fleet of up to
 /// [`HOSTS_PER_CALL`] hosts. Each call costs a datagram to every host and one back, some
 /// 30 bytes. With 300 ms and four calls in the time for which parts are lent, hosts that
@@ -33,133 +39,6 @@
 const CALLS_STARTING: u32 = 3;
 /// Calls within the time for which a part is lent: two may be lost in a row.
 const CALLS_VALID: u32 = 3;
-/// Questions that a host has open at most; beyond, the oldest are forgotten.
-const OPEN_MAX: usize = 4_096;
-
-/// What hosts tell one another.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Message {
-    /// A holder asks for the receiver's part.
-    Call {
-        /// The slot.
-        slot: SlotNumber,
-        /// When it spoke, by its own clock.
-        stamp_ms: u64,
-        /// Time for which it counts on the part from then on.
-        valid_ms: u32,
-        /// Whether it has the receiver's part already.
-        is_held: bool,
-    },
-    /// A host lends its part.
-    Lent {
-        /// The slot.
-        slot: SlotNumber,
-        /// The stamp of the call that it answers.
-        stamp_ms: u64,
-        /// Hosts that it knows of; its part is one of so many.
-        hosts: u32,
-    },
-    /// May a request of a workspace go?
-    Ask {
-        /// The slot.
-        slot: SlotNumber,
-        /// The number of the question at its host.
-        number: u32,
-        /// The workspace.
-        workspace: WorkspaceKey,
-        /// Time for which the request can wait and still be served in time.
-        patience_ms: u16,
-    },
-    /// It may go.
-    Given {
-        /// The number of the question.
-        number: u32,
-        /// Time until then.
-        after_ms: u16,
-    },
-    /// The limit is reached.
-    Refused {
-        /// The number of the question.
-        number: u32,
-        /// Time until there is room again.
-        retry_after_ms: u32,
-    },
-    /// The receiver of the question cannot tell.
-    Unknown {
-        /// The number of the question.
-        number: u32,
-    },
-    /// Which of the sender's parts does the receiver hold?
-    AskHeld,
-    /// The receiver's parts that the sender holds.
-    Held {
-        /// A bit for each slot, the first one lowest.
-        slots: u8,
-    },
-    /// A request that was let in has not run.
-    GivenBack {
-        /// The slot.
-        slot: SlotNumber,
-        /// The workspace.
-        workspace: WorkspaceKey,
-    },
-}
-
-/// What comes of a question at once.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Asked {
-    /// The host holds the slot itself, or nobody can be asked any more.
-    Answered {
-        /// The number of the question.
-        number: u32,
-        /// What came of it.
-        taken: Taken,
-    },
-    /// Another host was asked.
-    Sent {
-        /// The number of the question.
-        number: u32,
-        /// The host.
-        to: HostKey,
-        /// The question.
-        message: Message,
-    },
-}
-
-/// What comes of a message.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Reaction {
-    /// Nothing.
-    None,
-    /// An answer to its sender.
-    Reply(Message),
-    /// A question goes on, or is answered.
-    Asked(Asked),
-}
-
-/// A question that is not answered yet.
-#[derive(Clone, Debug)]
-struct Open {
-    workspace: WorkspaceKey,
-    patience: Duration,
-    /// The slot that was asked last.
-    slot: usize,
-    /// Slots that have refused, with when there is room again.
-    refused: [Option<Duration>; SLOTS],
-    /// Times that a slot was asked.
-    asked: usize,
-}
-
-impl Open {
-    /// Returns what its host is told if nobody lets the request go.
-    fn refusal(&self) -> Taken {
-        let soonest = self.refused.iter().flatten().min();
-        soonest.map_or(Taken::CannotTell, |retry_after| Taken::Refused {
-            retry_after: *retry_after,
-        })
-    }
-}
-
 #[derive(Debug)]
 struct Slot {
     holder: Holder,
@@ -364,132 +243,6 @@
         self.first_stamp_ms + u64::from(millis(since))
     }
 
-    /// Asks whether a request of a workspace may go, now or within a time.
-    pub fn ask(&mut self, workspace: WorkspaceKey, patience: Duration, now: Instant) -> Asked {
-        self.next_number = self.next_number.wrapping_add(1);
-        let number = self.next_number;
-        // Both holders are asked by turns, so that both are used up evenly.
-        let slot = number as usize % SLOTS;
-        let open = Open {
-            workspace,
-            patience,
-            slot,
-            refused: [None; SLOTS],
-            asked: 0,
-        };
-        self.go_on(number, open, now)
-    }
-
-    /// Asks the other holder, the first one having been silent for some time; nothing if
-    /// the question was answered meanwhile.
-    pub fn ask_again(&mut self, number: u32, now: Instant) -> Option<Asked> {
-        let mut open = self.open.remove(&number)?;
-        open.slot = (open.slot + 1) % SLOTS;
-        Some(self.go_on(number, open, now))
-    }
-
-    /// Gives a question up.
-    pub fn give_up(&mut self, number: u32) {
-        self.open.remove(&number);
-    }
-
-    fn go_on(&mut self, number: u32, mut open: Open, now: Instant) -> Asked {
-        for _ in 0..SLOTS {
-            let slot = open.slot;
-            if open.refused[slot].is_none() {
-                open.asked += 1;
-                match self.holder_of(slot, now) {
-                    Some(host) if host == self.own => {
-                        let holder = &mut self.slots[slot].holder;
-                        match holder.take(open.workspace, open.patience, now) {
-                            Taken::Given { after } => {
-                                return self.given(number, slot, open.workspace, after);
-                            }
-                            Taken::Refused { retry_after } => {
-                                open.refused[slot] = Some(retry_after);
-                            }
-                            Taken::CannotTell => {}
-                        }
-                    }
-                    Some(host) => return self.send(number, open, host),
-                    None => {}
-                }
-            }
-            open.slot = (slot + 1) % SLOTS;
-        }
-        Asked::Answered {
-            number,
-            taken: open.refusal(),
-        }
-    }
-
-    fn send(&mut self, number: u32, open: Open, to: HostKey) -> Asked {
-        let message = Message::Ask {
-            slot: open.slot as SlotNumber,
-            number,
-            workspace: open.workspace,
-            patience_ms: short_millis(open.patience),
-        };
-        if self.open.len() >= OPEN_MAX {
-            // Whoever asked so many before has given up.
-            let oldest = number.wrapping_sub(OPEN_MAX as u32);
-            self.open
-                .retain(|known, _| known.wrapping_sub(oldest) < OPEN_MAX as u32);
-        }
-        self.open.insert(number, open);
-        Asked::Sent {
-            number,
-            to,
-            message,
-        }
-    }
-
-    fn given(
-        &mut self,
-        number: u32,
-        slot: usize,
-        workspace: WorkspaceKey,
-        after: Duration,
-    ) -> Asked {
-        if self.given.len() >= OPEN_MAX {
-            // Requests that old have long run.
-            self.given.clear();
-        }
-        self.given.insert(number, (slot, workspace));
-        Asked::Answered {
-            number,
-            taken: Taken::Given { after },
-        }
-    }
-
-    /// Returns the host to ask about a slot: the one to which this host has lent its
-    /// part, or the best of those that call.
-    fn holder_of(&self, slot: usize, now: Instant) -> Option<HostKey> {
-        let slots = &self.slots[slot];
-        slots.lender.lent_to(now).or_else(|| {
-            let calling = slots.callers.iter().filter(|(_, until)| now < **until);
-            let calling = calling.map(|(host, _)| *host);
-            calling.max_by_key(|host| rank(slot, *host))
-        })
-    }
-
-    /// Notes that a request that was let in has not run; returns whom to tell.
-    pub fn give_back(&mut self, number: u32, now: Instant) -> Option<(HostKey, Message)> {
-        let (slot, workspace) = self.given.remove(&number)?;
-        let host = self.holder_of(slot, now)?;
-        if host == self.own {
-            self.slots[slot].holder.give_back(workspace, now);
-            return None;
-        }
-        let slot = slot as SlotNumber;
-        Some((host, Message::GivenBack { slot, workspace }))
-    }
-
-    /// Notes that a request that was let in has run, or may have.
-    pub fn ran(&mut self, number: u32) {
-        self.given.remove(&number);
-    }
-
     /// Takes in what another host tells.
     pub fn receive(&mut self, from: HostKey, message: &Message, now: Instant) -> Reaction {
         match *message {
@@ -620,27 +373,6 @@
             Taken::CannotTell => Message::Unknown { number },
         })
     }
-
-    fn answered(&mut self, number: u32, taken: Taken, now: Instant) -> Reaction {
-        let Some(mut open) = self.open.remove(&number) else {
-            return Reaction::None;
-        };
-        let slot = open.slot;
-        match taken {
-            Taken::Given { after } => {
-                let workspace = open.workspace;
-                return Reaction::Asked(self.given(number, slot, workspace, after));
-            }
-            Taken::Refused { retry_after } => open.refused[slot] = Some(retry_after),
-            Taken::CannotTell => {}
-        }
-        if open.asked >= SLOTS {
-            let taken = open.refusal();
-            return Reaction::Asked(Asked::Answered { number, taken });
-        }
-        open.slot = (slot + 1) % SLOTS;
-        Reaction::Asked(self.go_on(number, open, now))
-    }
 }
 
 /// Returns the time between two calls in a fleet of so many hosts.
@@ -656,12 +388,3 @@
     bytes[4..].copy_from_slice(&(slot as u32).to_le_bytes());
     xxh3_64(&bytes)
 }
-
-/// Returns a time in whole milliseconds, rounded up: a promise is not due before.
-fn short_millis(time: Duration) -> u16 {
-    u16::try_from(time.as_micros().div_ceil(1_000)).unwrap_or(u16::MAX)
-}
-
-fn millis(time: Duration) -> u32 {
-    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
-}
