--- a/crates/quota/src/node.rs
+++ b/crates/quota/src/node.rs
@@ -39,6 +39,8 @@
 const CALLS_STARTING: u32 = 3;
 /// Calls within the time for which a part is lent: two may be lost in a row.
 const CALLS_VALID: u32 = 3;
+
+/// One of the holders' places, as this host sees it.
 #[derive(Debug)]
 struct Slot {
     holder: Holder,
