Show that keys and jobs hold at a host that hears only of peers

A key taken away is refused, and one that was added served, at a host that the store turns away, by what a peer tells; a job passed on between hosts stays its workspace's, also for its body, results and end.

--- /dev/null
+++ b/crates/gateway/tests/access.rs
@@ -0,0 +1,105 @@
+//! Keys and workspaces' jobs at a host that does not reach the store while a peer does.
+#![allow(clippy::unwrap_used, reason = "Tests fail by panicking.")]
+
+mod world;
+
+use std::time::Duration;
+
+use hyper::HeaderMap;
+use notchwharf_gateway::access;
+use notchwharf_gateway::access::Presented;
+use notchwharf_gateway::error::Failure;
+use notchwharf_gateway::error::JobCall;
+use notchwharf_gateway::error::NoCaller;
+use notchwharf_gateway::jobs;
+use world::HOST;
+use world::KEY;
+use world::Running;
+use world::World;
+use world::store::ScriptedStore;
+use world::submission;
+use world::targets::whole;
+use world::until;
+
+/// A host whose way to the store can be closed, and one whose way stays open.
+async fn start(world: &World) -> (Running, ScriptedStore, Running) {
+    world.configure_keys(2, &[("k1", "choir"), ("k2", "choir"), ("k3", "strings")]);
+    let door = world.store.door();
+    let cut = world.start_apart("a1", door.clone(), |_| {}).await;
+    cut.until_ready().await;
+    let open = world.start_ready("a2").await;
+    until("both know each other", || {
+        cut.ctx().peers_alive() == 1 && open.ctx().peers_alive() == 1
+    })
+    .await;
+    door.close(true);
+    until("the store is lost", || !cut.ctx().is_store_up()).await;
+    (cut, door, open)
+}
+
+fn is_refused_as_not_run(answered: &Result<world::Whole, Failure>) -> bool {
+    matches!(answered, Err(Failure::NotRun { .. }))
+}
+
+async fn until_version(host: &Running, version: u64) {
+    until("the configuration is there", || {
+        host.ctx().table().is_some_and(|t| t.version() == version)
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_key_is_taken_away_and_added_at_a_host_that_hears_of_it_from_a_peer_alone() {
+    let world = World::new(&["t1"]);
+    let (cut, _door, open) = start(&world).await;
+    let answer = cut.ask_as("k1", "before").await.unwrap();
+    assert_eq!(answer.text().unwrap(), whole("before"));
+    world.configure_keys(3, &[("k2", "choir"), ("k4", "strings")]);
+    until_version(&cut, 3).await;
+    // It cannot know that no newer configuration has the key again.
+    assert!(is_refused_as_not_run(&cut.ask_as("k1", "gone").await));
+    let denied = open.ask_as("k1", "gone").await.unwrap_err();
+    assert_eq!(denied, Failure::NoCaller(NoCaller::Removed));
+    let never = open.ask_as("k9", "never").await.unwrap_err();
+    assert_eq!(never, Failure::NoCaller(NoCaller::Unknown));
+    for id in ["gone", "never"] {
+        assert!(world.engines.runs(id).is_empty());
+    }
+    assert!(cut.ask_as("k4", "added").await.is_ok());
+}
+
+async fn job_of(host: &Running, key: &str) -> String {
+    let mut headers = HeaderMap::new();
+    headers.insert(KEY, format!("Key {key}").parse().unwrap());
+    let presented = Presented {
+        id: "j1",
+        host: HOST,
+        path: "/",
+        headers: &headers,
+    };
+    let caller = access::of_job_call(host.ctx(), presented).await.unwrap();
+    jobs::id_of(host.ctx(), &caller, "j1")
+}
+
+#[tokio::test]
+async fn a_job_passed_on_between_hosts_stays_its_workspace_s() {
+    let world = World::new(&["t1"]);
+    let (cut, _door, open) = start(&world).await;
+    let job = job_of(&cut, "k1").await;
+    let mut submitted = submission("j1", 2, 10);
+    submitted.job.clone_from(&job);
+    jobs::submit(cut.ctx(), submitted).await.unwrap();
+    for host in [&cut, &open] {
+        assert_eq!(job_of(host, "k2").await, job);
+        assert_eq!(host.results(&job, 2).await.len(), 2);
+        let theirs = job_of(host, "k3").await;
+        let none = jobs::read(host.ctx(), &theirs, 0, Duration::ZERO).await;
+        assert_eq!(none.unwrap_err(), JobCall::NotFound);
+        let none = jobs::body(host.ctx(), &theirs, "j1-0").await;
+        assert_eq!(none.unwrap_err(), JobCall::NotFound);
+        assert_eq!(
+            jobs::end(host.ctx(), &theirs).await.unwrap_err(),
+            JobCall::NotFound
+        );
+    }
+}
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -24,6 +24,7 @@
 use hyper::StatusCode;
 use notchwharf_config::access;
 use notchwharf_config::access::NoKey;
+use notchwharf_config::access::Workspace;
 use notchwharf_config::gateway;
 use notchwharf_config::gateway::Settings;
 use notchwharf_config::routes::JobTerms;
@@ -97,6 +98,16 @@
         self.store.put_config(&format!("{version} {with_jobs}"));
     }
 
+    /// Puts a configuration in force in which workspaces have keys, and keys alone help.
+    pub fn configure_keys(&self, version: u64, keys: &[(&str, &str)]) {
+        let keys = keys
+            .iter()
+            .map(|(key, workspace)| format!("{key}={workspace}"));
+        let keys: Vec<String> = keys.collect();
+        self.store
+            .put_config(&format!("{version} true {}", keys.join(",")));
+    }
+
     /// Starts a host.
     pub async fn start(&self, name: &str) -> Running {
         self.start_with(name, |_| {}).await
@@ -193,6 +204,14 @@
         })
     }
 
+    /// Sends a request with a key and returns its whole answer.
+    pub async fn ask_as(&self, key: &str, id: &str) -> Result<Whole, Failure> {
+        let mut req = request(ONCE, id);
+        let value = format!("Key {key}").parse().unwrap();
+        req.forward.headers.insert(KEY, value);
+        self.send(req).await
+    }
+
     /// Sends a request with a body and returns its whole answer.
     pub async fn ask_with(&self, path: &str, id: &str, body: &str) -> Result<Whole, Failure> {
         let mut req = request(path, id);
@@ -300,24 +319,38 @@
     (key == store::CONFIG_KEY).then(|| {
         let text = String::from_utf8_lossy(value);
         let fields: Vec<&str> = text.split(' ').collect();
-        let [version, with_jobs] = fields[..] else {
-            let detail = text.to_string();
-            return Err(Unreadable { detail });
+        let (version, with_jobs, keys) = match fields[..] {
+            [version, with_jobs] => (version, with_jobs, None),
+            [version, with_jobs, keys] => (version, with_jobs, Some(keys)),
+            _ => {
+                let detail = text.to_string();
+                return Err(Unreadable { detail });
+            }
         };
         let mut routes = vec![stream(RESUMABLE, true), stream(ONCE, false)];
         routes[1].timeout = ONCE_TIMEOUT;
         if with_jobs == "true" {
             routes.push(jobs());
         }
-        Ok(Table::new(
-            version.parse().unwrap(),
-            routes,
-            vec![],
-            Limits::default(),
-        ))
+        let version = version.parse().unwrap();
+        let table = Table::new(version, routes, vec![], Limits::default());
+        Ok(match keys {
+            Some(keys) => table.with_workspaces(workspaces(keys)),
+            None => table,
+        })
     })
 }
 
+fn workspaces(keys: &str) -> Vec<Workspace> {
+    let pairs = keys.split(',').filter_map(|pair| pair.split_once('='));
+    let workspaces = pairs.map(|(key, name)| Workspace {
+        name: name.into(),
+        keys: vec![key.into()],
+        ..Workspace::default()
+    });
+    workspaces.collect()
+}
+
 fn stream(prefix: &str, resumable: bool) -> Route {
     Route {
         name: prefix.to_owned(),
