--- a/crates/quota/src/message.rs
+++ b/crates/quota/src/message.rs
@@ -23,6 +23,8 @@
         valid_ms: u32,
         /// Whether it has the receiver's part already.
         is_held: bool,
+        /// Hosts that it knows of.
+        hosts: u32,
     },
     /// A host lends its part.
     Lent {
--- a/crates/quota/src/node.rs
+++ b/crates/quota/src/node.rs
@@ -18,7 +18,6 @@
 use crate::message::Message;
 use crate::message::Reaction;
 use crate::message::millis;
-use crate::message::short_millis;
 use crate::terms::Terms;
 
 use self::questions::Open;
@@ -55,8 +54,12 @@
     own: HostKey,
     started: Instant,
     slots: [Slot; SLOTS],
-    /// The hosts of the fleet, with this one.
+    /// The hosts of the fleet, with this one, as its own list has them.
     hosts: u32,
+    /// Whether that list is whole.
+    is_list_whole: bool,
+    /// The hosts of the fleet as the last holder that called had them.
+    hosts_told: Option<u32>,
     /// The other hosts that could hold a slot.
     alive: Vec<HostKey>,
     /// What other hosts have said that they hold of this one's parts, since it started.
@@ -89,6 +92,8 @@
             started: now,
             slots: std::array::from_fn(|_| slot()),
             hosts: 1,
+            is_list_whole: false,
+            hosts_told: None,
             alive: Vec::new(),
             held_at: HashMap::new(),
             is_known_where: false,
@@ -149,6 +154,7 @@
     ) -> Vec<(HostKey, Message)> {
         let others: Vec<HostKey> = listed.iter().copied().filter(|h| *h != self.own).collect();
         self.hosts = u32::try_from(others.len() + 1).unwrap_or(u32::MAX);
+        self.is_list_whole = is_list_whole;
         self.alive = alive.to_vec();
         let is_starting = now.saturating_duration_since(self.started) < STARTING;
         let mut told = Vec::new();
@@ -195,19 +201,23 @@
             self.valid = (valid, stamp_ms);
         }
         let mut calls = Vec::new();
+        let Some(hosts) = self.fleet() else {
+            return calls;
+        };
         for number in 0..SLOTS {
             self.slots[number].callers.retain(|_, until| now < *until);
             self.slots[number].holder.expire(now);
             if !is_staying || self.best(number) != self.own {
                 continue;
             }
-            self.lend_to_self(number, valid, now);
+            self.lend_to_self(number, hosts, valid, now);
             for host in others {
                 let message = Message::Call {
                     slot: number as SlotNumber,
                     stamp_ms,
                     valid_ms: millis(valid),
                     is_held: self.slots[number].holder.has(*host, now),
+                    hosts,
                 };
                 calls.push((*host, message));
             }
@@ -224,8 +234,8 @@
         *best.unwrap_or(&self.own)
     }
 
-    fn lend_to_self(&mut self, number: usize, valid: Duration, now: Instant) {
-        let part = self.part(self.hosts);
+    fn lend_to_self(&mut self, number: usize, hosts: u32, valid: Duration, now: Instant) {
+        let part = self.part(hosts);
         let (own, is_free) = (self.own, self.is_free(number));
         let slot = &mut self.slots[number];
         let is_held = slot.holder.has(own, now);
@@ -235,6 +245,15 @@
         }
     }
 
+    /// Returns how many hosts the fleet has, if that is known. A host that started while
+    /// it reached neither the list nor a holder may be one of many: by the few that it
+    /// hears, its part would be far too large.
+    fn fleet(&self) -> Option<u32> {
+        let listed = self.is_list_whole.then_some(self.hosts);
+        let told = self.hosts_told.map(|told| told.max(self.hosts));
+        listed.max(told)
+    }
+
     /// Returns the part of each slot that one of so many hosts lends.
     fn part(&self, hosts: u32) -> f64 {
         1.0 / (f64::from(hosts.max(1)) * SLOTS as f64)
@@ -253,7 +272,11 @@
                 stamp_ms,
                 valid_ms,
                 is_held,
-            } => self.called(from, slot, stamp_ms, valid_ms, is_held, now),
+                hosts,
+            } => {
+                self.hosts_told = Some(hosts);
+                self.called(from, slot, stamp_ms, valid_ms, is_held, now)
+            }
             Message::Lent {
                 slot,
                 stamp_ms,
@@ -314,10 +337,10 @@
         is_held: bool,
         now: Instant,
     ) -> Reaction {
-        let (hosts, place) = (self.hosts, usize::from(number));
-        if place >= SLOTS {
+        let place = usize::from(number);
+        let Some(hosts) = self.fleet().filter(|_| place < SLOTS) else {
             return Reaction::None;
-        }
+        };
         let valid = Duration::from_millis(valid_ms.into());
         self.slots[place].callers.insert(from, now + valid);
         // When many hosts start together, several call at first; parts that were lent to
@@ -351,30 +374,6 @@
             slot.holder.lent(from, part, until, now);
         }
     }
-
-    fn asked(
-        &mut self,
-        slot: SlotNumber,
-        number: u32,
-        workspace: WorkspaceKey,
-        patience: Duration,
-        now: Instant,
-    ) -> Reaction {
-        let Some(slot) = self.slots.get_mut(usize::from(slot)) else {
-            return Reaction::None;
-        };
-        Reaction::Reply(match slot.holder.take(workspace, patience, now) {
-            Taken::Given { after } => Message::Given {
-                number,
-                after_ms: short_millis(after),
-            },
-            Taken::Refused { retry_after } => Message::Refused {
-                number,
-                retry_after_ms: millis(retry_after),
-            },
-            Taken::CannotTell => Message::Unknown { number },
-        })
-    }
 }
 
 /// Returns the time between two calls in a fleet of so many hosts.
--- a/crates/quota/src/node/questions.rs
+++ b/crates/quota/src/node/questions.rs
@@ -13,6 +13,7 @@
 use crate::message::Asked;
 use crate::message::Message;
 use crate::message::Reaction;
+use crate::message::millis;
 use crate::message::short_millis;
 
 /// Questions that a host has open at most; beyond, the oldest are forgotten.
@@ -188,4 +189,29 @@
         open.slot = (slot + 1) % SLOTS;
         Reaction::Asked(self.go_on(number, open, now))
     }
+
+    /// Answers another host's question.
+    pub(super) fn asked(
+        &mut self,
+        slot: SlotNumber,
+        number: u32,
+        workspace: WorkspaceKey,
+        patience: Duration,
+        now: Instant,
+    ) -> Reaction {
+        let Some(slot) = self.slots.get_mut(usize::from(slot)) else {
+            return Reaction::None;
+        };
+        Reaction::Reply(match slot.holder.take(workspace, patience, now) {
+            Taken::Given { after } => Message::Given {
+                number,
+                after_ms: short_millis(after),
+            },
+            Taken::Refused { retry_after } => Message::Refused {
+                number,
+                retry_after_ms: millis(retry_after),
+            },
+            Taken::CannotTell => Message::Unknown { number },
+        })
+    }
 }
--- a/crates/quota/tests/limits.rs
+++ b/crates/quota/tests/limits.rs
@@ -6,7 +6,16 @@
 
 mod played;
 
+use std::time::Duration;
+use std::time::Instant;
+
 use notchwharf_config::access::RateLimit;
+use notchwharf_quota::Asked;
+use notchwharf_quota::Message;
+use notchwharf_quota::Node;
+use notchwharf_quota::Reaction;
+use notchwharf_quota::Taken;
+use notchwharf_quota::Terms;
 use played::Fleet;
 use played::Way;
 use rand::RngExt as _;
@@ -127,6 +136,46 @@
     assert_eq!(fleet.excess(LARGE, 0), None);
 }
 
+/// A host that was cut off from everything while it started knew of itself alone: its part
+/// was the whole.
+#[test]
+fn a_host_that_does_not_know_the_fleet_lends_nothing_and_then_its_part_by_what_it_is_told() {
+    let start = Instant::now();
+    let workspace = 7;
+    let mut node = Node::new(1, 0, start);
+    node.set_terms(
+        [(workspace, Terms::of(LARGE, played::BOUNDS))].into(),
+        start,
+    );
+    let mut now = start;
+    for _ in 0..50 {
+        now += Duration::from_millis(100);
+        node.tick(&[], &[], false, true, now);
+        let asked = node.ask(workspace, Duration::ZERO, now);
+        let is_unknown = matches!(
+            asked,
+            Asked::Answered {
+                taken: Taken::CannotTell,
+                ..
+            }
+        );
+        assert!(is_unknown, "{asked:?}");
+    }
+    let call = Message::Call {
+        slot: 0,
+        stamp_ms: 5,
+        valid_ms: 600,
+        is_held: false,
+        hosts: 61,
+    };
+    let lent = Message::Lent {
+        slot: 0,
+        stamp_ms: 5,
+        hosts: 61,
+    };
+    assert_eq!(node.receive(2, &call, now), Reaction::Reply(lent));
+}
+
 /// What befalls a drawn fleet.
 fn befall(fleet: &mut Fleet, rng: &mut ChaCha8Rng) {
     let hosts = fleet.hosts.len();
