--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -278,6 +278,10 @@
 
 /// Looks who should hold what; returns what is to be sent.
 fn tick(ctx: &Context) -> Vec<(HostKey, Message)> {
+    // Without limits nobody needs to hold them.
+    if !lock(&ctx.limits.node).has_limits() {
+        return Vec::new();
+    }
     let peers = ctx.peers.for_limits();
     let keyed = peers
         .iter()
@@ -290,13 +294,9 @@
         .collect();
     let listed: Vec<HostKey> = keyed.iter().map(|(k, ..)| *k).collect();
     *lock(&ctx.limits.addrs) = keyed.iter().map(|(k, addr, _)| (*k, *addr)).collect();
-    let mut node = lock(&ctx.limits.node);
-    // Without limits nobody needs to hold them.
-    if !node.has_limits() {
-        return Vec::new();
-    }
     let is_staying = ctx.phase() < Phase::Leaving || alive.is_empty();
     let is_list_whole = ctx.peers.is_list_read();
+    let mut node = lock(&ctx.limits.node);
     node.tick(&alive, &listed, is_list_whole, is_staying, Instant::now())
 }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -164,10 +164,9 @@
     /// Asks a peer to cut an item at a target.
     pub(crate) fn ask_cut(&self, host: &str, target: TargetKey) {
         let addr = lock(&self.known).get(host).map(|p| p.addr);
-        if let (Some(addr), Some(socket)) = (addr, self.socket.get()) {
-            let bytes = news::encode(&News::Cut(Cut { target }));
+        if let Some(addr) = addr {
             // Lost, the target is overfull and its hosts notice that too.
-            let _ = socket.try_send_to(&bytes, addr);
+            self.send_to(addr, &News::Cut(Cut { target }));
         }
     }
 
--- a/crates/gateway/tests/access.rs
+++ b/crates/gateway/tests/access.rs
@@ -16,24 +16,18 @@
 use world::KEY;
 use world::Running;
 use world::World;
+use world::close;
+use world::start_with_a_door;
 use world::store::ScriptedStore;
 use world::submission;
 use world::targets::whole;
 use world::until;
 
-/// A host whose way to the store can be closed, and one whose way stays open.
+/// A host that knows keys and does not reach the store any more, and one that does.
 async fn start(world: &World) -> (Running, ScriptedStore, Running) {
     world.configure_keys(2, &[("k1", "choir"), ("k2", "choir"), ("k3", "strings")]);
-    let door = world.store.door();
-    let cut = world.start_apart("a1", door.clone(), |_| {}).await;
-    cut.until_ready().await;
-    let open = world.start_ready("a2").await;
-    until("both know each other", || {
-        cut.ctx().peers_alive() == 1 && open.ctx().peers_alive() == 1
-    })
-    .await;
-    door.close(true);
-    until("the store is lost", || !cut.ctx().is_store_up()).await;
+    let (cut, door, open) = start_with_a_door(world).await;
+    close(&cut, &door).await;
     (cut, door, open)
 }
 
--- a/crates/gateway/tests/passed_on.rs
+++ b/crates/gateway/tests/passed_on.rs
@@ -8,31 +8,13 @@
 use notchwharf_gateway::error::JobCall;
 use notchwharf_gateway::jobs;
 use rstest::rstest;
-use world::Running;
 use world::TOKENS_MAX;
 use world::World;
-use world::store::ScriptedStore;
+use world::close;
+use world::start_with_a_door as start;
 use world::targets::item_text;
 use world::until;
 
-/// A host whose way to the store can be closed, and one whose way stays open.
-async fn start(world: &World) -> (Running, ScriptedStore, Running) {
-    let door = world.store.door();
-    let cut = world.start_apart("a1", door.clone(), |_| {}).await;
-    cut.until_ready().await;
-    let open = world.start_ready("a2").await;
-    until("both know each other", || {
-        cut.ctx().peers_alive() == 1 && open.ctx().peers_alive() == 1
-    })
-    .await;
-    (cut, door, open)
-}
-
-async fn close(host: &Running, door: &ScriptedStore) {
-    door.close(true);
-    until("the store is lost", || !host.ctx().is_store_up()).await;
-}
-
 #[tokio::test]
 async fn a_job_is_taken_in_read_and_ended_through_a_host_without_the_store() {
     let world = World::new(&["t1"]);
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -241,6 +241,25 @@
     }
 }
 
+/// A host whose way to the store can be closed, and one whose way stays open.
+pub async fn start_with_a_door(world: &World) -> (Running, ScriptedStore, Running) {
+    let door = world.store.door();
+    let cut = world.start_apart("a1", door.clone(), |_| {}).await;
+    cut.until_ready().await;
+    let open = world.start_ready("a2").await;
+    until("both know each other", || {
+        cut.ctx().peers_alive() == 1 && open.ctx().peers_alive() == 1
+    })
+    .await;
+    (cut, door, open)
+}
+
+/// Closes a host's way to the store, and waits until it knows.
+pub async fn close(host: &Running, door: &ScriptedStore) {
+    door.close(true);
+    until("the store is lost", || !host.ctx().is_store_up()).await;
+}
+
 /// A whole answer; without a body it broke off.
 #[derive(Debug)]
 pub struct Whole {
--- a/crates/quota/src/holder.rs
+++ b/crates/quota/src/holder.rs
@@ -73,9 +73,6 @@
         let before = self.parts.get(&host);
         let is_change = before.is_none_or(|before| before.part != part);
         let until = before.map_or(until, |before| before.until.max(until));
-        if is_change {
-            self.settle(now);
-        }
         self.parts.insert(host, Part { part, until });
         self.next_end = Some(self.next_end.map_or(until, |end| end.min(until)));
         if is_change {
@@ -89,7 +86,6 @@
             return;
         }
         let before = self.parts.len();
-        self.settle(now);
         self.parts.retain(|_, part| now < part.until);
         self.next_end = self.parts.values().map(|part| part.until).min();
         if self.parts.len() < before {
@@ -104,8 +100,10 @@
         self.sum_up(now);
     }
 
-    /// Sums the parts up; what buckets hold beyond their new share runs over.
+    /// Sums the parts up: buckets have filled by the share until now, and what they hold
+    /// beyond the new one runs over.
     fn sum_up(&mut self, now: Instant) {
+        self.settle(now);
         let sum: f64 = self.parts.values().map(|part| part.part).sum();
         self.share = sum.min(1.0);
         self.settle(now);
--- a/crates/quota/tests/limits.rs
+++ b/crates/quota/tests/limits.rs
@@ -18,52 +18,16 @@
 use notchwharf_quota::Terms;
 use played::Fleet;
 use played::Way;
-use rand::RngExt as _;
-use rand::SeedableRng as _;
-use rand_chacha::ChaCha8Rng;
+use played::days::LARGE;
+use played::days::SECOND;
+use played::days::SMALL;
+use played::days::WARM;
+use played::days::all;
+use played::days::drawn;
+use played::days::load;
+use played::days::steps;
 use rstest::rstest;
 
-const SECOND: u64 = 1_000_000;
-/// Time in which a fleet that has just started has lent its parts and filled buckets.
-const WARM: u64 = 20 * SECOND;
-
-const LARGE: RateLimit = RateLimit {
-    per_s: 94.0,
-    burst: 94.0,
-};
-const SMALL: RateLimit = RateLimit {
-    per_s: 1.6,
-    burst: 1.6,
-};
-
-/// Sends at a rate that may change, to the hosts that the caller's connections reach.
-fn load(
-    fleet: &mut Fleet,
-    span: std::ops::Range<u64>,
-    hosts: &[usize],
-    per_s: impl Fn(u64) -> f64,
-) {
-    let mut at = span.start;
-    while at < span.end {
-        let host = hosts[fleet.rng.random_range(0..hosts.len())];
-        let drawn: f64 = fleet.rng.random_range(1e-9..1.0);
-        at += (-drawn.ln() / per_s(at - span.start) * 1e6) as u64 + 1;
-        fleet.send(at, host);
-    }
-}
-
-/// The users' steps: 2.2 s at 1.85 times the mean, 3 s at 0.378 times.
-fn steps(mean: f64) -> impl Fn(u64) -> f64 {
-    move |us| {
-        let is_high = us % (52 * SECOND / 10) >= 3 * SECOND;
-        mean * if is_high { 1.85 } else { 0.378 }
-    }
-}
-
-fn all(fleet: &Fleet) -> Vec<usize> {
-    (0..fleet.hosts.len()).collect()
-}
-
 /// Requests come as they like, so the rate is that of some minutes: a minute in which
 /// many happen to come in one step has more.
 #[rstest]
@@ -176,50 +140,6 @@
     assert_eq!(node.receive(2, &call, now), Reaction::Reply(lent));
 }
 
-/// What befalls a drawn fleet.
-fn befall(fleet: &mut Fleet, rng: &mut ChaCha8Rng) {
-    let hosts = fleet.hosts.len();
-    let host = rng.random_range(0..hosts);
-    let now = fleet.now_us;
-    match rng.random_range(0..9) {
-        0 => fleet.kill(host),
-        1 => (0..hosts).for_each(|host| fleet.kill(host)),
-        2 | 3 => (0..hosts).for_each(|host| fleet.start(host)),
-        4 => fleet.pause(host, now + rng.random_range(1..6) * SECOND),
-        5 | 6 => {
-            let sides = rng.random_range(1..4);
-            for host in &mut fleet.hosts {
-                host.side = rng.random_range(0..sides);
-            }
-        }
-        7 => fleet.hosts.iter_mut().for_each(|host| host.side = 0),
-        _ => fleet.loss = rng.random_range(0.0..0.3),
-    }
-}
-
-/// Plays a drawn schedule; returns by how much a window was exceeded.
-fn drawn(way: Way, seed: u64) -> Option<f64> {
-    let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let hosts = [3, 5, 12, 30][rng.random_range(0..4)];
-    let limit = RateLimit {
-        per_s: [0.5, 1.6, 10.0, 94.0][rng.random_range(0..4)],
-        burst: rng.random_range(0.0..100.0),
-    };
-    let mut fleet = Fleet::new(way, hosts, limit, seed);
-    let demand = limit.per_s * rng.random_range(0.5..10.0) + rng.random_range(0.0..20.0);
-    let reached: Vec<usize> = (0..rng.random_range(1..=hosts)).collect();
-    let end = 16 * SECOND;
-    load(&mut fleet, 0..end, &reached, |_| demand);
-    let mut at = 0;
-    while at < end {
-        at += rng.random_range(SECOND / 10..3 * SECOND);
-        fleet.run_until(at.min(end));
-        befall(&mut fleet, &mut rng);
-    }
-    fleet.run_until(end + SECOND);
-    fleet.excess(limit, 0)
-}
-
 /// 10,000 of them were played by hand, as `NOTCHWHARF_QUOTA_SEEDS=0..10000` says.
 #[test]
 fn whatever_befalls_hosts_no_window_is_exceeded() {
@@ -251,48 +171,3 @@
     assert_eq!(fleet.excess(limit(before.max(after)), 0), None);
     assert_eq!(fleet.excess(limit(after), WARM + 13 * SECOND), None);
 }
-
-/// The ways against each other, on the same seeds: `cargo test --release -p
-/// notchwharf-quota --test limits -- --ignored --nocapture`.
-#[test]
-#[ignore = "It compares, and asserts nothing."]
-fn ways_compared() {
-    for hosts in [12, 61, 300, 1_000] {
-        for way in [Way::Counts, Way::Shares, Way::Holders] {
-            let played = |limit: RateLimit, reached: usize, demand: &dyn Fn(u64) -> f64| {
-                let mut fleet = Fleet::new(way, hosts, limit, 5);
-                let reached: Vec<usize> = (0..reached.min(hosts)).collect();
-                let span = WARM..WARM + 20 * SECOND;
-                load(&mut fleet, span.clone(), &reached, demand);
-                fleet.run_until(WARM);
-                let before = fleet.bytes;
-                fleet.run_until(span.end + SECOND);
-                let (sent, given) = fleet.counted(span.start, span.end, &reached);
-                let owed = limit.per_s * 20.0 + limit.burst;
-                let bytes = (fleet.bytes - before) as f64 / 20.0 / hosts as f64;
-                let over = fleet.excess(limit, 0).unwrap_or(0.0);
-                (sent, sent - given, given as f64 / owed, over, bytes)
-            };
-            for (name, limit) in [("large", LARGE), ("small", SMALL)] {
-                for reached in [3, hosts] {
-                    let below = played(limit, reached, &steps(0.9 * limit.per_s));
-                    let flood = played(limit, reached, &|_| 7.5 / 1.6 * limit.per_s);
-                    println!(
-                        "{hosts} hosts, {way:?}, {name} at {reached}: below the limit {} of {} \
-                         refused; flood {:.2} of the limit, {:.0} over; {:.0} bytes/s a host",
-                        below.1, below.0, flood.2, flood.3, flood.4
-                    );
-                }
-            }
-        }
-    }
-    for way in [Way::Counts, Way::Shares, Way::Holders] {
-        let broken = (0..300).filter_map(|seed| drawn(way, seed));
-        let broken: Vec<f64> = broken.collect();
-        let worst = broken.iter().copied().fold(0.0, f64::max);
-        println!(
-            "{way:?}: {} of 300 drawn schedules over, by {worst:.0}",
-            broken.len()
-        );
-    }
-}
--- a/crates/quota/tests/played/mod.rs
+++ b/crates/quota/tests/played/mod.rs
@@ -3,11 +3,14 @@
 #![allow(
     dead_code,
     unreachable_pub,
-    reason = "Each test binary uses a part of it."
+    clippy::unwrap_used,
+    reason = "Each binary uses a part of it, and fails by panicking."
 )]
 
 pub mod counts;
+pub mod days;
 pub mod shares;
+mod tank;
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
--- a/crates/quota/tests/played/shares.rs
+++ b/crates/quota/tests/played/shares.rs
@@ -3,47 +3,36 @@
 
 use notchwharf_quota::Terms;
 
+use super::tank::Tank;
+
 /// Part of a limit that is dealt evenly, so that a host without demand can begin.
 const EVEN: f64 = 0.2;
 /// Weight of the newest tick in a host's demand.
 const NEW: f64 = 0.3;
 
 pub struct Shares {
-    terms: Terms,
-    level: f64,
-    at_us: u64,
+    tank: Tank,
     asked: f64,
     demand: f64,
     heard: Vec<f64>,
-    share: f64,
 }
 
 impl Shares {
     pub fn new(hosts: usize, terms: Terms, now_us: u64) -> Self {
         Self {
-            terms,
-            level: 0.0,
-            at_us: now_us,
+            tank: Tank::new(hosts, terms, now_us),
             asked: 0.0,
             demand: 0.0,
             heard: vec![0.0; hosts],
-            share: 1.0 / hosts as f64,
         }
     }
 
     pub fn set_terms(&mut self, terms: Terms) {
-        self.terms = terms;
-    }
-
-    fn fill(&mut self, now_us: u64) {
-        let passed = now_us.saturating_sub(self.at_us) as f64 / 1e6;
-        let filled = self.level + self.terms.per_s * self.share * passed;
-        self.level = filled.min(self.terms.capacity * self.share);
-        self.at_us = now_us;
+        self.tank.terms = terms;
     }
 
     pub fn tick(&mut self, alive: &[usize], own: usize, now_us: u64) -> f64 {
-        self.fill(now_us);
+        self.tank.fill(now_us);
         self.demand = NEW * std::mem::take(&mut self.asked) + (1.0 - NEW) * self.demand;
         self.heard[own] = self.demand;
         let hosts = self.heard.len() as f64;
@@ -55,7 +44,7 @@
         } else {
             1.0 / hosts
         };
-        self.share = (EVEN / hosts + (1.0 - EVEN) * by_demand).min(part);
+        self.tank.share = (EVEN / hosts + (1.0 - EVEN) * by_demand).min(part);
         self.demand
     }
 
@@ -64,12 +53,7 @@
     }
 
     pub fn take(&mut self, now_us: u64) -> bool {
-        self.fill(now_us);
         self.asked += 1.0;
-        let is_given = self.level >= 1.0;
-        if is_given {
-            self.level -= 1.0;
-        }
-        is_given
+        self.tank.take(now_us)
     }
 }
