--- a/crates/gateway/src/access.rs
+++ b/crates/gateway/src/access.rs
@@ -21,11 +21,11 @@
 
 use crate::catalog;
 use crate::context::Context;
-use crate::context::millis;
-use crate::context::ms;
 use crate::error::Failure;
 use crate::error::NoCaller;
 use crate::metrics::Counted;
+use crate::time::millis;
+use crate::time::ms;
 
 /// Longest time for which a request waits until it is known whether its key is a new
 /// one: two looks at a store that answers within its timeout, and less than a third of
--- a/crates/gateway/src/backlog.rs
+++ b/crates/gateway/src/backlog.rs
@@ -24,10 +24,10 @@
 use notchwharf_routing::places::TargetId;
 
 use crate::context::Context;
-use crate::context::millis;
 use crate::fingerprint;
 use crate::ports::Forward;
 use crate::progress::Saved;
+use crate::time::millis;
 
 /// Failures of an item for each one that its route allows, when targets that
 /// fail other items too are to blame: two, so that an item that fails
--- a/crates/gateway/src/blobs.rs
+++ b/crates/gateway/src/blobs.rs
@@ -26,13 +26,13 @@
 use notchwharf_ledger::jobs::Blob;
 use notchwharf_ledger::rendezvous::hash;
 
-use crate::context::lock;
 use crate::ports::Entry;
 use crate::ports::Read;
 use crate::ports::StoreError;
 use crate::ports::Stored;
 use crate::ports::Topic;
 use crate::store::Store;
+use crate::sync::lock;
 
 /// Partitions over which blobs are spread at most. The store holds 400 MB, so each has
 /// about 1 MB, one page, when it is full, and a job's own results, some 100 KB, in
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -27,9 +27,6 @@
 use tokio::sync::watch;
 
 use crate::context::Context;
-use crate::context::lock;
-use crate::context::millis;
-use crate::context::ms;
 use crate::follow::Reading;
 use crate::follow::Seen;
 use crate::metrics::Counted;
@@ -39,6 +36,9 @@
 use crate::ports::Stored;
 use crate::ports::Unreadable;
 use crate::store::Store;
+use crate::sync::lock;
+use crate::time::millis;
+use crate::time::ms;
 
 use self::config::Removed;
 pub(crate) use self::config::confirm;
--- a/crates/gateway/src/catalog/config.rs
+++ b/crates/gateway/src/catalog/config.rs
@@ -17,13 +17,13 @@
 use super::follow::tell;
 use super::told::Config;
 use crate::context::Context;
-use crate::context::lock;
 use crate::follow::Reading;
 use crate::follow::Seen;
 use crate::metrics::Counted;
 use crate::ports::Stored;
 use crate::ports::Topic;
 use crate::ports::Unreadable;
+use crate::sync::lock;
 
 /// Bytes from which on a configuration is read on a thread of its own. One of 16,000
 /// workspaces takes some 20 ms, for which every request of the host would wait.
--- a/crates/gateway/src/catalog/follow.rs
+++ b/crates/gateway/src/catalog/follow.rs
@@ -11,10 +11,10 @@
 use super::News;
 use super::config;
 use crate::context::Context;
-use crate::context::ms;
 use crate::follow::Pace;
 use crate::peers;
 use crate::ports::Topic;
+use crate::time::ms;
 
 /// Part of the time to settle after a fault that a reading's wait leaves: a
 /// connection that falls silent is noticed after the wait and the store's timeout,
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -2,12 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::PoisonError;
-use std::time::Duration;
 use std::time::Instant;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use notchwharf_config::gateway::Settings;
 use notchwharf_config::routes::Table;
@@ -34,6 +29,8 @@
 use crate::progress::Progress;
 use crate::quarantine::Suspects;
 use crate::store::Store;
+use crate::sync::lock;
+use crate::time::unix_ms;
 
 /// Offers beyond the first that are made, as a share of successes: enough for
 /// a crash of a fifth of the targets, too few to double the load of all.
@@ -209,25 +206,3 @@
         let _ = phase.wait_for(|p| *p == Phase::Stopped).await;
     }
 }
-
-/// Locks a mutex; what it guards is consistent between any two statements.
-pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-/// Returns the time of day in milliseconds.
-pub(crate) fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    // A clock before 1970 is wrong whatever is made of it; only order counts.
-    since.map_or(0, millis)
-}
-
-/// Returns a time in whole milliseconds, as log lines have it.
-pub(crate) fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
-/// Returns a setting as a time.
-pub(crate) fn ms(value: u64) -> Duration {
-    Duration::from_millis(value)
-}
--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -35,14 +35,14 @@
 use crate::backlog::Item;
 use crate::backlog::ItemKey;
 use crate::context::Context;
-use crate::context::lock;
-use crate::context::ms;
-use crate::context::unix_ms;
 use crate::metrics::Counted;
 use crate::progress;
 use crate::quarantine;
+use crate::sync::lock;
 use crate::target::Class;
 use crate::target::Running;
+use crate::time::ms;
+use crate::time::unix_ms;
 use crate::work;
 use crate::work::Part;
 
--- a/crates/gateway/src/items/load.rs
+++ b/crates/gateway/src/items/load.rs
@@ -14,10 +14,10 @@
 use super::sync;
 use crate::backlog::Item;
 use crate::context::Context;
-use crate::context::lock;
 use crate::jobs::Payload;
 use crate::ports::Forward;
 use crate::progress;
+use crate::sync::lock;
 
 /// Pause before a job's items are read again.
 const LOAD_PAUSE: Duration = Duration::from_millis(200);
--- a/crates/gateway/src/items/run.rs
+++ b/crates/gateway/src/items/run.rs
@@ -16,9 +16,6 @@
 use crate::backlog::Item;
 use crate::backlog::count;
 use crate::context::Context;
-use crate::context::lock;
-use crate::context::millis;
-use crate::context::ms;
 use crate::fingerprint;
 use crate::metrics::Counted;
 use crate::ports::Call;
@@ -27,6 +24,9 @@
 use crate::quarantine;
 use crate::splice::Events;
 use crate::splice::follows;
+use crate::sync::lock;
+use crate::time::millis;
+use crate::time::ms;
 
 /// Time that a target is given for an item: far more than any takes, so that
 /// only silence or the job's end stops it.
--- a/crates/gateway/src/items/settle.rs
+++ b/crates/gateway/src/items/settle.rs
@@ -11,9 +11,9 @@
 
 use crate::backlog::Item;
 use crate::context::Context;
-use crate::context::lock;
 use crate::metrics::Counted;
 use crate::ports::Topic;
+use crate::sync::lock;
 
 /// Time for which a record of an item is tried; the store may be down long.
 const RECORD_TIMEOUT: Duration = Duration::from_secs(120);
--- a/crates/gateway/src/items/take_over.rs
+++ b/crates/gateway/src/items/take_over.rs
@@ -10,9 +10,9 @@
 use notchwharf_listen::Phase;
 
 use crate::context::Context;
-use crate::context::ms;
 use crate::peers;
 use crate::peers::STORELESS_MAX;
+use crate::time::ms;
 
 /// Time between two looks at jobs whose owners are gone.
 const TAKE_OVER_TICK: Duration = Duration::from_millis(250);
--- a/crates/gateway/src/jobs/read.rs
+++ b/crates/gateway/src/jobs/read.rs
@@ -19,11 +19,11 @@
 use super::sync;
 use crate::blobs::joined;
 use crate::context::Context;
-use crate::context::millis;
 use crate::error::JobCall;
 use crate::metrics::Counted;
 use crate::ports::StoreError;
 use crate::ports::Topic;
+use crate::time::millis;
 
 /// Bytes of results that one reading returns at most, where there are more
 /// than one.
--- a/crates/gateway/src/jobs/submit.rs
+++ b/crates/gateway/src/jobs/submit.rs
@@ -19,12 +19,12 @@
 use super::passed_on::here_or_passed_on;
 use super::sync;
 use crate::context::Context;
-use crate::context::millis;
-use crate::context::unix_ms;
 use crate::error::JobCall;
 use crate::journal::NotAppended;
 use crate::metrics::Counted;
 use crate::ports::Topic;
+use crate::time::millis;
+use crate::time::unix_ms;
 
 /// When to come back after a limit on waiting tokens left no room: about the time in
 /// which a few items end.
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -36,9 +36,9 @@
 
 use self::append::Append;
 use crate::context::Context;
-use crate::context::lock;
 use crate::ports::StoreError;
 use crate::ports::Stored;
+use crate::sync::lock;
 use crate::upkeep;
 use crate::work;
 use crate::work::Part;
--- a/crates/gateway/src/journal/read.rs
+++ b/crates/gateway/src/journal/read.rs
@@ -12,12 +12,12 @@
 use super::Ask;
 use super::PART;
 use crate::context::Context;
-use crate::context::lock;
-use crate::context::ms;
 use crate::peers;
 use crate::ports::Read;
 use crate::ports::StoreError;
 use crate::ports::Topic;
+use crate::sync::lock;
+use crate::time::ms;
 
 /// Bytes read at once.
 const READ_BYTES: u64 = 1 << 20;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,7 +31,9 @@
 mod quarantine;
 mod splice;
 mod store;
+mod sync;
 mod target;
+mod time;
 mod upkeep;
 mod work;
 
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -12,7 +12,6 @@
 
 use crate::catalog;
 use crate::context::Context;
-use crate::context::ms;
 use crate::error::Start;
 use crate::items;
 use crate::journal;
@@ -20,6 +19,7 @@
 use crate::peers;
 use crate::ports::Ports;
 use crate::quarantine;
+use crate::time::ms;
 use crate::upkeep;
 use crate::work;
 use notchwharf_listen::Phase;
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -33,9 +33,9 @@
 use tokio::sync::oneshot;
 
 use crate::context::Context;
-use crate::context::lock;
 use crate::error::Failure;
 use crate::metrics::Counted;
+use crate::sync::lock;
 
 /// Time between two looks at who should hold what.
 const TICK: Duration = Duration::from_millis(100);
--- a/crates/gateway/src/online/flow.rs
+++ b/crates/gateway/src/online/flow.rs
@@ -19,13 +19,13 @@
 use super::Answer;
 use super::sending::Begun;
 use super::sending::Sending;
-use crate::context::lock;
-use crate::context::ms;
 use crate::error::Failure;
 use crate::ports::Body;
 use crate::quarantine;
 use crate::splice::Events;
 use crate::splice::follows;
+use crate::sync::lock;
+use crate::time::ms;
 
 /// The bytes with which an event ends, as targets send them.
 const EVENT_END: [u8; 2] = *b"\n\n";
--- a/crates/gateway/src/online/trace.rs
+++ b/crates/gateway/src/online/trace.rs
@@ -18,14 +18,14 @@
 use super::Request;
 use crate::RequestId;
 use crate::context::Context;
-use crate::context::lock;
-use crate::context::millis;
 use crate::error::Failure;
 use crate::fingerprint;
 use crate::metrics::Counted;
 use crate::metrics::Timed;
 use crate::ports::Forward;
 use crate::ports::NoReply;
+use crate::sync::lock;
+use crate::time::millis;
 
 /// What happened to a request so far; dropped untold, its caller has left.
 pub(super) struct Trace {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -44,10 +44,10 @@
 use tokio::sync::Notify;
 
 use crate::context::Context;
-use crate::context::lock;
-use crate::context::ms;
 use crate::metrics::Counted;
 use crate::ports::Topic;
+use crate::sync::lock;
+use crate::time::ms;
 
 use self::cell::FAR_WORD_MAX;
 use self::cell::Neighbours;
--- a/crates/gateway/src/peers/cell.rs
+++ b/crates/gateway/src/peers/cell.rs
@@ -34,8 +34,8 @@
 use super::status;
 use crate::catalog::Versions;
 use crate::context::Context;
-use crate::context::lock;
 use crate::metrics::Counted;
+use crate::sync::lock;
 
 /// Time between two datagrams to other cells. With five cells each hears of each
 /// other one every 200 ms on average, as old as news of far hosts is in a fleet that
--- a/crates/gateway/src/peers/list.rs
+++ b/crates/gateway/src/peers/list.rs
@@ -12,11 +12,11 @@
 use super::Peer;
 use super::cell;
 use crate::context::Context;
-use crate::context::lock;
 use crate::follow::Pace;
 use crate::follow::Reading;
 use crate::ports::Entry;
 use crate::ports::Topic;
+use crate::sync::lock;
 
 /// How the list of hosts is read. It changes seldom, and a host that is known
 /// to one other is known to all by its own datagrams.
--- a/crates/gateway/src/peers/loading.rs
+++ b/crates/gateway/src/peers/loading.rs
@@ -32,8 +32,8 @@
 use super::pull;
 use super::rpc;
 use crate::context::Context;
-use crate::context::lock;
 use crate::metrics::Counted;
+use crate::sync::lock;
 
 /// The name by which hosts agree on who lists.
 const TASK: &str = "list";
--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -10,7 +10,7 @@
 use super::rpc;
 use crate::catalog;
 use crate::context::Context;
-use crate::context::lock;
+use crate::sync::lock;
 
 /// Time for which a peer may know newer routes or targets before it is asked for
 /// them: the store tells everyone within the pause between two readings, 300 ms, and
--- a/crates/gateway/src/peers/receivers.rs
+++ b/crates/gateway/src/peers/receivers.rs
@@ -13,7 +13,7 @@
 
 use super::Peer;
 use crate::context::Context;
-use crate::context::lock;
+use crate::sync::lock;
 
 /// Where to send.
 #[derive(Debug, Default)]
--- a/crates/gateway/src/peers/relay.rs
+++ b/crates/gateway/src/peers/relay.rs
@@ -21,8 +21,8 @@
 use super::Peer;
 use super::receivers::passed_on_to;
 use crate::context::Context;
-use crate::context::lock;
 use crate::metrics::Counted;
+use crate::sync::lock;
 use crate::work;
 use crate::work::Part;
 
--- a/crates/gateway/src/peers/rpc.rs
+++ b/crates/gateway/src/peers/rpc.rs
@@ -23,8 +23,8 @@
 
 use super::pull;
 use crate::context::Context;
-use crate::context::lock;
 use crate::jobs;
+use crate::sync::lock;
 
 /// The path of calls for routes and targets.
 pub(super) const SNAPSHOT: &str = "/snapshot";
--- a/crates/gateway/src/peers/status.rs
+++ b/crates/gateway/src/peers/status.rs
@@ -25,10 +25,10 @@
 use super::suspects;
 use crate::catalog::Versions;
 use crate::context::Context;
-use crate::context::lock;
-use crate::context::ms;
 use crate::limits;
 use crate::metrics::Counted;
+use crate::sync::lock;
+use crate::time::ms;
 use crate::work;
 use crate::work::Part;
 
--- a/crates/gateway/src/peers/suspects.rs
+++ b/crates/gateway/src/peers/suspects.rs
@@ -22,9 +22,9 @@
 use rand::seq::IteratorRandom as _;
 
 use crate::context::Context;
-use crate::context::lock;
 use crate::metrics::Counted;
 use crate::quarantine;
+use crate::sync::lock;
 
 /// Tells all hosts what changes, until the host stops.
 pub(crate) async fn tell(ctx: Arc<Context>) {
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -29,12 +29,12 @@
 use crate::blobs::RECORD_OVERHEAD_BYTES;
 use crate::blobs::part_of;
 use crate::context::Context;
-use crate::context::lock;
-use crate::context::ms;
 use crate::metrics::Counted;
 use crate::ports::Entry;
 use crate::ports::StoreError;
 use crate::ports::Topic;
+use crate::sync::lock;
+use crate::time::ms;
 use crate::upkeep::tombstone;
 
 /// Partitions of the records, all of which are listed to drop those that nobody
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -34,11 +34,11 @@
 pub(crate) use self::saved::drop_old;
 use crate::backlog::Item;
 use crate::context::Context;
-use crate::context::millis;
 use crate::fingerprint;
 use crate::metrics::Counted;
 use crate::peers;
 use crate::peers::suspects;
+use crate::time::millis;
 
 /// Requests under which targets crashed, as this host knows them.
 #[derive(Debug)]
--- a/crates/gateway/src/quarantine/look.rs
+++ b/crates/gateway/src/quarantine/look.rs
@@ -19,11 +19,11 @@
 use super::saved;
 use crate::RequestId;
 use crate::context::Context;
-use crate::context::lock;
-use crate::context::millis;
 use crate::fingerprint;
 use crate::metrics::Counted;
 use crate::ports::Presence;
+use crate::sync::lock;
+use crate::time::millis;
 
 /// Time for which a request that broke off waits for the look: many times the way to a
 /// target and back. Its next run, or its caller's next attempt, shall find the crash
--- a/crates/gateway/src/quarantine/saved.rs
+++ b/crates/gateway/src/quarantine/saved.rs
@@ -18,13 +18,13 @@
 use serde::Serialize;
 
 use crate::context::Context;
-use crate::context::millis;
-use crate::context::ms;
-use crate::context::unix_ms;
 use crate::fingerprint;
 use crate::ports::Entry;
 use crate::ports::StoreError;
 use crate::ports::Topic;
+use crate::time::millis;
+use crate::time::ms;
+use crate::time::unix_ms;
 use crate::upkeep::tombstone;
 
 /// Pause before a call that failed is made again.
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -12,8 +12,6 @@
 use notchwharf_routing::belief::Evidence;
 use notchwharf_routing::belief::Failure;
 
-use crate::context::lock;
-use crate::context::millis;
 use crate::metrics::Counted;
 use crate::metrics::Metrics;
 use crate::metrics::Timed;
@@ -25,6 +23,8 @@
 use crate::ports::Stored;
 use crate::ports::Tail;
 use crate::ports::Topic;
+use crate::sync::lock;
+use crate::time::millis;
 
 /// Failures in a row after which the store counts as lost.
 const LOST_AFTER: u32 = 2;
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -6,7 +6,7 @@
 use notchwharf_routing::places::TargetId;
 
 use crate::context::Context;
-use crate::context::lock;
+use crate::sync::lock;
 
 /// The kind of work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/gateway/src/upkeep.rs
+++ b/crates/gateway/src/upkeep.rs
@@ -22,13 +22,13 @@
 use notchwharf_ledger::jobs::Record;
 
 use crate::context::Context;
-use crate::context::unix_ms;
 use crate::peers;
 use crate::ports::Entry;
 use crate::ports::StoreError;
 use crate::ports::Topic;
 use crate::progress;
 use crate::quarantine;
+use crate::time::unix_ms;
 use notchwharf_listen::Phase;
 
 /// The name by which hosts agree on who does the upkeep.
