Let progress, fingerprints and the report of work take what they use

They took the gateway's context; they take a store, metrics, ticks and a phase now, and the wiring stands in the context and in life. No behaviour changes.

--- a/crates/gateway/src/backlog.rs
+++ b/crates/gateway/src/backlog.rs
@@ -23,8 +23,8 @@
 use notchwharf_routing::items::usual::Size;
 use notchwharf_routing::places::TargetId;
 
-use crate::context::Context;
 use crate::fingerprint;
+use crate::ports::Decode;
 use crate::ports::Forward;
 use crate::progress::Saved;
 use crate::time::millis;
@@ -75,8 +75,8 @@
 
 impl Item {
     /// Returns the name of its content.
-    pub(crate) fn fingerprint(&self, ctx: &Context) -> Fingerprint {
-        let made = || fingerprint::of(ctx, &self.host, &self.forward);
+    pub(crate) fn fingerprint(&self, decode: &Decode) -> Fingerprint {
+        let made = || fingerprint::of(decode, &self.host, &self.forward);
         *self.fingerprint.get_or_init(made)
     }
 
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -28,6 +28,7 @@
 use crate::ports::Decode;
 use crate::ports::Ports;
 use crate::ports::Targets;
+use crate::progress;
 use crate::progress::Progress;
 use crate::quarantine::Suspects;
 use crate::store::Store;
@@ -111,6 +112,13 @@
             metrics: Arc::clone(&metrics),
             logger: logger.clone(),
         };
+        let progress = Progress::new(progress::Uses {
+            store: store.clone(),
+            metrics: Arc::clone(&metrics),
+            logger: logger.clone(),
+            host: settings.host.name.clone(),
+            call_bytes_max: usize::try_from(settings.store.call_bytes_max).unwrap_or(usize::MAX),
+        });
         Self {
             timer: Timer::start(),
             phase: watch::Sender::new(Phase::Starting),
@@ -129,7 +137,7 @@
             blobs: Blobs::new(store.clone(), &settings.store),
             peers: Peers::new(&settings.peers),
             items: Items::default(),
-            progress: Progress::default(),
+            progress,
             startup,
             suspects: Suspects::new(&settings.host.name),
             limits: Limits::new(&settings),
--- a/crates/gateway/src/fingerprint.rs
+++ b/crates/gateway/src/fingerprint.rs
@@ -5,19 +5,19 @@
 use notchwharf_routing::fingerprint::Fingerprint;
 pub(crate) use notchwharf_routing::fingerprint::text;
 
-use crate::context::Context;
+use crate::ports::Decode;
 use crate::ports::Forward;
 
 /// Returns the fingerprint of a request to a host. It is the workspace that counts and
 /// not the key: a caller with two keys does not get the targets of both.
-pub(crate) fn of(ctx: &Context, host: &str, forward: &Forward) -> Fingerprint {
+pub(crate) fn of(decode: &Decode, host: &str, forward: &Forward) -> Fingerprint {
     fingerprint::of(&Content {
         host,
         method: forward.method.as_str(),
         path: &forward.path,
         caller: match &forward.workspace {
             Some(workspace) => workspace.as_bytes(),
-            None => (ctx.decode.caller)(&forward.headers),
+            None => (decode.caller)(&forward.headers),
         },
         body: &forward.body,
     })
--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -37,7 +37,6 @@
 use crate::backlog::ItemKey;
 use crate::context::Context;
 use crate::metrics::Counted;
-use crate::progress;
 use crate::quarantine;
 use crate::sync::lock;
 use crate::target::Class;
@@ -138,7 +137,10 @@
 pub(crate) fn start(ctx: &Arc<Context>) {
     tokio::spawn(schedule(Arc::clone(ctx)));
     tokio::spawn(take_over::take_over(Arc::clone(ctx)));
-    tokio::spawn(progress::run(Arc::clone(ctx)));
+    let saves = ctx.timer.subscribe(ms(ctx.settings.batch.save_ms));
+    let phase = ctx.phase.subscribe();
+    let shared = Arc::clone(ctx);
+    tokio::spawn(async move { shared.progress.run(saves, phase).await });
 }
 
 async fn schedule(ctx: Arc<Context>) {
@@ -178,7 +180,7 @@
                 ctx.progress.note(item);
             }
         }
-        progress::save(ctx).await
+        ctx.progress.save().await
     };
     match tokio::time::timeout(HAND_OVER_TIMEOUT, saved).await {
         Ok(Ok(())) => {}
--- a/crates/gateway/src/items/load.rs
+++ b/crates/gateway/src/items/load.rs
@@ -16,7 +16,6 @@
 use crate::context::Context;
 use crate::jobs::Payload;
 use crate::ports::Forward;
-use crate::progress;
 use crate::sync::lock;
 
 /// Pause before a job's items are read again.
@@ -64,7 +63,7 @@
         .into_iter()
         .chain([ctx.host().to_owned()])
         .collect();
-    let mut found = match progress::read(ctx, job, &hosts).await {
+    let mut found = match ctx.progress.read(job, &hosts).await {
         Ok(found) => found,
         Err(err) => {
             slog::warn!(ctx.logger, "progress of items not read, they begin anew";
--- a/crates/gateway/src/items/run.rs
+++ b/crates/gateway/src/items/run.rs
@@ -77,7 +77,7 @@
     let took = started.elapsed();
     ctx.metrics.count(Counted::Items, label(ended));
     let is_broken = matches!(ended, Ended::BrokeOff(_) | Ended::Broken(_));
-    let fingerprint = is_broken.then(|| item.fingerprint(&ctx));
+    let fingerprint = is_broken.then(|| item.fingerprint(&ctx.decode));
     slog::info!(ctx.logger, "item run"; "job" => item.key.0.as_str(),
         "id" => item.forward.id.as_str(), "target" => target.as_str(), "ended" => label(ended),
         "from_event" => had, "last_event" => item.last_event, "failures" => item.failures,
@@ -91,7 +91,7 @@
             lock(&ctx.items.usual)
                 .of_mut(&item.route)
                 .ended(item.size, item.events());
-            quarantine::ended_well(&ctx, || item.fingerprint(&ctx));
+            quarantine::ended_well(&ctx, || item.fingerprint(&ctx.decode));
             settle::is_ending(&ctx, &item);
             drop(under_way);
             settle::complete(Arc::clone(&ctx), item).await;
@@ -129,7 +129,7 @@
         return;
     };
     let run = quarantine::Run {
-        fingerprint: item.fingerprint(ctx),
+        fingerprint: item.fingerprint(&ctx.decode),
         id: item.forward.id.clone(),
         target,
         addr,
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -57,7 +57,12 @@
         tokio::spawn(limits::run(Arc::clone(&ctx)));
         items::start(&ctx);
         tokio::spawn(upkeep::run(Arc::clone(&ctx)));
-        tokio::spawn(work::report(Arc::clone(&ctx)));
+        tokio::spawn(work::report(
+            Arc::clone(&ctx.metrics),
+            ctx.logger.clone(),
+            ctx.timer.subscribe(work::REPORT),
+            ctx.phase.subscribe(),
+        ));
         slog::info!(ctx.logger, "started"; "incarnation" => ctx.incarnation,
             "peer_listen" => addr.to_string(),
             "data_centre" => ctx.settings.host.data_centre.as_str());
--- a/crates/gateway/src/online/sending.rs
+++ b/crates/gateway/src/online/sending.rs
@@ -161,7 +161,7 @@
         let (ctx, host, forward) = (&self.ctx, &self.host, &self.forward);
         *self
             .fingerprint
-            .get_or_insert_with(|| fingerprint::of(ctx, host, forward))
+            .get_or_insert_with(|| fingerprint::of(&ctx.decode, host, forward))
     }
 
     /// Waits until the request may be sent to a target, as far as targets crash under
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -170,6 +170,13 @@
     pub value: Option<Bytes>,
 }
 
+impl Entry {
+    /// Returns a record that drops a key.
+    pub fn tombstone(key: String) -> Self {
+        Self { key, value: None }
+    }
+}
+
 /// A record that was read.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Stored {
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -17,25 +17,27 @@
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::time::Instant;
 
 use bytes::Bytes;
 use notchwharf_ledger::jobs::HostId;
 use notchwharf_listen::Phase;
 use serde::Deserialize;
 use serde::Serialize;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
 
 use crate::backlog::Item;
 use crate::backlog::ItemKey;
 use crate::blobs::RECORD_OVERHEAD_BYTES;
 use crate::blobs::part_of;
-use crate::context::Context;
 use crate::metrics::Counted;
+use crate::metrics::Metrics;
 use crate::ports::Entry;
 use crate::ports::StoreError;
 use crate::ports::Topic;
+use crate::store::Store;
 use crate::sync::lock;
-use crate::time::ms;
-use crate::upkeep::tombstone;
 
 /// Partitions of the records, all of which are listed to drop those that nobody
 /// needs: they hold open items only, so few partitions hold little each.
@@ -55,9 +57,20 @@
 }
 
 /// What this host has written of its items, and has yet to write.
-#[derive(Debug, Default)]
 pub(crate) struct Progress {
     state: Mutex<State>,
+    uses: Uses,
+}
+
+/// What keeping progress takes.
+pub(crate) struct Uses {
+    pub(crate) store: Store,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) logger: slog::Logger,
+    /// The host, whose name says to which partition it writes.
+    pub(crate) host: HostId,
+    /// Bytes of the records of one call at most.
+    pub(crate) call_bytes_max: usize,
 }
 
 #[derive(Debug, Default)]
@@ -69,6 +82,14 @@
 }
 
 impl Progress {
+    /// Returns that nothing was written yet.
+    pub(crate) fn new(uses: Uses) -> Self {
+        Self {
+            state: Mutex::default(),
+            uses,
+        }
+    }
+
     /// Notes how far an item has got, to be written soon.
     pub(crate) fn note(&self, item: &mut Item) {
         let saved = Saved {
@@ -124,105 +145,108 @@
             state.unsaved.entry(key).or_insert(value);
         }
     }
-}
-
-fn record_key(key: &ItemKey) -> String {
-    format!("{}/{:04}", key.0, key.1)
-}
 
-/// Writes what is to be written until the host leaves.
-pub(crate) async fn run(ctx: Arc<Context>) {
-    let mut ticks = ctx.timer.subscribe(ms(ctx.settings.batch.save_ms));
-    while ticks.recv().await.is_some() && ctx.phase() < Phase::Leaving {
-        if ctx.store.is_up() {
-            // Not written, it is tried again; the store's wrapper logs why.
-            let _ = save(&ctx).await;
+    /// Writes what is to be written at each tick, until the host leaves.
+    pub(crate) async fn run(
+        &self,
+        mut ticks: mpsc::Receiver<Instant>,
+        phase: watch::Receiver<Phase>,
+    ) {
+        while ticks.recv().await.is_some() && *phase.borrow() < Phase::Leaving {
+            if self.uses.store.is_up() {
+                // Not written, it is tried again; the store's wrapper logs why.
+                let _ = self.save().await;
+            }
         }
     }
-}
 
-/// Writes all that is to be written.
-///
-/// # Errors
-///
-/// Returns the store's failure; what was not written is kept.
-pub(crate) async fn save(ctx: &Context) -> Result<(), StoreError> {
-    let progress = &ctx.progress;
-    let most = usize::try_from(ctx.settings.store.call_bytes_max).unwrap_or(usize::MAX);
-    loop {
-        let batch = progress.take(most);
-        if batch.is_empty() {
-            return Ok(());
-        }
-        let entries = batch.iter().map(|(key, value)| Entry {
-            key: record_key(key),
-            value: value.clone(),
-        });
-        let appended = ctx.store.append(
-            Topic::Progress,
-            part_of(ctx.host(), PARTS),
-            entries.collect(),
-        );
-        if let Err(err) = appended.await {
-            progress.not_written(batch);
-            return Err(err);
+    /// Writes all that is to be written.
+    ///
+    /// # Errors
+    ///
+    /// Returns the store's failure; what was not written is kept.
+    pub(crate) async fn save(&self) -> Result<(), StoreError> {
+        let part = part_of(&self.uses.host, PARTS);
+        loop {
+            let batch = self.take(self.uses.call_bytes_max);
+            if batch.is_empty() {
+                return Ok(());
+            }
+            let entries = batch.iter().map(|(key, value)| Entry {
+                key: record_key(key),
+                value: value.clone(),
+            });
+            let appended = self
+                .uses
+                .store
+                .append(Topic::Progress, part, entries.collect());
+            if let Err(err) = appended.await {
+                self.not_written(batch);
+                return Err(err);
+            }
+            self.uses.metrics.count(Counted::Items, "progress saved");
+            self.written(batch);
         }
-        ctx.metrics.count(Counted::Items, "progress saved");
-        progress.written(batch);
     }
-}
 
-/// Returns how far a job's items had got at hosts that ran them, by the items'
-/// numbers.
-///
-/// # Errors
-///
-/// Returns the store's failure.
-pub(crate) async fn read(
-    ctx: &Context,
-    job: &str,
-    hosts: &[HostId],
-) -> Result<HashMap<u32, Saved>, StoreError> {
-    let mut written: Vec<u32> = hosts.iter().map(|host| part_of(host, PARTS)).collect();
-    written.sort_unstable();
-    written.dedup();
-    let mut found: HashMap<u32, Saved> = HashMap::new();
-    for part in written {
-        for (item, saved) in read_part(ctx, job, part).await? {
-            let known = found.get(&item).map(|known| known.last_event);
-            if known.is_none_or(|known| known < saved.last_event) {
-                found.insert(item, saved);
+    /// Returns how far a job's items had got at hosts that ran them, by the items'
+    /// numbers.
+    ///
+    /// # Errors
+    ///
+    /// Returns the store's failure.
+    pub(crate) async fn read(
+        &self,
+        job: &str,
+        hosts: &[HostId],
+    ) -> Result<HashMap<u32, Saved>, StoreError> {
+        let mut written: Vec<u32> = hosts.iter().map(|host| part_of(host, PARTS)).collect();
+        written.sort_unstable();
+        written.dedup();
+        let mut found: HashMap<u32, Saved> = HashMap::new();
+        for part in written {
+            for (item, saved) in self.read_part(job, part).await? {
+                let known = found.get(&item).map(|known| known.last_event);
+                if known.is_none_or(|known| known < saved.last_event) {
+                    found.insert(item, saved);
+                }
             }
         }
+        Ok(found)
     }
-    Ok(found)
-}
 
-async fn read_part(ctx: &Context, job: &str, part: u32) -> Result<Vec<(u32, Saved)>, StoreError> {
-    let prefix = format!("{job}/");
-    let mut after = prefix.clone();
-    let mut found = Vec::new();
-    loop {
-        let page = ctx.store.newest(Topic::Progress, part, Some(after)).await?;
-        let last = page.records.last().map(|r| r.entry.key.clone());
-        for record in page.records {
-            let Some(number) = record.entry.key.strip_prefix(&prefix) else {
-                continue;
-            };
-            let number = number.parse().ok();
-            let saved = record.entry.value.as_deref().map(postcard::from_bytes);
-            match (number, saved) {
-                (Some(number), Some(Ok(saved))) => found.push((number, saved)),
-                _ => slog::error!(ctx.logger, "unreadable progress"; "key" => record.entry.key),
+    async fn read_part(&self, job: &str, part: u32) -> Result<Vec<(u32, Saved)>, StoreError> {
+        let prefix = format!("{job}/");
+        let mut after = prefix.clone();
+        let mut found = Vec::new();
+        loop {
+            let newest = self.uses.store.newest(Topic::Progress, part, Some(after));
+            let page = newest.await?;
+            let last = page.records.last().map(|r| r.entry.key.clone());
+            for record in page.records {
+                let Some(number) = record.entry.key.strip_prefix(&prefix) else {
+                    continue;
+                };
+                let number = number.parse().ok();
+                let saved = record.entry.value.as_deref().map(postcard::from_bytes);
+                match (number, saved) {
+                    (Some(number), Some(Ok(saved))) => found.push((number, saved)),
+                    _ => slog::error!(self.uses.logger, "unreadable progress";
+                        "key" => record.entry.key),
+                }
+            }
+            match last.filter(|last| page.has_more && last.starts_with(&prefix)) {
+                Some(last) => after = last,
+                None => return Ok(found),
             }
-        }
-        match last.filter(|last| page.has_more && last.starts_with(&prefix)) {
-            Some(last) => after = last,
-            None => return Ok(found),
         }
     }
 }
 
+fn record_key(key: &ItemKey) -> String {
+    format!("{}/{:04}", key.0, key.1)
+}
+
 /// Drops the records of jobs that are not open any more. A job that was taken
 /// in just now may look like one of them: its items then begin anew if their
 /// host dies at once.
@@ -231,17 +255,17 @@
 ///
 /// Returns the store's failure.
 pub(crate) async fn drop_stale(
-    ctx: &Context,
+    store: &Store,
     is_open: impl Fn(&str) -> bool,
 ) -> Result<(), StoreError> {
     for part in 0..PARTS {
-        let listing = ctx.store.all_newest(Topic::Progress, part).await?;
+        let listing = store.all_newest(Topic::Progress, part).await?;
         let records = listing.before_end();
         let keys = records.into_iter().map(|record| record.entry.key);
         let stale = keys.filter(|key| key.rsplit_once('/').is_none_or(|(job, _)| !is_open(job)));
-        let stale: Vec<Entry> = stale.map(tombstone).collect();
+        let stale: Vec<Entry> = stale.map(Entry::tombstone).collect();
         if !stale.is_empty() {
-            ctx.store.append(Topic::Progress, part, stale).await?;
+            store.append(Topic::Progress, part, stale).await?;
         }
     }
     Ok(())
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -74,7 +74,7 @@
     if gate.is_empty() {
         return Ok(None);
     }
-    gate.try_admit_owed(item.fingerprint(ctx))
+    gate.try_admit_owed(item.fingerprint(&ctx.decode))
 }
 
 /// Notes that a request has ended well, so that it is no suspect any more. What names
@@ -97,7 +97,7 @@
     if gate.is_empty() {
         return;
     }
-    let fingerprint = item.fingerprint(ctx);
+    let fingerprint = item.fingerprint(&ctx.decode);
     if let Some(crashes) = gate.outlasted(fingerprint, ran) {
         note_cleared(ctx, fingerprint, crashes);
     }
--- a/crates/gateway/src/quarantine/saved.rs
+++ b/crates/gateway/src/quarantine/saved.rs
@@ -26,7 +26,6 @@
 use crate::time::millis;
 use crate::time::ms;
 use crate::time::unix_ms;
-use crate::upkeep::tombstone;
 
 /// Pause before a call that failed is made again.
 const PAUSE: Duration = Duration::from_secs(1);
@@ -82,7 +81,7 @@
 /// Drops the record of a request that was cleared, if it may have one.
 pub(super) fn drop_cleared(ctx: &Arc<Context>, fingerprint: Fingerprint, crashes: u32) {
     if crashes >= CRASHES_SAVED {
-        let entry = tombstone(fingerprint::text(fingerprint));
+        let entry = Entry::tombstone(fingerprint::text(fingerprint));
         tokio::spawn(write(Arc::clone(ctx), entry));
     }
 }
@@ -164,7 +163,7 @@
         .into_iter()
         .map(|record| record.entry)
         .filter(is_old);
-    let old: Vec<Entry> = old.map(|entry| tombstone(entry.key)).collect();
+    let old: Vec<Entry> = old.map(|entry| Entry::tombstone(entry.key)).collect();
     if old.is_empty() {
         return Ok(());
     }
--- a/crates/gateway/src/upkeep.rs
+++ b/crates/gateway/src/upkeep.rs
@@ -85,7 +85,7 @@
         .collect();
     drop_blobs(ctx, &over).await?;
     quarantine::drop_old(ctx).await?;
-    progress::drop_stale(ctx, |job| jobs.get(job).is_some_and(Job::is_open)).await?;
+    progress::drop_stale(&ctx.store, |job| jobs.get(job).is_some_and(Job::is_open)).await?;
     let is_dropped = |job: &JobId, refused: &Option<u64>| match refused {
         Some(submitted) => *submitted < before,
         None => over.iter().any(|j| j.accepted.job == *job),
@@ -93,7 +93,7 @@
     let dropped = keys
         .into_iter()
         .filter(|(_, job, refused)| is_dropped(job, refused));
-    let dropped: Vec<Entry> = dropped.map(|(key, ..)| tombstone(key)).collect();
+    let dropped: Vec<Entry> = dropped.map(|(key, ..)| Entry::tombstone(key)).collect();
     if dropped.is_empty() {
         return Ok(());
     }
@@ -123,15 +123,10 @@
 
 async fn drop_all(ctx: &Context, topic: Topic, blobs: &[Blob]) -> Result<(), StoreError> {
     for blob in blobs {
-        let keys: Vec<Entry> = blob.record_keys().map(tombstone).collect();
+        let keys: Vec<Entry> = blob.record_keys().map(Entry::tombstone).collect();
         for keys in keys.chunks(KEYS_MAX) {
             ctx.store.append(topic, blob.part, keys.to_vec()).await?;
         }
     }
     Ok(())
 }
-
-/// Returns a record that drops a key.
-pub(crate) fn tombstone(key: String) -> Entry {
-    Entry { key, value: None }
-}
--- a/crates/gateway/src/work.rs
+++ b/crates/gateway/src/work.rs
@@ -10,13 +10,14 @@
 use std::time::Instant;
 
 use notchwharf_listen::Phase;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
 
-use crate::context::Context;
 use crate::metrics::Counted;
 use crate::metrics::Metrics;
 
 /// Time between two log lines.
-const REPORT: Duration = Duration::from_secs(10);
+pub(crate) const REPORT: Duration = Duration::from_secs(10);
 
 /// A part of a host's work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -67,19 +68,24 @@
     done
 }
 
-/// Logs the figures now and then until the host stops.
-pub(crate) async fn report(ctx: Arc<Context>) {
-    let mut ticks = ctx.timer.subscribe(REPORT);
-    while ticks.recv().await.is_some() && ctx.phase() != Phase::Stopped {
+/// Logs the figures now and then until the host stops, which ends the ticks or the phase.
+pub(crate) async fn report(
+    metrics: Arc<Metrics>,
+    logger: slog::Logger,
+    mut ticks: mpsc::Receiver<Instant>,
+    phase: watch::Receiver<Phase>,
+) {
+    let started = Instant::now();
+    while ticks.recv().await.is_some() && *phase.borrow() != Phase::Stopped {
         let parts = PARTS.map(|part| {
-            let micros = ctx.metrics.counted(Counted::WorkMicros, part.name());
-            let times = ctx.metrics.counted(Counted::Work, part.name());
+            let micros = metrics.counted(Counted::WorkMicros, part.name());
+            let times = metrics.counted(Counted::Work, part.name());
             format!("{} {times} times {micros} us", part.name())
         });
-        let datagrams = |direction| ctx.metrics.counted(Counted::Datagrams, direction);
-        slog::info!(ctx.logger, "work so far"; "parts" => parts.join(", "),
+        let datagrams = |direction| metrics.counted(Counted::Datagrams, direction);
+        slog::info!(logger, "work so far"; "parts" => parts.join(", "),
             "datagrams_sent" => datagrams("sent") + datagrams("passed on"),
             "datagrams_received" => datagrams("received"),
-            "uptime_s" => ctx.started.elapsed().as_secs());
+            "uptime_s" => started.elapsed().as_secs());
     }
 }
