Ask hosts of other cells about a job where those of this one cannot do it now

Cause: a submit in a data centre that the store has just turned away was answered NotNow. Its host asked two peers of its own cell, which had lost the store as well and had not said so yet; hosts of other cells were asked only if there were fewer than two of those.

Change: two of the own cell, then two of others, each a NotNow after the other.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -202,6 +202,11 @@
         self.peers.listed()
     }
 
+    /// Returns the number of other hosts that reach the store, as far as they have said.
+    pub fn peers_with_store(&self) -> usize {
+        self.peers.with_store()
+    }
+
     /// Returns whether the store answers, as far as known.
     pub fn is_store_up(&self) -> bool {
         self.store.is_up()
--- a/crates/gateway/src/jobs/passed_on.rs
+++ b/crates/gateway/src/jobs/passed_on.rs
@@ -31,7 +31,7 @@
 /// record takes at most, and the way there and back.
 const TIMEOUT: Duration = Duration::from_millis(2_800);
 
-/// Peers that are tried: the first may just have died.
+/// Peers that are tried in this host's cell, and in others: the first may just have died.
 const PEERS_MAX: usize = 2;
 
 /// A call about a job.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -250,15 +250,16 @@
         self.able().len() + self.able_far().len()
     }
 
-    /// Returns the addresses of some peers that reach the store.
+    /// Returns the addresses of some peers that reach the store, in the order in which to
+    /// ask them: some of this host's cell, then some of others. The store may have turned
+    /// away the whole cell a moment ago, and its hosts have not said so yet.
     pub(crate) fn with_store_addrs(&self, most: usize) -> Vec<SocketAddr> {
-        let mut able = self.able();
-        if able.len() < most {
-            able.extend(self.able_far());
-        }
+        let (able, able_far) = (self.able(), self.able_far());
         let known = lock(&self.known);
-        let chosen = able.sample(&mut rand::rng(), most);
-        chosen
+        let mut rng = rand::rng();
+        let near = able.sample(&mut rng, most);
+        let far = able_far.sample(&mut rng, most);
+        near.chain(far)
             .filter_map(|host| known.get(host).map(|peer| peer.addr))
             .collect()
     }
--- a/crates/gateway/tests/cells.rs
+++ b/crates/gateway/tests/cells.rs
@@ -144,6 +144,11 @@
     let world = World::new(&["t1"]);
     let doors = doors(&world);
     let hosts = start_apart(&world, &doors).await;
+    until("hosts have heard those of other cells", || {
+        let heard = hosts.iter().map(|h| h.ctx().peers_with_store());
+        heard.min() >= Some(2 * HOSTS)
+    })
+    .await;
     doors[0].close(true);
     until("the store is lost", || {
         hosts[..HOSTS].iter().all(|h| !h.ctx().is_store_up())
