--- a/crates/quota/src/node.rs
+++ b/crates/quota/src/node.rs
@@ -159,7 +159,7 @@
 
     /// Returns a slot that this host holds without knowing what was let in before, if the
     /// allowance of its buckets has not been asked for; it counts as asked for then. The
-    /// caller finds out whether [`may_allow`] lets it be taken.
+    /// caller finds out whether [`may_allow`](crate::may_allow) lets it be taken.
     pub fn wants_allowance(&mut self) -> Option<SlotNumber> {
         let whole = 1.0 / SLOTS as f64;
         let mut slots = self.slots.iter_mut().enumerate();
