Draw peers, make entries and name hosts in one way, and write nothing that is noted

Found by reading the change once more, no behaviour changes: two functions drew a peer by what it has; a host's entry was encoded in two places; limits cloned the names of all hosts and hashed them three times a look; the age of a host was worked out twice; what a host has of its needs was written, and its waiters looked for, with each limited request.

--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -352,9 +352,9 @@
     let peers = ctx.peers.for_limits();
     let keys = |is: fn(&ForLimits) -> bool| -> Vec<HostKey> {
         let chosen = peers.iter().filter(|peer| is(peer));
-        chosen.map(|peer| host_key(&peer.host)).collect()
+        chosen.map(|peer| peer.key).collect()
     };
-    let addrs = peers.iter().map(|peer| (host_key(&peer.host), peer.addr));
+    let addrs = peers.iter().map(|peer| (peer.key, peer.addr));
     *lock(&ctx.limits.addrs) = addrs.collect();
     let alive = keys(|peer| peer.could_hold);
     let fleet = Fleet {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -38,6 +38,8 @@
 use notchwharf_proto::news::Cut;
 use notchwharf_proto::news::News;
 use notchwharf_proto::news::Status;
+use notchwharf_quota::HostKey;
+use notchwharf_quota::host_key;
 use notchwharf_routing::places::HostId;
 use notchwharf_routing::places::TargetKey;
 use rand::seq::IndexedRandom as _;
@@ -88,7 +90,7 @@
 /// Another host, as limits know it.
 #[derive(Clone, Debug)]
 pub(crate) struct ForLimits {
-    pub(crate) host: HostId,
+    pub(crate) key: HostKey,
     pub(crate) addr: SocketAddr,
     /// Whether it could hold limits.
     pub(crate) could_hold: bool,
@@ -184,7 +186,7 @@
     pub(crate) fn for_limits(&self) -> Vec<ForLimits> {
         let known = lock(&self.known);
         let all = known.iter().map(|(host, peer)| ForLimits {
-            host: host.clone(),
+            key: host_key(host),
             addr: peer.addr,
             could_hold: peer.is_alive && !peer.status.leaving,
             is_silent: peer.is_marked_silent && !peer.is_alive,
--- a/crates/gateway/src/peers/list.rs
+++ b/crates/gateway/src/peers/list.rs
@@ -77,6 +77,16 @@
     }
 }
 
+/// Returns a host's entry.
+fn entry(host: &str, listing: Listing, is_silent: bool) -> Entry {
+    let marked = Marked { listing, is_silent };
+    let value = postcard::to_stdvec(&marked).expect("Listings are representable.");
+    Entry {
+        key: host.to_owned(),
+        value: Some(value.into()),
+    }
+}
+
 fn own_listing(ctx: &Context) -> Listing {
     Listing {
         addr: ctx.settings.host.peer_listen,
@@ -88,15 +98,7 @@
 /// has all of them, and writing it anew would hold up all that read it. The store takes
 /// one append after the other, and does not read the list out meanwhile.
 pub(super) async fn enter(ctx: Arc<Context>) {
-    let marked = Marked {
-        listing: own_listing(&ctx),
-        is_silent: false,
-    };
-    let value = postcard::to_stdvec(&marked).expect("Listings are representable.");
-    let entry = Entry {
-        key: ctx.host().to_owned(),
-        value: Some(value.into()),
-    };
+    let entry = entry(ctx.host(), own_listing(&ctx), false);
     ctx.peers.loading.until_list_tried(ENTER_WAIT).await;
     let mut pause = ENTRY_PAUSE_MIN;
     while ctx.phase() < Phase::Leaving && lock(&ctx.peers.entered_at).is_none() {
@@ -142,10 +144,7 @@
 
 /// Drops this host's entry; without it others find out by its silence.
 pub(crate) async fn leave(ctx: &Context) {
-    let entry = Entry {
-        key: ctx.host().to_owned(),
-        value: None,
-    };
+    let entry = Entry::tombstone(ctx.host().to_owned());
     if let Err(err) = ctx.store.append(Topic::Hosts, 0, vec![entry]).await {
         slog::warn!(ctx.logger, "host's entry not dropped"; "error" => err.to_string());
     }
@@ -233,15 +232,7 @@
 }
 
 async fn mark(ctx: Arc<Context>, host: HostId, listing: Listing) {
-    let marked = Marked {
-        listing,
-        is_silent: true,
-    };
-    let value = postcard::to_stdvec(&marked).expect("Listings are representable.");
-    let entry = Entry {
-        key: host.clone(),
-        value: Some(value.into()),
-    };
+    let entry = entry(&host, listing, true);
     let res = ctx.store.append(Topic::Hosts, 0, vec![entry]).await;
     if res.is_err() {
         // The store's wrapper has logged why; a later look tries again.
--- a/crates/gateway/src/peers/loading.rs
+++ b/crates/gateway/src/peers/loading.rs
@@ -121,7 +121,7 @@
         let deadline = deadline();
         while Instant::now() < deadline && !has_catalog(&ctx) {
             match peer(&ctx, |p| p.status.config > 0 && p.status.targets > 0) {
-                Some(addr) => pull::pull(Arc::clone(&ctx), addr).await,
+                Some((_, addr)) => pull::pull(Arc::clone(&ctx), addr).await,
                 None => pause().await,
             }
         }
@@ -149,7 +149,7 @@
     }
     let deadline = deadline();
     while Instant::now() < deadline {
-        let Some(addr) = peer(ctx, |p| p.status.store_up) else {
+        let Some((_, addr)) = peer(ctx, |p| p.status.store_up) else {
             pause().await;
             continue;
         };
@@ -198,19 +198,10 @@
     tokio::time::sleep(Duration::from_millis(drawn)).await;
 }
 
-/// Returns a peer that has routes, drawn: one that has just started knows little yet.
-pub(super) fn peer_with_routes(ctx: &Context) -> Option<(HostId, SocketAddr)> {
-    let known = lock(&ctx.peers.known);
-    let having = known
-        .iter()
-        .filter(|(_, p)| p.is_alive && p.status.config > 0);
-    let having = having.map(|(host, p)| (host.clone(), p.addr));
-    having.choose(&mut rand::rng())
-}
-
 /// Returns a peer that has what is wanted, drawn.
-fn peer(ctx: &Context, has: impl Fn(&Peer) -> bool) -> Option<SocketAddr> {
+pub(super) fn peer(ctx: &Context, has: impl Fn(&Peer) -> bool) -> Option<(HostId, SocketAddr)> {
     let known = lock(&ctx.peers.known);
-    let having = known.values().filter(|p| p.is_alive && has(p));
-    having.map(|p| p.addr).choose(&mut rand::rng())
+    let having = known.iter().filter(|(_, p)| p.is_alive && has(p));
+    let (host, peer) = having.choose(&mut rand::rng())?;
+    Some((host.clone(), peer.addr))
 }
--- a/crates/gateway/src/peers/suspects.rs
+++ b/crates/gateway/src/peers/suspects.rs
@@ -116,7 +116,8 @@
             slog::warn!(ctx.logger, "nobody could tell what was blamed");
             return ctx.startup.note(Need::Suspects, "nobody");
         }
-        if let Some((host, addr)) = loading::peer_with_routes(&ctx) {
+        // One without routes has just started itself.
+        if let Some((host, addr)) = loading::peer(&ctx, |p| p.status.config > 0) {
             ask(&ctx, &host, addr).await;
         }
         tokio::time::sleep(ASK_GAP).await;
--- a/crates/quota/src/node.rs
+++ b/crates/quota/src/node.rs
@@ -200,7 +200,8 @@
         self.hosts = u32::try_from(others.len() + 1).unwrap_or(u32::MAX);
         self.is_list_whole = fleet.is_whole;
         self.alive = fleet.alive.to_vec();
-        let is_starting = now.saturating_duration_since(self.started) < STARTING;
+        let age = now.saturating_duration_since(self.started);
+        let is_starting = age < STARTING;
         let mut told = Vec::new();
         if is_starting && fleet.is_whole && !self.is_known_where {
             let speaking = others.iter().copied();
@@ -209,7 +210,6 @@
             told = self.ask_where(&speaking, now);
         }
         let gap = call_gap(self.hosts);
-        let age = now.saturating_duration_since(self.started);
         let pause = if age < GATHERING && !self.has_gathered() {
             Duration::ZERO
         } else if is_starting {
--- a/crates/startup/src/lib.rs
+++ b/crates/startup/src/lib.rs
@@ -78,7 +78,8 @@
     /// Notes that something is there, and from where it came; what comes later says
     /// nothing new.
     pub fn note(&self, need: Need, source: &str) {
-        if self.had[need as usize].send_replace(true) {
+        // Asked first: some note what they have with each request.
+        if self.has(need) || self.had[need as usize].send_replace(true) {
             return;
         }
         let took_ms = u64::try_from(self.age().as_millis()).unwrap_or(u64::MAX);
@@ -98,6 +99,9 @@
 
     /// Waits until something is there, as long as that takes.
     pub async fn until(&self, need: Need) {
+        if self.has(need) {
+            return;
+        }
         let mut had = self.had[need as usize].subscribe();
         // The sender lives as long as this does.
         let _ = had.wait_for(|had| *had).await;
@@ -106,9 +110,6 @@
     /// Waits for something as long as a request may, at most until its deadline; returns
     /// whether it is there.
     pub async fn wait_for(&self, need: Need, deadline: Instant) -> bool {
-        if self.has(need) {
-            return true;
-        }
         let until = deadline.min(Instant::now() + self.wait);
         let waited = tokio::time::timeout_at(until.into(), self.until(need));
         waited.await.is_ok()
