Count the allowance of limits from when it was asked for

With a store that takes over a second, clocks 2.5 s apart and two starts within 8.5 s a flood could exceed a window by 6 requests.

Change: the second runs from the moment that the record names. An answer that comes later than that brings nothing.

Test: an allowance that comes late is not taken (node alone, three delays). The case of 1,200 ms is what the code before let in; it was not run on it. Ruled out: a longer second (the least time between two allowances grows with it).

--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -321,15 +321,15 @@
         let begun = Instant::now();
         let asked = allowance::ask(&ctx.store, slot, ctx.limits.bounds.window).await;
         let outcome = match asked {
-            Ok(true) => "allowance taken",
-            Ok(false) => "allowance taken before",
+            Ok(Some(_)) => "allowance taken",
+            Ok(None) => "allowance taken before",
             // Buckets begin empty, which is safe; the store's wrapper has logged why.
             Err(_) => "allowance not known",
         };
         let mut node = lock(&ctx.limits.node);
         match asked {
-            Ok(true) => node.allow(slot, Instant::now()),
-            Ok(false) | Err(_) => node.deny_allowance(slot),
+            Ok(Some(asked)) => node.allow(slot, asked, Instant::now()),
+            Ok(None) | Err(_) => node.deny_allowance(slot),
         }
         drop(node);
         ctx.metrics.count(Counted::Limits, outcome);
--- a/crates/gateway/src/limits/allowance.rs
+++ b/crates/gateway/src/limits/allowance.rs
@@ -6,6 +6,7 @@
 //! should it be done later, the next one to ask waits longer than it must.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use notchwharf_quota::SlotNumber;
 use notchwharf_quota::may_allow;
@@ -23,7 +24,8 @@
 /// Bytes read at once: records of some ten bytes, of which few are new.
 const READ_BYTES: u64 = 64 << 10;
 
-/// Returns whether the buckets of a slot may begin with the allowance now.
+/// Returns when the allowance of a slot was asked for, by what its record says, if its
+/// buckets may begin with it; nothing if they must not.
 ///
 /// # Errors
 ///
@@ -32,16 +34,17 @@
     store: &Store,
     slot: SlotNumber,
     window: Duration,
-) -> Result<bool, StoreError> {
+) -> Result<Option<Instant>, StoreError> {
     let key = slot.to_string();
     let listing = store.all_newest(Topic::Limits, PART).await?;
     let of_slot = |record: &&Stored| record.entry.key == key;
     let last = listing.records.iter().rev().find(of_slot);
     // A record that cannot be read may be of any time.
     let last_unix_ms = last.map(|record| decode(record).unwrap_or(u64::MAX));
+    let asked = Instant::now();
     let now_unix_ms = unix_ms();
     if !may_allow(last_unix_ms, now_unix_ms, window) {
-        return Ok(false);
+        return Ok(None);
     }
     let value = postcard::to_stdvec(&now_unix_ms).expect("Numbers are representable.");
     let entry = Entry {
@@ -60,15 +63,15 @@
         };
         let tail = store.read(read).await?;
         let Some(newest) = tail.records.last().map(|record| record.offset) else {
-            return Ok(false);
+            return Ok(None);
         };
         let mut before = tail.records.iter().filter(|record| record.offset < offset);
         if before.any(|record| of_slot(&record)) {
-            return Ok(false);
+            return Ok(None);
         }
         from = newest + 1;
     }
-    Ok(true)
+    Ok(Some(asked))
 }
 
 fn decode(record: &Stored) -> Option<u64> {
--- a/crates/quota/src/holder.rs
+++ b/crates/quota/src/holder.rs
@@ -11,8 +11,9 @@
 use crate::bucket::Bucket;
 use crate::terms::Terms;
 
-/// Time for which parts bring their allowance after it was given: they come within three
-/// calls. Two that are given a window apart must not come closer by more than this.
+/// Time for which parts bring their allowance after it was asked for: a healthy store
+/// answers within some ten milliseconds, and parts come within three calls. Two that are
+/// asked for a window apart must not come closer by more than this.
 pub(crate) const ALLOWANCE_TIME: Duration = Duration::from_secs(1);
 
 /// Time after the first part within which whoever would be refused is told to ask again:
@@ -141,10 +142,12 @@
         is_open && self.pending_until.is_some_and(|until| now < until)
     }
 
-    /// Takes the allowance: for the parts that are here, and for those to come.
-    pub(crate) fn allow(&mut self, now: Instant) {
+    /// Takes the allowance: for the parts that are here, and for those to come. Its time
+    /// runs from when it was asked for, which the record says, and not from the store's
+    /// answer: that may be late, and the next one be given meanwhile.
+    pub(crate) fn allow(&mut self, asked: Instant, now: Instant) {
         self.allowance = Allowance::Open {
-            until: now + ALLOWANCE_TIME,
+            until: asked + ALLOWANCE_TIME,
             brought: HashSet::new(),
         };
         self.bring(now);
--- a/crates/quota/src/node.rs
+++ b/crates/quota/src/node.rs
@@ -175,10 +175,10 @@
         }
     }
 
-    /// Lets the buckets of a slot begin with the allowance.
-    pub fn allow(&mut self, slot: SlotNumber, now: Instant) {
+    /// Lets the buckets of a slot begin with the allowance that was asked for at a moment.
+    pub fn allow(&mut self, slot: SlotNumber, asked: Instant, now: Instant) {
         if let Some(slot) = self.slots.get_mut(usize::from(slot)) {
-            slot.holder.allow(now);
+            slot.holder.allow(asked, now);
         }
     }
 
--- a/crates/quota/tests/limits.rs
+++ b/crates/quota/tests/limits.rs
@@ -120,6 +120,60 @@
     }
 }
 
+/// What could happen: a store that takes more than a second, clocks 2.5 s apart, and two
+/// starts within 8.5 s; the parts' second began with the store's answer, so the allowance
+/// of the first start came into a window with that of the second. Found by reading.
+#[rstest]
+#[case::at_once(10, true)]
+#[case::within_the_second(800, true)]
+#[case::when_the_next_may_be_given(1_200, false)]
+fn an_allowance_that_comes_late_is_not_taken(#[case] took_ms: u64, #[case] is_taken: bool) {
+    const HOST: u32 = 1;
+    const WORKSPACE: u64 = 7;
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut node = Node::new(HOST, 1, start);
+    node.set_terms(
+        [(WORKSPACE, Terms::of(SMALL, played::BOUNDS))].into(),
+        start,
+    );
+    let fleet = notchwharf_quota::Fleet {
+        alive: &[],
+        listed: &[HOST],
+        silent: &[],
+        is_whole: true,
+    };
+    let mut now_ms = 0;
+    let slot = loop {
+        now_ms += 20;
+        assert!(now_ms < 5_000, "no allowance is wanted");
+        node.tick(&fleet, true, at(now_ms));
+        if let Some(slot) = node.wants_allowance() {
+            break slot;
+        }
+    };
+    let used_ms = now_ms + took_ms;
+    for ms in (now_ms..used_ms).step_by(20) {
+        node.tick(&fleet, true, at(ms));
+    }
+    // What flows in meanwhile is used up.
+    given(&mut node, WORKSPACE, at(used_ms));
+    assert_eq!(given(&mut node, WORKSPACE, at(used_ms)), 0);
+    node.allow(slot, at(now_ms), at(used_ms));
+    assert_eq!(given(&mut node, WORKSPACE, at(used_ms)) > 0, is_taken);
+}
+
+/// Returns how many of a hundred requests are let in: more than any bucket here holds.
+fn given(node: &mut Node, workspace: u64, now: Instant) -> usize {
+    let mut is_given = || {
+        let Asked::Answered { taken, .. } = node.ask(workspace, Duration::ZERO, now) else {
+            panic!("A host alone asks nobody.");
+        };
+        matches!(taken, Taken::Given { .. })
+    };
+    (0..100).filter(|_| is_given()).count()
+}
+
 #[rstest]
 #[case::never_before(None, 100_000, true)]
 #[case::just_before(Some(99_000), 100_000, false)]
--- a/crates/quota/tests/played/mod.rs
+++ b/crates/quota/tests/played/mod.rs
@@ -108,7 +108,7 @@
     Arrive,
     Again(u32),
     /// The store has read what was last asked of it about a slot.
-    Allow(SlotNumber, bool),
+    Allow(SlotNumber, Option<u64>),
     GiveUp(u32),
     Go(u32),
 }
@@ -320,11 +320,12 @@
                     self.push(self.now_us + AGAIN_US, host, Event::Again(number));
                 }
             }
-            Event::Allow(slot, may) => {
+            Event::Allow(slot, asked_us) => {
+                let asked = asked_us.map(|us| self.at(us));
                 if let Decider::Holders(node) = &mut self.hosts[host].decider {
-                    match may {
-                        true => node.allow(slot, now),
-                        false => node.deny_allowance(slot),
+                    match asked {
+                        Some(asked) => node.allow(slot, asked, now),
+                        None => node.deny_allowance(slot),
                     }
                 }
             }
@@ -405,7 +406,8 @@
             *last = Some(unix_ms);
         }
         let took = self.rng.random_range(STORE_US);
-        self.push(self.now_us + took, host, Event::Allow(slot, may));
+        let asked_us = may.then_some(self.now_us);
+        self.push(self.now_us + took, host, Event::Allow(slot, asked_us));
     }
 
     fn tell(&mut self, from: usize, to: usize, told: Told) {
