Take a target that answered after its crash for one that started anew

Cause, by the log of that run: a host blamed the request after three crashes, was cut off from the store and knew no peer yet, and was killed: what it knew was lost. Another saw two more crashes and handed them over as the first started anew. That one's list of targets, the store being away, was older than the second life of a target, so the next crash there had the name of the known one and counted as told again; a fourth target crashed before the request was refused.

Change: a host whose request was sent after the known end of a life, and answered, takes it for the next life, whose name all hosts work out alike. Not for crashes that others tell: a host that stood still takes old words for new, and one crash would count several times. Not for runs that were never answered: a connection that was kept breaks at once when its target is gone.

What stays: what a host knows that nobody and no store could be told is lost with it; three and three is what the bound of six allows.

Test: three cases of the decision, the first of which fails without the change.

--- a/crates/gateway/src/items/run.rs
+++ b/crates/gateway/src/items/run.rs
@@ -134,6 +134,7 @@
         target,
         addr,
         ran,
+        answered_from: None,
     };
     quarantine::broke_off(ctx, run).await;
 }
--- a/crates/gateway/src/online/flow.rs
+++ b/crates/gateway/src/online/flow.rs
@@ -257,9 +257,9 @@
             reply,
             running,
             addr,
+            sent,
             begun,
             trial,
-            ..
         } = begun;
         // The target stops as soon as its connection is closed.
         drop((reply, running));
@@ -270,7 +270,7 @@
         lock(&self.sending.ctx.places).failed(&target, Instant::now());
         if may_have_crashed {
             let ran = begun.elapsed();
-            self.sending.broke_off(&target, addr, ran).await;
+            self.sending.broke_off(&target, addr, ran, Some(sent)).await;
         }
         // The next run of a suspect begins when it is known how this one ended.
         drop(trial);
--- a/crates/gateway/src/online/sending.rs
+++ b/crates/gateway/src/online/sending.rs
@@ -137,7 +137,7 @@
             };
             if err == NoReply::Broken {
                 let ran = sent.elapsed();
-                self.broke_off(&choice.target, choice.addr, ran).await;
+                self.broke_off(&choice.target, choice.addr, ran, None).await;
             }
             // The next run of a suspect begins when it is known how this one ended.
             drop(trial);
@@ -191,14 +191,22 @@
         })
     }
 
-    /// Finds out whether a target crashed under the request.
-    pub(super) async fn broke_off(&mut self, target: &TargetId, addr: SocketAddr, ran: Duration) {
+    /// Finds out whether a target crashed under the request; it was sent at
+    /// `answered_from` if the target had begun to answer it.
+    pub(super) async fn broke_off(
+        &mut self,
+        target: &TargetId,
+        addr: SocketAddr,
+        ran: Duration,
+        answered_from: Option<Instant>,
+    ) {
         let run = quarantine::Run {
             fingerprint: self.fingerprint(),
             id: self.forward.id.clone(),
             target: target.clone(),
             addr,
             ran,
+            answered_from,
         };
         quarantine::broke_off(&self.ctx, run).await;
     }
--- a/crates/gateway/src/quarantine/look.rs
+++ b/crates/gateway/src/quarantine/look.rs
@@ -43,6 +43,8 @@
     pub(crate) addr: SocketAddr,
     /// How long it ran.
     pub(crate) ran: Duration,
+    /// When it was sent, if the target had begun to answer it: the target lived then.
+    pub(crate) answered_from: Option<Instant>,
 }
 
 /// A run that broke off at a target that is being looked at.
@@ -107,10 +109,16 @@
 
 fn note_crash(ctx: &Arc<Context>, broken: &Broken, life: LifeId) {
     let Run {
-        fingerprint, ran, ..
+        fingerprint,
+        ran,
+        answered_from,
+        ..
     } = broken.run;
+    let gate = &ctx.suspects.gate;
     let crash = Crash {
-        life,
+        // The list of targets may be old here: one that answered after the life that it
+        // names had ended has started anew.
+        life: answered_from.map_or(life, |from| gate.life_met(fingerprint, life, from)),
         ran,
         at: broken.at,
     };
--- a/crates/quarantine/src/gate.rs
+++ b/crates/quarantine/src/gate.rs
@@ -15,6 +15,7 @@
 use notchwharf_routing::places::HostId;
 use notchwharf_routing::quarantine::Change;
 use notchwharf_routing::quarantine::Crash;
+use notchwharf_routing::quarantine::LifeId;
 use notchwharf_routing::quarantine::Quarantine;
 use notchwharf_routing::quarantine::Told;
 use notchwharf_routing::quarantine::Verdict;
@@ -110,6 +111,12 @@
         self.table().crashes(fingerprint)
     }
 
+    /// Returns the life of a target that a request met which was sent at a moment and
+    /// answered.
+    pub fn life_met(&self, fingerprint: Fingerprint, life: LifeId, sent: Instant) -> LifeId {
+        self.table().life_met(fingerprint, life, sent)
+    }
+
     /// Decides whether a request may be sent to a target now. A suspect's run lasts
     /// until what is returned is dropped; there is nothing of one that is none.
     ///
--- a/crates/routing/src/quarantine.rs
+++ b/crates/routing/src/quarantine.rs
@@ -166,6 +166,18 @@
         suspect.map_or(0, Suspect::crash_count)
     }
 
+    /// Returns the life of a target that a request met which was sent at a moment and
+    /// answered: the one that is taken for it, or a later one if that had ended by then.
+    ///
+    /// Guards against a host whose list of targets is old: it would take a target's next
+    /// crash for the one before, and the request would end more targets than it may.
+    /// Crashes that others tell are not judged so: a host that stood still takes an old
+    /// word for a new one, and one crash would count as often as it was told.
+    pub fn life_met(&self, fingerprint: Fingerprint, life: LifeId, sent: Instant) -> LifeId {
+        let suspect = self.suspects.get(&fingerprint);
+        suspect.map_or(life, |suspect| suspect.life_met(life, sent))
+    }
+
     /// Decides whether a host may send a request now, and notes the run of a suspect.
     pub fn admit(&mut self, fingerprint: Fingerprint, host: &str, now: Instant) -> Verdict {
         match self.suspects.get_mut(&fingerprint) {
--- a/crates/routing/src/quarantine/suspect.rs
+++ b/crates/routing/src/quarantine/suspect.rs
@@ -8,8 +8,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use super::Change;
 use super::Crash;
+use super::LifeId;
 use super::REMEMBERED;
 use super::Told;
 use super::ToldCrash;
@@ -140,6 +143,17 @@
         Change::News
     }
 
+    /// Returns the first life from the given one on that is not known to have ended
+    /// before a moment.
+    pub(super) fn life_met(&self, life: LifeId, at: Instant) -> LifeId {
+        let has_ended = |life| self.crashes.iter().any(|c| c.life == life && c.at < at);
+        let mut met = life;
+        while has_ended(met) {
+            met = next_life(met);
+        }
+        met
+    }
+
     /// Adds a crash; returns whether it was not known.
     pub(super) fn add(&mut self, crash: Crash) -> bool {
         if self.crashes.iter().any(|known| known.life == crash.life) {
@@ -277,6 +291,11 @@
     }
 }
 
+/// Returns a name for the life that follows one, the same at all hosts.
+fn next_life(life: LifeId) -> LifeId {
+    xxh3_64(&life.to_le_bytes())
+}
+
 fn is_within(at: Instant, time: Duration, now: Instant) -> bool {
     now.saturating_duration_since(at) < time
 }
--- a/crates/routing/tests/quarantine.rs
+++ b/crates/routing/tests/quarantine.rs
@@ -77,6 +77,36 @@
     assert_eq!(quarantine.crashes(REQUEST), 1);
 }
 
+/// What users would see: eight targets crash under one request, where six may. A host
+/// lost all it knew with its death, which cost three; another saw two more crashes and
+/// handed them to the first as it started while the store was away. That one's list of
+/// targets was older than the second life of a target that crashed under the request
+/// next, so it took that crash for the known one, and sent the request on to another.
+#[rstest]
+#[case::sent_after_it_had_ended(30, 3)]
+#[case::sent_before(10, 2)]
+#[case::sent_at_that_moment(20, 2)]
+fn a_target_that_answered_after_its_crash_has_started_anew(
+    #[case] sent_ms: u64,
+    #[case] crashes: u32,
+) {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut quarantine = Quarantine::default();
+    quarantine.crashed(REQUEST, crash(1, SOON, at(20)));
+    quarantine.crashed(REQUEST, crash(2, SOON, at(20)));
+    for _ in 0..2 {
+        let life = quarantine.life_met(REQUEST, 1, at(sent_ms));
+        quarantine.crashed(REQUEST, crash(life, SOON, at(50)));
+    }
+    assert_eq!(quarantine.crashes(REQUEST), crashes);
+    let is_blamed = crashes == 3;
+    assert_eq!(
+        is_refused(quarantine.admit(REQUEST, "a", at(60))),
+        is_blamed
+    );
+}
+
 #[rstest]
 #[case::after_one_crash_two_at_once(&[80], 2)]
 #[case::after_two_crashes_one(&[80, 80], 1)]
