--- a/crates/config/src/gateway.rs
+++ b/crates/config/src/gateway.rs
@@ -210,6 +210,23 @@
     /// targets, parts of a limit. From 0 to 60_000; 150 by default: half of the usual
     /// objective, so that the other half is left for the first event.
     pub start_wait_ms: u64,
+    /// Where requests wait while all places are taken: at their hosts, in an order over
+    /// all hosts of a data centre, or in the queues of targets. By default at hosts if the
+    /// configuration tells workspaces apart, which then share the places.
+    pub wait_at_hosts: WaitAtHosts,
+}
+
+/// When requests wait at hosts while all places are taken.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum WaitAtHosts {
+    /// Never: they wait in the queues of targets.
+    Never,
+    /// If the configuration tells workspaces apart.
+    #[default]
+    Workspaces,
+    /// Always.
+    Always,
 }
 
 impl Default for Online {
@@ -220,6 +237,7 @@
             idle_ms: 4_000,
             stall_ms: 700,
             start_wait_ms: 150,
+            wait_at_hosts: WaitAtHosts::default(),
         }
     }
 }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -35,6 +35,8 @@
 use crate::sync::lock;
 use crate::time::ms;
 use crate::time::unix_ms;
+use crate::waiting;
+use crate::waiting::Waiting;
 
 /// Offers beyond the first that are made, as a share of successes: enough for
 /// a crash of a fifth of the targets, too few to double the load of all.
@@ -80,6 +82,7 @@
     pub(crate) startup: Arc<Startup>,
     pub(crate) suspects: Suspects,
     pub(crate) limits: Limits,
+    pub(crate) waiting: Arc<Waiting>,
 }
 
 impl std::fmt::Debug for Context {
@@ -119,6 +122,14 @@
             host: settings.host.name.clone(),
             call_bytes_max: usize::try_from(settings.store.call_bytes_max).unwrap_or(usize::MAX),
         });
+        let peers = Peers::new(&settings.peers);
+        let waiting = Arc::new(Waiting::new(waiting::Uses {
+            places: Arc::clone(&places),
+            metrics: Arc::clone(&metrics),
+            logger: logger.clone(),
+            data_centre: settings.host.data_centre.clone(),
+            changed: peers.dirty(),
+        }));
         Self {
             timer: Timer::start(),
             phase: watch::Sender::new(Phase::Starting),
@@ -135,7 +146,8 @@
             catalog: Catalog::new(&settings, uses),
             journal: Journal::default(),
             blobs: Blobs::new(store.clone(), &settings.store),
-            peers: Peers::new(&settings.peers),
+            peers,
+            waiting,
             items: Items::default(),
             progress,
             startup,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,6 +35,7 @@
 mod target;
 mod time;
 mod upkeep;
+mod waiting;
 mod work;
 
 /// The name of a request, chosen by its caller.
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -21,6 +21,7 @@
 use crate::quarantine;
 use crate::time::ms;
 use crate::upkeep;
+use crate::waiting;
 use crate::work;
 use notchwharf_listen::Phase;
 
@@ -55,6 +56,10 @@
         peers::start(&ctx, socket, listener);
         quarantine::start(&ctx);
         tokio::spawn(limits::run(Arc::clone(&ctx)));
+        tokio::spawn(waiting::run(
+            Arc::clone(&ctx.waiting),
+            ctx.phase.subscribe(),
+        ));
         items::start(&ctx);
         tokio::spawn(upkeep::run(Arc::clone(&ctx)));
         tokio::spawn(work::report(
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -13,6 +13,8 @@
     Requests,
     /// Offers of requests to targets by what came of them.
     Offers,
+    /// Online requests that wait for a place, by what came of them.
+    Line,
     /// Items by event.
     Items,
     /// Calls about jobs by outcome.
@@ -33,9 +35,14 @@
     WorkMicros,
 }
 
-const COUNTERS: [Counter; 11] = [
+const COUNTERS: [Counter; 12] = [
     counter("notchwharf_requests_total", "Online requests.", "outcome"),
     counter("notchwharf_offers_total", "Offers to targets.", "outcome"),
+    counter(
+        "notchwharf_line_total",
+        "Online requests that waited for a place.",
+        "outcome",
+    ),
     counter("notchwharf_items_total", "Items of jobs.", "event"),
     counter("notchwharf_job_calls_total", "Calls about jobs.", "outcome"),
     counter(
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -17,6 +17,7 @@
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::StatusCode;
+use notchwharf_config::gateway::WaitAtHosts;
 use notchwharf_config::routes::Kind;
 use notchwharf_config::routes::Route;
 use notchwharf_config::routes::Table;
@@ -32,12 +33,16 @@
 use crate::metrics::Counted;
 use crate::ports::Body;
 use crate::ports::Forward;
+use crate::waiting::Standing;
 
 use self::sending::Sending;
 use self::trace::Trace;
 
 /// When to come back if the route has just begun to take jobs.
 const TAKES_JOBS_RETRY: Duration = Duration::from_millis(50);
+/// What a workspace without a limit counts as that shares places with others: one that may
+/// send as many requests a second as a large one.
+const UNLIMITED_WEIGHT: f64 = 100.0;
 /// Time that a caller is taken to wait who does not say.
 const NO_DEADLINE: Duration = Duration::from_secs(60);
 
@@ -91,7 +96,8 @@
     let deadline = arrived + wait;
     let permit = may_it(ctx, &caller, &route, deadline).await;
     let permit = permit.inspect_err(|failure| trace.failed(failure))?;
-    let sending = Sending::new(ctx, req, route, trace, permit, deadline);
+    let standing = waits_at_hosts(ctx, &table).then(|| standing(&caller, &route));
+    let sending = Sending::new(ctx, req, route, trace, permit, deadline).standing(standing);
     sending.send_whole().await
 }
 
@@ -128,6 +134,29 @@
     Ok(route)
 }
 
+/// Returns whether requests wait at hosts while all places are taken.
+fn waits_at_hosts(ctx: &Context, table: &Table) -> bool {
+    match ctx.settings.online.wait_at_hosts {
+        WaitAtHosts::Never => false,
+        WaitAtHosts::Workspaces => table.workspaces().is_some(),
+        WaitAtHosts::Always => true,
+    }
+}
+
+/// Returns what a request's place among those that wait follows from: the rank of its
+/// workspace before that of its route, and what the workspace may send. Places are shared
+/// in proportion to that: it is what its callers were promised.
+fn standing(caller: &Caller, route: &Route) -> Standing {
+    let workspace = caller.workspace();
+    let limit = workspace.and_then(|workspace| workspace.limit);
+    Standing {
+        priority: workspace
+            .and_then(|workspace| workspace.priority)
+            .unwrap_or(route.priority),
+        weight: limit.map_or(UNLIMITED_WEIGHT, |limit| limit.per_s),
+    }
+}
+
 /// Finds out whether its workspace may send it now.
 async fn may_it(
     ctx: &Arc<Context>,
--- a/crates/gateway/src/online/sending.rs
+++ b/crates/gateway/src/online/sending.rs
@@ -37,6 +37,9 @@
 use crate::sync::lock;
 use crate::target::Class;
 use crate::target::Running;
+use crate::waiting::Refused;
+use crate::waiting::Standing;
+use crate::waiting::Wanted;
 use crate::work;
 use crate::work::Part;
 
@@ -63,6 +66,8 @@
     pub(super) trace: Trace,
     /// What its workspace's limit gave it; given back if it never runs.
     permit: Option<Permit>,
+    /// Its standing among those that wait for a place; nothing if targets queue them.
+    standing: Option<Standing>,
 }
 
 /// A target's answer whose body is to come.
@@ -100,9 +105,16 @@
             tried: Vec::new(),
             runs: 0,
             fingerprint: None,
+            standing: None,
         }
     }
 
+    /// Lets the request wait at its host for a place, by its standing.
+    pub(super) fn standing(mut self, standing: Option<Standing>) -> Self {
+        self.standing = standing;
+        self
+    }
+
     /// Sends the request until a target answers, and passes its answer on.
     pub(super) async fn send_whole(mut self) -> Result<Answer, Failure> {
         match self.send(None).await {
@@ -123,12 +135,12 @@
             .await;
         loop {
             let trial = self.admit().await?;
-            let choice = self.choose(offers)?;
+            let (choice, running) = self.find_place(offers).await?;
             offers += 1;
             let sent = Instant::now();
             // Its caller may leave while nobody knows yet whether it runs.
             self.set_used(true);
-            let err = match self.offer(&choice, resume_after).await {
+            let err = match self.offer(&choice, running, resume_after).await {
                 Ok(begun) => match self.judge(begun) {
                     Ok(begun) => return Ok(Begun { trial, ..begun }),
                     Err(err) => err,
@@ -211,11 +223,52 @@
         quarantine::broke_off(&self.ctx, run).await;
     }
 
-    fn choose(&mut self, offers: u32) -> Result<Choice, Failure> {
+    /// Finds a place for the request, and counts it: in the line if requests wait at hosts,
+    /// and this one may be refused. One that may have run goes before all that wait.
+    async fn find_place(&mut self, offers: u32) -> Result<(Choice, Running), Failure> {
         let now = Instant::now();
         if self.deadline.saturating_duration_since(now) < LEFT_MIN {
             return Err(self.given_up("no time left"));
         }
+        if let (Some(standing), Some(left)) = (self.standing, self.objective()) {
+            let wanted = self.wanted(standing, now + left);
+            match self.ctx.waiting.find(wanted).await {
+                Ok(place) => {
+                    let choice = place.choice.clone();
+                    let workspace = self.forward.workspace.as_deref();
+                    let running = Running::at(&self.ctx, place, workspace, standing.weight);
+                    self.make_room(&choice);
+                    return Ok((choice, running));
+                }
+                Err(Refused::NoRoom { retry_after }) => {
+                    return Err(Failure::NotRun {
+                        retry_after,
+                        reason: "no room in time",
+                    });
+                }
+                // What that means is said below.
+                Err(Refused::NoTarget) => {}
+            }
+        }
+        let choice = self.choose(offers, Instant::now())?;
+        let running = Running::begin(&self.ctx, &choice.target, Class::Online);
+        Ok((choice, running))
+    }
+
+    fn wanted(&self, standing: Standing, due: Instant) -> Wanted {
+        Wanted {
+            id: self.forward.id.clone(),
+            service: self.service.clone(),
+            affinity: self.affinity,
+            tried: self.tried.clone(),
+            workspace: self.forward.workspace.clone(),
+            standing,
+            since: self.trace.arrived(),
+            due,
+        }
+    }
+
+    fn choose(&mut self, offers: u32, now: Instant) -> Result<Choice, Failure> {
         let want = Want {
             service: &self.service,
             data_centre: &self.ctx.settings.host.data_centre,
@@ -232,7 +285,13 @@
             Err(refusal) if offers == 0 && self.runs == 0 => return Err(refused(refusal)),
             Err(_) => return Err(self.given_up("no other target")),
         };
-        self.trace.chose(&choice);
+        self.make_room(&choice);
+        Ok(choice)
+    }
+
+    /// Cuts the item whose place the request takes, if there is one.
+    fn make_room(&mut self, choice: &Choice) {
+        self.trace.chose(choice);
         match &choice.room {
             Room::CutOwn => {
                 self.ctx.items.cut_one(&choice.target);
@@ -240,7 +299,6 @@
             Room::CutPeer(host) => self.ctx.peers.ask_cut(host, key_of(&choice.target)),
             Room::Free | Room::Queue => {}
         }
-        Ok(choice)
     }
 
     /// Returns the time to the first event that is still to be met, for a
@@ -264,8 +322,12 @@
         }
     }
 
-    async fn offer(&self, choice: &Choice, resume_after: Option<u64>) -> Result<Begun, NoReply> {
-        let running = Running::begin(&self.ctx, &choice.target, Class::Online);
+    async fn offer(
+        &self,
+        choice: &Choice,
+        running: Running,
+        resume_after: Option<u64>,
+    ) -> Result<Begun, NoReply> {
         let sent = Instant::now();
         let call = Call {
             forward: Arc::clone(&self.forward),
--- a/crates/gateway/src/online/trace.rs
+++ b/crates/gateway/src/online/trace.rs
@@ -134,6 +134,12 @@
             "fingerprint" => fingerprint::text(fingerprint));
     }
 
+    /// Returns when the request arrived; now if all was told.
+    pub(super) fn arrived(&self) -> Instant {
+        let told = self.told.as_ref();
+        told.map_or_else(Instant::now, |told| told.arrived)
+    }
+
     /// Returns the time since the request arrived.
     pub(super) fn age(&self) -> Duration {
         let arrived = self.told.as_ref().map(|told| told.arrived);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -19,6 +19,8 @@
 mod status;
 pub(crate) mod suspects;
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -36,11 +38,13 @@
 use notchwharf_listen::Phase;
 use notchwharf_proto::news;
 use notchwharf_proto::news::Cut;
+use notchwharf_proto::news::Hand;
 use notchwharf_proto::news::News;
 use notchwharf_proto::news::Status;
 use notchwharf_quota::HostKey;
 use notchwharf_quota::host_key;
 use notchwharf_routing::places::HostId;
+use notchwharf_routing::places::Load;
 use notchwharf_routing::places::TargetKey;
 use rand::seq::IndexedRandom as _;
 use tokio::net::TcpListener;
@@ -73,7 +77,9 @@
 #[derive(Debug)]
 pub(crate) struct Peers {
     known: Mutex<HashMap<HostId, Peer>>,
-    dirty: Notify,
+    dirty: Arc<Notify>,
+    /// What hosts elsewhere were last told that this one runs at their targets.
+    told_elsewhere: Mutex<BTreeMap<DataCentreId, Vec<(TargetKey, Load)>>>,
     pulled_at: Mutex<Option<Instant>>,
     /// When a peer was last lost or said that it leaves.
     lost_at: Mutex<Option<Instant>>,
@@ -143,7 +149,8 @@
         let cell_hosts_max = usize::try_from(settings.cell_hosts_max).unwrap_or(usize::MAX);
         Self {
             known: Mutex::default(),
-            dirty: Notify::default(),
+            dirty: Arc::default(),
+            told_elsewhere: Mutex::default(),
             pulled_at: Mutex::default(),
             lost_at: Mutex::default(),
             socket: OnceLock::new(),
@@ -168,6 +175,11 @@
         listed.count()
     }
 
+    /// Returns what lets peers know soon that something has changed.
+    pub(crate) fn dirty(&self) -> Arc<Notify> {
+        Arc::clone(&self.dirty)
+    }
+
     /// Lets peers know soon that something has changed.
     pub(crate) fn tell(&self) {
         self.dirty.notify_one();
@@ -210,6 +222,25 @@
         }
     }
 
+    /// Returns the addresses of the hosts of some data centres that live.
+    fn alive_in(&self, data_centres: &BTreeSet<&DataCentreId>) -> Vec<SocketAddr> {
+        let known = lock(&self.known);
+        let alive = known.values().filter(|peer| {
+            let data_centre = peer.data_centre.as_ref();
+            peer.is_alive && data_centre.is_some_and(|at| data_centres.contains(at))
+        });
+        alive.map(|peer| peer.addr).collect()
+    }
+
+    /// Hands a place that has fallen free to a request that waits at a peer.
+    pub(crate) fn hand(&self, host: &str, target: TargetKey) {
+        let addr = lock(&self.known).get(host).map(|p| p.addr);
+        if let Some(addr) = addr {
+            // Lost, all see soon that the place is free.
+            self.send_to(addr, &News::Hand(Hand { target }));
+        }
+    }
+
     /// Returns the hosts that can run jobs' items, without this one: they are
     /// alive, stay, and reach the store.
     fn able(&self) -> Vec<HostId> {
@@ -322,6 +353,15 @@
     tokio::spawn(rpc::serve(Arc::clone(ctx), listener));
 }
 
+/// Returns the number of hosts that tell one another at each change, with this one.
+fn near_hosts(ctx: &Context) -> u32 {
+    let known = lock(&ctx.peers.known);
+    let near = known
+        .values()
+        .filter(|peer| peer.is_alive && relay::is_near(ctx, peer));
+    u32::try_from(near.count() + 1).unwrap_or(u32::MAX)
+}
+
 /// Notes peers that have fallen silent.
 async fn sweep(ctx: Arc<Context>) {
     let down = ms(ctx.settings.peers.down_ms);
@@ -342,8 +382,10 @@
             *lock(&ctx.peers.lost_at) = Some(Instant::now());
             lock(&ctx.places).peer_down(&host);
             ctx.items.peer_down(&host);
+            ctx.waiting.peer_down(&host);
             ctx.items.wake();
         }
         list::mark_silent(&ctx);
+        ctx.waiting.set_hosts(near_hosts(&ctx));
     }
 }
--- a/crates/gateway/src/peers/status.rs
+++ b/crates/gateway/src/peers/status.rs
@@ -1,9 +1,11 @@
 //! What hosts tell one another by datagram.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Instant;
 
+use notchwharf_config::DataCentreId;
 use notchwharf_listen::Phase;
 use notchwharf_proto::news;
 use notchwharf_proto::news::Cut;
@@ -98,9 +100,11 @@
 /// Tells peers how this host is; returns how those far away were told, if they
 /// were.
 fn tell(ctx: &Context, number: u64, due: Due, socket: &UdpSocket) -> Option<Pace> {
-    let receivers = receivers(ctx, due);
+    let mut receivers = receivers(ctx, due);
+    receivers.addrs.extend(changed_elsewhere(ctx, due));
     if !receivers.addrs.is_empty() {
-        let bytes = news::encode(&News::Status(own_status(ctx, number)));
+        let contention = ctx.waiting.told(Instant::now());
+        let bytes = news::encode_contended(own_status(ctx, number), contention.as_ref());
         for addr in receivers.addrs {
             // Lost, the next one makes up for it.
             let _ = socket.try_send_to(&bytes, addr);
@@ -110,6 +114,24 @@
     receivers.pace
 }
 
+/// Returns the hosts of data centres at whose targets this host now runs something else
+/// than it last told them. Those whose places are shared by an order know of no others'
+/// requests there but by this: passed on, the news comes too late.
+fn changed_elsewhere(ctx: &Context, due: Due) -> Vec<SocketAddr> {
+    if !due.near || !ctx.waiting.is_on() {
+        return Vec::new();
+    }
+    let now = lock(&ctx.places).own_elsewhere(&ctx.settings.host.data_centre);
+    let mut told = lock(&ctx.peers.told_elsewhere);
+    let all = now.keys().chain(told.keys());
+    let changed: BTreeSet<&DataCentreId> = all
+        .filter(|data_centre| now.get(*data_centre) != told.get(*data_centre))
+        .collect();
+    let addrs = ctx.peers.alive_in(&changed);
+    *told = now;
+    addrs
+}
+
 pub(super) async fn receive(ctx: Arc<Context>) {
     let Some(socket) = ctx.peers.socket.get() else {
         return;
@@ -133,18 +155,21 @@
 
 /// Takes in a datagram.
 fn take(ctx: &Arc<Context>, addr: SocketAddr, bytes: &[u8]) {
-    match news::decode(bytes) {
-        Some(News::Status(status)) => take_status(ctx, Some(addr), status),
-        Some(News::PassedOn(news)) => {
+    let Some((news, contention)) = news::decode_contended(bytes) else {
+        return ctx.metrics.count(Counted::Datagrams, "unreadable");
+    };
+    match news {
+        News::Status(status) => take_status(ctx, Some(addr), status, contention),
+        News::PassedOn(news) => {
             for status in news {
-                take_status(ctx, None, status);
+                take_status(ctx, None, status, None);
             }
         }
-        Some(News::Cut(cut)) => take_cut(ctx, cut),
-        Some(News::Cell(told)) => cell::take(ctx, addr, told),
-        Some(News::Suspects(told)) => suspects::take(ctx, &told),
-        Some(News::Limits(told)) => limits::take(ctx, addr, &told),
-        None => ctx.metrics.count(Counted::Datagrams, "unreadable"),
+        News::Cut(cut) => take_cut(ctx, cut),
+        News::Cell(told) => cell::take(ctx, addr, told),
+        News::Suspects(told) => suspects::take(ctx, &told),
+        News::Hand(hand) => ctx.waiting.handed(hand.target),
+        News::Limits(told) => limits::take(ctx, addr, &told),
     }
 }
 
@@ -156,7 +181,12 @@
 }
 
 /// Takes in how a host is, from its own address or passed on by another.
-fn take_status(ctx: &Arc<Context>, addr: Option<SocketAddr>, status: Status) {
+fn take_status(
+    ctx: &Arc<Context>,
+    addr: Option<SocketAddr>,
+    status: Status,
+    contention: Option<news::Contention>,
+) {
     let host = status.host.clone();
     // One of another cell divides the fleet differently for a moment.
     if host == ctx.host() || !is_of_cell(ctx, &host) {
@@ -186,6 +216,12 @@
     if waits || runs {
         ctx.items.wake();
     }
+    if addr.is_some() {
+        take_contention(ctx, &host, &heard, contention);
+    }
+    if runs {
+        ctx.waiting.wake();
+    }
     if heard.is_new {
         slog::info!(ctx.logger, "host up"; "peer" => host.as_str(),
             "incarnation" => incarnation, "addr" => heard.addr.to_string(),
@@ -199,6 +235,18 @@
     }
 }
 
+/// Takes in what waits at a host. Those elsewhere tell too seldom for an order of requests.
+fn take_contention(ctx: &Context, host: &str, heard: &Heard, contention: Option<news::Contention>) {
+    let now = Instant::now();
+    if heard.is_near {
+        return ctx.waiting.peer_tells(host, contention, now);
+    }
+    let is_short = contention.is_some_and(|told| !told.waiting.is_empty());
+    if let (true, Some(data_centre)) = (is_short, &heard.data_centre) {
+        ctx.waiting.is_short(data_centre, now);
+    }
+}
+
 /// Returns whether a host is of this one's cell, as far as the list tells.
 fn is_of_cell(ctx: &Context, host: &str) -> bool {
     let cells = ctx.peers.neighbours.cells();
@@ -233,6 +281,8 @@
     is_new: bool,
     /// Whether it stands in this host's data centre.
     is_near: bool,
+    /// Where it stands, if that is known.
+    data_centre: Option<DataCentreId>,
     /// Whether it has been ahead of this host for long enough to be asked.
     is_pull_due: bool,
 }
@@ -283,6 +333,7 @@
         is_new: !std::mem::replace(&mut peer.is_alive, true) || is_other_start,
         addr: peer.addr,
         is_near: relay::is_near(ctx, peer),
+        data_centre: peer.data_centre.clone(),
         is_pull_due: is_ahead && (is_long || !ctx.store.is_up()),
     })
 }
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -3,10 +3,13 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use notchwharf_config::access::WorkspaceName;
 use notchwharf_routing::places::TargetId;
+use notchwharf_routing::places::key_of;
 
 use crate::context::Context;
 use crate::sync::lock;
+use crate::waiting::Place;
 
 /// The kind of work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,6 +26,8 @@
     ctx: Arc<Context>,
     target: TargetId,
     class: Class,
+    /// Whose place it is, where workspaces share places.
+    workspace: Option<WorkspaceName>,
 }
 
 impl Running {
@@ -39,6 +44,26 @@
             ctx: Arc::clone(ctx),
             target: target.clone(),
             class,
+            workspace: None,
+        }
+    }
+
+    /// Returns an online request at a place that was found for it, and counted.
+    pub(crate) fn at(
+        ctx: &Arc<Context>,
+        place: Place,
+        workspace: Option<&str>,
+        weight: f64,
+    ) -> Self {
+        if let Some(workspace) = workspace {
+            ctx.waiting.begin(workspace, weight);
+        }
+        ctx.peers.tell();
+        Self {
+            ctx: Arc::clone(ctx),
+            target: place.take(),
+            class: Class::Online,
+            workspace: workspace.map(str::to_owned),
         }
     }
 
@@ -56,7 +81,14 @@
                 Class::Batch => places.end_batch(&self.target),
             }
         }
+        if let Some(workspace) = &self.workspace {
+            self.ctx.waiting.end(workspace);
+        }
+        if let Some(host) = self.ctx.waiting.freed(&self.target) {
+            self.ctx.peers.hand(&host, key_of(&self.target));
+        }
         self.ctx.peers.tell();
         self.ctx.items.wake();
+        self.ctx.waiting.wake();
     }
 }
--- /dev/null
+++ b/crates/gateway/src/waiting.rs
@@ -0,0 +1,594 @@
+//! Online requests that wait at this host for a place, see [`notchwharf_waiting`].
+//!
+//! A request enters the line, and is told by a channel when a place is counted as its own
+//! or when it is refused. One task looks at the line whenever a place may have fallen free,
+//! here or by what a peer tells, so that no two requests see the same place. Letting each
+//! request look for itself was rejected: all would wake for one place.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use notchwharf_config::DataCentreId;
+use notchwharf_config::access::WorkspaceName;
+use notchwharf_config::routes::ServiceName;
+use notchwharf_listen::Phase;
+use notchwharf_proto::news;
+use notchwharf_routing::items::turn::Ahead;
+use notchwharf_routing::places::Choice;
+use notchwharf_routing::places::HostId;
+use notchwharf_routing::places::Places;
+use notchwharf_routing::places::TargetId;
+use notchwharf_routing::places::TargetKey;
+use notchwharf_routing::places::Want;
+use notchwharf_routing::places::key_of;
+use notchwharf_waiting::Begin;
+use notchwharf_waiting::Expected;
+use notchwharf_waiting::First;
+use notchwharf_waiting::Held;
+use notchwharf_waiting::Line;
+use notchwharf_waiting::Next;
+use notchwharf_waiting::Open;
+use notchwharf_waiting::Request;
+use notchwharf_waiting::ServiceKey;
+use notchwharf_waiting::Shares;
+use notchwharf_waiting::Ticket;
+use notchwharf_waiting::Told;
+use notchwharf_waiting::Turns;
+use notchwharf_waiting::key;
+use tokio::sync::Notify;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
+use crate::RequestId;
+use crate::metrics::Counted;
+use crate::metrics::Metrics;
+use crate::sync::lock;
+use crate::time::millis;
+use crate::time::ms;
+
+/// Time between two looks at the line without news: a place that was left to others may be
+/// taken after it, and whoever cannot begin in time any more is refused within it.
+const TICK: Duration = Duration::from_millis(4);
+
+/// Time for which places elsewhere are left to the requests that wait there, after a host
+/// there has told of them: some of its hosts tell this one several times within it.
+const SHORT: Duration = Duration::from_millis(300);
+
+/// Thousandths in one.
+const MILLI: f64 = 1_000.0;
+
+/// What the line takes of its host.
+pub(crate) struct Uses {
+    pub(crate) places: Arc<Mutex<Places>>,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) logger: slog::Logger,
+    pub(crate) data_centre: String,
+    /// Told that peers should know soon of a change.
+    pub(crate) changed: Arc<Notify>,
+}
+
+/// Online requests that wait at this host.
+pub(crate) struct Waiting {
+    uses: Uses,
+    state: Mutex<State>,
+    /// How many wait; what wakes the line asks this first.
+    count: AtomicUsize,
+    wake: Notify,
+    /// Hosts that share the places near by.
+    hosts: AtomicU32,
+    /// Whether requests wait at hosts, as far as one has come.
+    is_on: AtomicBool,
+}
+
+#[derive(Default)]
+struct State {
+    line: Line,
+    shares: Shares,
+    turns: Turns,
+    /// When a host of another data centre last told that requests wait there.
+    short_at: HashMap<DataCentreId, Instant>,
+    entries: HashMap<Ticket, Entry>,
+}
+
+impl State {
+    /// Returns whether requests wait at targets elsewhere, as far as told.
+    fn is_short(&self, data_centre: &str, now: Instant) -> bool {
+        let at = self.short_at.get(data_centre);
+        at.is_some_and(|at| now.saturating_duration_since(*at) < SHORT)
+    }
+}
+
+struct Entry {
+    wanted: Wanted,
+    outcome: oneshot::Sender<Result<Place, Refused>>,
+}
+
+/// What a request waits for, and what its place in the line follows from.
+#[derive(Clone, Debug)]
+pub(crate) struct Wanted {
+    pub(crate) id: RequestId,
+    pub(crate) service: ServiceName,
+    pub(crate) affinity: u64,
+    /// Targets that it was offered to before.
+    pub(crate) tried: Vec<TargetId>,
+    pub(crate) workspace: Option<WorkspaceName>,
+    pub(crate) standing: Standing,
+    /// When it came.
+    pub(crate) since: Instant,
+    /// Until when its first event is in time.
+    pub(crate) due: Instant,
+}
+
+/// What a request's place in the line follows from, beside its age.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Standing {
+    /// How urgent it is; 0 is the most urgent.
+    pub(crate) priority: u8,
+    /// What its workspace may hold against others.
+    pub(crate) weight: f64,
+}
+
+impl Wanted {
+    fn want<'a>(&'a self, data_centre: &'a str) -> Want<'a> {
+        Want {
+            service: &self.service,
+            data_centre,
+            affinity: self.affinity,
+            tried: &self.tried,
+            objective: None,
+            ahead: Ahead::default(),
+        }
+    }
+}
+
+/// Why a request was not given a place; nothing was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Refused {
+    /// There is no target that it was not offered to.
+    NoTarget,
+    /// No place falls free in time.
+    NoRoom {
+        /// When to come back.
+        retry_after: Duration,
+    },
+}
+
+/// A place at a target, counted for a request that is about to be sent there; dropped
+/// before, it is free again.
+#[derive(Debug)]
+pub(crate) struct Place {
+    pub(crate) choice: Choice,
+    places: Arc<Mutex<Places>>,
+    changed: Arc<Notify>,
+    is_taken: bool,
+}
+
+impl Place {
+    /// Leaves the count to whoever takes the place.
+    pub(crate) fn take(mut self) -> TargetId {
+        self.is_taken = true;
+        self.choice.target.clone()
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        if !self.is_taken {
+            lock(&self.places).end_online(&self.choice.target);
+            self.changed.notify_one();
+        }
+    }
+}
+
+/// Takes a request out of the line when its caller leaves.
+struct Leave<'a> {
+    waiting: &'a Waiting,
+    ticket: Ticket,
+}
+
+impl Drop for Leave<'_> {
+    fn drop(&mut self) {
+        let left = self
+            .waiting
+            .take_out(&mut lock(&self.waiting.state), self.ticket);
+        // Not before the line is free again: a place that nobody took is counted off.
+        drop(left);
+    }
+}
+
+impl Waiting {
+    pub(crate) fn new(uses: Uses) -> Self {
+        Self {
+            uses,
+            state: Mutex::default(),
+            count: AtomicUsize::new(0),
+            wake: Notify::new(),
+            hosts: AtomicU32::new(1),
+            is_on: AtomicBool::new(false),
+        }
+    }
+
+    /// Finds a place for a request, at once or when its turn has come.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is none in time.
+    pub(crate) async fn find(&self, wanted: Wanted) -> Result<Place, Refused> {
+        self.is_on.store(true, Ordering::Relaxed);
+        let service = key(&wanted.service);
+        let (outcome, decided) = oneshot::channel();
+        let ticket = {
+            let now = Instant::now();
+            let mut state = lock(&self.state);
+            let ticket = self.enter(&mut state, wanted, outcome, now)?;
+            self.serve(&mut state, service, now);
+            self.refuse_late(&mut state, service, now);
+            ticket
+        };
+        let leave = Leave {
+            waiting: self,
+            ticket,
+        };
+        if !lock(&self.state).entries.contains_key(&ticket) {
+            // Decided at once, so it never stood in the line.
+            return decided.await.unwrap_or(Err(Refused::NoTarget));
+        }
+        self.uses.metrics.count(Counted::Line, "waits");
+        self.uses.changed.notify_one();
+        // From now on the line is looked at in time.
+        self.wake.notify_one();
+        let decided = decided.await;
+        drop(leave);
+        // The line drops nobody without a word but with itself.
+        decided.unwrap_or(Err(Refused::NoTarget))
+    }
+
+    /// Returns whether requests wait at hosts, as far as one has come here.
+    pub(crate) fn is_on(&self) -> bool {
+        self.is_on.load(Ordering::Relaxed)
+    }
+
+    fn enter(
+        &self,
+        state: &mut State,
+        wanted: Wanted,
+        outcome: oneshot::Sender<Result<Place, Refused>>,
+        now: Instant,
+    ) -> Result<Ticket, Refused> {
+        let want = wanted.want(&self.uses.data_centre);
+        let places = lock(&self.uses.places);
+        if !places.has_untried(&want) {
+            return Err(Refused::NoTarget);
+        }
+        let pace = places.drain(&want, now).pace;
+        drop(places);
+        let request = Request {
+            service: key(&wanted.service),
+            workspace: wanted.workspace.as_deref().map_or(0, key),
+            priority: wanted.standing.priority,
+            since: wanted.since,
+            latest: wanted.due.checked_sub(pace).unwrap_or(now),
+        };
+        let ticket = state.line.enter(request, now);
+        state.entries.insert(ticket, Entry { wanted, outcome });
+        self.count.store(state.line.len(), Ordering::Relaxed);
+        Ok(ticket)
+    }
+
+    fn take_out(&self, state: &mut State, ticket: Ticket) -> Option<Entry> {
+        state.line.leave(ticket);
+        self.count.store(state.line.len(), Ordering::Relaxed);
+        state.entries.remove(&ticket)
+    }
+
+    /// Lets the host look at the line: a place may have fallen free.
+    pub(crate) fn wake(&self) {
+        if self.count.load(Ordering::Relaxed) > 0 {
+            self.wake.notify_one();
+        }
+    }
+
+    /// Gives places to requests for a service, as long as it is their turn.
+    fn serve(&self, state: &mut State, service: ServiceKey, now: Instant) {
+        while let Some(first) = state.line.first(service, &state.shares) {
+            let Some(entry) = state.entries.get(&first.ticket) else {
+                state.line.leave(first.ticket);
+                continue;
+            };
+            let want = entry.wanted.want(&self.uses.data_centre);
+            let mut places = lock(&self.uses.places);
+            let drain = places.drain(&want, now);
+            let open: Vec<Open> = drain.open.iter().copied().map(open).collect();
+            let per_s = drain.per_s.unwrap_or_default();
+            let begin = state.line.may_begin(&first, &open, per_s, now);
+            let spoken_for = |target, data_centre: &str| {
+                let is_short = state.is_short(data_centre, now);
+                if is_short {
+                    u32::MAX
+                } else {
+                    state.line.promised(target, now)
+                }
+            };
+            let choice = match begin {
+                Begin::Any => places.choose_free(&want, spoken_for, now),
+                Begin::At(target) => {
+                    let id = places.id_of(target);
+                    id.and_then(|id| places.choose_handed(&want, id, now))
+                }
+                // Elsewhere there may be more than enough.
+                Begin::Wait if drain.has_near => {
+                    let spoken_for = |target, data_centre: &str| {
+                        let is_near = data_centre == self.uses.data_centre;
+                        if is_near {
+                            u32::MAX
+                        } else {
+                            spoken_for(target, data_centre)
+                        }
+                    };
+                    places.choose_free(&want, spoken_for, now)
+                }
+                Begin::Wait => None,
+            };
+            let Some(choice) = choice else {
+                return;
+            };
+            self.begin_at(state, first.ticket, choice, places, now);
+        }
+    }
+
+    fn begin_at(
+        &self,
+        state: &mut State,
+        ticket: Ticket,
+        choice: Choice,
+        mut places: MutexGuard<'_, Places>,
+        now: Instant,
+    ) {
+        places.begin_online(&choice.target, now);
+        drop(places);
+        let place = Place {
+            choice,
+            places: Arc::clone(&self.uses.places),
+            changed: Arc::clone(&self.uses.changed),
+            is_taken: false,
+        };
+        self.decide(state, ticket, Ok(place));
+    }
+
+    /// Lets a request that waits take a place that has just fallen free at a target; returns
+    /// the peer that is to be told if the request waits there.
+    pub(crate) fn freed(&self, target: &TargetId) -> Option<HostId> {
+        let now = Instant::now();
+        let mut state = lock(&self.state);
+        if !state.line.is_contended() {
+            return None;
+        }
+        let service = {
+            let places = lock(&self.uses.places);
+            if !places.may_hand(target, &self.uses.data_centre, now) {
+                return None;
+            }
+            key(&places.spec(target)?.service)
+        };
+        let State { line, shares, .. } = &mut *state;
+        match line.next(service, key_of(target), shares, now)? {
+            Next::Own(first) => {
+                self.hand_over(&mut state, first, target, now);
+                None
+            }
+            Next::Peer(host) => {
+                self.uses.metrics.count(Counted::Line, "handed to a peer");
+                Some(host)
+            }
+        }
+    }
+
+    /// Takes in that a peer hands a place over.
+    pub(crate) fn handed(&self, target: TargetKey) {
+        let now = Instant::now();
+        let mut state = lock(&self.state);
+        let (id, service) = {
+            let places = lock(&self.uses.places);
+            let Some(id) = places.id_of(target).cloned() else {
+                return;
+            };
+            let service = places.spec(&id).map(|spec| key(&spec.service));
+            (id, service.unwrap_or_default())
+        };
+        match state.line.first(service, &state.shares) {
+            Some(first) => self.hand_over(&mut state, first, &id, now),
+            // Served meanwhile: the place is seen to be free by all.
+            None => self.uses.metrics.count(Counted::Line, "handed in vain"),
+        }
+    }
+
+    fn hand_over(&self, state: &mut State, first: First, target: &TargetId, now: Instant) {
+        let Some(entry) = state.entries.get(&first.ticket) else {
+            return;
+        };
+        let want = entry.wanted.want(&self.uses.data_centre);
+        let places = lock(&self.uses.places);
+        if let Some(choice) = places.choose_handed(&want, target, now) {
+            self.begin_at(state, first.ticket, choice, places, now);
+        }
+    }
+
+    /// Refuses the requests for a service that cannot begin in time.
+    fn refuse_late(&self, state: &mut State, service: ServiceKey, now: Instant) {
+        let mut entries = state.entries.values();
+        let Some(entry) = entries.find(|entry| key(&entry.wanted.service) == service) else {
+            return;
+        };
+        let want = entry.wanted.want(&self.uses.data_centre);
+        let drain = lock(&self.uses.places).drain(&want, now);
+        // Nobody has seen a request end yet: then time alone tells.
+        let per_s = drain.per_s.unwrap_or(f64::INFINITY);
+        let expected = state.line.expect(service, per_s, &state.shares, now);
+        let hosts = self.hosts.load(Ordering::Relaxed);
+        for late in expected.into_iter().filter(|expected| expected.is_late) {
+            let retry_after = state.turns.next(late.wait, per_s, hosts, now);
+            self.tell_refused(state, late, per_s, retry_after, now);
+            self.decide(state, late.ticket, Err(Refused::NoRoom { retry_after }));
+        }
+    }
+
+    fn tell_refused(
+        &self,
+        state: &State,
+        late: Expected,
+        per_s: f64,
+        retry_after: Duration,
+        now: Instant,
+    ) {
+        let Some(Entry { wanted, .. }) = state.entries.get(&late.ticket) else {
+            return;
+        };
+        let workspace = wanted.workspace.as_deref();
+        let held = workspace.map(|name| state.shares.held(key(name)));
+        let level = workspace.map(|name| state.shares.level(key(name)));
+        slog::info!(self.uses.logger, "request refused, no room in time";
+            "id" => wanted.id.as_str(), "workspace" => workspace,
+            "priority" => wanted.standing.priority, "held" => held, "level" => level,
+            "weight" => wanted.standing.weight, "ahead" => late.ahead, "drain_per_s" => per_s,
+            "wait_ms" => millis(late.wait), "left_ms" => millis(wanted.due - now.min(wanted.due)),
+            "waited_ms" => millis(now.saturating_duration_since(wanted.since)),
+            "retry_after_ms" => millis(retry_after));
+    }
+
+    fn decide(&self, state: &mut State, ticket: Ticket, outcome: Result<Place, Refused>) {
+        let Some(entry) = self.take_out(state, ticket) else {
+            return;
+        };
+        let label = match outcome {
+            Ok(_) => "begins",
+            Err(_) => "refused",
+        };
+        self.uses.metrics.count(Counted::Line, label);
+        // Its caller has left; a place is free again as it is dropped.
+        let _ = entry.outcome.send(outcome);
+        self.uses.changed.notify_one();
+    }
+
+    /// Counts a place that a workspace's request takes here.
+    pub(crate) fn begin(&self, workspace: &str, weight: f64) {
+        lock(&self.state).shares.begin(key(workspace), weight);
+    }
+
+    /// Counts the end of a workspace's request here.
+    pub(crate) fn end(&self, workspace: &str) {
+        lock(&self.state).shares.end(key(workspace));
+    }
+
+    /// Returns what peers are to be told; nothing while nobody waits anywhere.
+    pub(crate) fn told(&self, now: Instant) -> Option<news::Contention> {
+        let state = lock(&self.state);
+        if !state.line.is_contended() {
+            return None;
+        }
+        let waiting = state.line.told(&state.shares, now);
+        let waiting = waiting.into_iter().map(|told| news::WaitingRequest {
+            service: told.service,
+            priority: told.priority,
+            level: told.level,
+            age_ms: millis(told.age),
+        });
+        let held = state.shares.told().into_iter().map(|held| news::Held {
+            workspace: held.workspace,
+            weight_milli: (held.weight * MILLI) as u64,
+            places: held.places,
+        });
+        Some(news::Contention {
+            waiting: waiting.collect(),
+            held: held.collect(),
+            handed: state.line.handed(now),
+        })
+    }
+
+    /// Takes in what waits at a peer near by, and what is held there.
+    pub(crate) fn peer_tells(&self, host: &str, told: Option<news::Contention>, now: Instant) {
+        let told = told.unwrap_or_default();
+        let waiting: Vec<Told> = told.waiting.iter().map(decode_waiting).collect();
+        let held = told.held.iter().map(decode_held).collect();
+        let mut state = lock(&self.state);
+        state.shares.tell(host, held);
+        if state.line.tell(host, &waiting, &told.handed, now) {
+            drop(state);
+            self.wake();
+        }
+    }
+
+    /// Takes in that requests wait at a host elsewhere.
+    pub(crate) fn is_short(&self, data_centre: &str, now: Instant) {
+        let mut state = lock(&self.state);
+        state.short_at.insert(data_centre.to_owned(), now);
+    }
+
+    /// Forgets a peer that is down.
+    pub(crate) fn peer_down(&self, host: &str) {
+        let mut state = lock(&self.state);
+        state.shares.forget(host);
+        state.line.forget(host);
+        drop(state);
+        self.wake();
+    }
+
+    /// Notes how many hosts share the places near by.
+    pub(crate) fn set_hosts(&self, hosts: u32) {
+        self.hosts.store(hosts.max(1), Ordering::Relaxed);
+    }
+
+    fn look(&self) {
+        let now = Instant::now();
+        let mut state = lock(&self.state);
+        for service in state.line.services() {
+            self.serve(&mut state, service, now);
+            self.refuse_late(&mut state, service, now);
+        }
+        let count = state.line.len();
+        drop(state);
+        self.uses.metrics.set("requests_waiting", count);
+    }
+}
+
+fn open((target, places): (TargetKey, u32)) -> Open {
+    Open { target, places }
+}
+
+fn decode_waiting(told: &news::WaitingRequest) -> Told {
+    Told {
+        service: told.service,
+        priority: told.priority,
+        level: told.level,
+        age: ms(told.age_ms),
+    }
+}
+
+fn decode_held(told: &news::Held) -> Held {
+    Held {
+        workspace: told.workspace,
+        weight: told.weight_milli as f64 / MILLI,
+        places: told.places,
+    }
+}
+
+/// Looks at the line until the host stops.
+pub(crate) async fn run(waiting: Arc<Waiting>, mut phase: watch::Receiver<Phase>) {
+    while *phase.borrow() != Phase::Stopped {
+        let is_idle = waiting.count.load(Ordering::Relaxed) == 0;
+        tokio::select! {
+            () = waiting.wake.notified() => {}
+            () = tokio::time::sleep(TICK), if !is_idle => {}
+            // Stopped, or with the host gone.
+            changed = phase.changed() => if changed.is_err() { return; },
+        }
+        waiting.look();
+    }
+}
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -66,6 +66,10 @@
 pub const RESUMABLE: &str = "/resumable/";
 /// A stream that may not.
 pub const ONCE: &str = "/once/";
+/// A stream whose first event callers hope for within a time.
+pub const TIMELY: &str = "/timely/";
+/// That time: many times what a busy machine takes.
+pub const OBJECTIVE: Duration = Duration::from_secs(3);
 /// Jobs.
 pub const JOBS: &str = "/jobs/";
 /// Tokens that may wait on the route of jobs.
@@ -206,7 +210,12 @@
 
     /// Sends a request with a key and returns its whole answer.
     pub async fn ask_as(&self, key: &str, id: &str) -> Result<Whole, Failure> {
-        let mut req = request(ONCE, id);
+        self.ask_at(ONCE, key, id).await
+    }
+
+    /// Sends a request with a key to a route and returns its whole answer.
+    pub async fn ask_at(&self, path: &str, key: &str, id: &str) -> Result<Whole, Failure> {
+        let mut req = request(path, id);
         let value = format!("Key {key}").parse().unwrap();
         req.forward.headers.insert(KEY, value);
         self.send(req).await
@@ -346,8 +355,13 @@
                 return Err(Unreadable { detail });
             }
         };
-        let mut routes = vec![stream(RESUMABLE, true), stream(ONCE, false)];
+        let mut routes = vec![
+            stream(RESUMABLE, true),
+            stream(ONCE, false),
+            stream(TIMELY, true),
+        ];
         routes[1].timeout = ONCE_TIMEOUT;
+        routes[2].objective = OBJECTIVE;
         if with_jobs == "true" {
             routes.push(jobs());
         }
--- a/crates/proto/src/news.rs
+++ b/crates/proto/src/news.rs
@@ -34,6 +34,15 @@
     Suspects(Suspects),
     /// A word about limits of workspaces.
     Limits(Limits),
+    /// A place that has fallen free is for a request that waits at the receiver.
+    Hand(Hand),
+}
+
+/// A place that has fallen free.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hand {
+    /// The short form of the target's name.
+    pub target: u32,
 }
 
 /// A word of a host about limits of workspaces.
@@ -145,6 +154,43 @@
     pub items: u32,
 }
 
+/// What online requests wait for at a host, and what they hold there: told behind a
+/// [`Status`] while something waits.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Contention {
+    /// The host's first requests that wait.
+    pub waiting: Vec<WaitingRequest>,
+    /// Places that workspaces hold there, those with most.
+    pub held: Vec<Held>,
+    /// The short forms of the names of targets of which it has just handed places to
+    /// requests elsewhere.
+    pub handed: Vec<u32>,
+}
+
+/// An online request that waits at a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WaitingRequest {
+    /// The short form of its service's name.
+    pub service: u32,
+    /// How urgent it is; 0 is the most urgent.
+    pub priority: u8,
+    /// How far its workspace exceeds its part of the places.
+    pub level: u8,
+    /// For how long it has waited.
+    pub age_ms: u64,
+}
+
+/// Places that a workspace holds at a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Held {
+    /// The short form of the workspace's name.
+    pub workspace: u32,
+    /// What it may hold against others, in thousandths.
+    pub weight_milli: u64,
+    /// How many.
+    pub places: u32,
+}
+
 /// An online request needs the place of an item.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Cut {
@@ -161,6 +207,20 @@
     postcard::to_stdvec(news).expect("News is always representable.")
 }
 
+/// Encodes a status with what waits at the host, if anything does. It stands behind the
+/// status, where hosts of earlier versions do not look.
+///
+/// # Panics
+///
+/// Never: the types hold nothing that the codec cannot represent.
+pub fn encode_contended(status: Status, contention: Option<&Contention>) -> Vec<u8> {
+    let bytes = encode(&News::Status(status));
+    let Some(contention) = contention else {
+        return bytes;
+    };
+    postcard::to_extend(contention, bytes).expect("Contention is always representable.")
+}
+
 /// Returns what is to be told in parts that each fit a datagram, by the bytes that each
 /// piece takes.
 pub fn parts<T>(pieces: impl Iterator<Item = T>, bytes_of: impl Fn(&T) -> usize) -> Vec<Vec<T>> {
@@ -192,5 +252,13 @@
 
 /// Decodes a datagram; returns nothing for anything else.
 pub fn decode(bytes: &[u8]) -> Option<News> {
-    postcard::from_bytes(bytes).ok()
+    decode_contended(bytes).map(|(news, _)| news)
+}
+
+/// Decodes a datagram, with what waits at the host that sent it if it tells. What stands
+/// behind the news and cannot be read was written by another version.
+pub fn decode_contended(bytes: &[u8]) -> Option<(News, Option<Contention>)> {
+    let (news, rest) = postcard::take_from_bytes(bytes).ok()?;
+    let contention = (!rest.is_empty()).then(|| postcard::from_bytes(rest).ok());
+    Some((news, contention.flatten()))
 }
--- a/crates/routing/src/places.rs
+++ b/crates/routing/src/places.rs
@@ -28,6 +28,7 @@
 
 mod choice;
 mod counts;
+mod free;
 mod health;
 
 use std::collections::HashMap;
@@ -44,6 +45,7 @@
 
 pub use self::counts::Load;
 use self::counts::Peer;
+pub use self::free::Drain;
 use self::health::Health;
 
 /// The name of a target's incarnation.
--- a/crates/routing/src/places/choice.rs
+++ b/crates/routing/src/places/choice.rs
@@ -64,10 +64,7 @@
     ///
     /// Returns a refusal if no target is to be asked.
     pub fn choose_online(&mut self, want: &Want<'_>, now: Instant) -> Result<Choice, Refusal> {
-        let usual = Usual {
-            pace: self.usual_pace(want.service),
-            duration_s: self.durations_s.get(want.service).copied(),
-        };
+        let usual = self.usual(want.service);
         let all = self.are_most_ejected(want.service, now);
         let best = self
             .best(want, now, all, |t| online_cost(t, want, usual, self.cfg))
@@ -155,7 +152,7 @@
         is_more.then_some(most.1)
     }
 
-    fn room(&self, target: &Target) -> Room {
+    pub(super) fn room(&self, target: &Target) -> Room {
         if target.free() > 0 {
             return Room::Free;
         }
@@ -168,7 +165,7 @@
         }
     }
 
-    fn best(
+    pub(super) fn best(
         &self,
         want: &Want<'_>,
         now: Instant,
@@ -184,7 +181,7 @@
 
     /// Returns a service's targets that get something new, without those that
     /// are left alone unless these are to be asked too.
-    fn targets_of(
+    pub(super) fn targets_of(
         &self,
         service: &str,
         with_ejected: bool,
@@ -197,7 +194,7 @@
 
     /// Returns whether so many targets of a service are left alone that the
     /// fault is more likely not theirs.
-    fn are_most_ejected(&self, service: &str, now: Instant) -> bool {
+    pub(super) fn are_most_ejected(&self, service: &str, now: Instant) -> bool {
         let (mut all, mut ejected) = (0, 0);
         for (_, target) in self.targets_of(service, true, now) {
             all += 1;
@@ -207,7 +204,7 @@
     }
 
     /// Returns the usual time to a first event at a service's targets.
-    fn usual_pace(&self, service: &str) -> Option<Duration> {
+    pub(super) fn usual_pace(&self, service: &str) -> Option<Duration> {
         let of_service = self.targets.values().filter(|t| t.spec.service == service);
         let mut paces: Vec<Duration> = of_service.filter_map(|t| t.health.pace()).collect();
         let middle = paces.len() / 2;
@@ -243,11 +240,11 @@
 
 /// What is usual at the targets of a service.
 #[derive(Clone, Copy, Debug)]
-struct Usual {
+pub(super) struct Usual {
     /// Time to a first event.
-    pace: Option<Duration>,
+    pub(super) pace: Option<Duration>,
     /// Time of a whole online request, in seconds.
-    duration_s: Option<f64>,
+    pub(super) duration_s: Option<f64>,
 }
 
 impl Usual {
@@ -266,7 +263,12 @@
     }
 }
 
-fn online_cost(target: &Target, want: &Want<'_>, usual: Usual, cfg: Config) -> Option<f64> {
+pub(super) fn online_cost(
+    target: &Target,
+    want: &Want<'_>,
+    usual: Usual,
+    cfg: Config,
+) -> Option<f64> {
     let load = target.load();
     let slots = target.spec.slots;
     if load.online >= slots * (1 + cfg.queue_per_slot) {
@@ -294,7 +296,7 @@
     Some(cost)
 }
 
-fn is_remote(target: &Target, want: &Want<'_>) -> bool {
+pub(super) fn is_remote(target: &Target, want: &Want<'_>) -> bool {
     target.spec.data_centre != want.data_centre
 }
 
--- /dev/null
+++ b/crates/routing/src/places/free.rs
@@ -0,0 +1,159 @@
+//! Places that a host may take as free, and how soon others fall free.
+//!
+//! What runs at targets near by is known within milliseconds. What runs elsewhere is up to
+//! some tenths of a second old, and a place that was free then has mostly been taken when
+//! all places are short: a request that is sent there waits in the target's queue, behind
+//! those of the hosts near it. So a target elsewhere has room only beyond the places that
+//! are likely to have been taken since. In a load that filled nearly all places, three in
+//! five of the requests that came late had been sent to targets elsewhere by such news.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use super::Choice;
+use super::Load;
+use super::Places;
+use super::Room;
+use super::TargetId;
+use super::TargetKey;
+use super::Want;
+use super::choice::Usual;
+use super::choice::is_remote;
+use super::choice::online_cost;
+
+/// Part of a target's places that may have been taken since the news of it, if it stands
+/// elsewhere: a request runs for some half a second or more, and news is a tenth or two
+/// old.
+const DOUBT_PART: u32 = 4;
+
+/// What a request that waits for a place can count on.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Drain {
+    /// Targets near by, or all if none is near, at which online requests have not taken all
+    /// places, with the number of these.
+    pub open: Vec<(TargetKey, u32)>,
+    /// Places near by that fall free in a second when all are taken; nothing if nobody
+    /// knows how long requests take.
+    pub per_s: Option<f64>,
+    /// Usual time to a first event once a request has begun.
+    pub pace: Duration,
+    /// Whether there are targets in the host's own data centre.
+    pub has_near: bool,
+}
+
+impl Places {
+    /// Chooses a target for an online request at which a place is free for certain, or is
+    /// an item's; nothing if there is none. `spoken_for` says how many places of a target,
+    /// by its data centre, are for other requests.
+    pub fn choose_free(
+        &mut self,
+        want: &Want<'_>,
+        spoken_for: impl Fn(TargetKey, &str) -> u32,
+        now: Instant,
+    ) -> Option<Choice> {
+        let usual = self.usual(want.service);
+        let all = self.are_most_ejected(want.service, now);
+        let has_near = self.has_near(want, all, now);
+        let id = self.best(want, now, all, |t| {
+            let is_far = has_near && is_remote(t, want);
+            let doubt = if is_far { t.spec.slots / DOUBT_PART } else { 0 };
+            let others = spoken_for(t.key, &t.spec.data_centre).saturating_add(doubt);
+            let has_room = t.load().online.saturating_add(others) < t.spec.slots;
+            has_room.then(|| online_cost(t, want, usual, self.cfg))?
+        });
+        let id = id?.clone();
+        let target = &self.targets[&id];
+        Some(Choice {
+            addr: target.spec.addr,
+            room: self.room(target),
+            target: id,
+        })
+    }
+
+    /// Returns the choice of a place that was handed to a request; nothing if that target is
+    /// not for it.
+    pub fn choose_handed(&self, want: &Want<'_>, id: &TargetId, now: Instant) -> Option<Choice> {
+        let target = self.targets.get(id)?;
+        let is_for_it = target.spec.service == want.service && !want.tried.contains(id);
+        if !is_for_it || target.spec.leaving || target.is_ejected(now) {
+            return None;
+        }
+        let room = match self.room(target) {
+            // The host that hands it over has not told yet that its request has ended.
+            Room::Queue => Room::Free,
+            room => room,
+        };
+        Some(Choice {
+            addr: target.spec.addr,
+            room,
+            target: id.clone(),
+        })
+    }
+
+    /// Returns whether a place of a target may be handed to a request that waits: one is
+    /// free of online requests.
+    pub fn may_hand(&self, id: &str, data_centre: &str, now: Instant) -> bool {
+        let target = self.targets.get(id);
+        target.is_some_and(|t| {
+            let is_near = t.spec.data_centre == data_centre;
+            is_near && !t.spec.leaving && !t.is_ejected(now) && t.load().online < t.spec.slots
+        })
+    }
+
+    /// Returns what this host runs at targets elsewhere, by data centre.
+    pub fn own_elsewhere(&self, data_centre: &str) -> BTreeMap<String, Vec<(TargetKey, Load)>> {
+        let mut elsewhere: BTreeMap<String, Vec<(TargetKey, Load)>> = BTreeMap::new();
+        let targets = self.targets.values().filter(|t| t.own.total() > 0);
+        for target in targets.filter(|t| t.spec.data_centre != data_centre) {
+            let loads = elsewhere.entry(target.spec.data_centre.clone());
+            loads.or_default().push((target.key, target.own));
+        }
+        elsewhere
+    }
+
+    /// Returns whether a request could be sent anywhere that it was not sent before.
+    pub fn has_untried(&self, want: &Want<'_>) -> bool {
+        self.targets.iter().any(|(id, t)| {
+            t.spec.service == want.service && !t.spec.leaving && !want.tried.contains(id)
+        })
+    }
+
+    /// Returns what a request that waits for a place can count on.
+    pub fn drain(&self, want: &Want<'_>, now: Instant) -> Drain {
+        let all = self.are_most_ejected(want.service, now);
+        let has_near = self.has_near(want, all, now);
+        let mut open = Vec::new();
+        let mut slots = 0;
+        for (_, target) in self.targets_of(want.service, all, now) {
+            if has_near && is_remote(target, want) {
+                continue;
+            }
+            let free = target.spec.slots.saturating_sub(target.load().online);
+            if free > 0 {
+                open.push((target.key, free));
+            }
+            slots += target.spec.slots;
+        }
+        let usual = self.usual(want.service);
+        let duration_s = usual.duration_s.filter(|duration_s| *duration_s > 0.0);
+        Drain {
+            open,
+            per_s: duration_s.map(|duration_s| f64::from(slots) / duration_s),
+            pace: usual.pace.unwrap_or_default(),
+            has_near,
+        }
+    }
+
+    pub(super) fn usual(&self, service: &str) -> Usual {
+        Usual {
+            pace: self.usual_pace(service),
+            duration_s: self.durations_s.get(service).copied(),
+        }
+    }
+
+    fn has_near(&self, want: &Want<'_>, with_ejected: bool, now: Instant) -> bool {
+        let mut targets = self.targets_of(want.service, with_ejected, now);
+        targets.any(|(_, t)| !is_remote(t, want))
+    }
+}
--- /dev/null
+++ b/crates/waiting/src/lib.rs
@@ -0,0 +1,78 @@
+//! Online requests that wait at hosts for a place.
+//!
+//! A target takes requests in the order in which they come, and what waits there can go
+//! nowhere else. So a request waits at its host as long as no place is free, and begins
+//! at whichever target frees one first. All hosts of a data centre keep one [order]:
+//! by priority, then those whose workspaces exceed their part of the places after all others, then by age. A host whose request ends hands the place to whoever is
+//! first; whoever else sees a free place leaves it to as many requests of other hosts as
+//! come before its own.
+//!
+//! ```
+//! use std::time::{Duration, Instant};
+//! use notchwharf_waiting::{Begin, Line, Open, Request, Shares, key};
+//!
+//! let now = Instant::now();
+//! let (mut line, shares) = (Line::default(), Shares::default());
+//! let service = key("s");
+//! let request = Request {
+//!     service,
+//!     workspace: key("choir"),
+//!     priority: 0,
+//!     since: now,
+//!     latest: now + Duration::from_millis(200),
+//! };
+//! let ticket = line.enter(request, now);
+//! let first = line.first(service, &shares).unwrap();
+//! assert_eq!(first.ticket, ticket);
+//! let open = [Open { target: key("t1"), places: 8 }];
+//! assert_eq!(line.may_begin(&first, &open, 100.0, now), Begin::Any);
+//! ```
+//!
+//! What waits and what is held is told only while something waits, so in a calm hour it
+//! costs nothing.
+//!
+//! Weighed: one host by target that hands its places out (a message there and back before
+//! each request, a death in the path); a request in the lines of two targets (it must be
+//! withdrawn from one, which costs a connection); fair queueing by virtual time (it needs
+//! one clock of service over all hosts; places held are told anyway).
+//!
+//! Not ideal: the order holds among hosts that tell one another directly, those of a data
+//! centre. A request that excludes the only target with room holds up those behind it
+//! until it begins or is refused.
+//!
+//! [order]: Rank
+
+mod line;
+mod shares;
+mod turns;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+pub use self::line::Begin;
+pub use self::line::Expected;
+pub use self::line::First;
+pub use self::line::Line;
+pub use self::line::Next;
+pub use self::line::Open;
+pub use self::line::Rank;
+pub use self::line::Request;
+pub use self::line::Ticket;
+pub use self::line::Told;
+pub use self::shares::Held;
+pub use self::shares::Shares;
+pub use self::turns::Turns;
+
+/// The short form of a service's name.
+pub type ServiceKey = u32;
+/// The short form of a workspace's name.
+pub type WorkspaceKey = u32;
+/// The short form of a target's name.
+pub type TargetKey = u32;
+/// The name of a host.
+pub type HostId = String;
+
+/// Returns the short form of a service's or a workspace's name.
+pub fn key(name: &str) -> u32 {
+    // The low half is as good a hash as the whole.
+    xxh3_64(name.as_bytes()) as u32
+}
--- /dev/null
+++ b/crates/waiting/src/line.rs
@@ -0,0 +1,434 @@
+//! The line of one host, and what its peers tell of theirs.
+
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::HostId;
+use crate::ServiceKey;
+use crate::Shares;
+use crate::TargetKey;
+use crate::WorkspaceKey;
+
+/// Requests of which a host tells, its first ones. A host is rarely granted more places
+/// than that before it tells again.
+const TOLD_MAX: usize = 6;
+
+/// Time for which a place is left to requests of other hosts that come first: four times
+/// what news takes between hosts of a data centre. A host that does not take its turn, being
+/// slow or gone, holds nobody up for longer.
+const TURN: Duration = Duration::from_millis(8);
+
+/// Time within which a host that was handed a place tells what waits there now: the way
+/// there, two gaps between its words, and the way back.
+const TOLD_WITHIN: Duration = Duration::from_millis(6);
+
+/// Time after its coming within which a request is refused that is unlikely to begin in
+/// time: a caller that is to come back should know at once.
+const EARLY: Duration = Duration::from_millis(10);
+
+/// Times the expected wait that a request must have left when it comes: what drains is
+/// reckoned by requests that mostly ran while places were free, and full targets are slower.
+/// A request that waits in vain is kept from coming back in time.
+const MARGIN: f64 = 2.0;
+
+/// The same again for each level by which its workspace exceeds its part: others come
+/// meanwhile that go before it.
+const MARGIN_LEVEL: f64 = 2.0;
+
+/// Time after which a request that waits is known to those that wait near by, and they to
+/// it: two gaps between words, and the way.
+const SETTLED: Duration = Duration::from_millis(4);
+
+/// Free places beyond those that others may be taking at this moment.
+const SURE_MIN: f64 = 2.0;
+
+/// Stands for this host where others stand by their names.
+const OWN: HostId = HostId::new();
+
+/// The number of a request in its host's line.
+pub type Ticket = u64;
+
+/// A request that waits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// Its service; those of one wait for those places only.
+    pub service: ServiceKey,
+    /// Whose it is.
+    pub workspace: WorkspaceKey,
+    /// How urgent it is; 0 is the most urgent.
+    pub priority: u8,
+    /// Since when it waits.
+    pub since: Instant,
+    /// Until when it must begin to be served in time.
+    pub latest: Instant,
+}
+
+/// Where a request stands: less comes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    /// How urgent it is.
+    pub priority: u8,
+    /// How far its workspace exceeds its part of the places.
+    pub level: u8,
+    /// Since when it waits.
+    pub since: Instant,
+}
+
+/// A request that waits at another host, as that tells it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Told {
+    /// Its service.
+    pub service: ServiceKey,
+    /// How urgent it is.
+    pub priority: u8,
+    /// How far its workspace exceeds its part of the places.
+    pub level: u8,
+    /// For how long it has waited.
+    pub age: Duration,
+}
+
+/// The first request of a host's line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct First {
+    /// Its number.
+    pub ticket: Ticket,
+    /// The request.
+    pub request: Request,
+    /// Where it stands.
+    pub rank: Rank,
+    /// Since when it stands there.
+    pub entered: Instant,
+}
+
+/// A target at which places are free of online requests, as far as known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Open {
+    /// The target.
+    pub target: TargetKey,
+    /// How many places.
+    pub places: u32,
+}
+
+/// Whether a request may take one of the places that are free.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Begin {
+    /// It may, any.
+    Any,
+    /// It may take one at this target, which those before it have left.
+    At(TargetKey),
+    /// It waits.
+    Wait,
+}
+
+/// When a request is expected to begin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Expected {
+    /// Its number.
+    pub ticket: Ticket,
+    /// How many begin before it, over all hosts.
+    pub ahead: u32,
+    /// How long it still waits.
+    pub wait: Duration,
+    /// Whether it begins too late.
+    pub is_late: bool,
+}
+
+/// Who takes a place that has fallen free at this host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// This host's first request.
+    Own(First),
+    /// A request of a peer, which is to be told.
+    Peer(HostId),
+}
+
+#[derive(Clone, Debug, Default)]
+struct Peer {
+    waiting: Vec<(ServiceKey, Rank)>,
+    /// When places were handed to it, for services, that it may not have told of yet.
+    handed: Vec<(ServiceKey, Instant)>,
+}
+
+impl Peer {
+    fn handed(&self, service: ServiceKey, now: Instant) -> usize {
+        let handed = self.handed.iter();
+        let under_way = handed.filter(|(of, at)| *of == service && !is_over(*at, now));
+        under_way.count()
+    }
+}
+
+/// Requests that wait at a host, and what its peers told of theirs.
+#[derive(Clone, Debug, Default)]
+pub struct Line {
+    waiting: Vec<(Ticket, Request, Instant)>,
+    peers: HashMap<HostId, Peer>,
+    /// Since when places of a service's targets have been seen to be free.
+    open_since: HashMap<ServiceKey, HashMap<TargetKey, Instant>>,
+    /// When hosts handed places of targets to requests elsewhere: until these have told
+    /// that they took them, they look free.
+    promised: HashMap<(HostId, TargetKey), Instant>,
+    entered: Ticket,
+}
+
+impl Line {
+    /// Lets a request wait.
+    pub fn enter(&mut self, request: Request, now: Instant) -> Ticket {
+        self.entered += 1;
+        self.waiting.push((self.entered, request, now));
+        self.entered
+    }
+
+    /// Takes a request out: it begins, is refused, or its caller has left.
+    pub fn leave(&mut self, ticket: Ticket) {
+        self.waiting.retain(|(known, ..)| *known != ticket);
+    }
+
+    /// Returns how many requests wait at this host.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns whether no request waits at this host.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Returns whether something waits here or at a peer.
+    pub fn is_contended(&self) -> bool {
+        !self.waiting.is_empty() || !self.peers.is_empty()
+    }
+
+    /// Returns the services for which requests wait here.
+    pub fn services(&self) -> Vec<ServiceKey> {
+        let mut services: Vec<ServiceKey> =
+            self.waiting.iter().map(|(_, r, _)| r.service).collect();
+        services.sort_unstable();
+        services.dedup();
+        services
+    }
+
+    /// Returns this host's first request for a service.
+    pub fn first(&self, service: ServiceKey, shares: &Shares) -> Option<First> {
+        self.of(service, shares).min_by_key(|first| first.rank)
+    }
+
+    fn of(&self, service: ServiceKey, shares: &Shares) -> impl Iterator<Item = First> {
+        let waiting = self
+            .waiting
+            .iter()
+            .filter(move |(_, r, _)| r.service == service);
+        waiting.map(|(ticket, request, entered)| First {
+            ticket: *ticket,
+            request: *request,
+            rank: rank(request, shares),
+            entered: *entered,
+        })
+    }
+
+    /// Returns who takes a place that has fallen free at this host, and notes that it is
+    /// handed to a peer; nothing if nobody waits. The host that frees a place decides: it
+    /// knows of it first, and no two hosts decide about one place.
+    pub fn next(
+        &mut self,
+        service: ServiceKey,
+        target: TargetKey,
+        shares: &Shares,
+        now: Instant,
+    ) -> Option<Next> {
+        let own = self.first(service, shares);
+        let peers = self.peers.iter_mut().filter_map(|(host, peer)| {
+            let ranks = peer.waiting.iter().filter(|(of, _)| *of == service);
+            let ranks: Vec<Rank> = ranks.map(|(_, rank)| *rank).collect();
+            // Its first requests are being served already.
+            let rank = *ranks.get(peer.handed(service, now))?;
+            Some((rank, host, peer))
+        });
+        let best = peers.min_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)));
+        match (own, best) {
+            (Some(own), Some((rank, ..))) if own.rank <= rank => Some(Next::Own(own)),
+            (_, Some((_, host, peer))) => {
+                peer.handed.retain(|(_, at)| !is_over(*at, now));
+                peer.handed.push((service, now));
+                self.promised.insert((OWN, target), now);
+                Some(Next::Peer(host.clone()))
+            }
+            (own, None) => own.map(Next::Own),
+        }
+    }
+
+    /// Returns the targets of which this host has just handed places over: its peers hear
+    /// from it that these are free.
+    pub fn handed(&self, now: Instant) -> Vec<TargetKey> {
+        let own = self
+            .promised
+            .iter()
+            .filter(|((host, _), at)| *host == OWN && !is_over(**at, now));
+        own.map(|((_, target), _)| *target).collect()
+    }
+
+    /// Returns how many places of a target were handed to requests elsewhere which these may
+    /// not have taken yet.
+    pub fn promised(&self, target: TargetKey, now: Instant) -> u32 {
+        let all = self.promised.iter();
+        let open = all.filter(|((_, of), at)| *of == target && !is_over(**at, now));
+        u32::try_from(open.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the places that are free and promised to nobody.
+    fn unpromised(&mut self, open: &[Open], now: Instant) -> Vec<Open> {
+        self.promised.retain(|_, at| !is_over(*at, now));
+        let open = open.iter().map(|one| Open {
+            target: one.target,
+            places: one.places.saturating_sub(self.promised(one.target, now)),
+        });
+        open.filter(|one| one.places > 0).collect()
+    }
+
+    /// Returns how many requests come before one, at other hosts.
+    fn ahead(&self, service: ServiceKey, rank: Rank) -> u32 {
+        let told = self.peers.values().flat_map(|peer| &peer.waiting);
+        let before = told.filter(|(of, told)| *of == service && *told < rank);
+        u32::try_from(before.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns whether a host's first request may take one of the places that are free near
+    /// by, of which `drain_per_s` fall free a second when all are taken.
+    ///
+    /// It may if there are more than requests of other hosts before it. As long as these
+    /// may not know of it, there must be more by what others may be taking just now: of two
+    /// hosts that take the last place one would wait behind the other in the target's queue.
+    /// It may also take a place that has been free for some time: those before it do not.
+    pub fn may_begin(
+        &mut self,
+        first: &First,
+        open: &[Open],
+        drain_per_s: f64,
+        now: Instant,
+    ) -> Begin {
+        let service = first.request.service;
+        let ahead = self.ahead(service, first.rank);
+        let open = self.unpromised(open, now);
+        let free: u32 = open.iter().map(|open| open.places).sum();
+        let unseen = drain_per_s * SETTLED.as_secs_f64() + SURE_MIN;
+        let is_settled = now.saturating_duration_since(first.entered) >= SETTLED;
+        let sure = if is_settled { 0 } else { unseen.ceil() as u32 };
+        let left = self.left(service, &open, now);
+        if free > ahead.saturating_add(sure) {
+            return Begin::Any;
+        }
+        left.map_or(Begin::Wait, Begin::At)
+    }
+
+    /// Notes at which targets places are free; returns the one at which they have been free
+    /// for so long that whoever they were left to does not take them.
+    fn left(&mut self, service: ServiceKey, open: &[Open], now: Instant) -> Option<TargetKey> {
+        let since = self.open_since.entry(service).or_default();
+        since.retain(|target, _| open.iter().any(|open| open.target == *target));
+        for one in open {
+            since.entry(one.target).or_insert(now);
+        }
+        let longest = since
+            .iter()
+            .min_by_key(|(target, since)| (**since, **target));
+        let left = longest.filter(|(_, since)| now.saturating_duration_since(**since) >= TURN);
+        left.map(|(target, _)| *target)
+    }
+
+    /// Returns when each request for a service is expected to begin if so many places fall
+    /// free a second; in the order in which they do.
+    pub fn expect(
+        &self,
+        service: ServiceKey,
+        drain_per_s: f64,
+        shares: &Shares,
+        now: Instant,
+    ) -> Vec<Expected> {
+        let mut waiting: Vec<First> = self.of(service, shares).collect();
+        waiting.sort_unstable_by_key(|first| first.rank);
+        let numbered = (0..).zip(waiting);
+        let expected = numbered.map(|(before, first)| {
+            let ahead = before + self.ahead(service, first.rank);
+            let wait_s = f64::from(ahead + 1) / drain_per_s;
+            let left = first.request.latest.saturating_duration_since(now);
+            let is_new = now.saturating_duration_since(first.entered) <= EARLY;
+            let margin = match is_new {
+                true => MARGIN + MARGIN_LEVEL * f64::from(first.rank.level),
+                false => 1.0,
+            };
+            Expected {
+                ticket: first.ticket,
+                ahead,
+                wait: Duration::try_from_secs_f64(wait_s).unwrap_or(Duration::MAX),
+                is_late: left.is_zero() || wait_s * margin > left.as_secs_f64(),
+            }
+        });
+        expected.collect()
+    }
+
+    /// Returns what this host tells its peers: its first requests.
+    pub fn told(&self, shares: &Shares, now: Instant) -> Vec<Told> {
+        let waiting = self.waiting.iter();
+        let mut first: Vec<(Rank, ServiceKey)> = waiting
+            .map(|(_, r, _)| (rank(r, shares), r.service))
+            .collect();
+        first.sort_unstable();
+        let first = first.into_iter().take(TOLD_MAX);
+        let told = first.map(|(rank, service)| Told {
+            service,
+            priority: rank.priority,
+            level: rank.level,
+            age: now.saturating_duration_since(rank.since),
+        });
+        told.collect()
+    }
+
+    /// Takes in what waits at a peer, which replaces what was known, and the targets of
+    /// which it has just handed places over. Returns whether that lets others go before:
+    /// fewer wait there than before.
+    pub fn tell(&mut self, host: &str, told: &[Told], handed: &[TargetKey], now: Instant) -> bool {
+        for target in handed {
+            let promised = self.promised.entry((host.to_owned(), *target));
+            promised.or_insert(now);
+        }
+        let before = self.peers.get(host);
+        let has_moved = before.is_some_and(|peer| peer.waiting.len() > told.len());
+        if told.is_empty() {
+            return self.peers.remove(host).is_some();
+        }
+        let waiting = told.iter().map(|one| {
+            let since = now.checked_sub(one.age).unwrap_or(now);
+            let rank = Rank {
+                priority: one.priority,
+                level: one.level,
+                since,
+            };
+            (one.service, rank)
+        });
+        let handed = before.map(|peer| peer.handed.clone()).unwrap_or_default();
+        let peer = Peer {
+            waiting: waiting.collect(),
+            handed,
+        };
+        self.peers.insert(host.to_owned(), peer);
+        has_moved
+    }
+
+    /// Forgets a peer: it is down.
+    pub fn forget(&mut self, host: &str) {
+        self.peers.remove(host);
+    }
+}
+
+/// Returns whether a host that was handed a place has surely told of it since.
+fn is_over(handed_at: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(handed_at) >= TOLD_WITHIN
+}
+
+fn rank(request: &Request, shares: &Shares) -> Rank {
+    Rank {
+        priority: request.priority,
+        level: shares.level(request.workspace),
+        since: request.since,
+    }
+}
