--- a/crates/waiting/src/line.rs
+++ b/crates/waiting/src/line.rs
@@ -308,15 +308,22 @@
     ) -> Begin {
         let service = first.request.service;
         let ahead = self.ahead(service, first.rank);
-        let open = self.unpromised(open, now);
+        let unpromised;
+        let open = if self.promised.is_empty() {
+            open
+        } else {
+            unpromised = self.unpromised(open, now);
+            &unpromised
+        };
         let free: u32 = open.iter().map(|open| open.places).sum();
         let unseen = drain_per_s * SETTLED.as_secs_f64() + SURE_MIN;
         let is_settled = now.saturating_duration_since(first.entered) >= SETTLED;
         let sure = if is_settled { 0 } else { unseen.ceil() as u32 };
-        let left = self.left(service, &open, now);
         if free > ahead.saturating_add(sure) {
+            self.open_since.remove(&service);
             return Begin::Any;
         }
+        let left = self.left(service, open, now);
         left.map_or(Begin::Wait, Begin::At)
     }
 
