Ask again whether a request may run if others like it crashed targets while it waited

Guards against one more target that crashes: a request was let through the gate before it waited for its place, up to its objective, and went out on that word. Cutting an item for it now comes after that question, and the load in its log line is what the target has beside it. No test of its own: whole hosts with three crashes inside one wait could not be brought about without a race; the soak's deadly requests go this way.

--- a/crates/gateway/src/online/sending.rs
+++ b/crates/gateway/src/online/sending.rs
@@ -135,7 +135,13 @@
             .await;
         loop {
             let trial = self.admit().await?;
+            let crashes = self.crashes();
             let (choice, running) = self.find_place(offers).await?;
+            if self.crashes() > crashes {
+                // While it waited for its place others like it crashed targets.
+                continue;
+            }
+            self.make_room(&choice);
             offers += 1;
             let sent = Instant::now();
             // Its caller may leave while nobody knows yet whether it runs.
@@ -176,6 +182,15 @@
             .get_or_insert_with(|| fingerprint::of(&ctx.decode, host, forward))
     }
 
+    /// Returns how many crashes under the request count.
+    fn crashes(&mut self) -> u32 {
+        let gate = Arc::clone(&self.ctx.suspects.gate);
+        if gate.is_empty() {
+            return 0;
+        }
+        gate.crashes(self.fingerprint())
+    }
+
     /// Waits until the request may be sent to a target, as far as targets crash under
     /// it. That is asked before each offer: news may come at any time.
     async fn admit(&mut self) -> Result<Option<Trial>, Failure> {
@@ -237,7 +252,6 @@
                     let choice = place.choice.clone();
                     let workspace = self.forward.workspace.as_deref();
                     let running = Running::at(&self.ctx, place, workspace, standing.weight);
-                    self.make_room(&choice);
                     return Ok((choice, running));
                 }
                 Err(Refused::NoRoom { retry_after }) => {
@@ -280,13 +294,11 @@
         let chosen = work::timed(&self.ctx.metrics, Part::Placing, || {
             lock(&self.ctx.places).choose_online(&want, now)
         });
-        let choice = match chosen {
-            Ok(choice) => choice,
-            Err(refusal) if offers == 0 && self.runs == 0 => return Err(refused(refusal)),
-            Err(_) => return Err(self.given_up("no other target")),
-        };
-        self.make_room(&choice);
-        Ok(choice)
+        match chosen {
+            Ok(choice) => Ok(choice),
+            Err(refusal) if offers == 0 && self.runs == 0 => Err(refused(refusal)),
+            Err(_) => Err(self.given_up("no other target")),
+        }
     }
 
     /// Cuts the item whose place the request takes, if there is one.
--- a/crates/gateway/src/online/trace.rs
+++ b/crates/gateway/src/online/trace.rs
@@ -85,12 +85,14 @@
         }
     }
 
+    /// Notes where the request is about to be sent, its place there being counted already.
     pub(super) fn chose(&mut self, choice: &Choice) {
         let Some(told) = &mut self.told else {
             return;
         };
         told.offers += 1;
-        told.load = lock(&told.ctx.places).load(&choice.target).total();
+        let load = lock(&told.ctx.places).load(&choice.target);
+        told.load = load.total().saturating_sub(1);
         told.target = Some(choice.target.clone());
         told.room = match choice.room {
             Room::Free => "free",
