--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -7,6 +7,7 @@
 //! same answer, after its last whole event.
 
 mod flow;
+mod placing;
 mod sending;
 mod trace;
 
--- /dev/null
+++ b/crates/gateway/src/online/placing.rs
@@ -0,0 +1,111 @@
+//! The place of a request at a target: in the line of its host, or by what is known of
+//! targets alone.
+
+use std::time::Instant;
+
+use notchwharf_routing::items::turn::Ahead;
+use notchwharf_routing::places::Choice;
+use notchwharf_routing::places::Refusal;
+use notchwharf_routing::places::Room;
+use notchwharf_routing::places::Want;
+use notchwharf_routing::places::key_of;
+
+use super::sending::LEFT_MIN;
+use super::sending::Sending;
+use crate::error::Failure;
+use crate::sync::lock;
+use crate::target::Class;
+use crate::target::Running;
+use crate::waiting::Refused;
+use crate::waiting::Standing;
+use crate::waiting::Wanted;
+use crate::work;
+use crate::work::Part;
+
+impl Sending {
+    /// Finds a place for the request, and counts it: in the line if requests wait at hosts,
+    /// and this one may be refused. One that may have run goes before all that wait.
+    pub(super) async fn find_place(&mut self, offers: u32) -> Result<(Choice, Running), Failure> {
+        let now = Instant::now();
+        if self.deadline.saturating_duration_since(now) < LEFT_MIN {
+            return Err(self.given_up("no time left"));
+        }
+        if let (Some(standing), Some(left)) = (self.standing, self.objective()) {
+            let wanted = self.wanted(standing, now + left);
+            match self.ctx.waiting.find(wanted).await {
+                Ok(place) => {
+                    let choice = place.choice.clone();
+                    let workspace = self.forward.workspace.as_deref();
+                    let running = Running::at(&self.ctx, place, workspace, standing.weight);
+                    return Ok((choice, running));
+                }
+                Err(Refused::NoRoom { retry_after }) => {
+                    return Err(Failure::NotRun {
+                        retry_after,
+                        reason: "no room in time",
+                    });
+                }
+                // What that means is said below.
+                Err(Refused::NoTarget) => {}
+            }
+        }
+        let choice = self.choose(offers, Instant::now())?;
+        let running = Running::begin(&self.ctx, &choice.target, Class::Online);
+        Ok((choice, running))
+    }
+
+    fn wanted(&self, standing: Standing, due: Instant) -> Wanted {
+        Wanted {
+            id: self.forward.id.clone(),
+            service: self.service.clone(),
+            affinity: self.affinity,
+            tried: self.tried.clone(),
+            workspace: self.forward.workspace.clone(),
+            standing,
+            since: self.trace.arrived(),
+            due,
+        }
+    }
+
+    fn choose(&mut self, offers: u32, now: Instant) -> Result<Choice, Failure> {
+        let want = Want {
+            service: &self.service,
+            data_centre: &self.ctx.settings.host.data_centre,
+            affinity: self.affinity,
+            tried: &self.tried,
+            objective: self.objective(),
+            ahead: Ahead::default(),
+        };
+        let chosen = work::timed(&self.ctx.metrics, Part::Placing, || {
+            lock(&self.ctx.places).choose_online(&want, now)
+        });
+        match chosen {
+            Ok(choice) => Ok(choice),
+            Err(refusal) if offers == 0 && self.runs == 0 => Err(refused(refusal)),
+            Err(_) => Err(self.given_up("no other target")),
+        }
+    }
+
+    /// Cuts the item whose place the request takes, if there is one.
+    pub(super) fn make_room(&mut self, choice: &Choice) {
+        self.trace.chose(choice);
+        match &choice.room {
+            Room::CutOwn => {
+                self.ctx.items.cut_one(&choice.target);
+            }
+            Room::CutPeer(host) => self.ctx.peers.ask_cut(host, key_of(&choice.target)),
+            Room::Free | Room::Queue => {}
+        }
+    }
+}
+
+fn refused(refusal: Refusal) -> Failure {
+    let (retry_after, reason) = match refusal {
+        Refusal::NoTarget { retry_after } => (retry_after, "no target"),
+        Refusal::Full { retry_after } => (retry_after, "all targets full"),
+    };
+    Failure::NotRun {
+        retry_after,
+        reason,
+    }
+}
--- a/crates/gateway/src/online/sending.rs
+++ b/crates/gateway/src/online/sending.rs
@@ -11,13 +11,8 @@
 use notchwharf_quarantine::gate::KeptBack;
 use notchwharf_quarantine::gate::Trial;
 use notchwharf_routing::fingerprint::Fingerprint;
-use notchwharf_routing::items::turn::Ahead;
 use notchwharf_routing::places::Choice;
-use notchwharf_routing::places::Refusal;
-use notchwharf_routing::places::Room;
 use notchwharf_routing::places::TargetId;
-use notchwharf_routing::places::Want;
-use notchwharf_routing::places::key_of;
 use notchwharf_startup::Need;
 
 use super::Answer;
@@ -35,18 +30,13 @@
 use crate::ports::Reply;
 use crate::quarantine;
 use crate::sync::lock;
-use crate::target::Class;
 use crate::target::Running;
-use crate::waiting::Refused;
 use crate::waiting::Standing;
-use crate::waiting::Wanted;
-use crate::work;
-use crate::work::Part;
 
 /// Targets that one request is offered to before it is refused.
 const OFFERS_MAX: u32 = 4;
 /// Time left below which an offer makes no sense: an answer takes longer.
-const LEFT_MIN: Duration = Duration::from_millis(20);
+pub(super) const LEFT_MIN: Duration = Duration::from_millis(20);
 
 /// A request on its way to a target.
 pub(super) struct Sending {
@@ -67,7 +57,7 @@
     /// What its workspace's limit gave it; given back if it never runs.
     permit: Option<Permit>,
     /// Its standing among those that wait for a place; nothing if targets queue them.
-    standing: Option<Standing>,
+    pub(super) standing: Option<Standing>,
 }
 
 /// A target's answer whose body is to come.
@@ -238,84 +228,9 @@
         quarantine::broke_off(&self.ctx, run).await;
     }
 
-    /// Finds a place for the request, and counts it: in the line if requests wait at hosts,
-    /// and this one may be refused. One that may have run goes before all that wait.
-    async fn find_place(&mut self, offers: u32) -> Result<(Choice, Running), Failure> {
-        let now = Instant::now();
-        if self.deadline.saturating_duration_since(now) < LEFT_MIN {
-            return Err(self.given_up("no time left"));
-        }
-        if let (Some(standing), Some(left)) = (self.standing, self.objective()) {
-            let wanted = self.wanted(standing, now + left);
-            match self.ctx.waiting.find(wanted).await {
-                Ok(place) => {
-                    let choice = place.choice.clone();
-                    let workspace = self.forward.workspace.as_deref();
-                    let running = Running::at(&self.ctx, place, workspace, standing.weight);
-                    return Ok((choice, running));
-                }
-                Err(Refused::NoRoom { retry_after }) => {
-                    return Err(Failure::NotRun {
-                        retry_after,
-                        reason: "no room in time",
-                    });
-                }
-                // What that means is said below.
-                Err(Refused::NoTarget) => {}
-            }
-        }
-        let choice = self.choose(offers, Instant::now())?;
-        let running = Running::begin(&self.ctx, &choice.target, Class::Online);
-        Ok((choice, running))
-    }
-
-    fn wanted(&self, standing: Standing, due: Instant) -> Wanted {
-        Wanted {
-            id: self.forward.id.clone(),
-            service: self.service.clone(),
-            affinity: self.affinity,
-            tried: self.tried.clone(),
-            workspace: self.forward.workspace.clone(),
-            standing,
-            since: self.trace.arrived(),
-            due,
-        }
-    }
-
-    fn choose(&mut self, offers: u32, now: Instant) -> Result<Choice, Failure> {
-        let want = Want {
-            service: &self.service,
-            data_centre: &self.ctx.settings.host.data_centre,
-            affinity: self.affinity,
-            tried: &self.tried,
-            objective: self.objective(),
-            ahead: Ahead::default(),
-        };
-        let chosen = work::timed(&self.ctx.metrics, Part::Placing, || {
-            lock(&self.ctx.places).choose_online(&want, now)
-        });
-        match chosen {
-            Ok(choice) => Ok(choice),
-            Err(refusal) if offers == 0 && self.runs == 0 => Err(refused(refusal)),
-            Err(_) => Err(self.given_up("no other target")),
-        }
-    }
-
-    /// Cuts the item whose place the request takes, if there is one.
-    fn make_room(&mut self, choice: &Choice) {
-        self.trace.chose(choice);
-        match &choice.room {
-            Room::CutOwn => {
-                self.ctx.items.cut_one(&choice.target);
-            }
-            Room::CutPeer(host) => self.ctx.peers.ask_cut(host, key_of(&choice.target)),
-            Room::Free | Room::Queue => {}
-        }
-    }
-
     /// Returns the time to the first event that is still to be met, for a
     /// request that may be refused: one that may have run is not.
-    fn objective(&self) -> Option<Duration> {
+    pub(super) fn objective(&self) -> Option<Duration> {
         let objective = self.route.objective;
         if self.runs > 0 || objective.is_zero() {
             return None;
@@ -324,7 +239,7 @@
     }
 
     /// Returns how to answer when no further offer is made.
-    fn given_up(&self, reason: &'static str) -> Failure {
+    pub(super) fn given_up(&self, reason: &'static str) -> Failure {
         if self.runs > 0 {
             return Failure::Unknown { reason };
         }
@@ -433,14 +348,3 @@
 /// When to come back after targets refused or could not be reached: about the
 /// time in which a place falls free.
 const RETRY_AFTER: Duration = Duration::from_millis(150);
-
-fn refused(refusal: Refusal) -> Failure {
-    let (retry_after, reason) = match refusal {
-        Refusal::NoTarget { retry_after } => (retry_after, "no target"),
-        Refusal::Full { retry_after } => (retry_after, "all targets full"),
-    };
-    Failure::NotRun {
-        retry_after,
-        reason,
-    }
-}
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -5,6 +5,11 @@
 //! here or by what a peer tells, so that no two requests see the same place. Letting each
 //! request look for itself was rejected: all would wake for one place.
 
+mod handing;
+mod place;
+mod told;
+mod wanted;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -17,42 +22,32 @@
 use std::time::Instant;
 
 use notchwharf_config::DataCentreId;
-use notchwharf_config::access::WorkspaceName;
-use notchwharf_config::routes::ServiceName;
 use notchwharf_listen::Phase;
-use notchwharf_proto::news;
-use notchwharf_routing::items::turn::Ahead;
 use notchwharf_routing::places::Choice;
-use notchwharf_routing::places::HostId;
 use notchwharf_routing::places::Places;
-use notchwharf_routing::places::TargetId;
 use notchwharf_routing::places::TargetKey;
-use notchwharf_routing::places::Want;
-use notchwharf_routing::places::key_of;
 use notchwharf_waiting::Begin;
 use notchwharf_waiting::Expected;
-use notchwharf_waiting::First;
-use notchwharf_waiting::Held;
 use notchwharf_waiting::Line;
-use notchwharf_waiting::Next;
 use notchwharf_waiting::Open;
 use notchwharf_waiting::Request;
 use notchwharf_waiting::ServiceKey;
 use notchwharf_waiting::Shares;
 use notchwharf_waiting::Ticket;
-use notchwharf_waiting::Told;
 use notchwharf_waiting::Turns;
 use notchwharf_waiting::key;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
-use crate::RequestId;
+pub(crate) use self::place::Place;
+pub(crate) use self::wanted::Refused;
+pub(crate) use self::wanted::Standing;
+pub(crate) use self::wanted::Wanted;
 use crate::metrics::Counted;
 use crate::metrics::Metrics;
 use crate::sync::lock;
 use crate::time::millis;
-use crate::time::ms;
 
 /// Time between two looks at the line without news: a place that was left to others may be
 /// taken after it, and whoever cannot begin in time any more is refused within it.
@@ -62,9 +57,6 @@
 /// there has told of them: some of its hosts tell this one several times within it.
 const SHORT: Duration = Duration::from_millis(300);
 
-/// Thousandths in one.
-const MILLI: f64 = 1_000.0;
-
 /// What the line takes of its host.
 pub(crate) struct Uses {
     pub(crate) places: Arc<Mutex<Places>>,
@@ -111,83 +103,6 @@
     outcome: oneshot::Sender<Result<Place, Refused>>,
 }
 
-/// What a request waits for, and what its place in the line follows from.
-#[derive(Clone, Debug)]
-pub(crate) struct Wanted {
-    pub(crate) id: RequestId,
-    pub(crate) service: ServiceName,
-    pub(crate) affinity: u64,
-    /// Targets that it was offered to before.
-    pub(crate) tried: Vec<TargetId>,
-    pub(crate) workspace: Option<WorkspaceName>,
-    pub(crate) standing: Standing,
-    /// When it came.
-    pub(crate) since: Instant,
-    /// Until when its first event is in time.
-    pub(crate) due: Instant,
-}
-
-/// What a request's place in the line follows from, beside its age.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Standing {
-    /// How urgent it is; 0 is the most urgent.
-    pub(crate) priority: u8,
-    /// What its workspace may hold against others.
-    pub(crate) weight: f64,
-}
-
-impl Wanted {
-    fn want<'a>(&'a self, data_centre: &'a str) -> Want<'a> {
-        Want {
-            service: &self.service,
-            data_centre,
-            affinity: self.affinity,
-            tried: &self.tried,
-            objective: None,
-            ahead: Ahead::default(),
-        }
-    }
-}
-
-/// Why a request was not given a place; nothing was sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Refused {
-    /// There is no target that it was not offered to.
-    NoTarget,
-    /// No place falls free in time.
-    NoRoom {
-        /// When to come back.
-        retry_after: Duration,
-    },
-}
-
-/// A place at a target, counted for a request that is about to be sent there; dropped
-/// before, it is free again.
-#[derive(Debug)]
-pub(crate) struct Place {
-    pub(crate) choice: Choice,
-    places: Arc<Mutex<Places>>,
-    changed: Arc<Notify>,
-    is_taken: bool,
-}
-
-impl Place {
-    /// Leaves the count to whoever takes the place.
-    pub(crate) fn take(mut self) -> TargetId {
-        self.is_taken = true;
-        self.choice.target.clone()
-    }
-}
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        if !self.is_taken {
-            lock(&self.places).end_online(&self.choice.target);
-            self.changed.notify_one();
-        }
-    }
-}
-
 /// Takes a request out of the line when its caller leaves.
 struct Leave<'a> {
     waiting: &'a Waiting,
@@ -363,64 +278,6 @@
         self.decide(state, ticket, Ok(place));
     }
 
-    /// Lets a request that waits take a place that has just fallen free at a target; returns
-    /// the peer that is to be told if the request waits there.
-    pub(crate) fn freed(&self, target: &TargetId) -> Option<HostId> {
-        let now = Instant::now();
-        let mut state = lock(&self.state);
-        if !state.line.is_contended() {
-            return None;
-        }
-        let service = {
-            let places = lock(&self.uses.places);
-            if !places.may_hand(target, &self.uses.data_centre, now) {
-                return None;
-            }
-            key(&places.spec(target)?.service)
-        };
-        let State { line, shares, .. } = &mut *state;
-        match line.next(service, key_of(target), shares, now)? {
-            Next::Own(first) => {
-                self.hand_over(&mut state, first, target, now);
-                None
-            }
-            Next::Peer(host) => {
-                self.uses.metrics.count(Counted::Line, "handed to a peer");
-                Some(host)
-            }
-        }
-    }
-
-    /// Takes in that a peer hands a place over.
-    pub(crate) fn handed(&self, target: TargetKey) {
-        let now = Instant::now();
-        let mut state = lock(&self.state);
-        let (id, service) = {
-            let places = lock(&self.uses.places);
-            let Some(id) = places.id_of(target).cloned() else {
-                return;
-            };
-            let service = places.spec(&id).map(|spec| key(&spec.service));
-            (id, service.unwrap_or_default())
-        };
-        match state.line.first(service, &state.shares) {
-            Some(first) => self.hand_over(&mut state, first, &id, now),
-            // Served meanwhile: the place is seen to be free by all.
-            None => self.uses.metrics.count(Counted::Line, "handed in vain"),
-        }
-    }
-
-    fn hand_over(&self, state: &mut State, first: First, target: &TargetId, now: Instant) {
-        let Some(entry) = state.entries.get(&first.ticket) else {
-            return;
-        };
-        let want = entry.wanted.want(&self.uses.data_centre);
-        let places = lock(&self.uses.places);
-        if let Some(choice) = places.choose_handed(&want, target, now) {
-            self.begin_at(state, first.ticket, choice, places, now);
-        }
-    }
-
     /// Refuses the requests for a service that cannot begin in time.
     fn refuse_late(&self, state: &mut State, service: ServiceKey, now: Instant) {
         let mut entries = state.entries.values();
@@ -487,59 +344,6 @@
         lock(&self.state).shares.end(key(workspace));
     }
 
-    /// Returns what peers are to be told; nothing while nobody waits anywhere.
-    pub(crate) fn told(&self, now: Instant) -> Option<news::Contention> {
-        let state = lock(&self.state);
-        if !state.line.is_contended() {
-            return None;
-        }
-        let waiting = state.line.told(&state.shares, now);
-        let waiting = waiting.into_iter().map(|told| news::WaitingRequest {
-            service: told.service,
-            priority: told.priority,
-            level: told.level,
-            age_ms: millis(told.age),
-        });
-        let held = state.shares.told().into_iter().map(|held| news::Held {
-            workspace: held.workspace,
-            weight_milli: (held.weight * MILLI) as u64,
-            places: held.places,
-        });
-        Some(news::Contention {
-            waiting: waiting.collect(),
-            held: held.collect(),
-            handed: state.line.handed(now),
-        })
-    }
-
-    /// Takes in what waits at a peer near by, and what is held there.
-    pub(crate) fn peer_tells(&self, host: &str, told: Option<news::Contention>, now: Instant) {
-        let told = told.unwrap_or_default();
-        let waiting: Vec<Told> = told.waiting.iter().map(decode_waiting).collect();
-        let held = told.held.iter().map(decode_held).collect();
-        let mut state = lock(&self.state);
-        state.shares.tell(host, held);
-        if state.line.tell(host, &waiting, &told.handed, now) {
-            drop(state);
-            self.wake();
-        }
-    }
-
-    /// Takes in that requests wait at a host elsewhere.
-    pub(crate) fn is_short(&self, data_centre: &str, now: Instant) {
-        let mut state = lock(&self.state);
-        state.short_at.insert(data_centre.to_owned(), now);
-    }
-
-    /// Forgets a peer that is down.
-    pub(crate) fn peer_down(&self, host: &str) {
-        let mut state = lock(&self.state);
-        state.shares.forget(host);
-        state.line.forget(host);
-        drop(state);
-        self.wake();
-    }
-
     /// Notes how many hosts share the places near by.
     pub(crate) fn set_hosts(&self, hosts: u32) {
         self.hosts.store(hosts.max(1), Ordering::Relaxed);
@@ -562,23 +366,6 @@
     Open { target, places }
 }
 
-fn decode_waiting(told: &news::WaitingRequest) -> Told {
-    Told {
-        service: told.service,
-        priority: told.priority,
-        level: told.level,
-        age: ms(told.age_ms),
-    }
-}
-
-fn decode_held(told: &news::Held) -> Held {
-    Held {
-        workspace: told.workspace,
-        weight: told.weight_milli as f64 / MILLI,
-        places: told.places,
-    }
-}
-
 /// Looks at the line until the host stops.
 pub(crate) async fn run(waiting: Arc<Waiting>, mut phase: watch::Receiver<Phase>) {
     while *phase.borrow() != Phase::Stopped {
--- /dev/null
+++ b/crates/gateway/src/waiting/handing.rs
@@ -0,0 +1,76 @@
+//! Places that fall free while requests wait: the host whose request ends hands them over.
+
+use std::time::Instant;
+
+use notchwharf_routing::places::HostId;
+use notchwharf_routing::places::TargetId;
+use notchwharf_routing::places::TargetKey;
+use notchwharf_routing::places::key_of;
+use notchwharf_waiting::First;
+use notchwharf_waiting::Next;
+use notchwharf_waiting::key;
+
+use super::State;
+use super::Waiting;
+use crate::metrics::Counted;
+use crate::sync::lock;
+
+impl Waiting {
+    /// Lets a request that waits take a place that has just fallen free at a target; returns
+    /// the peer that is to be told if the request waits there.
+    pub(crate) fn freed(&self, target: &TargetId) -> Option<HostId> {
+        let now = Instant::now();
+        let mut state = lock(&self.state);
+        if !state.line.is_contended() {
+            return None;
+        }
+        let service = {
+            let places = lock(&self.uses.places);
+            if !places.may_hand(target, &self.uses.data_centre, now) {
+                return None;
+            }
+            key(&places.spec(target)?.service)
+        };
+        let State { line, shares, .. } = &mut *state;
+        match line.next(service, key_of(target), shares, now)? {
+            Next::Own(first) => {
+                self.hand_over(&mut state, first, target, now);
+                None
+            }
+            Next::Peer(host) => {
+                self.uses.metrics.count(Counted::Line, "handed to a peer");
+                Some(host)
+            }
+        }
+    }
+
+    /// Takes in that a peer hands a place over.
+    pub(crate) fn handed(&self, target: TargetKey) {
+        let now = Instant::now();
+        let mut state = lock(&self.state);
+        let (id, service) = {
+            let places = lock(&self.uses.places);
+            let Some(id) = places.id_of(target).cloned() else {
+                return;
+            };
+            let service = places.spec(&id).map(|spec| key(&spec.service));
+            (id, service.unwrap_or_default())
+        };
+        match state.line.first(service, &state.shares) {
+            Some(first) => self.hand_over(&mut state, first, &id, now),
+            // Served meanwhile: the place is seen to be free by all.
+            None => self.uses.metrics.count(Counted::Line, "handed in vain"),
+        }
+    }
+
+    fn hand_over(&self, state: &mut State, first: First, target: &TargetId, now: Instant) {
+        let Some(entry) = state.entries.get(&first.ticket) else {
+            return;
+        };
+        let want = entry.wanted.want(&self.uses.data_centre);
+        let places = lock(&self.uses.places);
+        if let Some(choice) = places.choose_handed(&want, target, now) {
+            self.begin_at(state, first.ticket, choice, places, now);
+        }
+    }
+}
--- a/crates/waiting/src/lib.rs
+++ b/crates/waiting/src/lib.rs
@@ -43,21 +43,22 @@
 //! [order]: Rank
 
 mod line;
+mod request;
 mod shares;
 mod turns;
 
 use xxhash_rust::xxh3::xxh3_64;
 
-pub use self::line::Begin;
-pub use self::line::Expected;
-pub use self::line::First;
 pub use self::line::Line;
-pub use self::line::Next;
-pub use self::line::Open;
-pub use self::line::Rank;
-pub use self::line::Request;
-pub use self::line::Ticket;
-pub use self::line::Told;
+pub use self::request::Begin;
+pub use self::request::Expected;
+pub use self::request::First;
+pub use self::request::Next;
+pub use self::request::Open;
+pub use self::request::Rank;
+pub use self::request::Request;
+pub use self::request::Ticket;
+pub use self::request::Told;
 pub use self::shares::Held;
 pub use self::shares::Shares;
 pub use self::turns::Turns;
--- a/crates/waiting/src/line.rs
+++ b/crates/waiting/src/line.rs
@@ -8,7 +8,15 @@
 use crate::ServiceKey;
 use crate::Shares;
 use crate::TargetKey;
-use crate::WorkspaceKey;
+use crate::request::Begin;
+use crate::request::Expected;
+use crate::request::First;
+use crate::request::Next;
+use crate::request::Open;
+use crate::request::Rank;
+use crate::request::Request;
+use crate::request::Ticket;
+use crate::request::Told;
 
 /// Requests of which a host tells, its first ones. A host is rarely granted more places
 /// than that before it tells again.
@@ -46,103 +54,6 @@
 /// Stands for this host where others stand by their names.
 const OWN: HostId = HostId::new();
 
-/// The number of a request in its host's line.
-pub type Ticket = u64;
-
-/// A request that waits.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Request {
-    /// Its service; those of one wait for those places only.
-    pub service: ServiceKey,
-    /// Whose it is.
-    pub workspace: WorkspaceKey,
-    /// How urgent it is; 0 is the most urgent.
-    pub priority: u8,
-    /// Since when it waits.
-    pub since: Instant,
-    /// Until when it must begin to be served in time.
-    pub latest: Instant,
-}
-
-/// Where a request stands: less comes first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Rank {
-    /// How urgent it is.
-    pub priority: u8,
-    /// How far its workspace exceeds its part of the places.
-    pub level: u8,
-    /// Since when it waits.
-    pub since: Instant,
-}
-
-/// A request that waits at another host, as that tells it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Told {
-    /// Its service.
-    pub service: ServiceKey,
-    /// How urgent it is.
-    pub priority: u8,
-    /// How far its workspace exceeds its part of the places.
-    pub level: u8,
-    /// For how long it has waited.
-    pub age: Duration,
-}
-
-/// The first request of a host's line.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct First {
-    /// Its number.
-    pub ticket: Ticket,
-    /// The request.
-    pub request: Request,
-    /// Where it stands.
-    pub rank: Rank,
-    /// Since when it stands there.
-    pub entered: Instant,
-}
-
-/// A target at which places are free of online requests, as far as known.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Open {
-    /// The target.
-    pub target: TargetKey,
-    /// How many places.
-    pub places: u32,
-}
-
-/// Whether a request may take one of the places that are free.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Begin {
-    /// It may, any.
-    Any,
-    /// It may take one at this target, which those before it have left.
-    At(TargetKey),
-    /// It waits.
-    Wait,
-}
-
-/// When a request is expected to begin.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Expected {
-    /// Its number.
-    pub ticket: Ticket,
-    /// How many begin before it, over all hosts.
-    pub ahead: u32,
-    /// How long it still waits.
-    pub wait: Duration,
-    /// Whether it begins too late.
-    pub is_late: bool,
-}
-
-/// Who takes a place that has fallen free at this host.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Next {
-    /// This host's first request.
-    Own(First),
-    /// A request of a peer, which is to be told.
-    Peer(HostId),
-}
-
 #[derive(Clone, Debug, Default)]
 struct Peer {
     waiting: Vec<(ServiceKey, Rank)>,
