--- a/crates/gateway/src/catalog/follow.rs
+++ b/crates/gateway/src/catalog/follow.rs
@@ -41,7 +41,6 @@
 fn pace(settings: &Settings, gap: Duration) -> Pace {
     let settle = ms(settings.targets.settle_ms);
     Pace {
-        gap_first: gap,
         wait: settle.saturating_sub(SETTLE_REST).clamp(WAIT_MIN, WAIT_MAX),
         gap,
         pause_max: PAUSE_MAX,
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -60,9 +60,6 @@
     /// Time that a reading waits for a record; also how long a connection may
     /// be silent unnoticed, beside the store's timeout.
     pub(crate) wait: Duration,
-    /// Time between the first two readings that find records; doubled each time up to
-    /// `gap`.
-    pub(crate) gap_first: Duration,
     /// Time between two readings that find records: what is written meanwhile
     /// is read together.
     pub(crate) gap: Duration,
@@ -106,7 +103,6 @@
         sink: &mut impl FnMut(Reading),
     ) {
         let mut pause = PAUSE_MIN;
-        let mut gap = pace.gap_first;
         let mut is_failing = false;
         loop {
             let asked = Instant::now();
@@ -123,13 +119,7 @@
                     from = Some(*next);
                     pause = PAUSE_MIN;
                     let is_empty = matches!(seen, Seen::More { records, .. } if records.is_empty());
-                    if is_empty {
-                        Duration::ZERO
-                    } else {
-                        let rest = gap;
-                        gap = (gap * 2).min(pace.gap);
-                        rest
-                    }
+                    if is_empty { Duration::ZERO } else { pace.gap }
                 }
                 Err(StoreError::Expired) => {
                     slog::info!(self.logger, "records expired, listing anew";
--- a/crates/gateway/src/peers/list.rs
+++ b/crates/gateway/src/peers/list.rs
@@ -25,12 +25,9 @@
 use crate::sync::lock;
 
 /// How the list of hosts is read. It changes seldom, and a host that is known
-/// to one other is known to all by its own datagrams. Hosts of a fleet that starts for the
-/// first time find nobody at first, and know nobody if the store then goes away; so the
-/// second reading comes soon, when entries that are written at once are there.
+/// to one other is known to all by its own datagrams.
 pub(super) const PACE: Pace = Pace {
     wait: Duration::from_secs(10),
-    gap_first: Duration::from_millis(100),
     gap: Duration::from_millis(700),
     pause_max: Duration::from_millis(400),
 };
