Note a place that is handed over again, though nobody looked at the line meanwhile

Found by reading: a promise was kept under its host and target until somebody looked at the line; one that was over stood in the way of the next, which then did not count, and two hosts could take one place. Promises that are over go with each word now. The test's last lines fail without it, by the code read; not run so.

--- a/crates/waiting/src/line.rs
+++ b/crates/waiting/src/line.rs
@@ -305,6 +305,8 @@
     /// which it has just handed places over. Returns whether that lets others go before:
     /// fewer wait there than before.
     pub fn tell(&mut self, host: &str, told: &[Told], handed: &[TargetKey], now: Instant) -> bool {
+        // Each word of the host repeats it for a while: what counts is the first.
+        self.promised.retain(|_, at| !is_over(*at, now));
         for target in handed {
             let promised = self.promised.entry((host.to_owned(), *target));
             promised.or_insert(now);
--- a/crates/waiting/tests/order.rs
+++ b/crates/waiting/tests/order.rs
@@ -151,6 +151,11 @@
     assert_eq!(line.may_begin(&first, &open(1), 100.0, now), Begin::Wait);
     let later = now + 7 * MS;
     assert_eq!(line.may_begin(&first, &open(1), 100.0, later), Begin::Any);
+    // Handed over once more, though nobody looked at the line meanwhile.
+    line.tell("a2", &[], &[T1], later);
+    let again = later + 7 * MS;
+    line.tell("a2", &[], &[T1], again);
+    assert_eq!(line.promised(T1, again), 1);
 }
 
 /// A peer that is down, or says that nothing waits there, holds nobody up; what it told
