Say once how a choice is made, a peer is written to and two hosts are started, and ask less often

Said twice before: the choice of a target (three times in places), a datagram to a peer by its name (ask_cut, hand), two hosts with a door to the store (the tests of catalog and jobs had start_with_a_door written out). Work less: a request that enters the line no longer counts all open places to learn the usual pace, nor locks the line again to see whether it was decided; who is late is found by the line's own first request, not by hashing names. note_short was named like the question; a figure left a comment.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -213,15 +213,19 @@
         }
     }
 
-    /// Asks a peer to cut an item at a target.
-    pub(crate) fn ask_cut(&self, host: &str, target: TargetKey) {
+    fn send_to_host(&self, host: &str, news: &News) {
         let addr = lock(&self.known).get(host).map(|p| p.addr);
         if let Some(addr) = addr {
-            // Lost, the target is overfull and its hosts notice that too.
-            self.send_to(addr, &News::Cut(Cut { target }));
+            self.send_to(addr, news);
         }
     }
 
+    /// Asks a peer to cut an item at a target.
+    pub(crate) fn ask_cut(&self, host: &str, target: TargetKey) {
+        // Lost, the target is overfull and its hosts notice that too.
+        self.send_to_host(host, &News::Cut(Cut { target }));
+    }
+
     /// Returns the addresses of the hosts of some data centres that live.
     fn alive_in(&self, data_centres: &BTreeSet<&DataCentreId>) -> Vec<SocketAddr> {
         let known = lock(&self.known);
@@ -234,11 +238,8 @@
 
     /// Hands a place that has fallen free to a request that waits at a peer.
     pub(crate) fn hand(&self, host: &str, target: TargetKey) {
-        let addr = lock(&self.known).get(host).map(|p| p.addr);
-        if let Some(addr) = addr {
-            // Lost, all see soon that the place is free.
-            self.send_to(addr, &News::Hand(Hand { target }));
-        }
+        // Lost, all see soon that the place is free.
+        self.send_to_host(host, &News::Hand(Hand { target }));
     }
 
     /// Returns the hosts that can run jobs' items, without this one: they are
--- a/crates/gateway/src/peers/status.rs
+++ b/crates/gateway/src/peers/status.rs
@@ -243,7 +243,7 @@
     }
     let is_short = contention.is_some_and(|told| !told.waiting.is_empty());
     if let (true, Some(data_centre)) = (is_short, &heard.data_centre) {
-        ctx.waiting.is_short(data_centre, now);
+        ctx.waiting.note_short(data_centre, now);
     }
 }
 
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -111,11 +111,8 @@
 
 impl Drop for Leave<'_> {
     fn drop(&mut self) {
-        let left = self
-            .waiting
-            .take_out(&mut lock(&self.waiting.state), self.ticket);
-        // Not before the line is free again: a place that nobody took is counted off.
-        drop(left);
+        let mut state = lock(&self.waiting.state);
+        self.waiting.take_out(&mut state, self.ticket);
     }
 }
 
@@ -140,19 +137,19 @@
         self.is_on.store(true, Ordering::Relaxed);
         let service = key(&wanted.service);
         let (outcome, decided) = oneshot::channel();
-        let ticket = {
+        let (ticket, is_waiting) = {
             let now = Instant::now();
             let mut state = lock(&self.state);
             let ticket = self.enter(&mut state, wanted, outcome, now)?;
             self.serve(&mut state, service, now);
             self.refuse_late(&mut state, service, now);
-            ticket
+            (ticket, state.entries.contains_key(&ticket))
         };
         let leave = Leave {
             waiting: self,
             ticket,
         };
-        if !lock(&self.state).entries.contains_key(&ticket) {
+        if !is_waiting {
             // Decided at once, so it never stood in the line.
             return decided.await.unwrap_or(Err(Refused::NoTarget));
         }
@@ -183,7 +180,7 @@
         if !places.has_untried(&want) {
             return Err(Refused::NoTarget);
         }
-        let pace = places.drain(&want, now).pace;
+        let pace = places.pace(&wanted.service);
         drop(places);
         let request = Request {
             service: key(&wanted.service),
@@ -280,8 +277,8 @@
 
     /// Refuses the requests for a service that cannot begin in time.
     fn refuse_late(&self, state: &mut State, service: ServiceKey, now: Instant) {
-        let mut entries = state.entries.values();
-        let Some(entry) = entries.find(|entry| key(&entry.wanted.service) == service) else {
+        let first = state.line.first(service, &state.shares);
+        let Some(entry) = first.and_then(|first| state.entries.get(&first.ticket)) else {
             return;
         };
         let want = entry.wanted.want(&self.uses.data_centre);
--- a/crates/gateway/src/waiting/handing.rs
+++ b/crates/gateway/src/waiting/handing.rs
@@ -53,8 +53,11 @@
             let Some(id) = places.id_of(target).cloned() else {
                 return;
             };
-            let service = places.spec(&id).map(|spec| key(&spec.service));
-            (id, service.unwrap_or_default())
+            let Some(spec) = places.spec(&id) else {
+                return;
+            };
+            let service = key(&spec.service);
+            (id, service)
         };
         match state.line.first(service, &state.shares) {
             Some(first) => self.hand_over(&mut state, first, &id, now),
--- a/crates/gateway/src/waiting/told.rs
+++ b/crates/gateway/src/waiting/told.rs
@@ -54,7 +54,7 @@
     }
 
     /// Takes in that requests wait at a host elsewhere.
-    pub(crate) fn is_short(&self, data_centre: &str, now: Instant) {
+    pub(crate) fn note_short(&self, data_centre: &str, now: Instant) {
         let mut state = lock(&self.state);
         state.short_at.insert(data_centre.to_owned(), now);
     }
--- a/crates/gateway/tests/catalog.rs
+++ b/crates/gateway/tests/catalog.rs
@@ -11,6 +11,7 @@
 use rstest::rstest;
 use world::Running;
 use world::World;
+use world::start_with_a_door;
 use world::until;
 
 fn version(host: &Running) -> Option<u64> {
@@ -154,14 +155,7 @@
 #[tokio::test]
 async fn a_host_that_is_cut_from_the_store_takes_routes_and_targets_from_a_peer() {
     let world = World::new(&["t1"]);
-    let door = world.store.door();
-    let cut = world.start_apart("a1", door.clone(), |_| {}).await;
-    cut.until_ready().await;
-    let whole = world.start_ready("a2").await;
-    until("both know each other", || {
-        cut.ctx().peers_alive() == 1 && whole.ctx().peers_alive() == 1
-    })
-    .await;
+    let (cut, door, _whole) = start_with_a_door(&world).await;
     door.close(true);
     world.configure(5, true);
     world.store.put_target("t2", "up");
--- a/crates/gateway/tests/jobs.rs
+++ b/crates/gateway/tests/jobs.rs
@@ -19,6 +19,7 @@
 use rstest::rstest;
 use world::TOKENS_MAX;
 use world::World;
+use world::start_with_a_door;
 use world::store::Fate;
 use world::targets::Act;
 use world::targets::item_text;
@@ -269,14 +270,7 @@
 #[tokio::test]
 async fn the_jobs_of_a_host_that_is_cut_from_the_store_are_finished_by_others() {
     let world = World::new(&["t1", "t2"]);
-    let door = world.store.door();
-    let a1 = world.start_apart("a1", door.clone(), |_| {}).await;
-    a1.until_ready().await;
-    let a2 = world.start_ready("a2").await;
-    until("both know each other", || {
-        a1.ctx().peers_alive() == 1 && a2.ctx().peers_alive() == 1
-    })
-    .await;
+    let (a1, door, a2) = start_with_a_door(&world).await;
     world.engines.hold();
     a1.submit("j1", 4, 10).await.unwrap();
     door.close(true);
--- a/crates/routing/src/places/choice.rs
+++ b/crates/routing/src/places/choice.rs
@@ -78,12 +78,17 @@
             }
             return Err(Refusal::NoTarget { retry_after });
         };
+        Ok(self.choice_at(id))
+    }
+
+    /// Returns the choice of a target that is known.
+    pub(super) fn choice_at(&self, id: TargetId) -> Choice {
         let target = &self.targets[&id];
-        Ok(Choice {
+        Choice {
             addr: target.spec.addr,
             room: self.room(target),
             target: id,
-        })
+        }
     }
 
     /// Chooses the target of an item: one with places beyond the reserve.
@@ -152,7 +157,7 @@
         is_more.then_some(most.1)
     }
 
-    pub(super) fn room(&self, target: &Target) -> Room {
+    fn room(&self, target: &Target) -> Room {
         if target.free() > 0 {
             return Room::Free;
         }
@@ -203,6 +208,14 @@
         ejected * EJECTED_PART_MAX > all
     }
 
+    /// Returns what is usual at a service's targets.
+    pub(super) fn usual(&self, service: &str) -> Usual {
+        Usual {
+            pace: self.usual_pace(service),
+            duration_s: self.durations_s.get(service).copied(),
+        }
+    }
+
     /// Returns the usual time to a first event at a service's targets.
     pub(super) fn usual_pace(&self, service: &str) -> Option<Duration> {
         let of_service = self.targets.values().filter(|t| t.spec.service == service);
@@ -242,9 +255,9 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Usual {
     /// Time to a first event.
-    pub(super) pace: Option<Duration>,
+    pace: Option<Duration>,
     /// Time of a whole online request, in seconds.
-    pub(super) duration_s: Option<f64>,
+    duration_s: Option<f64>,
 }
 
 impl Usual {
--- a/crates/routing/src/places/free.rs
+++ b/crates/routing/src/places/free.rs
@@ -4,8 +4,7 @@
 //! some tenths of a second old, and a place that was free then has mostly been taken when
 //! all places are short: a request that is sent there waits in the target's queue, behind
 //! those of the hosts near it. So a target elsewhere has room only beyond the places that
-//! are likely to have been taken since. In a load that filled nearly all places, three in
-//! five of the requests that came late had been sent to targets elsewhere by such news.
+//! are likely to have been taken since.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -18,7 +17,6 @@
 use super::TargetId;
 use super::TargetKey;
 use super::Want;
-use super::choice::Usual;
 use super::choice::is_remote;
 use super::choice::online_cost;
 
@@ -36,8 +34,6 @@
     /// Places near by that fall free in a second when all are taken; nothing if nobody
     /// knows how long requests take.
     pub per_s: Option<f64>,
-    /// Usual time to a first event once a request has begun.
-    pub pace: Duration,
     /// Whether there are targets in the host's own data centre.
     pub has_near: bool,
 }
@@ -62,13 +58,7 @@
             let has_room = t.load().online.saturating_add(others) < t.spec.slots;
             has_room.then(|| online_cost(t, want, usual, self.cfg))?
         });
-        let id = id?.clone();
-        let target = &self.targets[&id];
-        Some(Choice {
-            addr: target.spec.addr,
-            room: self.room(target),
-            target: id,
-        })
+        Some(self.choice_at(id?.clone()))
     }
 
     /// Returns the choice of a place that was handed to a request; nothing if that target is
@@ -79,16 +69,12 @@
         if !is_for_it || target.spec.leaving || target.is_ejected(now) {
             return None;
         }
-        let room = match self.room(target) {
+        let mut choice = self.choice_at(id.clone());
+        if choice.room == Room::Queue {
             // The host that hands it over has not told yet that its request has ended.
-            Room::Queue => Room::Free,
-            room => room,
-        };
-        Some(Choice {
-            addr: target.spec.addr,
-            room,
-            target: id.clone(),
-        })
+            choice.room = Room::Free;
+        }
+        Some(choice)
     }
 
     /// Returns whether a place of a target may be handed to a request that waits: one is
@@ -135,21 +121,18 @@
             }
             slots += target.spec.slots;
         }
-        let usual = self.usual(want.service);
-        let duration_s = usual.duration_s.filter(|duration_s| *duration_s > 0.0);
+        let duration_s = self.durations_s.get(want.service);
+        let duration_s = duration_s.filter(|duration_s| **duration_s > 0.0);
         Drain {
             open,
             per_s: duration_s.map(|duration_s| f64::from(slots) / duration_s),
-            pace: usual.pace.unwrap_or_default(),
             has_near,
         }
     }
 
-    pub(super) fn usual(&self, service: &str) -> Usual {
-        Usual {
-            pace: self.usual_pace(service),
-            duration_s: self.durations_s.get(service).copied(),
-        }
+    /// Returns the usual time to a first event once a request has begun.
+    pub fn pace(&self, service: &str) -> Duration {
+        self.usual_pace(service).unwrap_or_default()
     }
 
     fn has_near(&self, want: &Want<'_>, with_ejected: bool, now: Instant) -> bool {
--- a/crates/waiting/src/lib.rs
+++ b/crates/waiting/src/lib.rs
@@ -3,9 +3,10 @@
 //! A target takes requests in the order in which they come, and what waits there can go
 //! nowhere else. So a request waits at its host as long as no place is free, and begins
 //! at whichever target frees one first. All hosts of a data centre keep one [order]:
-//! by priority, then those whose workspaces exceed their part of the places after all others, then by age. A host whose request ends hands the place to whoever is
-//! first; whoever else sees a free place leaves it to as many requests of other hosts as
-//! come before its own.
+//! by priority, then those whose workspaces exceed their part of the places after all
+//! others, then by age. A host whose request ends hands the place to whoever is first;
+//! whoever else sees a free place leaves it to as many requests of other hosts as come
+//! before its own.
 //!
 //! ```
 //! use std::time::{Duration, Instant};
--- a/crates/waiting/src/line.rs
+++ b/crates/waiting/src/line.rs
@@ -149,10 +149,9 @@
     ) -> Option<Next> {
         let own = self.first(service, shares);
         let peers = self.peers.iter_mut().filter_map(|(host, peer)| {
-            let ranks = peer.waiting.iter().filter(|(of, _)| *of == service);
-            let ranks: Vec<Rank> = ranks.map(|(_, rank)| *rank).collect();
+            let mut waiting = peer.waiting.iter().filter(|(of, _)| *of == service);
             // Its first requests are being served already.
-            let rank = *ranks.get(peer.handed(service, now))?;
+            let (_, rank) = *waiting.nth(peer.handed(service, now))?;
             Some((rank, host, peer))
         });
         let best = peers.min_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)));
