Send load changes immediately only when places are scarce; track busy targets

Cause: in a fleet divided into cells, each start and end of a request is sent to the whole cell, even where nine places in ten are free; metrics and a host's own load were summed over all targets 20 times a second. Change: in a fleet of cells, while less than a quarter of a target's places are taken, load changes are sent with the next heartbeat; busy targets are kept in a set; the utilization of all targets is computed once a second.

--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -51,6 +51,9 @@
 /// Time between two looks at the backlog without news, and at overfull targets.
 const TICK: Duration = Duration::from_millis(50);
 
+/// Update period of the utilization metrics of all targets.
+const GAUGE_PERIOD: Duration = Duration::from_secs(1);
+
 /// Time for the items of a host that leaves to stop and be saved: some calls
 /// of the store, and little beside the time that a host has to leave.
 const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(400);
@@ -146,6 +149,7 @@
 async fn schedule(ctx: Arc<Context>) {
     let mut changed = ctx.journal.subscribe();
     let mut ticks = ctx.timer.subscribe(TICK);
+    let mut gauge_ticks = ctx.timer.subscribe(GAUGE_PERIOD);
     // The records may have been listed before anybody subscribed.
     sync(&ctx);
     while ctx.phase() < Phase::Leaving {
@@ -157,7 +161,9 @@
                     return;
                 }
                 relieve(&ctx);
-                gauge(&ctx);
+                if gauge_ticks.try_recv().is_ok() {
+                    gauge(&ctx);
+                }
             }
         }
         // An item that is blamed may be the first that a host reads when it starts.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -185,6 +185,14 @@
         self.dirty.notify_one();
     }
 
+    /// Sends this host's load to peers immediately, or with the next heartbeat if the fleet
+    /// is divided into cells and the target's places are not scarce.
+    pub(crate) fn tell_load(&self, is_scarce: bool) {
+        if is_scarce || !self.neighbours.cells().is_divided() {
+            self.tell();
+        }
+    }
+
     /// Returns whether no host can be missing from those that are known. One that is new
     /// to the list waits until those that are new as well have written their entries.
     pub(crate) fn is_fleet_known(&self) -> bool {
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -32,14 +32,15 @@
 
 impl Running {
     pub(crate) fn begin(ctx: &Arc<Context>, target: &TargetId, class: Class) -> Self {
-        {
+        let is_scarce = {
             let mut places = lock(&ctx.places);
             match class {
                 Class::Online => places.begin_online(target, Instant::now()),
                 Class::Batch => places.begin_batch(target),
             }
-        }
-        ctx.peers.tell();
+            places.is_scarce(target)
+        };
+        ctx.peers.tell_load(is_scarce);
         Self {
             ctx: Arc::clone(ctx),
             target: target.clone(),
@@ -74,20 +75,22 @@
 
 impl Drop for Running {
     fn drop(&mut self) {
-        {
+        let was_scarce = {
             let mut places = lock(&self.ctx.places);
+            let was_scarce = places.is_scarce(&self.target);
             match self.class {
                 Class::Online => places.end_online(&self.target),
                 Class::Batch => places.end_batch(&self.target),
             }
-        }
+            was_scarce
+        };
         if let Some(workspace) = &self.workspace {
             self.ctx.waiting.end(workspace);
         }
         if let Some(host) = self.ctx.waiting.freed(&self.target) {
             self.ctx.peers.hand(&host, key_of(&self.target));
         }
-        self.ctx.peers.tell();
+        self.ctx.peers.tell_load(was_scarce);
         self.ctx.items.wake();
         self.ctx.waiting.wake();
     }
--- a/crates/routing/src/places.rs
+++ b/crates/routing/src/places.rs
@@ -32,6 +32,7 @@
 mod health;
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -233,6 +234,8 @@
     cfg: Config,
     targets: HashMap<TargetId, Target>,
     keys: HashMap<TargetKey, TargetId>,
+    /// Targets at which this host runs requests.
+    busy: HashSet<TargetId>,
     peers: HashMap<HostId, Peer>,
     /// What the hosts of other cells run, by the cell's name.
     cells: HashMap<String, Peer>,
@@ -256,6 +259,7 @@
             cfg,
             targets: HashMap::new(),
             keys: HashMap::new(),
+            busy: HashSet::new(),
             peers: HashMap::new(),
             cells: HashMap::new(),
             durations_s: HashMap::new(),
@@ -302,6 +306,7 @@
     pub fn remove(&mut self, id: &str) {
         if let Some(target) = self.targets.remove(id) {
             self.keys.remove(&target.key);
+            self.busy.remove(id);
         }
     }
 
--- a/crates/routing/src/places/choice.rs
+++ b/crates/routing/src/places/choice.rs
@@ -139,7 +139,11 @@
     /// Returns the targets at which this host should cut an item: there are
     /// more requests than places, and no host has more items there.
     pub fn overfull(&self, host: &str) -> Vec<TargetId> {
-        let mine = self.targets.iter().filter(|(_, t)| t.own.batch > 0);
+        let busy = self
+            .busy
+            .iter()
+            .filter_map(|id| self.targets.get_key_value(id));
+        let mine = busy.filter(|(_, t)| t.own.batch > 0);
         let over = mine
             .filter(|(_, t)| t.load().total() > t.spec.slots && self.most_items(t, host).is_none());
         over.map(|(id, _)| id.clone()).collect()
--- a/crates/routing/src/places/counts.rs
+++ b/crates/routing/src/places/counts.rs
@@ -10,6 +10,10 @@
 use super::Target;
 use super::TargetKey;
 
+/// Divisor of a target's places: once that part is taken, places count as scarce. Below
+/// it, a host with outdated counts still finds free places.
+const SCARCE_DIVISOR: u32 = 4;
+
 /// Requests that run at a target or wait there.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
@@ -55,7 +59,7 @@
 impl Places {
     /// Returns what this host runs, target by target.
     pub fn own(&self) -> impl Iterator<Item = (TargetKey, Load)> {
-        let busy = self.targets.values().filter(|t| t.own.total() > 0);
+        let busy = self.busy.iter().filter_map(|id| self.targets.get(id));
         busy.map(|t| (t.key, t.own))
     }
 
@@ -64,6 +68,13 @@
         self.targets.get(id).map(Target::load).unwrap_or_default()
     }
 
+    /// Returns whether at least a quarter of a target's places are taken, so that changes of
+    /// its load are sent to other hosts immediately.
+    pub fn is_scarce(&self, id: &str) -> bool {
+        let target = self.targets.get(id);
+        target.is_some_and(|t| t.load().total().saturating_mul(SCARCE_DIVISOR) >= t.spec.slots)
+    }
+
     /// Returns how many places are taken and how many there are, at targets that
     /// stay. Requests that wait in a target's queue take none.
     pub fn in_use(&self) -> (u32, u32) {
@@ -228,8 +239,14 @@
 
     fn count(&mut self, id: &str, change: impl FnOnce(&mut Load)) {
         // A target that has left in the meantime counts nothing any more.
-        if let Some(target) = self.targets.get_mut(id) {
-            change(&mut target.own);
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        change(&mut target.own);
+        if target.own.total() == 0 {
+            self.busy.remove(id);
+        } else if !self.busy.contains(id) {
+            self.busy.insert(id.to_owned());
         }
     }
 }
--- a/crates/routing/src/places/free.rs
+++ b/crates/routing/src/places/free.rs
@@ -90,7 +90,7 @@
     /// Returns what this host runs at targets elsewhere, by data centre.
     pub fn own_elsewhere(&self, data_centre: &str) -> BTreeMap<String, Vec<(TargetKey, Load)>> {
         let mut elsewhere: BTreeMap<String, Vec<(TargetKey, Load)>> = BTreeMap::new();
-        let targets = self.targets.values().filter(|t| t.own.total() > 0);
+        let targets = self.busy.iter().filter_map(|id| self.targets.get(id));
         for target in targets.filter(|t| t.spec.data_centre != data_centre) {
             let loads = elsewhere.entry(target.spec.data_centre.clone());
             loads.or_default().push((target.key, target.own));
--- a/crates/routing/tests/places.rs
+++ b/crates/routing/tests/places.rs
@@ -374,3 +374,35 @@
     places.upsert("t1", born(2_000));
     assert!(!places.is_failing("t1", now));
 }
+
+#[rstest]
+#[case::idle(8, 0, 0, false)]
+#[case::one_of_eight(8, 1, 0, false)]
+#[case::two_of_eight(8, 1, 1, true)]
+#[case::one_of_four(4, 0, 1, true)]
+#[case::the_only_one(1, 1, 0, true)]
+#[case::full(2, 1, 1, true)]
+fn places_are_scarce_once_a_quarter_is_taken(
+    #[case] slots: u32,
+    #[case] own: u32,
+    #[case] others: u32,
+    #[case] expected: bool,
+) {
+    let now = Instant::now();
+    let mut places = Places::new(Config::default(), 1);
+    let spec = Spec {
+        slots,
+        ..Spec::default()
+    };
+    places.upsert("t1", spec);
+    for _ in 0..own {
+        places.begin_online("t1", now);
+    }
+    let load = Load {
+        online: others,
+        batch: 0,
+    };
+    places.peer_runs("h2", [(key_of("t1"), load)], vec![], now);
+    assert_eq!(places.is_scarce("t1"), expected);
+    assert!(!places.is_scarce("unknown"));
+}
