--- a/crates/config/src/gateway.rs
+++ b/crates/config/src/gateway.rs
@@ -14,7 +14,6 @@
 //! Fields carry their unit as a suffix. All but the host's name and data
 //! centre have defaults.
 
-use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 
@@ -80,9 +79,15 @@
     /// Where metrics are read; none if absent.
     #[serde(default)]
     pub metrics_listen: Option<SocketAddr>,
-    /// Hosts to ask first; they may be down.
+    /// Address for introductions by hosts that cannot read the host list; disabled if
+    /// absent. Must use the same port on all seeds.
     #[serde(default)]
-    pub seeds: Vec<IpAddr>,
+    pub contact_listen: Option<SocketAddr>,
+    /// Contact addresses of up to 16 seed hosts, which may be down. Empty by default, in
+    /// which case hosts cannot discover one another if the store is unavailable from the
+    /// fleet's first start on.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
 }
 
 fn any_port() -> SocketAddr {
@@ -363,11 +368,21 @@
     Ok(settings)
 }
 
+/// Maximum number of seeds, which are contacted in turn for up to 250 ms each.
+const SEEDS_MAX: u64 = 16;
+
 fn check(s: &Settings) -> Result<(), error::Settings> {
     const MINUTE_MS: u64 = 60_000;
     const TEN_MINUTES_MS: u64 = 600_000;
     name("host.name", &s.host.name)?;
     name("host.data_centre", &s.host.data_centre)?;
+    let seeds = s.host.seeds.len();
+    range(
+        "host.seeds",
+        u64::try_from(seeds).unwrap_or(u64::MAX),
+        0,
+        SEEDS_MAX,
+    )?;
     range("store.timeout_ms", s.store.timeout_ms, 10, MINUTE_MS)?;
     range("store.poll_ms", s.store.poll_ms, 10, MINUTE_MS)?;
     range("store.parts", s.store.parts, 1, 100_000)?;
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -49,11 +49,14 @@
         let addr = settings.host.peer_listen;
         let socket = UdpSocket::bind(addr).await.change_context(Start::Listen);
         let socket = socket.attach_with(|| addr.to_string())?;
-        let listener = bind(addr).await?;
+        let mut listeners = vec![bind(addr).await?];
+        if let Some(addr) = settings.host.contact_listen {
+            listeners.push(bind(addr).await?);
+        }
         let ctx = Arc::new(Context::new(settings, ports, logger));
         catalog::start(&ctx);
         journal::start(&ctx);
-        peers::start(&ctx, socket, listener);
+        peers::start(&ctx, socket, listeners);
         quarantine::start(&ctx);
         tokio::spawn(limits::run(Arc::clone(&ctx)));
         tokio::spawn(waiting::run(
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -10,6 +10,7 @@
 //! over bytes as they came.
 
 mod cell;
+mod contact;
 mod list;
 mod loading;
 mod pull;
@@ -342,7 +343,7 @@
 }
 
 /// Starts to speak with other hosts.
-pub(crate) fn start(ctx: &Arc<Context>, socket: UdpSocket, listener: TcpListener) {
+pub(crate) fn start(ctx: &Arc<Context>, socket: UdpSocket, listeners: Vec<TcpListener>) {
     // The context is new, so nothing was set in it before.
     let _ = ctx.peers.socket.set(socket);
     tokio::spawn(list::enter(Arc::clone(ctx)));
@@ -353,6 +354,7 @@
                 list::take(&shared, reading);
             }),
     );
+    tokio::spawn(contact::run(Arc::clone(ctx)));
     tokio::spawn(status::send(Arc::clone(ctx)));
     tokio::spawn(status::receive(Arc::clone(ctx)));
     tokio::spawn(relay::run(Arc::clone(ctx)));
@@ -360,7 +362,9 @@
     tokio::spawn(loading::run(Arc::clone(ctx)));
     tokio::spawn(suspects::retell(Arc::clone(ctx)));
     tokio::spawn(sweep(Arc::clone(ctx)));
-    tokio::spawn(rpc::serve(Arc::clone(ctx), listener));
+    for listener in listeners {
+        tokio::spawn(rpc::serve(Arc::clone(ctx), listener));
+    }
 }
 
 /// Returns the number of hosts that tell one another at each change, with this one.
--- a/crates/gateway/src/peers/list.rs
+++ b/crates/gateway/src/peers/list.rs
@@ -51,9 +51,9 @@
 
 /// A host's entry in the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct Listing {
-    addr: SocketAddr,
-    data_centre: String,
+pub(super) struct Listing {
+    pub(super) addr: SocketAddr,
+    pub(super) data_centre: String,
 }
 
 /// An entry with what others say of its host. Entries of hosts that know of no such word
@@ -87,7 +87,7 @@
     }
 }
 
-fn own_listing(ctx: &Context) -> Listing {
+pub(super) fn own_listing(ctx: &Context) -> Listing {
     Listing {
         addr: ctx.settings.host.peer_listen,
         data_centre: ctx.settings.host.data_centre.clone(),
@@ -156,6 +156,7 @@
         ctx.peers.loading.list_tried();
         return;
     };
+    let asked = reading.asked;
     let is_listing = matches!(seen, Seen::All { .. });
     let records = seen.records();
     note_own(ctx, reading.asked, is_listing, &records);
@@ -176,10 +177,19 @@
         }
     }
     cell::divide(ctx);
-    ctx.peers.loading.list_read();
+    ctx.peers.loading.list_read(asked);
     ctx.peers.tell();
 }
 
+/// Adds a host learned from a peer rather than from the list.
+pub(super) fn add_contact(ctx: &Context, host: &str, listing: &Listing) {
+    let marked = Marked {
+        listing: listing.clone(),
+        is_silent: false,
+    };
+    know(ctx, host.to_owned(), &marked);
+}
+
 fn know(ctx: &Context, host: HostId, marked: &Marked) {
     let listing = &marked.listing;
     let addr = listing.addr;
--- a/crates/gateway/src/peers/loading.rs
+++ b/crates/gateway/src/peers/loading.rs
@@ -15,8 +15,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
+use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -64,8 +63,8 @@
 pub(super) struct Loading {
     /// Whether the list of hosts was read, or could not be.
     is_list_tried: watch::Sender<bool>,
-    /// Whether the list of hosts was read.
-    is_list_read: AtomicBool,
+    /// When the newest reading of the host list was requested.
+    list_read_at: Mutex<Option<Instant>>,
     /// Whether routes and targets are here, or are to be listed.
     is_catalog_due: watch::Sender<bool>,
     /// Peers that are being handed something.
@@ -76,7 +75,7 @@
     fn default() -> Self {
         Self {
             is_list_tried: watch::Sender::new(false),
-            is_list_read: AtomicBool::new(false),
+            list_read_at: Mutex::default(),
             is_catalog_due: watch::Sender::new(false),
             handing_over: Gauge::default(),
         }
@@ -89,9 +88,10 @@
         self.is_list_tried.send_replace(true);
     }
 
-    /// Notes that the list of hosts was read.
-    pub(super) fn list_read(&self) {
-        self.is_list_read.store(true, Ordering::Relaxed);
+    /// Records a reading of the host list.
+    pub(super) fn list_read(&self, asked: Instant) {
+        let mut read_at = lock(&self.list_read_at);
+        *read_at = read_at.max(Some(asked));
         self.list_tried();
     }
 
@@ -105,7 +105,12 @@
 
     /// Returns whether the list of hosts was read.
     pub(super) fn is_list_read(&self) -> bool {
-        self.is_list_read.load(Ordering::Relaxed)
+        self.list_read_at().is_some()
+    }
+
+    /// Returns when the newest reading of the host list was requested.
+    pub(super) fn list_read_at(&self) -> Option<Instant> {
+        *lock(&self.list_read_at)
     }
 
     /// Begins to hand something over, if not too many are being handed something.
--- a/crates/gateway/src/peers/receivers.rs
+++ b/crates/gateway/src/peers/receivers.rs
@@ -1,6 +1,5 @@
 //! Where a host sends what it tells, by the decisions of [`telling`].
 
-use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::time::Instant;
 
@@ -24,7 +23,7 @@
 }
 
 /// Returns where to send in this host's cell: to peers that live, and now and
-/// then to the others and to the hosts that the settings name.
+/// then to the others.
 pub(super) fn receivers(ctx: &Context, due: Due) -> Receivers {
     let now = Instant::now();
     let own = own(ctx, ctx.peers.neighbours.told(now));
@@ -38,15 +37,8 @@
         all[*place].told = Some(now);
     }
     let addrs = told.near.iter().chain(&told.far);
-    let mut addrs: Vec<SocketAddr> = addrs.map(|place| all[*place].addr).collect();
-    if !all.iter().any(|peer| peer.is_alive) {
-        let own = ctx.settings.host.peer_listen;
-        let seeds = ctx.settings.host.seeds.iter();
-        let seeds = seeds.map(|ip: &IpAddr| SocketAddr::new(*ip, own.port()));
-        addrs.extend(seeds.filter(|addr| *addr != own));
-    }
     Receivers {
-        addrs,
+        addrs: addrs.map(|place| all[*place].addr).collect(),
         pace: told.pace,
     }
 }
--- a/crates/gateway/src/peers/rpc.rs
+++ b/crates/gateway/src/peers/rpc.rs
@@ -21,6 +21,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
+use super::contact;
 use super::pull;
 use super::suspects;
 use crate::context::Context;
@@ -33,6 +34,8 @@
 pub(super) const RECORDS: &str = "/records";
 /// The path of calls for requests under which targets crashed.
 pub(super) const SUSPECTS: &str = "/suspects";
+/// The path of introductions by hosts that cannot read the host list.
+pub(super) const CONTACTS: &str = "/contacts";
 /// The path of calls about jobs.
 pub(super) const JOBS: &str = "/jobs";
 
@@ -148,6 +151,7 @@
     let answered = match (path.as_str(), body) {
         (SNAPSHOT, _) => hand_over(ctx, under_way, pull::snapshot),
         (RECORDS, _) if ctx.journal.is_loaded() => hand_over(ctx, under_way, records),
+        (CONTACTS, Some(body)) => contact::answer(ctx, &body),
         (SUSPECTS, _) => suspects::handed_over(ctx),
         (JOBS, Some(body)) => jobs::answer(ctx, &body).await,
         _ => None,
--- /dev/null
+++ b/crates/gateway/tests/contact.rs
@@ -0,0 +1,110 @@
+//! Hosts that cannot read the host list discover one another through seeds.
+//!
+//! Guards against hosts that do not know one another when the store becomes unavailable at
+//! a fleet's first start: each of three hosts then found out for itself which request
+//! crashes targets, and nine targets crashed where six may.
+#![allow(clippy::unwrap_used, reason = "Tests fail by panicking.")]
+
+mod world;
+
+use std::net::SocketAddr;
+
+use rstest::rstest;
+use tokio::io::AsyncReadExt as _;
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::TcpStream;
+use world::Running;
+use world::World;
+use world::free_addr;
+use world::store::ScriptedStore;
+use world::until;
+
+/// Starts a host with the given store connection and seeds.
+async fn start(
+    world: &World,
+    name: &str,
+    door: &ScriptedStore,
+    contact: SocketAddr,
+    seeds: &[SocketAddr],
+) -> Running {
+    let started = world.start_apart(name, door.clone(), |settings| {
+        settings.host.contact_listen = Some(contact);
+        settings.host.seeds = seeds.to_vec();
+    });
+    started.await
+}
+
+async fn until_all_connected(hosts: &[Running]) {
+    until("each host hears all others", || {
+        let mut hosts_heard = hosts.iter().map(|host| host.ctx().peers_alive());
+        hosts_heard.all(|heard| heard == hosts.len() - 1)
+    })
+    .await;
+}
+
+#[rstest]
+#[case::the_first_host(|contacts: &[SocketAddr]| vec![contacts[0]])]
+#[case::itself_as_well(|contacts: &[SocketAddr]| contacts.to_vec())]
+#[case::one_that_is_down(|contacts: &[SocketAddr]| vec![free_addr(), contacts[1]])]
+#[tokio::test]
+async fn hosts_of_a_new_fleet_discover_one_another_without_a_store(
+    #[case] seeds: fn(&[SocketAddr]) -> Vec<SocketAddr>,
+) {
+    let world = World::new(&["t1"]);
+    let door = world.store.door();
+    door.close(true);
+    let contacts = [(); 4].map(|()| free_addr());
+    let mut hosts = Vec::new();
+    for (number, contact) in contacts.into_iter().enumerate() {
+        let name = format!("a{number}");
+        hosts.push(start(&world, &name, &door, contact, &seeds(&contacts)).await);
+    }
+    until_all_connected(&hosts).await;
+}
+
+#[tokio::test]
+async fn hosts_discovered_through_a_seed_follow_the_list_once_available() {
+    let world = World::new(&["t1"]);
+    let door = world.store.door();
+    door.close(true);
+    let contact = free_addr();
+    let mut hosts = vec![start(&world, "a0", &door, contact, &[]).await];
+    hosts.push(start(&world, "a1", &door, free_addr(), &[contact]).await);
+    until_all_connected(&hosts).await;
+    door.close(false);
+    for host in &hosts {
+        host.until_ready().await;
+    }
+    until("both are in the list", || {
+        hosts.iter().all(|host| host.ctx().peers_listed() == 1)
+    })
+    .await;
+    hosts.pop().unwrap().kill();
+    until("the other's end is noticed", || {
+        hosts[0].ctx().peers_alive() == 0
+    })
+    .await;
+}
+
+#[rstest]
+#[case::nothing(b"")]
+#[case::no_introduction(&[0xff; 40])]
+#[case::a_length_beyond_the_end(&[0x7f, b'a'])]
+#[tokio::test]
+async fn invalid_introductions_are_refused(#[case] body: &[u8]) {
+    let world = World::new(&["t1"]);
+    let contact = free_addr();
+    let host = start(&world, "a0", &world.store.clone(), contact, &[]).await;
+    host.until_ready().await;
+    let mut socket = TcpStream::connect(contact).await.unwrap();
+    let head = format!(
+        "POST /contacts HTTP/1.1\r\nhost: peer\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    socket.write_all(head.as_bytes()).await.unwrap();
+    socket.write_all(body).await.unwrap();
+    let mut answer = Vec::new();
+    socket.read_to_end(&mut answer).await.unwrap();
+    assert!(answer.starts_with(b"HTTP/1.1 400 "), "{answer:?}");
+    assert_eq!(host.ctx().peers_listed(), 0);
+}
