Stop routing to evacuated data centres, and limit requests to cold targets

Cause: operators may request the evacuation of a data centre (a record beside the configuration), and a target may be cold after it starts or again later; neither was read. Change: targets of an evacuated data centre receive no new requests or items until the record is deleted; hosts that follow a reader, start during the evacuation or are cut off from the store learn of it with the configuration's version. A cold target receives at most as many concurrent requests as its rate times the usual request duration; while that is below its places none is queued at it. Alternatives rejected: marking the targets as leaving (their entries say otherwise, and the mark would be passed on to peers); a rate shared among hosts (each request would cost a message, and the count at a target is already known).

--- a/crates/config/src/routes.rs
+++ b/crates/config/src/routes.rs
@@ -116,7 +116,7 @@
 }
 
 /// A service.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Service {
     /// The service's name.
     pub name: ServiceName,
@@ -127,6 +127,8 @@
     pub slots: Option<u32>,
     /// Tokens that one of its targets holds, where the configuration says so.
     pub tokens_max: Option<u64>,
+    /// Requests per second that a cold target of the service sustains, if configured.
+    pub cold_per_s: Option<f64>,
 }
 
 /// Bounds on what callers send.
@@ -221,6 +223,11 @@
         routes.is_some_and(|routes| routes.iter().any(|r| r.public && r.kind == Kind::Batch))
     }
 
+    /// Returns the services.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.services.values()
+    }
+
     /// Returns the table's version.
     pub fn version(&self) -> TableVersion {
         self.version
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -6,6 +6,7 @@
 //! use and what peers are told never tell of different readings.
 
 mod config;
+mod evacuation;
 mod follow;
 mod records;
 
@@ -44,6 +45,8 @@
 use self::config::Removed;
 pub(crate) use self::config::confirm;
 pub(crate) use self::config::take_from_peer;
+use self::evacuation::Evacuated;
+pub(crate) use self::evacuation::take_from_peer as take_evacuated;
 use self::follow::SWEEP;
 use self::follow::TARGETS_GAP;
 pub(crate) use self::follow::start;
@@ -81,6 +84,7 @@
     /// When the configuration was known to be the newest.
     config_as_of: Option<Instant>,
     removed: Removed,
+    evacuated: Evacuated,
     targets: Belief,
     /// The evidence reported by the last reader followed, unless this host has read since.
     peer_evidence: Option<Evidence>,
@@ -131,6 +135,7 @@
             config: None,
             config_as_of: None,
             removed: Removed::default(),
+            evacuated: Evacuated::default(),
             targets: Belief::new(bounds(settings)),
             peer_evidence: None,
         };
@@ -180,8 +185,10 @@
         }
     }
 
-    /// Takes out targets whose entries have not come back in time.
+    /// Removes targets whose entries have not reappeared in time, and lifts the limits of
+    /// targets that are no longer cold.
     fn sweep(&self, now: Instant) {
+        lock(&self.uses.places).end_cold(now);
         let mut known = lock(&self.known);
         if !known.targets.is_in_doubt() {
             return;
@@ -276,7 +283,9 @@
             }
             self.uses.metrics.count(Counted::Changes, "target");
         }
+        let cold_left = spec.cold_left;
         places.upsert(id, spec);
+        places.set_cold(id, cold_left, Instant::now());
     }
 
     fn take_out(&self, id: &str) {
--- a/crates/gateway/src/catalog/config.rs
+++ b/crates/gateway/src/catalog/config.rs
@@ -16,6 +16,7 @@
 use super::Catalog;
 use super::Config;
 use super::News;
+use super::evacuation;
 use super::follow::tell;
 use crate::context::Context;
 use crate::follow::Reading;
@@ -80,9 +81,16 @@
         Seen::All { .. } => true,
         Seen::More { is_whole, .. } => *is_whole,
     };
-    for record in seen.records() {
+    let listing_end = match &seen {
+        Seen::All { end, .. } => Some(*end),
+        Seen::More { .. } => None,
+    };
+    let records = seen.records();
+    for record in records.clone() {
         take(ctx, record, "store").await;
     }
+    // Not before the configuration, since peers compare the version of both.
+    evacuation::apply_records(ctx, listing_end, &records);
     // Not before its records are in force, or they would count as confirmed.
     if is_whole {
         ctx.catalog.confirmed(reading.asked);
@@ -204,6 +212,9 @@
             slog::error!(logger, "entry of the configuration at fault"; "version" => version,
                 "error" => fault.to_string());
         }
+        let rates = table.services();
+        let rates = rates.filter_map(|s| Some((s.name.clone(), s.cold_per_s?)));
+        lock(&self.uses.places).set_cold_rates(rates.collect());
         let table = Arc::new(table);
         let before = self.uses.routes.send_replace(Some(Arc::clone(&table)));
         let workspaces_before = before.as_ref().and_then(|t| t.workspaces());
@@ -220,7 +231,7 @@
     /// Records when a peer confirmed a version as the newest, if that version is in force.
     pub(crate) fn confirmed_by_peer(&self, version: u64, asked: Instant) {
         let mut known = lock(&self.known);
-        let own = known.config.as_ref().map_or(0, |c| c.offset + 1);
+        let own = known.config_version();
         if own == version && own > 0 {
             known.config_as_of = known.config_as_of.max(Some(asked));
         }
--- a/crates/gateway/src/catalog/records.rs
+++ b/crates/gateway/src/catalog/records.rs
@@ -26,7 +26,7 @@
 /// Versions of the routes and targets known to a host; higher is newer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Versions {
-    /// One more than the offset of the configuration; zero for none.
+    /// The offset that follows the newest operator record; zero for none.
     pub(crate) config: u64,
     /// The offset that follows the newest record that changed a target.
     pub(crate) targets: u64,
@@ -72,7 +72,7 @@
         // A log without targets also counts as read.
         let is_read = u64::from(known.targets.end() > 0);
         Versions {
-            config: known.config.as_ref().map_or(0, |c| c.offset + 1),
+            config: known.config_version(),
             targets: known.targets.changed_end().max(is_read),
         }
     }
@@ -80,8 +80,7 @@
     /// Returns whether versions of another host are newer than this host's.
     pub(crate) fn is_behind(&self, theirs: Versions) -> bool {
         let known = lock(&self.known);
-        let config = known.config.as_ref().map_or(0, |c| c.offset + 1);
-        theirs.config > config || theirs.targets > known.targets.end()
+        theirs.config > known.config_version() || theirs.targets > known.targets.end()
     }
 
     /// Returns the offset from which to read the log of targets.
@@ -101,6 +100,16 @@
         config.filter(|c| c.offset >= version).cloned()
     }
 
+    /// Returns the evacuated data centres if they have changed since `version`.
+    pub(crate) fn evacuated_after(&self, version: u64) -> Option<records::Evacuated> {
+        let known = lock(&self.known);
+        let evacuated = Some(&known.evacuated).filter(|e| e.version > version)?;
+        Some(records::Evacuated {
+            version: evacuated.version,
+            data_centres: evacuated.data_centres.iter().cloned().collect(),
+        })
+    }
+
     /// Returns the target records that another host is missing, up to `limit` where the
     /// transfer can be continued.
     pub(crate) fn targets_since(&self, position: &Position, limit: usize) -> records::Targets {
@@ -183,6 +192,7 @@
         slots: spec.slots,
         leaving: spec.leaving,
         born_unix_ms: spec.born_unix_ms,
+        cold_left_ms: millis(spec.cold_left),
     }
 }
 
@@ -194,6 +204,7 @@
         slots: target.slots,
         leaving: target.leaving,
         born_unix_ms: target.born_unix_ms,
+        cold_left: ms(target.cold_left_ms),
     }
 }
 
--- a/crates/gateway/src/peers/links.rs
+++ b/crates/gateway/src/peers/links.rs
@@ -34,13 +34,16 @@
         send: Box::new(move |addr, news| sender.peers.send_to(addr, news)),
         request: Box::new(|addr, request| request_changes(addr, request).boxed()),
         hosts_end: Box::new(move || list::end(&end)),
-        apply: Box::new(move |config, hosts| {
+        apply: Box::new(move |operator_records, hosts| {
             let ctx = Arc::clone(&taker);
             async move {
                 list::take_changes(&ctx, hosts);
-                if let Some(config) = config {
+                if let Some(config) = operator_records.config {
                     catalog::take_from_peer(&ctx, config).await;
                 }
+                if let Some(evacuated) = operator_records.evacuated {
+                    catalog::take_evacuated(&ctx, evacuated);
+                }
             }
             .boxed()
         }),
--- a/crates/gateway/src/peers/rpc.rs
+++ b/crates/gateway/src/peers/rpc.rs
@@ -152,6 +152,7 @@
     };
     let response = ChangesResponse {
         config: ctx.catalog.config_after(request.config),
+        evacuated: ctx.catalog.evacuated_after(request.config),
         targets: ctx.catalog.targets_since(&targets, RESPONSE_TARGETS_MAX),
         hosts: list::since(ctx, request.hosts_from),
         reading: ctx.catalog.reading(Instant::now()),
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -276,6 +276,8 @@
     pub newest: Arc<ReadNewest>,
 }
 
+/// Returns the data centre that the record with this key evacuates; `None` for other records.
+pub type DecodeEvacuation = fn(&str) -> Option<&str>;
 /// Reads a configuration's record; nothing if the key is that of another.
 pub type DecodeConfig = fn(key: &str, value: &[u8]) -> Option<Result<Table, Unreadable>>;
 /// Reads a target's record.
@@ -301,6 +303,8 @@
 pub struct Decode {
     /// Reads a configuration.
     pub config: DecodeConfig,
+    /// Returns the data centre that a record of the configuration topic evacuates.
+    pub evacuation: DecodeEvacuation,
     /// Reads a target's record.
     pub target: DecodeTarget,
     /// Reads an item's size.
--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -93,14 +93,19 @@
     >,
     /// Returns the offset up to which the host list is known.
     pub(crate) hosts_end: Box<dyn Fn() -> u64 + Send + Sync>,
-    /// Applies a configuration and changes of the host list.
-    pub(crate) apply: Box<
-        dyn Fn(Option<records::Config>, records::Hosts) -> BoxFuture<'static, ()> + Send + Sync,
-    >,
+    /// Applies operator records and changes of the host list.
+    pub(crate) apply:
+        Box<dyn Fn(OperatorRecords, records::Hosts) -> BoxFuture<'static, ()> + Send + Sync>,
     /// Notifies the users of targets of a change.
     pub(crate) targets_changed: Box<dyn Fn() + Send + Sync>,
 }
 
+/// Operator records received from a peer; `None` for those that are not newer.
+pub(crate) struct OperatorRecords {
+    pub(crate) config: Option<records::Config>,
+    pub(crate) evacuated: Option<records::Evacuated>,
+}
+
 /// The response to a request for changes, or the reason why there is none.
 pub(crate) type ChangesResult = Result<records::ChangesResponse, &'static str>;
 
@@ -511,8 +516,12 @@
             }
         };
         self.uses.metrics.count(Counted::Changes, "peer asked");
-        let is_config = answer.config.is_some();
-        (links.apply)(answer.config, answer.hosts).await;
+        let is_config = answer.config.is_some() || answer.evacuated.is_some();
+        let operator_records = OperatorRecords {
+            config: answer.config,
+            evacuated: answer.evacuated,
+        };
+        (links.apply)(operator_records, answer.hosts).await;
         // Ages are relative to the time of the response, which is no earlier than the request.
         let read = PeerReading::from_peer(&answer.reading, Duration::ZERO, asked);
         if catalog.apply_peer_targets(answer.targets, read, Instant::now()) {
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -31,6 +31,7 @@
 use notchwharf_config::routes::Kind;
 use notchwharf_config::routes::Limits;
 use notchwharf_config::routes::Route;
+use notchwharf_config::routes::Service;
 use notchwharf_config::routes::Share;
 use notchwharf_config::routes::Table;
 use notchwharf_gateway::context::Context;
@@ -145,6 +146,7 @@
             targets: self.engines.port(),
             decode: Decode {
                 config: decode_config,
+                evacuation: |key| key.strip_prefix("evacuate/"),
                 target: decode_target,
                 size: |_| Size::default(),
                 caller: |_| b"",
@@ -366,7 +368,12 @@
             routes.push(jobs());
         }
         let version = version.parse().unwrap();
-        let table = Table::new(version, routes, vec![], Limits::default());
+        let services = vec![Service {
+            name: "s".into(),
+            cold_per_s: Some(4.0),
+            ..Service::default()
+        }];
+        let table = Table::new(version, routes, services, Limits::default());
         Ok(match keys {
             Some(keys) => table.with_workspaces(workspaces(keys)),
             None => table,
@@ -417,10 +424,16 @@
 fn decode_target(value: &[u8]) -> Result<Spec, Unreadable> {
     let text = String::from_utf8_lossy(value);
     let (state, addr) = text.split_once(' ').unwrap_or((&text, ""));
+    let (state, data_centre) = state.split_once('@').unwrap_or((state, "d"));
+    let cold_left = match state {
+        "cold" => WAIT_MAX,
+        _ => Duration::ZERO,
+    };
     let spec = Spec {
         service: "s".into(),
-        data_centre: "d".into(),
+        data_centre: data_centre.into(),
         slots: 2,
+        cold_left,
         leaving: state == "leaving",
         ..Spec::default()
     };
--- a/crates/gateway/tests/world/store.rs
+++ b/crates/gateway/tests/world/store.rs
@@ -116,6 +116,12 @@
         self.put(Topic::Config, CONFIG_KEY, Some(text));
     }
 
+    /// Starts or ends the evacuation of a data centre.
+    pub fn set_evacuated(&self, data_centre: &str, is_evacuated: bool) {
+        let key = format!("evacuate/{data_centre}");
+        self.put(Topic::Config, &key, is_evacuated.then_some("{}"));
+    }
+
     pub fn put_target(&self, target: &str, text: &str) {
         let text = format!("{text} {}", addr_of(target));
         self.put(Topic::Targets, target, Some(&text));
--- a/crates/proto/src/records.rs
+++ b/crates/proto/src/records.rs
@@ -11,7 +11,7 @@
 /// A request for records that a host is missing.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ChangesRequest {
-    /// One more than the offset of the requester's configuration; zero for none.
+    /// The offset that follows the newest operator record of the requester; zero for none.
     pub config: u64,
     /// The offset from which target changes are requested; zero for a listing.
     pub targets_from: u64,
@@ -26,6 +26,8 @@
 pub struct ChangesResponse {
     /// The configuration, if it is newer.
     pub config: Option<Config>,
+    /// The evacuated data centres, if they are newer.
+    pub evacuated: Option<Evacuated>,
     /// Changes of targets.
     pub targets: Targets,
     /// Changes of the host list.
@@ -34,6 +36,15 @@
     pub reading: Reading,
 }
 
+/// The evacuated data centres.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evacuated {
+    /// The offset that follows the record of the last change.
+    pub version: u64,
+    /// The names of the data centres.
+    pub data_centres: Vec<String>,
+}
+
 /// The configuration's record.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Config {
@@ -97,6 +108,8 @@
     pub leaving: bool,
     /// The start time of the target, if known.
     pub born_unix_ms: Option<u64>,
+    /// Remaining time for which the target is cold.
+    pub cold_left_ms: u64,
 }
 
 /// Changes of the host list in an offset range, or all entries.
--- a/crates/routing/src/places.rs
+++ b/crates/routing/src/places.rs
@@ -27,6 +27,7 @@
 //! away costs a message there and back before the request goes out.
 
 mod choice;
+mod closed;
 mod counts;
 mod free;
 mod health;
@@ -106,6 +107,8 @@
     /// The time of day at which it started, if it tells; another one under the
     /// same name means that it started anew and knows nothing of before.
     pub born_unix_ms: Option<u64>,
+    /// Remaining time for which the target is cold and sustains a lower request rate.
+    pub cold_left: Duration,
 }
 
 impl Default for Spec {
@@ -117,6 +120,7 @@
             slots: 1,
             leaving: false,
             born_unix_ms: None,
+            cold_left: Duration::ZERO,
         }
     }
 }
@@ -182,6 +186,12 @@
 struct Target {
     key: TargetKey,
     spec: Spec,
+    /// Whether the target receives no new requests because it is leaving or its data centre
+    /// is evacuated.
+    is_closed: bool,
+    /// The maximum number of concurrent requests; below `spec.slots` while the target is cold
+    /// and its rate is limited.
+    slots: u32,
     own: Load,
     others: Load,
     /// Peers at which it fails.
@@ -203,7 +213,7 @@
     }
 
     fn note_load(&mut self, now: Instant) {
-        if self.load().online >= self.spec.slots {
+        if self.load().online >= self.slots {
             self.full_at = Some(now);
         }
     }
@@ -223,8 +233,14 @@
         self.free()
     }
 
+    /// Returns whether the concurrency limit is below the number of slots. Requests must not
+    /// be queued at such a target, since it would run them immediately.
+    fn is_limited(&self) -> bool {
+        self.slots < self.spec.slots
+    }
+
     fn free(&self) -> u32 {
-        self.spec.slots.saturating_sub(self.load().total())
+        self.slots.saturating_sub(self.load().total())
     }
 }
 
@@ -236,6 +252,12 @@
     keys: HashMap<TargetKey, TargetId>,
     /// Targets at which this host runs requests.
     busy: HashSet<TargetId>,
+    /// Data centres whose targets receive no new requests.
+    evacuated: HashSet<String>,
+    /// The times until which targets are cold.
+    cold_until: HashMap<TargetId, Instant>,
+    /// The rates that cold targets of a service sustain, in requests per second.
+    cold_rates: HashMap<String, f64>,
     peers: HashMap<HostId, Peer>,
     /// What the hosts of other cells run, by the cell's name.
     cells: HashMap<String, Peer>,
@@ -260,6 +282,9 @@
             targets: HashMap::new(),
             keys: HashMap::new(),
             busy: HashSet::new(),
+            evacuated: HashSet::new(),
+            cold_until: HashMap::new(),
+            cold_rates: HashMap::new(),
             peers: HashMap::new(),
             cells: HashMap::new(),
             durations_s: HashMap::new(),
@@ -270,7 +295,12 @@
 
     /// Takes in what is known of a target.
     pub fn upsert(&mut self, id: &str, spec: Spec) {
+        let is_closed = spec.leaving || self.evacuated.contains(&spec.data_centre);
         if let Some(target) = self.targets.get_mut(id) {
+            target.is_closed = is_closed;
+            if !self.cold_until.contains_key(id) {
+                target.slots = spec.slots;
+            }
             if target.spec.born_unix_ms != spec.born_unix_ms {
                 // How it answered, and that it was full, was before it started anew.
                 target.health = Health::default();
@@ -291,6 +321,8 @@
         }
         let target = Target {
             key,
+            is_closed,
+            slots: spec.slots,
             spec,
             own: Load::default(),
             others,
@@ -307,6 +339,7 @@
         if let Some(target) = self.targets.remove(id) {
             self.keys.remove(&target.key);
             self.busy.remove(id);
+            self.cold_until.remove(id);
         }
     }
 
--- a/crates/routing/src/places/choice.rs
+++ b/crates/routing/src/places/choice.rs
@@ -73,7 +73,7 @@
         let Some(id) = best else {
             let retry_after = Duration::from_millis(self.rng.random_range(RETRY_AFTER_MS));
             let mut targets = self.targets.values();
-            if targets.any(|t| t.spec.service == want.service && !t.spec.leaving) {
+            if targets.any(|t| t.spec.service == want.service && !t.is_closed) {
                 return Err(Refusal::Full { retry_after });
             }
             return Err(Refusal::NoTarget { retry_after });
@@ -144,8 +144,8 @@
             .iter()
             .filter_map(|id| self.targets.get_key_value(id));
         let mine = busy.filter(|(_, t)| t.own.batch > 0);
-        let over = mine
-            .filter(|(_, t)| t.load().total() > t.spec.slots && self.most_items(t, host).is_none());
+        let over =
+            mine.filter(|(_, t)| t.load().total() > t.slots && self.most_items(t, host).is_none());
         over.map(|(id, _)| id.clone()).collect()
     }
 
@@ -197,7 +197,7 @@
         now: Instant,
     ) -> impl Iterator<Item = (&TargetId, &Target)> {
         self.targets.iter().filter(move |(_, t)| {
-            t.spec.service == service && !t.spec.leaving && (with_ejected || !t.is_ejected(now))
+            t.spec.service == service && !t.is_closed && (with_ejected || !t.is_ejected(now))
         })
     }
 
@@ -272,7 +272,7 @@
         let (Some(objective), Some(duration_s)) = (objective, self.duration_s) else {
             return false;
         };
-        let slots = target.spec.slots;
+        let slots = target.slots;
         let behind = (target.load().online + 1).saturating_sub(slots);
         let wait_s = f64::from(behind) * duration_s / f64::from(slots.max(1));
         let pace = self.pace.unwrap_or_default();
@@ -287,8 +287,13 @@
     cfg: Config,
 ) -> Option<f64> {
     let load = target.load();
-    let slots = target.spec.slots;
-    if load.online >= slots * (1 + cfg.queue_per_slot) {
+    let slots = target.slots;
+    let queue_per_slot = if target.is_limited() {
+        0
+    } else {
+        cfg.queue_per_slot
+    };
+    if load.online >= slots * (1 + queue_per_slot) {
         return None;
     }
     if usual.is_too_late(target, want.objective) {
--- a/crates/routing/src/places/counts.rs
+++ b/crates/routing/src/places/counts.rs
@@ -72,15 +72,15 @@
     /// its load are sent to other hosts immediately.
     pub fn is_scarce(&self, id: &str) -> bool {
         let target = self.targets.get(id);
-        target.is_some_and(|t| t.load().total().saturating_mul(SCARCE_DIVISOR) >= t.spec.slots)
+        target.is_some_and(|t| t.load().total().saturating_mul(SCARCE_DIVISOR) >= t.slots)
     }
 
     /// Returns how many places are taken and how many there are, at targets that
     /// stay. Requests that wait in a target's queue take none.
     pub fn in_use(&self) -> (u32, u32) {
-        let staying = self.targets.values().filter(|t| !t.spec.leaving);
+        let staying = self.targets.values().filter(|t| !t.is_closed);
         staying.fold((0, 0), |(taken, all), t| {
-            let slots = t.spec.slots;
+            let slots = t.slots;
             (taken + t.load().total().min(slots), all + slots)
         })
     }
--- a/crates/routing/src/places/free.rs
+++ b/crates/routing/src/places/free.rs
@@ -53,9 +53,9 @@
         let has_near = self.has_near(want, all, now);
         let id = self.best(want, now, all, |t| {
             let is_far = has_near && is_remote(t, want);
-            let doubt = if is_far { t.spec.slots / DOUBT_PART } else { 0 };
+            let doubt = if is_far { t.slots / DOUBT_PART } else { 0 };
             let others = spoken_for(t.key, &t.spec.data_centre).saturating_add(doubt);
-            let has_room = t.load().online.saturating_add(others) < t.spec.slots;
+            let has_room = t.load().online.saturating_add(others) < t.slots;
             has_room.then(|| online_cost(t, want, usual, self.cfg))?
         });
         Some(self.choice_at(id?.clone()))
@@ -66,7 +66,7 @@
     pub fn choose_handed(&self, want: &Want<'_>, id: &TargetId, now: Instant) -> Option<Choice> {
         let target = self.targets.get(id)?;
         let is_for_it = target.spec.service == want.service && !want.tried.contains(id);
-        if !is_for_it || target.spec.leaving || target.is_ejected(now) {
+        if !is_for_it || target.is_closed || target.is_ejected(now) {
             return None;
         }
         let mut choice = self.choice_at(id.clone());
@@ -83,7 +83,7 @@
         let target = self.targets.get(id);
         target.is_some_and(|t| {
             let is_near = t.spec.data_centre == data_centre;
-            is_near && !t.spec.leaving && !t.is_ejected(now) && t.load().online < t.spec.slots
+            is_near && !t.is_closed && !t.is_ejected(now) && t.load().online < t.slots
         })
     }
 
@@ -101,7 +101,7 @@
     /// Returns whether a request could be sent anywhere that it was not sent before.
     pub fn has_untried(&self, want: &Want<'_>) -> bool {
         self.targets.iter().any(|(id, t)| {
-            t.spec.service == want.service && !t.spec.leaving && !want.tried.contains(id)
+            t.spec.service == want.service && !t.is_closed && !want.tried.contains(id)
         })
     }
 
@@ -115,11 +115,11 @@
             if has_near && is_remote(target, want) {
                 continue;
             }
-            let free = target.spec.slots.saturating_sub(target.load().online);
+            let free = target.slots.saturating_sub(target.load().online);
             if free > 0 {
                 open.push((target.key, free));
             }
-            slots += target.spec.slots;
+            slots += target.slots;
         }
         let duration_s = self.durations_s.get(want.service);
         let duration_s = duration_s.filter(|duration_s| **duration_s > 0.0);
--- a/crates/routing/tests/places.rs
+++ b/crates/routing/tests/places.rs
@@ -406,3 +406,73 @@
     assert_eq!(places.is_scarce("t1"), expected);
     assert!(!places.is_scarce("unknown"));
 }
+
+const COLD_LEFT: Duration = Duration::from_secs(3);
+
+/// Begins online requests until no slot is free and returns their number.
+fn begin_until_full(places: &mut Places, now: Instant) -> usize {
+    let want = want(&[]);
+    let mut sent = 0;
+    while let Ok(choice) = places.choose_online(&want, now)
+        && choice.room == Room::Free
+    {
+        places.begin_online(&choice.target, now);
+        sent += 1;
+    }
+    sent
+}
+
+#[rstest]
+#[case::no_rate(None, COLD_LEFT, 8)]
+#[case::not_cold(Some(8.0), Duration::ZERO, 8)]
+#[case::default_duration(Some(8.0), COLD_LEFT, 2)]
+#[case::below_one_request(Some(0.5), COLD_LEFT, 1)]
+#[case::zero(Some(0.0), COLD_LEFT, 1)]
+#[case::not_a_number(Some(f64::NAN), COLD_LEFT, 1)]
+#[case::negative(Some(-3.0), COLD_LEFT, 1)]
+#[case::above_all_slots(Some(1e300), COLD_LEFT, 8)]
+fn cold_target_receives_what_its_rate_allows(
+    #[case] per_s: Option<f64>,
+    #[case] left: Duration,
+    #[case] expected: usize,
+) {
+    let now = Instant::now();
+    let mut places = places(0, &[("t1", NEAR, 8)]);
+    let rates = per_s.map(|rate| ("s".to_owned(), rate));
+    places.set_cold_rates(rates.into_iter().collect());
+    places.set_cold("t1", left, now);
+    assert_eq!(begin_until_full(&mut places, now), expected);
+    if expected < 8 {
+        let refusal = places.choose_online(&want(&[]), now).unwrap_err();
+        assert!(matches!(refusal, Refusal::Full { .. }));
+    }
+}
+
+#[test]
+fn cold_limit_is_lifted_after_its_time() {
+    let now = Instant::now();
+    let mut places = places(0, &[("t1", NEAR, 8)]);
+    places.set_cold_rates([("s".to_owned(), 8.0)].into());
+    places.set_cold("t1", COLD_LEFT, now);
+    assert_eq!(begin_until_full(&mut places, now), 2);
+    places.end_cold(now + COLD_LEFT / 2);
+    assert_eq!(begin_until_full(&mut places, now), 0);
+    places.end_cold(now + COLD_LEFT);
+    assert_eq!(begin_until_full(&mut places, now), 6);
+}
+
+#[test]
+fn targets_in_evacuated_data_centre_receive_nothing_new() {
+    let now = Instant::now();
+    let mut places = places(0, &[("t1", NEAR, 2), ("t2", FAR, 2)]);
+    places.set_evacuated([NEAR.to_owned()].into());
+    places.upsert("t3", spec(NEAR, 2));
+    let want = want(&[]);
+    assert_eq!(places.choose_online(&want, now).unwrap().target, "t2");
+    assert_eq!(places.choose_batch(&want, now).unwrap(), "t2");
+    places.set_evacuated([NEAR.to_owned(), FAR.to_owned()].into());
+    let refusal = places.choose_online(&want, now).unwrap_err();
+    assert!(matches!(refusal, Refusal::NoTarget { .. }));
+    places.set_evacuated([FAR.to_owned()].into());
+    assert_ne!(places.choose_online(&want, now).unwrap().target, "t2");
+}
