Wait longer for the host list before a host lists for itself

Cause: a host that had not read the host list within 400 ms, or had failed to read it, did not know that others list, and listed routes, targets and job records for itself. When a thousand hosts start together, the host lists alone take the store a second, so every host would list for itself. Change: a host waits until the host list is read, for at most 2.5 s. Ruled out: continuing after the first failed read (a busy store fails it for all hosts).

--- a/crates/gateway/src/peers/loading.rs
+++ b/crates/gateway/src/peers/loading.rs
@@ -15,7 +15,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -42,9 +41,10 @@
 /// Hosts of a cell that list: some may be gone, and the first to have all hand it
 /// on at once.
 const LISTERS: usize = 3;
-/// Time for the list of hosts to be read when a host starts, some twenty times what
-/// an answer of the store takes. Without it a host lists for itself.
-const LIST_WAIT: Duration = Duration::from_millis(400);
+/// Maximum time that a starting host waits for the host list. Without the list a host does
+/// not know that others list, and lists for itself. When a thousand hosts start together,
+/// the store sends 85 MB of host lists, which takes a second.
+const LIST_WAIT: Duration = Duration::from_millis(2_500);
 /// Time for which a host waits for what others list.
 const OTHERS_WAIT: Duration = Duration::from_secs(4);
 /// Time that is drawn on top, so that hosts that have waited in vain do not list all
@@ -68,7 +68,7 @@
     /// Whether the list of hosts was read, or could not be.
     is_list_tried: watch::Sender<bool>,
     /// When the newest reading of the host list was requested.
-    list_read_at: Mutex<Option<Instant>>,
+    list_read_at: watch::Sender<Option<Instant>>,
     /// Whether routes and targets are here, or are to be listed.
     is_catalog_due: watch::Sender<bool>,
     /// Peers that are being handed something.
@@ -81,7 +81,7 @@
     fn default() -> Self {
         Self {
             is_list_tried: watch::Sender::new(false),
-            list_read_at: Mutex::default(),
+            list_read_at: watch::Sender::new(None),
             is_catalog_due: watch::Sender::new(false),
             handing_over: Gauge::default(),
             responses: Gauge::default(),
@@ -97,8 +97,8 @@
 
     /// Records a reading of the host list.
     pub(super) fn list_read(&self, asked: Instant) {
-        let mut read_at = lock(&self.list_read_at);
-        *read_at = read_at.max(Some(asked));
+        self.list_read_at
+            .send_modify(|read_at| *read_at = (*read_at).max(Some(asked)));
         self.list_tried();
     }
 
@@ -110,6 +110,13 @@
         let _ = tokio::time::timeout(wait, is_tried.wait_for(|tried| *tried)).await;
     }
 
+    /// Waits until the host list is read or `wait` has elapsed.
+    async fn until_list_read(&self, wait: Duration) {
+        let mut read_at = self.list_read_at.subscribe();
+        // On timeout the caller continues with the hosts known so far.
+        let _ = tokio::time::timeout(wait, read_at.wait_for(Option::is_some)).await;
+    }
+
     /// Returns whether the list of hosts was read.
     pub(super) fn is_list_read(&self) -> bool {
         self.list_read_at().is_some()
@@ -117,7 +124,7 @@
 
     /// Returns when the newest reading of the host list was requested.
     pub(super) fn list_read_at(&self) -> Option<Instant> {
-        *lock(&self.list_read_at)
+        *self.list_read_at.borrow()
     }
 
     /// Starts a response to a request for changes, unless too many are in progress.
@@ -136,7 +143,7 @@
 /// Waits until it is decided whether this host reads routes and targets or follows another
 /// host.
 pub(super) async fn run(ctx: Arc<Context>) {
-    ctx.peers.loading.until_list_tried(LIST_WAIT).await;
+    ctx.peers.loading.until_list_read(LIST_WAIT).await;
     if ctx.peers.neighbours.cells().is_divided() {
         // The rank among the listed hosts is computed at the next tick.
         tokio::time::sleep(2 * spread::TICK).await;
@@ -184,7 +191,7 @@
 
 /// Returns whether this host lists for itself.
 async fn lists(ctx: &Context) -> bool {
-    ctx.peers.loading.until_list_tried(LIST_WAIT).await;
+    ctx.peers.loading.until_list_read(LIST_WAIT).await;
     let cells = ctx.peers.neighbours.cells();
     if !cells.is_divided() {
         return true;
--- a/crates/gateway/tests/start.rs
+++ b/crates/gateway/tests/start.rs
@@ -14,6 +14,8 @@
 
 mod world;
 
+use std::time::Duration;
+
 use notchwharf_gateway::ports::Topic;
 use world::Running;
 use world::World;
@@ -96,3 +98,24 @@
     closed.close(false);
     until_all_serve(&hosts).await;
 }
+
+/// Guards against every host listing for itself when its first listing of the hosts times
+/// out.
+#[tokio::test]
+async fn a_fleet_whose_host_list_is_late_does_not_list_once_for_each_host() {
+    let world = after_a_loss_of_power().await;
+    let topics = [Topic::Jobs, Topic::Config, Topic::Targets];
+    let before = topics.map(|topic| world.store.listings(topic));
+    let hosts = start(&world, |_| {
+        let door = world.store.door();
+        door.time_out_first_listing(Topic::Hosts, Duration::from_millis(700));
+        door
+    })
+    .await;
+    until_all_serve(&hosts).await;
+    for (topic, before) in topics.into_iter().zip(before) {
+        let listings = world.store.listings(topic) - before;
+        let most = DATA_CENTRES * LISTERS;
+        assert!(listings <= most, "{topic:?}: {listings} listings");
+    }
+}
--- a/crates/gateway/tests/world/store.rs
+++ b/crates/gateway/tests/world/store.rs
@@ -78,6 +78,8 @@
     is_closed: Arc<Mutex<bool>>,
     /// A topic that cannot be listed through it.
     unlisted: Arc<Mutex<Option<Topic>>>,
+    /// A topic whose next listing through it times out, and the delay until it does.
+    timed_out_listing: Arc<Mutex<Option<(Topic, Duration)>>>,
 }
 
 impl ScriptedStore {
@@ -87,9 +89,15 @@
             state: Arc::clone(&self.state),
             is_closed: Arc::default(),
             unlisted: Arc::default(),
+            timed_out_listing: Arc::default(),
         }
     }
 
+    /// Makes the first listing of a topic through this door time out after a delay.
+    pub fn time_out_first_listing(&self, topic: Topic, delay: Duration) {
+        *self.timed_out_listing.lock().unwrap() = Some((topic, delay));
+    }
+
     /// Lets no listing of a topic through this door.
     pub fn refuse_listings(&self, topic: Topic) {
         *self.unlisted.lock().unwrap() = Some(topic);
@@ -290,7 +298,20 @@
         })
     }
 
-    fn newest(&self, topic: Topic, part: u32, after: Option<&str>) -> Result<Page, StoreError> {
+    async fn newest(
+        &self,
+        topic: Topic,
+        part: u32,
+        after: Option<&str>,
+    ) -> Result<Page, StoreError> {
+        let timed_out = {
+            let mut listing = self.timed_out_listing.lock().unwrap();
+            listing.take_if(|(listed, _)| *listed == topic)
+        };
+        if let Some((_, delay)) = timed_out {
+            tokio::time::sleep(delay).await;
+            return Err(StoreError::Unknown("timed out"));
+        }
         let page = self.page(topic, part, after)?;
         let entry = page.has_more.then(|| {
             let mut state = self.state.lock().unwrap();
@@ -344,7 +365,7 @@
             }),
             newest: Arc::new(move |topic, part, after| {
                 let store = newest.clone();
-                async move { store.newest(topic, part, after.as_deref()) }.boxed()
+                async move { store.newest(topic, part, after.as_deref()).await }.boxed()
             }),
         }
     }
