Split the distributor and the host list into modules

spread.rs keeps the roles of hosts. Announcements move to spread/announcing.rs, requests for missing records to spread/catching_up.rs, and the change log of the host list to peers/host_log.rs. Code is only moved; no change in behaviour is intended.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -11,6 +11,7 @@
 
 mod cell;
 mod contact;
+mod host_log;
 mod links;
 mod list;
 mod loading;
@@ -63,7 +64,7 @@
 
 use self::cell::FAR_WORD_MAX;
 use self::cell::Neighbours;
-use self::list::HostLog;
+use self::host_log::HostLog;
 pub(crate) use self::list::leave;
 use self::loading::Loading;
 pub(crate) use self::loading::catalog;
--- a/crates/gateway/src/peers/list.rs
+++ b/crates/gateway/src/peers/list.rs
@@ -1,6 +1,5 @@
 //! The list of hosts in the store: this host's entry, and those of others.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -11,7 +10,6 @@
 use notchwharf_listen::Phase;
 use notchwharf_proto::records::Hosts;
 use notchwharf_routing::places::HostId;
-use notchwharf_spread::changes::Changes;
 use rand::RngExt as _;
 use serde::Deserialize;
 use serde::Serialize;
@@ -49,9 +47,6 @@
 /// again.
 const SILENT_AFTER: Duration = Duration::from_secs(5);
 
-/// Number of retained changes of the list. A peer that is further behind is sent all
-/// entries.
-const CHANGES_RETAINED: usize = 2_048;
 /// Maximum number of new hosts that are logged individually.
 const LOGGED_HOSTS_MAX: usize = 8;
 
@@ -161,69 +156,6 @@
     }
 }
 
-/// The host list and its recent changes, as sent to peers.
-#[derive(Debug)]
-pub(super) struct HostLog {
-    entries: HashMap<HostId, (u64, Bytes)>,
-    changes: Changes<HostId>,
-    end: u64,
-}
-
-impl Default for HostLog {
-    fn default() -> Self {
-        Self {
-            entries: HashMap::new(),
-            changes: Changes::new(CHANGES_RETAINED),
-            end: 0,
-        }
-    }
-}
-
-impl HostLog {
-    fn apply(&mut self, record: &Stored) {
-        let host = &record.entry.key;
-        let newest = self.entries.get(host).map(|(offset, _)| *offset);
-        if newest.is_some_and(|newest| newest >= record.offset) {
-            return;
-        }
-        match &record.entry.value {
-            Some(value) => {
-                let entry = (record.offset, value.clone());
-                self.entries.insert(host.clone(), entry);
-            }
-            None => {
-                self.entries.remove(host);
-            }
-        }
-        self.changes.push(record.offset, host.clone());
-    }
-
-    fn since(&self, from: u64) -> Hosts {
-        let entry = |host: &HostId, at: u64| {
-            let value = self.entries.get(host).map(|(_, value)| value.to_vec());
-            (host.clone(), at, value)
-        };
-        let changes = self.changes.since(from);
-        let is_complete = changes.is_none();
-        let changes: Vec<_> = match changes {
-            Some(changes) => changes
-                .into_iter()
-                .map(|(at, host)| entry(host, at))
-                .collect(),
-            None => {
-                let all = self.entries.iter();
-                all.map(|(host, (at, _))| entry(host, *at)).collect()
-            }
-        };
-        Hosts {
-            from: if is_complete { 0 } else { from },
-            to: self.end.max(from),
-            is_complete,
-            changes,
-        }
-    }
-}
-
 /// Returns the offset up to which the list of hosts is known.
 pub(super) fn end(ctx: &Context) -> u64 {
     lock(&ctx.peers.host_log).end
--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -8,6 +8,9 @@
 //!
 //! Access to peers is provided through [`Links`].
 
+mod announcing;
+mod catching_up;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -19,18 +22,18 @@
 use notchwharf_proto::news::News;
 use notchwharf_proto::records;
 use notchwharf_proto::records::Announcement;
-use notchwharf_routing::belief::Position;
 use notchwharf_routing::places::HostId;
 use notchwharf_spread::delay::DelayEstimator;
 use notchwharf_spread::readers;
 use notchwharf_spread::readers::Timeouts;
 use notchwharf_spread::tree;
-use rand::RngExt as _;
-use rand::seq::SliceRandom as _;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
+use self::announcing::Announced;
+use self::catching_up::Missing;
+use self::catching_up::catch_up;
 use crate::catalog::Catalog;
 use crate::catalog::PeerReading;
 use crate::catalog::Versions;
@@ -44,20 +47,8 @@
 pub(crate) const TICK: Duration = Duration::from_millis(50);
 /// Ticks between two computations of this host's rank; the host list rarely changes.
 const RANK_TICKS: u32 = 10;
-/// Maximum number of announced changes; a host that misses more requests them.
-const ANNOUNCED_CHANGES_MAX: usize = 160;
-/// Maximum bytes of changes per datagram, so that it fits one packet on the link with the
-/// smallest MTU.
-const CHANGES_BYTES_MAX: usize = 1_000;
 /// Maximum number of targets per response, about 16 ms on the narrowest link.
 pub(crate) const RESPONSE_TARGETS_MAX: usize = 1_000;
-/// Random delay before a request, which spreads the requests of hosts that received the
-/// same announcement.
-const REQUEST_JITTER_MS: std::ops::Range<u64> = 0..30;
-/// Random delay before a retry.
-const RETRY_JITTER_MS: std::ops::Range<u64> = 20..80;
-/// Failed requests after which a host waits for the next announcement.
-const ATTEMPTS_MAX: u32 = 10;
 
 /// Dependencies of the distributor on this host.
 pub(crate) struct Uses {
@@ -135,27 +126,6 @@
     announced: Announced,
 }
 
-/// The state that this host announced last.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-struct Announced {
-    at: Option<Instant>,
-    versions: Versions,
-    hosts: u64,
-    /// The target offsets announced last and before that.
-    targets_to: u64,
-    targets_from: u64,
-}
-
-/// Versions and offsets that other hosts have and this one is missing.
-#[derive(Clone, Copy, Debug, Default)]
-struct Missing {
-    versions: Versions,
-    targets_to: u64,
-    hosts: u64,
-    /// The sender of the last announcement of missing state.
-    source: Option<SocketAddr>,
-}
-
 impl Distributor {
     pub(crate) fn new(uses: Uses) -> Self {
         let now = Instant::now();
@@ -291,120 +261,6 @@
         slog::info!(self.uses.logger, "log reader role changed"; "is_reader" => is_reader,
             "rank" => rank, "silence_ms" => millis(silence));
     }
-
-    /// Announces what this host has read, if there are changes or an announcement is due.
-    fn announce(&self, links: &Links, near: &[Neighbour], now: Instant) {
-        let versions = self.uses.catalog.versions();
-        let hosts = (links.hosts_end)();
-        let announced = lock(&self.state).announced;
-        let is_news = versions != announced.versions || hosts != announced.hosts;
-        let is_due = announced
-            .at
-            .is_none_or(|at| now - at >= self.timeouts.announce_interval);
-        if !is_news && !is_due {
-            return;
-        }
-        let mut addrs: Vec<SocketAddr> = near.iter().map(|(_, addr)| *addr).collect();
-        addrs.shuffle(&mut rand::rng());
-        let reading = self.uses.catalog.reading(now);
-        let parts = self.datagram_parts(&announced);
-        let to = parts.last().map_or(announced.targets_to, |part| part.to);
-        for targets in parts {
-            let message = Announcement {
-                reader: self.uses.host.clone(),
-                incarnation: self.uses.incarnation,
-                sent_ms: millis(now - self.started),
-                reading,
-                config: versions.config,
-                hosts,
-                targets,
-                forward_to: Vec::new(),
-            };
-            self.forward(links, &addrs, &message);
-        }
-        lock(&self.state).announced = Announced {
-            at: Some(now),
-            versions,
-            hosts,
-            targets_from: announced.targets_to,
-            targets_to: to,
-        };
-    }
-
-    /// Returns the changes since the last announcement, split into datagrams. If they are few,
-    /// the changes of the previous announcement are repeated in case it was lost.
-    fn datagram_parts(&self, announced: &Announced) -> Vec<records::Targets> {
-        let since = |from| {
-            let position = Position { from, after: None };
-            self.uses
-                .catalog
-                .targets_since(&position, ANNOUNCED_CHANGES_MAX)
-        };
-        let again = since(announced.targets_from);
-        let is_short = changes_bytes(&again) <= CHANGES_BYTES_MAX
-            && again.page.is_none()
-            && !again.is_complete;
-        let targets = match is_short {
-            true => again,
-            false => since(announced.targets_to),
-        };
-        if targets.page.is_some() || targets.is_complete || targets.to < targets.end {
-            let end = targets.end;
-            return vec![records::Targets {
-                from: end,
-                to: end,
-                end,
-                ..records::Targets::default()
-            }];
-        }
-        split_changes(targets)
-    }
-}
-
-fn changes_bytes(targets: &records::Targets) -> usize {
-    targets.changes.iter().map(change_bytes).sum()
-}
-
-/// Returns the approximate encoded size of a change.
-fn change_bytes(change: &records::TargetChange) -> usize {
-    /// Size of numbers, flags and the address.
-    const FIXED: usize = 32;
-    let target = change.target.as_ref();
-    let names = target.map_or(0, |t| t.service.len() + t.data_centre.len());
-    FIXED + change.id.len() + names
-}
-
-/// Splits changes into datagrams. Only the last one reaches the end of the range.
-fn split_changes(targets: records::Targets) -> Vec<records::Targets> {
-    let mut parts = Vec::new();
-    let mut part = records::Targets {
-        from: targets.from,
-        to: targets.from,
-        end: targets.end,
-        ..records::Targets::default()
-    };
-    let mut bytes = 0;
-    for change in targets.changes {
-        let size = change_bytes(&change);
-        // Changes at the same offset must stay in one datagram.
-        let is_next = change.offset >= part.to;
-        if bytes + size > CHANGES_BYTES_MAX && is_next && !part.changes.is_empty() {
-            let next = records::Targets {
-                from: part.to,
-                to: part.to,
-                end: targets.end,
-                ..records::Targets::default()
-            };
-            parts.push(std::mem::replace(&mut part, next));
-            bytes = 0;
-        }
-        bytes += size;
-        part.to = part.to.max(change.offset + 1);
-        part.changes.push(change);
-    }
-    part.to = targets.to;
-    parts.push(part);
-    parts
 }
 
 /// Starts the distributor, which runs until the host stops.
@@ -450,88 +306,3 @@
         }
     }
 }
-
-/// Requests missing records from other hosts.
-async fn catch_up(distributor: Arc<Distributor>, mut phase: watch::Receiver<Phase>) {
-    let Some(links) = distributor.links.get() else {
-        return;
-    };
-    loop {
-        tokio::select! {
-            () = distributor.is_behind.notified() => {}
-            // A closed phase channel also means that the host has stopped.
-            _ = phase.wait_for(|phase| *phase == Phase::Stopped) => return,
-        }
-        sleep_random(REQUEST_JITTER_MS).await;
-        let mut attempts = 0;
-        while attempts < ATTEMPTS_MAX && distributor.is_missing_records(links) {
-            let told_by = lock(&distributor.missing).source;
-            let ahead = (links.newer_peer)();
-            // The sender has the records first but is contacted by other hosts as well, so
-            // attempts alternate.
-            let addr = match attempts % 2 {
-                0 => told_by.or(ahead),
-                _ => ahead.or(told_by),
-            };
-            let Some(addr) = addr else {
-                break;
-            };
-            if !distributor.request(links, addr).await {
-                attempts += 1;
-                sleep_random(RETRY_JITTER_MS).await;
-            }
-        }
-        // Records that no host has may not exist; the next announcement shows what is missing.
-        *lock(&distributor.missing) = Missing::default();
-    }
-}
-
-impl Distributor {
-    fn is_missing_records(&self, links: &Links) -> bool {
-        let missing = *lock(&self.missing);
-        let catalog = &self.uses.catalog;
-        catalog.is_behind(missing.versions)
-            || catalog.targets_end() < missing.targets_to
-            || (links.hosts_end)() < missing.hosts
-    }
-
-    /// Requests missing records from a host; returns whether any were received.
-    async fn request(&self, links: &Links, addr: SocketAddr) -> bool {
-        let catalog = &self.uses.catalog;
-        let (targets, hosts_from) = (catalog.targets_position(), (links.hosts_end)());
-        let request = records::ChangesRequest {
-            config: catalog.versions().config,
-            targets_from: targets.from,
-            targets_after: targets.after.clone(),
-            hosts_from,
-        };
-        let asked = Instant::now();
-        let answer = match (links.request)(addr, request).await {
-            Ok(answer) => answer,
-            Err(why) => {
-                self.uses.metrics.count(Counted::Changes, "peer not asked");
-                slog::debug!(self.uses.logger, "request for changes failed";
-                    "addr" => addr.to_string(), "error" => why);
-                return false;
-            }
-        };
-        self.uses.metrics.count(Counted::Changes, "peer asked");
-        let is_config = answer.config.is_some() || answer.evacuated.is_some();
-        let operator_records = OperatorRecords {
-            config: answer.config,
-            evacuated: answer.evacuated,
-        };
-        (links.apply)(operator_records, answer.hosts).await;
-        // Ages are relative to the time of the response, which is no earlier than the request.
-        let read = PeerReading::from_peer(&answer.reading, Duration::ZERO, asked);
-        if catalog.apply_peer_targets(answer.targets, read, Instant::now()) {
-            (links.targets_changed)();
-        }
-        is_config || catalog.targets_position() != targets || (links.hosts_end)() > hosts_from
-    }
-}
-
-async fn sleep_random(drawn_ms: std::ops::Range<u64>) {
-    let drawn = rand::rng().random_range(drawn_ms);
-    tokio::time::sleep(Duration::from_millis(drawn)).await;
-}
--- /dev/null
+++ b/crates/gateway/src/spread/catching_up.rs
@@ -0,0 +1,122 @@
+//! Requests missing records from other hosts.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use notchwharf_listen::Phase;
+use notchwharf_proto::records;
+use rand::RngExt as _;
+use tokio::sync::watch;
+
+use super::Distributor;
+use super::Links;
+use super::OperatorRecords;
+use crate::catalog::PeerReading;
+use crate::catalog::Versions;
+use crate::metrics::Counted;
+use crate::sync::lock;
+
+/// Random delay before a request, which spreads the requests of hosts that received the
+/// same announcement.
+const REQUEST_JITTER_MS: std::ops::Range<u64> = 0..30;
+/// Random delay before a retry.
+const RETRY_JITTER_MS: std::ops::Range<u64> = 20..80;
+/// Failed requests after which a host waits for the next announcement.
+const ATTEMPTS_MAX: u32 = 10;
+
+/// Versions and offsets that other hosts have and this one is missing.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Missing {
+    pub(super) versions: Versions,
+    pub(super) targets_to: u64,
+    pub(super) hosts: u64,
+    /// The sender of the last announcement of missing state.
+    pub(super) source: Option<SocketAddr>,
+}
+
+/// Requests missing records from other hosts.
+pub(super) async fn catch_up(distributor: Arc<Distributor>, mut phase: watch::Receiver<Phase>) {
+    let Some(links) = distributor.links.get() else {
+        return;
+    };
+    loop {
+        tokio::select! {
+            () = distributor.is_behind.notified() => {}
+            // A closed phase channel also means that the host has stopped.
+            _ = phase.wait_for(|phase| *phase == Phase::Stopped) => return,
+        }
+        sleep_random(REQUEST_JITTER_MS).await;
+        let mut attempts = 0;
+        while attempts < ATTEMPTS_MAX && distributor.is_missing_records(links) {
+            let told_by = lock(&distributor.missing).source;
+            let ahead = (links.newer_peer)();
+            // The sender has the records first but is contacted by other hosts as well, so
+            // attempts alternate.
+            let addr = match attempts % 2 {
+                0 => told_by.or(ahead),
+                _ => ahead.or(told_by),
+            };
+            let Some(addr) = addr else {
+                break;
+            };
+            if !distributor.request(links, addr).await {
+                attempts += 1;
+                sleep_random(RETRY_JITTER_MS).await;
+            }
+        }
+        // Records that no host has may not exist; the next announcement shows what is missing.
+        *lock(&distributor.missing) = Missing::default();
+    }
+}
+
+impl Distributor {
+    fn is_missing_records(&self, links: &Links) -> bool {
+        let missing = *lock(&self.missing);
+        let catalog = &self.uses.catalog;
+        catalog.is_behind(missing.versions)
+            || catalog.targets_end() < missing.targets_to
+            || (links.hosts_end)() < missing.hosts
+    }
+
+    /// Requests missing records from a host; returns whether any were received.
+    async fn request(&self, links: &Links, addr: SocketAddr) -> bool {
+        let catalog = &self.uses.catalog;
+        let (targets, hosts_from) = (catalog.targets_position(), (links.hosts_end)());
+        let request = records::ChangesRequest {
+            config: catalog.versions().config,
+            targets_from: targets.from,
+            targets_after: targets.after.clone(),
+            hosts_from,
+        };
+        let asked = Instant::now();
+        let answer = match (links.request)(addr, request).await {
+            Ok(answer) => answer,
+            Err(why) => {
+                self.uses.metrics.count(Counted::Changes, "peer not asked");
+                slog::debug!(self.uses.logger, "request for changes failed";
+                    "addr" => addr.to_string(), "error" => why);
+                return false;
+            }
+        };
+        self.uses.metrics.count(Counted::Changes, "peer asked");
+        let is_config = answer.config.is_some() || answer.evacuated.is_some();
+        let operator_records = OperatorRecords {
+            config: answer.config,
+            evacuated: answer.evacuated,
+        };
+        (links.apply)(operator_records, answer.hosts).await;
+        // Ages are relative to the time of the response, which is no earlier than the request.
+        let read = PeerReading::from_peer(&answer.reading, Duration::ZERO, asked);
+        if catalog.apply_peer_targets(answer.targets, read, Instant::now()) {
+            (links.targets_changed)();
+        }
+        is_config || catalog.targets_position() != targets || (links.hosts_end)() > hosts_from
+    }
+}
+
+async fn sleep_random(drawn_ms: std::ops::Range<u64>) {
+    let drawn = rand::rng().random_range(drawn_ms);
+    tokio::time::sleep(Duration::from_millis(drawn)).await;
+}
