Serve pages of target entries before the listing is complete

A host served entries only once it had all of them, and repeatedly requested them from the host that had announced them. Change: a host that is receiving a listing serves the entries it has so far, and requests alternate between the sender of the announcement and another host that is ahead. Ruled out: the host list (read 0.2 to 0.5 s after the start), routes (present after 1.2 s).

--- a/crates/gateway/src/spread/catching_up.rs
+++ b/crates/gateway/src/spread/catching_up.rs
@@ -49,19 +49,23 @@
         }
         sleep_random(REQUEST_JITTER_MS).await;
         let mut attempts = 0;
+        let mut requests: u32 = 0;
         while attempts < ATTEMPTS_MAX && distributor.is_missing_records(links) {
             let told_by = lock(&distributor.missing).source;
             let ahead = (links.newer_peer)();
             // The sender has the records first but is contacted by other hosts as well, so
-            // attempts alternate.
-            let addr = match attempts % 2 {
+            // requests alternate between it and a newer peer.
+            let addr = match requests % 2 {
                 0 => told_by.or(ahead),
                 _ => ahead.or(told_by),
             };
+            requests = requests.wrapping_add(1);
             let Some(addr) = addr else {
                 break;
             };
-            if !distributor.request(links, addr).await {
+            if distributor.request(links, addr).await {
+                attempts = 0;
+            } else {
                 attempts += 1;
                 sleep_random(RETRY_JITTER_MS).await;
             }
--- a/crates/routing/src/belief/difference.rs
+++ b/crates/routing/src/belief/difference.rs
@@ -96,17 +96,13 @@
             end: self.end,
             ..Difference::default()
         };
+        if position.from == 0 {
+            return self.listing_page(position, limit).unwrap_or(difference);
+        }
         if position.from >= self.end {
             return difference;
         }
-        if position.from == 0 {
-            let (records, next) = self.page(position.after.as_ref(), limit);
-            difference.records = records;
-            difference.page = Some(Page {
-                after: position.after.clone(),
-                next,
-            });
-        } else if let Some(changes) = self.changes.since(position.from) {
+        if let Some(changes) = self.changes.since(position.from) {
             let records = changes
                 .into_iter()
                 .map(|(offset, id)| self.record(offset, id));
@@ -203,7 +199,32 @@
         })
     }
 
-    /// Returns the page of entries after a name, and the last name if more follow.
+    /// Returns the page of a listing at a position. While its own listing is incomplete, a host
+    /// returns the entries received so far, or `None` if it has none after the position.
+    fn listing_page(&self, position: &Position, limit: usize) -> Option<Difference> {
+        let is_partial = self.end == 0;
+        let end = match is_partial {
+            true => self.partial_listing.as_of?,
+            false => self.end,
+        };
+        let (records, next) = self.page(position.after.as_ref(), limit);
+        let next = match is_partial {
+            true => Some(records.last()?.id.clone()),
+            false => next,
+        };
+        Some(Difference {
+            to: end,
+            end,
+            page: Some(Page {
+                after: position.after.clone(),
+                next,
+            }),
+            records,
+            ..Difference::default()
+        })
+    }
+
+    /// Returns up to `limit` entries after a name, and the last name if more follow.
     fn page(
         &self,
         after: Option<&TargetId>,
--- a/crates/routing/tests/difference.rs
+++ b/crates/routing/tests/difference.rs
@@ -239,3 +239,30 @@
     }
     assert_eq!(world.known(1), world.known(0));
 }
+
+/// Guards against hosts that serve entries only after their own listing is complete, which
+/// leaves every other host waiting for the one that has all entries.
+#[test]
+fn a_host_with_a_partial_listing_serves_the_entries_received() {
+    let mut world = World::new(3);
+    world.log = (0..100).map(|id| (id, Some(1))).collect();
+    world.read(0);
+    world.request(1, 0, 30);
+    assert_eq!(world.request(2, 1, 20).records.len(), 20);
+    assert_eq!(world.request(2, 1, 20).records.len(), 10);
+    assert!(world.request(2, 1, 20).records.is_empty());
+    assert_eq!(world.known(2), world.known(1));
+    assert_eq!(world.hosts[2].end(), 0);
+    while world.hosts[2].end() == 0 {
+        world.request(2, 0, 30);
+    }
+    assert_eq!(world.known(2), world.known(0));
+}
+
+/// Guards against an empty last page, which would end the listing of the requesting host.
+#[test]
+fn a_host_without_entries_serves_no_page() {
+    let mut world = World::new(2);
+    assert!(world.request(1, 0, 10).page.is_none());
+    assert_eq!(world.hosts[1].end(), 0);
+}
