Send nothing to other cells if the first host list is divided

Cause: for 5 s after each change of the division, a host also sends its state to the hosts of its previous cell, so that none of them considers it dead. Change: a division determined by the first read of the host list has no previous cells. Ruled out: a shorter settle time (a growing fleet needs it); no settle time within 5 s of the start (a fleet that grows during that time needs it, as a test checks).

--- a/crates/routing/src/cells.rs
+++ b/crates/routing/src/cells.rs
@@ -102,6 +102,8 @@
     cell_hosts_max: usize,
     now: Cells,
     before: Option<(Cells, Instant)>,
+    /// Whether `note_hosts` has been called; until then `now` is a placeholder.
+    has_noted_hosts: bool,
 }
 
 impl Division {
@@ -112,6 +114,7 @@
             cell_hosts_max,
             now: Cells::default(),
             before: None,
+            has_noted_hosts: false,
         }
     }
 
@@ -119,10 +122,13 @@
     /// the cells.
     pub fn note_hosts(&mut self, hosts: impl IntoIterator<Item = usize>, now: Instant) -> bool {
         let cells = Cells::of_fleet(hosts, self.cell_hosts_max);
+        let had_noted_hosts = std::mem::replace(&mut self.has_noted_hosts, true);
         if cells == self.now {
             return false;
         }
-        self.before = Some((std::mem::replace(&mut self.now, cells), now));
+        let before = std::mem::replace(&mut self.now, cells);
+        // Nothing was sent under the initial placeholder, so it needs no settle time.
+        self.before = had_noted_hosts.then_some((before, now));
         true
     }
 
--- a/crates/routing/tests/cells.rs
+++ b/crates/routing/tests/cells.rs
@@ -82,3 +82,14 @@
     assert!(division.note_hosts([40, 40], at(8)));
     assert!(!division.told(at(9)).is_divided());
 }
+
+/// Guards against a starting host sending its state to every host of a divided fleet.
+#[test]
+fn the_first_host_list_of_a_divided_fleet_starts_no_settle_time() {
+    let now = Instant::now();
+    let mut division = Division::new(CELL_HOSTS_MAX);
+    assert!(division.note_hosts([50, 50], now));
+    assert!(division.told(now).is_divided());
+    assert!(!division.note_hosts([50, 51], now));
+    assert!(division.told(now).is_divided());
+}
