Merge duplicated steps of the distributor and of random pauses

What another host has announced is compared and merged in one place (Missing::merge, Distributor::lacks and note_missing); an announcement is converted to this host's clock once and not twice. Random pauses and doubling ones stand once (time::sleep_random, time::Backoff), as do the end of a listing (Seen::listing_end), the evidence in use (Catalog::evidence) and the order of ranks. Changes of targets wake the items directly, and one look at the clock serves all targets of a reading.

--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -50,7 +50,6 @@
 use self::follow::SWEEP;
 use self::follow::TARGETS_GAP;
 pub(crate) use self::follow::start;
-pub(crate) use self::follow::tell;
 pub(crate) use self::records::Config;
 pub(crate) use self::records::PeerReading;
 pub(crate) use self::records::Versions;
@@ -193,8 +192,7 @@
         if !known.targets.is_in_doubt() {
             return;
         }
-        let evidence = known.peer_evidence;
-        let evidence = evidence.unwrap_or_else(|| self.uses.store.evidence());
+        let evidence = self.evidence(&known);
         let expired = known.targets.expire(now, &evidence);
         for id in &expired {
             if expired.len() <= LOGGED_CHANGES_MAX {
@@ -209,6 +207,12 @@
         }
     }
 
+    /// Returns how the log was read, by this host or by the reader it follows.
+    fn evidence(&self, known: &Known) -> Evidence {
+        let followed = known.peer_evidence;
+        followed.unwrap_or_else(|| self.uses.store.evidence())
+    }
+
     /// Puts changes to use while what is believed is held, so that no other
     /// reading comes in between; returns whether there were any.
     fn put_to_use<E: fmt::Display>(
@@ -225,7 +229,7 @@
         for change in changes {
             match change {
                 Change::Put { id, offset, spec } => {
-                    self.put(&id, offset, spec, is_each_logged, &mut counts);
+                    self.put((&id, offset, spec), is_each_logged, &mut counts, now);
                 }
                 Change::Unreadable { id, offset, error } => {
                     self.uses
@@ -267,7 +271,13 @@
         is_any
     }
 
-    fn put(&self, id: &str, offset: u64, spec: Spec, is_logged: bool, counts: &mut ChangeCounts) {
+    fn put(
+        &self,
+        (id, offset, spec): (&str, u64, Spec),
+        is_logged: bool,
+        counts: &mut ChangeCounts,
+        now: Instant,
+    ) {
         let mut places = lock(&self.uses.places);
         let before = places.spec(id);
         if before != Some(&spec) {
@@ -285,7 +295,7 @@
         }
         let cold_left = spec.cold_left;
         places.upsert(id, spec);
-        places.set_cold(id, cold_left, Instant::now());
+        places.set_cold(id, cold_left, now);
     }
 
     fn take_out(&self, id: &str) {
--- a/crates/gateway/src/catalog/config.rs
+++ b/crates/gateway/src/catalog/config.rs
@@ -81,10 +81,7 @@
         Seen::All { .. } => true,
         Seen::More { is_whole, .. } => *is_whole,
     };
-    let listing_end = match &seen {
-        Seen::All { end, .. } => Some(*end),
-        Seen::More { .. } => None,
-    };
+    let listing_end = seen.listing_end();
     let records = seen.records();
     for record in records.clone() {
         take(ctx, record, "store").await;
--- a/crates/gateway/src/catalog/evacuation.rs
+++ b/crates/gateway/src/catalog/evacuation.rs
@@ -8,8 +8,6 @@
 
 use super::Catalog;
 use super::Known;
-use super::News;
-use super::follow::tell;
 use crate::context::Context;
 use crate::metrics::Counted;
 use crate::ports::Stored;
@@ -79,11 +77,7 @@
     }
     ctx.metrics.count(Counted::Changes, "evacuation");
     ctx.metrics.set("data_centres_evacuated", current.len());
-    let news = News {
-        targets: true,
-        ..News::default()
-    };
-    tell(ctx, news);
+    ctx.items.wake();
     ctx.peers.tell();
 }
 
--- a/crates/gateway/src/catalog/follow.rs
+++ b/crates/gateway/src/catalog/follow.rs
@@ -102,7 +102,7 @@
 }
 
 /// Lets those know who act on routes and targets.
-pub(crate) fn tell(ctx: &Context, news: News) {
+pub(super) fn tell(ctx: &Context, news: News) {
     if news.routes {
         ctx.enter(Phase::Ready);
         ctx.peers.tell();
--- a/crates/gateway/src/catalog/records.rs
+++ b/crates/gateway/src/catalog/records.rs
@@ -13,8 +13,6 @@
 use notchwharf_routing::belief::Record;
 use notchwharf_routing::places::Spec;
 use notchwharf_startup::Need;
-use serde::Deserialize;
-use serde::Serialize;
 
 use super::Catalog;
 use crate::sync::lock;
@@ -24,7 +22,7 @@
 pub(crate) use notchwharf_proto::records::Config;
 
 /// Versions of the routes and targets known to a host; higher is newer.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Versions {
     /// The offset that follows the newest operator record; zero for none.
     pub(crate) config: u64,
@@ -138,8 +136,7 @@
     /// Returns the state of reading the log, by this host or by the reader it follows.
     pub(crate) fn reading(&self, now: Instant) -> records::Reading {
         let known = lock(&self.known);
-        let evidence = known.peer_evidence;
-        let evidence = evidence.unwrap_or_else(|| self.uses.store.evidence());
+        let evidence = self.evidence(&known);
         let ago = |at: Option<Instant>| at.map(|at| millis(now.saturating_duration_since(at)));
         let contact = |contact: &Contact| records::Contact {
             away_ms_ago: ago(contact.away_at()),
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -38,6 +38,14 @@
 }
 
 impl Seen {
+    /// Returns the offset as of which all records were listed; `None` for an incremental read.
+    pub(crate) fn listing_end(&self) -> Option<u64> {
+        match self {
+            Self::All { end, .. } => Some(*end),
+            Self::More { .. } => None,
+        }
+    }
+
     /// Returns the records.
     pub(crate) fn records(self) -> Vec<Stored> {
         let (Self::All { records, .. } | Self::More { records, .. }) = self;
--- a/crates/gateway/src/journal/read.rs
+++ b/crates/gateway/src/journal/read.rs
@@ -6,7 +6,6 @@
 use std::time::Instant;
 
 use notchwharf_listen::Phase;
-use rand::RngExt as _;
 use tokio::sync::mpsc;
 
 use super::Ask;
@@ -18,6 +17,7 @@
 use crate::ports::Topic;
 use crate::sync::lock;
 use crate::time::ms;
+use crate::time::sleep_random;
 
 /// Bytes read at once.
 const READ_BYTES: u64 = 1 << 20;
@@ -89,8 +89,7 @@
         Ok(listing) => listing,
         Err(err) => {
             // Hosts that start together would all ask again at once.
-            let drawn = rand::rng().random_range(LOAD_PAUSE_MS);
-            tokio::time::sleep(Duration::from_millis(drawn)).await;
+            sleep_random(LOAD_PAUSE_MS).await;
             return Err(err);
         }
     };
--- a/crates/gateway/src/peers/contact.rs
+++ b/crates/gateway/src/peers/contact.rs
@@ -15,7 +15,6 @@
 
 use notchwharf_listen::Phase;
 use notchwharf_routing::places::HostId;
-use rand::RngExt as _;
 use rand::seq::IteratorRandom as _;
 use serde::Deserialize;
 use serde::Serialize;
@@ -27,6 +26,7 @@
 use crate::context::Context;
 use crate::metrics::Counted;
 use crate::sync::lock;
+use crate::time::Backoff;
 
 /// Time to wait for the host list before contacting seeds.
 const LIST_WAIT: Duration = Duration::from_millis(100);
@@ -55,14 +55,12 @@
         return;
     }
     ctx.peers.loading.until_list_tried(LIST_WAIT).await;
-    let mut pause = PAUSE_MIN;
+    let mut backoff = Backoff::new(PAUSE_MIN, PAUSE_MAX);
     while ctx.phase() < Phase::Leaving && !is_fleet_found(&ctx) {
         for seed in &seeds {
             contact_seed(&ctx, *seed).await;
         }
-        let drawn = rand::rng().random_range(0.5..1.5);
-        tokio::time::sleep(pause.mul_f64(drawn)).await;
-        pause = (pause * 2).min(PAUSE_MAX);
+        backoff.wait().await;
     }
 }
 
--- a/crates/gateway/src/peers/links.rs
+++ b/crates/gateway/src/peers/links.rs
@@ -47,13 +47,7 @@
             }
             .boxed()
         }),
-        targets_changed: Box::new(move || {
-            let news = catalog::News {
-                targets: true,
-                ..catalog::News::default()
-            };
-            catalog::tell(&waker, news);
-        }),
+        targets_changed: Box::new(move || waker.items.wake()),
     }
 }
 
--- a/crates/gateway/src/peers/list.rs
+++ b/crates/gateway/src/peers/list.rs
@@ -10,7 +10,6 @@
 use notchwharf_listen::Phase;
 use notchwharf_proto::records::Hosts;
 use notchwharf_routing::places::HostId;
-use rand::RngExt as _;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -19,12 +18,12 @@
 use crate::context::Context;
 use crate::follow::Pace;
 use crate::follow::Reading;
-use crate::follow::Seen;
 use crate::metrics::Counted;
 use crate::ports::Entry;
 use crate::ports::Stored;
 use crate::ports::Topic;
 use crate::sync::lock;
+use crate::time::Backoff;
 
 /// How the list of hosts is read. It changes seldom, and a host that is known
 /// to one other is known to all by its own datagrams.
@@ -106,7 +105,7 @@
 pub(super) async fn enter(ctx: Arc<Context>) {
     let entry = entry(ctx.host(), own_listing(&ctx), false);
     ctx.peers.loading.until_list_tried(ENTER_WAIT).await;
-    let mut pause = ENTRY_PAUSE_MIN;
+    let mut backoff = Backoff::new(ENTRY_PAUSE_MIN, ENTRY_PAUSE_MAX);
     while ctx.phase() < Phase::Leaving && lock(&ctx.peers.entered_at).is_none() {
         let res = ctx.store.append(Topic::Hosts, 0, vec![entry.clone()]).await;
         if res.is_ok() {
@@ -114,9 +113,7 @@
             return;
         }
         // Hosts that start together must not all write again at once.
-        let drawn = rand::rng().random_range(0.5..1.5);
-        tokio::time::sleep(pause.mul_f64(drawn)).await;
-        pause = (pause * 2).min(ENTRY_PAUSE_MAX);
+        backoff.wait().await;
     }
 }
 
@@ -191,10 +188,7 @@
         ctx.peers.loading.list_tried();
         return;
     };
-    let listed_to = match &seen {
-        Seen::All { end, .. } => Some(*end),
-        Seen::More { .. } => None,
-    };
+    let listed_to = seen.listing_end();
     let records = seen.records();
     let read_to = records.last().map_or(0, |record| record.offset + 1);
     let to = listed_to.unwrap_or(read_to);
--- a/crates/gateway/src/peers/loading.rs
+++ b/crates/gateway/src/peers/loading.rs
@@ -35,6 +35,7 @@
 use crate::metrics::Counted;
 use crate::spread;
 use crate::sync::lock;
+use crate::time::sleep_random;
 
 /// The name by which hosts agree on who lists.
 const TASK: &str = "list";
@@ -167,7 +168,7 @@
     let deadline = deadline();
     while Instant::now() < deadline {
         let Some((_, addr)) = peer(ctx, |p| p.status.store_up) else {
-            pause().await;
+            sleep_random(PAUSE_MS).await;
             continue;
         };
         let answer = rpc::call(addr, rpc::RECORDS, Bytes::new(), TIMEOUT).await;
@@ -180,7 +181,7 @@
                 .metrics
                 .count(Counted::Changes, "records not handed over"),
         }
-        pause().await;
+        sleep_random(PAUSE_MS).await;
     }
     slog::warn!(
         ctx.logger,
@@ -210,11 +211,6 @@
     Instant::now() + OTHERS_WAIT + Duration::from_millis(drawn)
 }
 
-async fn pause() {
-    let drawn = rand::rng().random_range(PAUSE_MS);
-    tokio::time::sleep(Duration::from_millis(drawn)).await;
-}
-
 /// Returns a peer that has what is wanted, drawn.
 pub(super) fn peer(ctx: &Context, has: impl Fn(&Peer) -> bool) -> Option<(HostId, SocketAddr)> {
     let known = lock(&ctx.peers.known);
--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -154,15 +154,13 @@
 
     /// Records that another host has newer versions.
     pub(crate) fn note_ahead(&self, addr: SocketAddr, versions: Versions) {
-        if !self.uses.catalog.is_behind(versions) {
-            return;
+        if self.uses.catalog.is_behind(versions) {
+            self.note_missing(Missing {
+                versions,
+                source: Some(addr),
+                ..Missing::default()
+            });
         }
-        let mut missing = lock(&self.missing);
-        missing.versions.config = missing.versions.config.max(versions.config);
-        missing.versions.targets = missing.versions.targets.max(versions.targets);
-        missing.source = Some(addr);
-        drop(missing);
-        self.is_behind.notify_one();
     }
 
     /// Applies an announcement and forwards it.
@@ -173,12 +171,15 @@
         let forward_to = std::mem::take(&mut message.forward_to);
         self.forward(links, &forward_to, &message);
         let now = Instant::now();
-        let delay = self.note_heard(&message, now);
-        let read = PeerReading::from_peer(&message.reading, delay, now);
-        let to = message.targets.to;
-        let versions = Versions {
-            config: message.config,
-            targets: 0,
+        let read = self.note_heard(&message, now);
+        let announced = Missing {
+            versions: Versions {
+                config: message.config,
+                targets: 0,
+            },
+            targets_to: message.targets.to,
+            hosts: message.hosts,
+            source: Some(addr),
         };
         if self
             .uses
@@ -190,22 +191,13 @@
         if let Some(as_of) = read.config_as_of {
             self.uses.catalog.confirmed_by_peer(message.config, as_of);
         }
-        let hosts = message.hosts;
-        let lacks_targets = self.uses.catalog.targets_end() < to;
-        let lacks_hosts = (links.hosts_end)() < hosts;
-        if lacks_targets || lacks_hosts || self.uses.catalog.is_behind(versions) {
-            let mut missing = lock(&self.missing);
-            missing.versions.config = missing.versions.config.max(versions.config);
-            missing.targets_to = missing.targets_to.max(to);
-            missing.hosts = missing.hosts.max(hosts);
-            missing.source = Some(addr);
-            drop(missing);
-            self.is_behind.notify_one();
+        if self.lacks(links, &announced) {
+            self.note_missing(announced);
         }
     }
 
-    /// Records the announcement of a reader; returns its delay.
-    fn note_heard(&self, message: &Announcement, now: Instant) -> Duration {
+    /// Records the announcement of a reader; returns its reading on this host's clock.
+    fn note_heard(&self, message: &Announcement, now: Instant) -> PeerReading {
         let mut state = lock(&self.state);
         let now_ms = millis(now - self.started);
         let sender = (message.reader.clone(), message.incarnation);
@@ -213,16 +205,16 @@
             .delays
             .retain(|(host, start)| *host != sender.0 || *start == sender.1);
         let delay = state.delays.observe(sender, message.sent_ms, now_ms);
-        let is_served = PeerReading::from_peer(&message.reading, delay, now).is_served();
-        if !is_served || delay >= self.timeouts.takeover_after {
-            return delay;
+        let read = PeerReading::from_peer(&message.reading, delay, now);
+        if !read.is_served() || delay >= self.timeouts.takeover_after {
+            return read;
         }
         let heard = now - delay;
         state.heard = state.heard.max(heard);
         if readers::ranks_before(&message.reader, &self.uses.host) {
             state.heard_ranked_before = state.heard_ranked_before.max(heard);
         }
-        delay
+        read
     }
 
     fn forward(&self, links: &Links, addrs: &[SocketAddr], message: &Announcement) {
--- a/crates/gateway/src/spread/catching_up.rs
+++ b/crates/gateway/src/spread/catching_up.rs
@@ -7,7 +7,6 @@
 
 use notchwharf_listen::Phase;
 use notchwharf_proto::records;
-use rand::RngExt as _;
 use tokio::sync::watch;
 
 use super::Distributor;
@@ -17,6 +16,7 @@
 use crate::catalog::Versions;
 use crate::metrics::Counted;
 use crate::sync::lock;
+use crate::time::sleep_random;
 
 /// Random delay before a request, which spreads the requests of hosts that received the
 /// same announcement.
@@ -36,6 +36,17 @@
     pub(super) source: Option<SocketAddr>,
 }
 
+impl Missing {
+    /// Adds what another host has announced.
+    fn merge(&mut self, announced: Self) {
+        self.versions.config = self.versions.config.max(announced.versions.config);
+        self.versions.targets = self.versions.targets.max(announced.versions.targets);
+        self.targets_to = self.targets_to.max(announced.targets_to);
+        self.hosts = self.hosts.max(announced.hosts);
+        self.source = announced.source;
+    }
+}
+
 /// Requests missing records from other hosts.
 pub(super) async fn catch_up(distributor: Arc<Distributor>, mut phase: watch::Receiver<Phase>) {
     let Some(links) = distributor.links.get() else {
@@ -78,10 +89,21 @@
 impl Distributor {
     fn is_missing_records(&self, links: &Links) -> bool {
         let missing = *lock(&self.missing);
+        self.lacks(links, &missing)
+    }
+
+    /// Returns whether this host does not have all that another one has announced.
+    pub(super) fn lacks(&self, links: &Links, announced: &Missing) -> bool {
         let catalog = &self.uses.catalog;
-        catalog.is_behind(missing.versions)
-            || catalog.targets_end() < missing.targets_to
-            || (links.hosts_end)() < missing.hosts
+        catalog.is_behind(announced.versions)
+            || catalog.targets_end() < announced.targets_to
+            || (links.hosts_end)() < announced.hosts
+    }
+
+    /// Starts requests for what another host has announced.
+    pub(super) fn note_missing(&self, announced: Missing) {
+        lock(&self.missing).merge(announced);
+        self.is_behind.notify_one();
     }
 
     /// Requests missing records from a host; returns whether any were received.
@@ -119,8 +141,3 @@
         is_config || catalog.targets_position() != targets || (links.hosts_end)() > hosts_from
     }
 }
-
-async fn sleep_random(drawn_ms: std::ops::Range<u64>) {
-    let drawn = rand::rng().random_range(drawn_ms);
-    tokio::time::sleep(Duration::from_millis(drawn)).await;
-}
--- a/crates/gateway/src/time.rs
+++ b/crates/gateway/src/time.rs
@@ -1,9 +1,12 @@
-//! Times as settings, log lines and records have them.
+//! Times as settings, log lines and records have them, and random pauses.
 
+use std::ops::Range;
 use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use rand::RngExt as _;
+
 /// Returns the time of day in milliseconds.
 pub(crate) fn unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
@@ -16,7 +19,34 @@
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// Sleeps for a random time, in milliseconds.
+pub(crate) async fn sleep_random(range_ms: Range<u64>) {
+    let drawn = rand::rng().random_range(range_ms);
+    tokio::time::sleep(ms(drawn)).await;
+}
+
 /// Returns a setting as a time.
 pub(crate) fn ms(value: u64) -> Duration {
     Duration::from_millis(value)
 }
+
+/// Pauses that double up to a maximum. Each is multiplied by a random factor around one, so
+/// that hosts that failed together do not retry together.
+#[derive(Debug)]
+pub(crate) struct Backoff {
+    pause: Duration,
+    max: Duration,
+}
+
+impl Backoff {
+    pub(crate) fn new(min: Duration, max: Duration) -> Self {
+        Self { pause: min, max }
+    }
+
+    /// Sleeps for the next pause.
+    pub(crate) async fn wait(&mut self) {
+        let factor = rand::rng().random_range(0.5..1.5);
+        tokio::time::sleep(self.pause.mul_f64(factor)).await;
+        self.pause = (self.pause * 2).min(self.max);
+    }
+}
--- a/crates/spread/src/readers.rs
+++ b/crates/spread/src/readers.rs
@@ -56,11 +56,8 @@
 
 /// Returns the rank of a host among all candidates, itself included; 0 is the first.
 pub fn rank<'a>(own: &str, hosts: impl IntoIterator<Item = &'a str>) -> usize {
-    let own_weight = (rendezvous::weight(RANK_KEY, own), own);
-    let others = hosts.into_iter().filter(|host| *host != own);
-    others
-        .filter(|host| (rendezvous::weight(RANK_KEY, host), *host) > own_weight)
-        .count()
+    let hosts = hosts.into_iter();
+    hosts.filter(|host| ranks_before(host, own)).count()
 }
 
 /// Returns whether `one` is ranked before `other`.
