--- a/crates/routing/src/discovery.rs
+++ b/crates/routing/src/discovery.rs
@@ -147,12 +147,18 @@
 impl TargetView {
     /// Returns a view without targets.
     pub fn new(timeouts: Timeouts) -> Self {
+        Self::with_changes_retained(timeouts, CHANGES_RETAINED)
+    }
+
+    /// Returns a view without targets that retains a number of changes. A host that is further
+    /// behind is sent all entries.
+    pub fn with_changes_retained(timeouts: Timeouts, changes_retained: usize) -> Self {
         Self {
             timeouts,
             complete_as_of: None,
             known: HashMap::new(),
             missing: HashMap::new(),
-            changes: Changes::new(CHANGES_RETAINED),
+            changes: Changes::new(changes_retained),
             end: 0,
             partial_listing: PartialListing::default(),
         }
