Index a removal whether or not the target is held

What callers saw: a host keeps a target that has left and sends requests to it until its entry changes again. Cause: a record that ends the use of a target was indexed only if it changed the view that read it. A view lacks the target, or misses its entry already, if it listed while the log grew, or listed its pages from two hosts. It then serves its changes from there on as complete, without the removal, so a host that holds the target moves past it. The same with an entry that cannot be decoded. Change: the removal is indexed by the record, not by its effect. An unreadable entry is indexed once: its target's heartbeats would otherwise fill the index. Three plain tests, of a target never held, of one missing from a listing before and of an unreadable entry, failed before and pass.

--- a/crates/routing/src/discovery.rs
+++ b/crates/routing/src/discovery.rs
@@ -119,6 +119,9 @@
     complete_as_of: Option<Instant>,
     known: HashMap<TargetId, TargetEntry>,
     missing: HashMap<TargetId, MissingEntry>,
+    /// The targets whose newest entry cannot be decoded. A heartbeat that repeats such an entry
+    /// is not a change.
+    unreadable: HashSet<TargetId>,
     changes: Changes<TargetId>,
     end: u64,
     /// A listing that is being received from other hosts in pages.
@@ -158,6 +161,7 @@
             complete_as_of: None,
             known: HashMap::new(),
             missing: HashMap::new(),
+            unreadable: HashSet::new(),
             changes: Changes::new(changes_retained),
             end: 0,
             partial_listing: PartialListing::default(),
@@ -283,6 +287,7 @@
         self.partial_listing = PartialListing::default();
         let missing = {
             let listed: HashSet<&TargetId> = records.iter().map(|r| &r.id).collect();
+            self.unreadable.retain(|id| listed.contains(id));
             // An entry that is newer than the listing is not missing from it.
             let older = self.known.iter().filter(|(_, entry)| entry.offset < end);
             let missing = older.filter(|(id, _)| !listed.contains(id));
@@ -296,6 +301,7 @@
             changes.extend(self.apply_record(source, record, &decode));
         }
         for id in missing {
+            self.changes.push(end.saturating_sub(1), id.clone());
             changes.extend(self.resolve_missing(source, id, end));
         }
         changes
@@ -312,13 +318,18 @@
             return None;
         }
         let Some(value) = value else {
+            // Indexed even if the target is not held: a host that holds it may request the
+            // changes from here.
+            self.changes.push(offset, id.clone());
+            self.unreadable.remove(&id);
             return self.resolve_missing(source, id, offset);
         };
         match decode(&value) {
             Ok(spec) => self.put(id, offset, spec),
             Err(error) => {
                 self.missing.remove(&id);
-                if self.known.remove(&id).is_some() {
+                self.known.remove(&id);
+                if self.unreadable.insert(id.clone()) {
                     self.changes.push(offset, id.clone());
                 }
                 Some(Change::Unreadable { id, offset, error })
@@ -329,6 +340,7 @@
     /// Stores an entry; returns `None` if it repeats the known one.
     fn put<E>(&mut self, id: TargetId, offset: u64, spec: Spec) -> Option<Change<E>> {
         let was_missing = self.missing.remove(&id).is_some();
+        self.unreadable.remove(&id);
         if let Some(entry) = self.known.get_mut(&id) {
             entry.offset = offset;
             if entry.spec == spec && !was_missing {
@@ -361,13 +373,7 @@
             is_from_peer: source.is_from_peer,
             complete_as_of: self.complete_as_of,
         };
-        let existing = self.missing.get(&id);
-        let is_newly_missing = existing.is_none();
-        let entry = *existing.unwrap_or(&new);
-        if is_newly_missing {
-            let offset = offset.min(self.end.saturating_sub(1));
-            self.changes.push(offset, id.clone());
-        }
+        let entry = *self.missing.get(&id).unwrap_or(&new);
         let until = self.retained_until(&entry, source.evidence);
         if until <= source.at {
             self.missing.remove(&id);
--- a/crates/routing/tests/convergence.rs
+++ b/crates/routing/tests/convergence.rs
@@ -297,3 +297,61 @@
         }
     }
 }
+
+/// All records that follow.
+const ALL: usize = 1_000;
+
+/// Lists all entries on a host while the log does not grow.
+fn list(host: usize) -> Step {
+    Step::List(host, 0, vec![0; usize::from(TARGETS)])
+}
+
+/// Runs steps, lets a host catch up from another one and compares both with the log.
+fn assert_converges(steps: Vec<Step>, host: usize, of: usize) {
+    let mut cluster = Cluster::new(4_096);
+    for step in steps {
+        cluster.run(step);
+    }
+    cluster.catch_up(of);
+    cluster.catch_up_from(host, of, ALL);
+    assert_eq!(cluster.known(of), cluster.expected(), "host {of}");
+    assert_eq!(cluster.known(host), cluster.expected(), "host {host}");
+}
+
+/// A host that lists its pages from two hosts misses a target that was removed meanwhile. It
+/// must still pass its removal on.
+#[test]
+fn the_removal_of_a_target_never_held_is_passed_on() {
+    let steps = vec![
+        Step::Write(vec![(0, Some(1)), (1, Some(1))]),
+        list(0),
+        list(1),
+        Step::Request(2, 0, 1),
+        Step::Write(vec![(1, None)]),
+        Step::Read(1, ALL),
+        Step::Request(2, 1, ALL),
+    ];
+    assert_converges(steps, 0, 2);
+}
+
+/// A target is first missing from a listing, as it was removed before its page was read, and
+/// its removal follows in the log. A host that listed before must still learn of it.
+#[test]
+fn the_removal_of_a_retained_target_is_passed_on() {
+    let mut steps = vec![Step::Write(vec![(0, Some(1))]), list(0), list(1)];
+    steps.extend([Step::Refuse(0), Step::Write(vec![(0, None)])]);
+    steps.push(Step::List(0, 1, vec![1; usize::from(TARGETS)]));
+    assert_converges(steps, 1, 0);
+}
+
+/// A host that never held a target must still pass on that its entry became unreadable.
+#[test]
+fn an_unreadable_entry_of_a_target_never_held_is_passed_on() {
+    let steps = vec![
+        Step::Write(vec![(0, Some(1))]),
+        list(1),
+        Step::Write(vec![(0, Some(UNREADABLE))]),
+        Step::List(0, 1, vec![1; usize::from(TARGETS)]),
+    ];
+    assert_converges(steps, 1, 0);
+}
