Index every record of a summary

What callers saw: a host never uses a live target, so its requests wait for the others or are refused while that target is idle, until the target's entry changes. Cause: a summary (another host's changes, a listing of a growing log) names each target once with its newest value. A view that held that value took the record for a heartbeat and indexed nothing, although it may stand for a removal and a new entry. A host that saw the removal then asks this view from an offset in between and is sent nothing. Evidence: host 0 holds a target, host 2 has seen its removal, host 1 sends host 0 the new entry; host 2 asks host 0 and is told that nothing changed. Change: a record that repeats the known entry is left out of the index only if its source has all records, that is, the log itself. Changes below the offset from which an index is complete are not retained, so a listing does not fill it with entries that no host can request. Tests: two plain tests, a summary from another host and a listing whose page was read late, failed before and pass. Why this holds: if the value differs between two offsets of the range, the sender's index names the target at or after the first, and so does the receiver's.

--- a/crates/routing/src/discovery.rs
+++ b/crates/routing/src/discovery.rs
@@ -133,15 +133,19 @@
 struct Source<'a> {
     at: Instant,
     is_from_peer: bool,
+    /// Whether the source contains every record. A summary contains the newest record of each
+    /// target only, so one that repeats the known entry may hide a removal before it.
+    has_all_records: bool,
     evidence: &'a Evidence,
 }
 
 impl<'a> Source<'a> {
-    /// Returns the source of a read by this host.
-    fn from_read(read: &ReadInfo, evidence: &'a Evidence) -> Self {
+    /// Returns the source of a summary read by this host.
+    fn summary(read: &ReadInfo, evidence: &'a Evidence) -> Self {
         Self {
             at: read.answered_at,
             is_from_peer: false,
+            has_all_records: false,
             evidence,
         }
     }
@@ -202,12 +206,8 @@
         records: Vec<Record<V>>,
         decode: impl Fn(&V) -> Result<Spec, E>,
     ) -> Vec<Change<E>> {
-        let source = Source::from_read(read, evidence);
-        let is_new = end >= self.end;
+        let source = Source::summary(read, evidence);
         let changes = self.apply_all(source, end, records, decode);
-        if is_new {
-            self.changes.skip_to(end);
-        }
         self.note_read(read);
         changes
     }
@@ -220,7 +220,10 @@
         records: Vec<Record<V>>,
         decode: impl Fn(&V) -> Result<Spec, E>,
     ) -> Vec<Change<E>> {
-        let source = Source::from_read(read, evidence);
+        let source = Source {
+            has_all_records: true,
+            ..Source::summary(read, evidence)
+        };
         let mut changes = Vec::new();
         for record in records {
             if record.offset < self.end {
@@ -249,11 +252,10 @@
         let source = Source {
             at,
             is_from_peer: true,
+            has_all_records: false,
             evidence,
         };
-        let changes = self.apply_all(source, end, records, decode);
-        self.changes.skip_to(end);
-        changes
+        self.apply_all(source, end, records, decode)
     }
 
     /// Returns whether any entry is missing that may only have expired.
@@ -284,6 +286,7 @@
             return Vec::new();
         }
         self.end = end;
+        self.changes.skip_to(end);
         self.partial_listing = PartialListing::default();
         let missing = {
             let listed: HashSet<&TargetId> = records.iter().map(|r| &r.id).collect();
@@ -325,11 +328,12 @@
             return self.resolve_missing(source, id, offset);
         };
         match decode(&value) {
-            Ok(spec) => self.put(id, offset, spec),
+            Ok(spec) => self.put(source, id, offset, spec),
             Err(error) => {
                 self.missing.remove(&id);
                 self.known.remove(&id);
-                if self.unreadable.insert(id.clone()) {
+                let is_repeat = !self.unreadable.insert(id.clone());
+                if !is_repeat || !source.has_all_records {
                     self.changes.push(offset, id.clone());
                 }
                 Some(Change::Unreadable { id, offset, error })
@@ -338,24 +342,25 @@
     }
 
     /// Stores an entry; returns `None` if it repeats the known one.
-    fn put<E>(&mut self, id: TargetId, offset: u64, spec: Spec) -> Option<Change<E>> {
+    fn put<E>(
+        &mut self,
+        source: Source<'_>,
+        id: TargetId,
+        offset: u64,
+        spec: Spec,
+    ) -> Option<Change<E>> {
         let was_missing = self.missing.remove(&id).is_some();
         self.unreadable.remove(&id);
-        if let Some(entry) = self.known.get_mut(&id) {
-            entry.offset = offset;
-            if entry.spec == spec && !was_missing {
-                return None;
-            }
-            entry.spec = spec.clone();
-        } else {
-            let entry = TargetEntry {
-                offset,
-                spec: spec.clone(),
-            };
-            self.known.insert(id.clone(), entry);
+        let entry = TargetEntry {
+            offset,
+            spec: spec.clone(),
+        };
+        let previous = self.known.insert(id.clone(), entry);
+        let is_repeat = previous.is_some_and(|known| known.spec == spec) && !was_missing;
+        if !is_repeat || !source.has_all_records {
+            self.changes.push(offset, id.clone());
         }
-        self.changes.push(offset, id.clone());
-        Some(Change::Put { id, offset, spec })
+        (!is_repeat).then_some(Change::Put { id, offset, spec })
     }
 
     /// Removes the target of a missing entry, or retains it if the entry may have expired.
--- a/crates/routing/src/discovery/difference.rs
+++ b/crates/routing/src/discovery/difference.rs
@@ -123,7 +123,7 @@
         evidence: &Evidence,
         difference: Difference,
     ) -> Vec<Change<Infallible>> {
-        let source = Source::from_read(read, evidence);
+        let source = Source::summary(read, evidence);
         if let Some(page) = difference.page {
             return self.apply_page(source, page, difference.end, difference.records);
         }
--- a/crates/routing/tests/convergence.rs
+++ b/crates/routing/tests/convergence.rs
@@ -355,3 +355,34 @@
     ];
     assert_converges(steps, 1, 0);
 }
+
+/// A summary names each target once, with its newest value. A value equal to the one held may
+/// stand for a removal and a new entry, which a third host must learn of.
+#[test]
+fn a_target_registered_again_within_a_summary_is_passed_on() {
+    let steps = vec![
+        Step::Write(vec![(0, Some(1))]),
+        list(0),
+        Step::Write(vec![(0, None)]),
+        list(2),
+        Step::Write(vec![(0, Some(1))]),
+        Step::Read(1, ALL),
+        Step::Request(0, 1, 1),
+    ];
+    assert_converges(steps, 2, 0);
+}
+
+/// The same where the summary is a listing whose page was read after the target had registered
+/// again.
+#[test]
+fn a_target_registered_again_during_a_listing_is_passed_on() {
+    let steps = vec![
+        Step::Write(vec![(0, Some(1))]),
+        list(0),
+        Step::Write(vec![(0, None)]),
+        list(2),
+        Step::Write(vec![(0, Some(1))]),
+        Step::List(0, 2, vec![2; usize::from(TARGETS)]),
+    ];
+    assert_converges(steps, 2, 0);
+}
--- a/crates/spread/src/changes.rs
+++ b/crates/spread/src/changes.rs
@@ -42,10 +42,14 @@
     }
 
     /// Records that a key changed at an offset. An offset below that of the newest change is
-    /// treated as equal to it, which keeps offsets in order.
+    /// treated as equal to it, which keeps offsets in order. A change below the offset from
+    /// which the index is complete is not retained.
     pub fn push(&mut self, offset: u64, key: K) {
         let offset = offset.max(self.end.saturating_sub(1));
         self.end = offset + 1;
+        if offset < self.complete_from {
+            return;
+        }
         self.recent.push_back((offset, key));
         while self.recent.len() > self.capacity {
             if let Some((dropped, _)) = self.recent.pop_front() {
