Track what a truncated summary omits

Cause: a summary names a target at its newest change. One that is truncated before that omits the earlier changes, a removal too, but the receiver claimed to match the log at its end. The target's next record, read from the log, then looked like a heartbeat and was not indexed. Parts of an announcement, of which later ones are lost, are such summaries too. Evidence: host 0 holds a target and receives one record of a summary that would name the target in its third; it reads the rest itself, and host 2, which saw the removal, is sent nothing. Change: `exact_from`, the offset up to which records are to be applied before entries match the log. Below it every record is indexed; the view does not count as complete; it sends the offset with its changes, in the field in which an exact host sends its end, so earlier builds read it; and it serves no pages, which are merged with others. The module's docs give the invariants. Ruled out: a summary that names each target up to its end. Parts of announcements would have to be split by the index as well, and hosts of earlier builds send truncated summaries anyway. Tests: two plain tests, by one host and by a second that received changes from it, failed before and pass; tests of the gateway's spread, catalog, peers, start pass. views_converge_to_the_log still fails.

--- a/crates/gateway/src/spread/announcing.rs
+++ b/crates/gateway/src/spread/announcing.rs
@@ -90,7 +90,7 @@
             false => since(announced.targets_to),
         };
         if targets.page.is_some() || targets.is_complete || targets.to < targets.end {
-            let end = targets.end;
+            let end = self.deps.catalog.targets_end();
             return vec![records::Targets {
                 from: end,
                 to: end,
--- a/crates/routing/src/discovery.rs
+++ b/crates/routing/src/discovery.rs
@@ -124,6 +124,9 @@
     unreadable: HashSet<TargetId>,
     changes: Changes<TargetId>,
     end: u64,
+    /// The offset up to which records must be applied before the entries match the log, see
+    /// [`difference`].
+    exact_from: u64,
     /// A listing that is being received from other hosts in pages.
     partial_listing: PartialListing,
 }
@@ -133,8 +136,8 @@
 struct Source<'a> {
     at: Instant,
     is_from_peer: bool,
-    /// Whether the source contains every record. A summary contains the newest record of each
-    /// target only, so one that repeats the known entry may hide a removal before it.
+    /// Whether every record up to these was applied. A summary contains only the newest record
+    /// of each target, so one that repeats the known entry may hide a removal before it.
     has_all_records: bool,
     evidence: &'a Evidence,
 }
@@ -168,6 +171,7 @@
             unreadable: HashSet::new(),
             changes: Changes::new(changes_retained),
             end: 0,
+            exact_from: 0,
             partial_listing: PartialListing::default(),
         }
     }
@@ -220,15 +224,16 @@
         records: Vec<Record<V>>,
         decode: impl Fn(&V) -> Result<Spec, E>,
     ) -> Vec<Change<E>> {
-        let source = Source {
-            has_all_records: true,
-            ..Source::summary(read, evidence)
-        };
+        let summary = Source::summary(read, evidence);
         let mut changes = Vec::new();
         for record in records {
             if record.offset < self.end {
                 continue;
             }
+            let source = Source {
+                has_all_records: record.offset >= self.exact_from,
+                ..summary
+            };
             self.end = record.offset + 1;
             changes.extend(self.apply_record(source, record, &decode));
         }
@@ -389,9 +394,14 @@
         Some(Change::Retained { id, offset, until })
     }
 
+    /// Returns whether the entries match the log.
+    fn is_exact(&self) -> bool {
+        self.end >= self.exact_from
+    }
+
     /// Advances the time as of which the view is complete.
     fn note_read(&mut self, read: &ReadInfo) {
-        if read.is_at_end {
+        if read.is_at_end && self.is_exact() {
             self.complete_as_of = self.complete_as_of.max(Some(read.requested_at));
         }
     }
--- a/crates/routing/src/discovery/difference.rs
+++ b/crates/routing/src/discovery/difference.rs
@@ -6,6 +6,21 @@
 //! is behind the retained changes is sent all entries at once, and treats entries absent
 //! from them as missing.
 //!
+//! Three values of a [`TargetView`] say what a host may claim, also to others:
+//!
+//! - `end`: the entry of each target is that of the log as of `end` or later. It may be newer,
+//!   as the pages of a listing are read one after the other while the log grows.
+//! - `exact_from`: a summary that ends before the newest change of a target omits the earlier
+//!   ones, so the entry of a target with records in `end..exact_from` may be older than `end`.
+//!   Each of these records is applied, and indexed, before the entries match the log. Until
+//!   then the host sends `exact_from` with its changes and sends no pages, as these are merged
+//!   with those of other hosts.
+//! - `complete_from` of the index: a target is named at or after an offset from there on if a
+//!   host whose entries are as of that offset may hold another entry. The index therefore
+//!   depends on the records and not on what they changed here: removals of targets not held
+//!   and repeated entries from a summary are indexed. Only a repeated entry in the log itself,
+//!   a heartbeat, is not.
+//!
 //! Paging by offset was rejected: hosts that listed the entries at different times have
 //! different offsets for the same entry, so an entry could fall between two pages.
 
@@ -36,7 +51,7 @@
     pub from: u64,
     /// The end of the offset range, exclusive.
     pub to: u64,
-    /// The offset up to which the sender has read the log.
+    /// The offset up to which records must be applied before the entries match the log.
     pub end: u64,
     /// The page bounds, if the records are a page of a listing.
     pub page: Option<Page>,
@@ -93,7 +108,7 @@
         let mut difference = Difference {
             from: position.from,
             to: self.end.max(position.from),
-            end: self.end,
+            end: self.end.max(self.exact_from),
             ..Difference::default()
         };
         if position.from == 0 {
@@ -130,6 +145,9 @@
         let decode = |spec: &Spec| Ok(spec.clone());
         if difference.is_complete {
             let (at, end) = (read.answered_at, difference.to);
+            if end > self.end {
+                self.exact_from = self.exact_from.max(difference.end);
+            }
             let changes = self.apply_peer_listing(at, evidence, end, difference.records, decode);
             if self.end == end {
                 self.note_read(read);
@@ -140,6 +158,9 @@
             return Vec::new();
         }
         let known_to = std::mem::replace(&mut self.end, difference.to);
+        if difference.to > known_to {
+            self.exact_from = self.exact_from.max(difference.end);
+        }
         let mut changes = Vec::new();
         for record in difference.records {
             if record.offset >= known_to {
@@ -200,8 +221,12 @@
     }
 
     /// Returns the page of a listing at a position. While its own listing is incomplete, a host
-    /// returns the entries received so far, or `None` if it has none after the position.
+    /// returns the entries received so far, or `None` if it has none after the position or its
+    /// entries may be older than `end`.
     fn listing_page(&self, position: &Position, limit: usize) -> Option<Difference> {
+        if !self.is_exact() {
+            return None;
+        }
         let is_partial = self.end == 0;
         let end = match is_partial {
             true => self.partial_listing.as_of?,
--- a/crates/routing/tests/convergence.rs
+++ b/crates/routing/tests/convergence.rs
@@ -386,3 +386,35 @@
     ];
     assert_converges(steps, 2, 0);
 }
+
+/// A summary that ends before the newest change of a target omits its earlier ones. The target's
+/// next record looks like a repeat then, and must be passed on all the same.
+#[test]
+fn a_removal_omitted_from_a_truncated_summary_is_passed_on() {
+    let steps = vec![
+        Step::Write(vec![(0, Some(1))]),
+        list(0),
+        Step::Write(vec![(0, None)]),
+        list(2),
+        Step::Write(vec![(4, None), (1, None), (2, None), (0, Some(1))]),
+        Step::Read(1, ALL),
+        Step::Request(0, 1, 1),
+    ];
+    assert_converges(steps, 2, 0);
+}
+
+/// A host that received a truncated summary passes on that it may have missed changes.
+#[test]
+fn a_removal_omitted_from_a_truncated_summary_is_passed_on_by_the_next_host() {
+    let mut steps = vec![
+        Step::Write(vec![(0, Some(1))]),
+        list(0),
+        list(3),
+        Step::Write(vec![(0, None)]),
+        list(2),
+        Step::Write(vec![(4, None), (1, None), (2, None), (0, Some(1))]),
+    ];
+    steps.push(Step::Read(1, ALL));
+    steps.extend([Step::Request(0, 1, 1), Step::Request(3, 0, ALL)]);
+    assert_converges(steps, 2, 3);
+}
