Keep the offset of a change that is indexed late

What callers saw: a host keeps a removed target, or never uses a live one, for good. Cause: a listing of a growing log may contain entries newer than its end, which are indexed at their offsets. Changes read after it, at lower offsets, were raised to the newest one and sent with that offset: the receiver stored it and took the target's next records, a removal for instance, for older ones. A summary truncated among such entries ended beyond what its sender had read, so the receiver skipped those records for good. The list of hosts has the same index. Evidence: a host that listed at offset 1 with an entry from offset 3 reads a target's entry at 1 and sends it as of 3; the receiver ignores its removal at 2. Change: the index is ordered by offset, whatever the order of arrival; a summary keeps all records newer than its range, and announcements keep them in their last datagram. Tests: two plain tests failed before and pass. In the index's tests `an_offset_below_the_newest_is_raised_to_it` required the fault; its place takes one that requires the real offset, and a property test: any order of arrival gives the index of sorted changes. views_converge_to_the_log still fails. Ruled out: sending the entry's offset instead of the index's. Heartbeats advance it, so each receiver would index the target later than its last change and send it again.

--- a/crates/gateway/src/spread/announcing.rs
+++ b/crates/gateway/src/spread/announcing.rs
@@ -127,8 +127,9 @@
     let mut bytes = 0;
     for change in targets.changes {
         let size = change_bytes(&change);
-        // Changes at the same offset must stay in one datagram.
-        let is_next = change.offset >= part.to;
+        // Changes at the same offset must stay in one datagram, and those newer than the range in
+        // the last one.
+        let is_next = change.offset >= part.to && change.offset < targets.to;
         if bytes + size > CHANGES_BYTES_MAX && is_next && !part.changes.is_empty() {
             let next = records::Targets {
                 from: part.to,
--- a/crates/routing/src/discovery/difference.rs
+++ b/crates/routing/src/discovery/difference.rs
@@ -79,9 +79,11 @@
 }
 
 impl Difference {
-    /// Truncates the records to `limit`, keeping all that share the last offset.
+    /// Truncates the records to `limit`, keeping all that share the last offset and those newer
+    /// than the range, which stand for earlier records within it.
     fn truncate(&mut self, limit: usize) {
-        let Some(last) = self.records.get(limit - 1).map(|record| record.offset) else {
+        let last = self.records.get(limit - 1).map(|record| record.offset);
+        let Some(last) = last.filter(|last| *last < self.to) else {
             return;
         };
         let count = self.records.partition_point(|record| record.offset <= last);
--- a/crates/routing/tests/convergence.rs
+++ b/crates/routing/tests/convergence.rs
@@ -418,3 +418,33 @@
     steps.extend([Step::Request(0, 1, 1), Step::Request(3, 0, ALL)]);
     assert_converges(steps, 2, 3);
 }
+
+/// Returns the steps after which host 0 holds a target newer than its end, and host 1 is behind.
+fn listed_during_writes(entries: Vec<Entry>, read_later: Vec<u8>) -> Vec<Step> {
+    let lag = entries.len();
+    vec![
+        Step::Write(vec![(0, Some(1))]),
+        list(1),
+        Step::Write(entries),
+        Step::List(0, lag, read_later),
+        Step::Read(0, 1),
+    ]
+}
+
+/// A record sent with an offset higher than its own would hide the target's next record.
+#[test]
+fn a_removal_after_a_change_sent_late_is_applied() {
+    let entries = vec![(1, Some(1)), (1, None), (2, Some(1))];
+    let mut steps = listed_during_writes(entries, vec![0, 0, 3, 0, 0, 0]);
+    steps.push(Step::Request(1, 0, ALL));
+    assert_converges(steps, 0, 1);
+}
+
+/// A truncated summary must not end beyond what its sender has read.
+#[test]
+fn a_truncated_summary_ends_where_its_sender_does() {
+    let entries = vec![(1, Some(1)), (4, Some(1)), (2, Some(1)), (3, Some(1))];
+    let mut steps = listed_during_writes(entries, vec![0, 0, 3, 4, 0, 0]);
+    steps.push(Step::Request(1, 0, 1));
+    assert_converges(steps, 0, 1);
+}
--- a/crates/spread/src/changes.rs
+++ b/crates/spread/src/changes.rs
@@ -6,15 +6,20 @@
 //!
 //! The records themselves are not retained: the caller already stores the latest value of
 //! each key, and older values are never requested.
+//!
+//! Raising a change that arrives late to the newest offset was rejected: a receiver that stores
+//! the raised offset takes the key's next records for older ones.
 
+use std::collections::BTreeMap;
 use std::collections::HashSet;
-use std::collections::VecDeque;
 use std::hash::Hash;
 
 /// The most recent changes of a log, by key.
 #[derive(Clone, Debug)]
 pub struct Changes<K> {
-    recent: VecDeque<(u64, K)>,
+    /// The keys by offset and order of arrival.
+    recent: BTreeMap<(u64, u64), K>,
+    pushed: u64,
     capacity: usize,
     complete_from: u64,
     end: u64,
@@ -24,7 +29,8 @@
     /// Returns an empty index that retains up to `capacity` changes.
     pub fn new(capacity: usize) -> Self {
         Self {
-            recent: VecDeque::new(),
+            recent: BTreeMap::new(),
+            pushed: 0,
             capacity: capacity.max(1),
             complete_from: 0,
             end: 0,
@@ -41,18 +47,17 @@
         self.complete_from
     }
 
-    /// Records that a key changed at an offset. An offset below that of the newest change is
-    /// treated as equal to it, which keeps offsets in order. A change below the offset from
-    /// which the index is complete is not retained.
+    /// Records that a key changed at an offset. Changes may arrive in any order. A change below
+    /// the offset from which the index is complete is not retained.
     pub fn push(&mut self, offset: u64, key: K) {
-        let offset = offset.max(self.end.saturating_sub(1));
-        self.end = offset + 1;
+        self.end = self.end.max(offset + 1);
         if offset < self.complete_from {
             return;
         }
-        self.recent.push_back((offset, key));
+        self.recent.insert((offset, self.pushed), key);
+        self.pushed += 1;
         while self.recent.len() > self.capacity {
-            if let Some((dropped, _)) = self.recent.pop_front() {
+            if let Some(((dropped, _), _)) = self.recent.pop_first() {
                 self.complete_from = self.complete_from.max(dropped + 1);
             }
         }
@@ -69,11 +74,11 @@
         if offset < self.complete_from {
             return None;
         }
-        let start = self.recent.partition_point(|(at, _)| *at < offset);
         let mut seen = HashSet::new();
-        let newest_first = self.recent.range(start..).rev();
-        let newest_first = newest_first.filter(|(_, key)| seen.insert(key));
-        let mut changes: Vec<(u64, &K)> = newest_first.map(|(at, key)| (*at, key)).collect();
+        let newest_first = self.recent.range((offset, 0)..).rev();
+        let newest_first = newest_first.filter(|(_, key)| seen.insert(*key));
+        let newest_first = newest_first.map(|((at, _), key)| (*at, key));
+        let mut changes: Vec<(u64, &K)> = newest_first.collect();
         changes.reverse();
         Some(changes)
     }
--- a/crates/spread/tests/changes.rs
+++ b/crates/spread/tests/changes.rs
@@ -50,12 +50,45 @@
     assert_eq!(changes.since(8), Some(vec![(8, &"b")]));
 }
 
+/// Guards against an index that raises a late change to the newest offset: its receiver then
+/// ignores the key's next records as older.
 #[test]
-fn an_offset_below_the_newest_is_raised_to_it() {
+fn a_change_below_the_newest_keeps_its_offset() {
     let mut changes = Changes::new(10);
     changes.push(5, "a");
     changes.push(2, "b");
     assert_eq!(changes.end(), 6);
-    assert_eq!(changes.since(5), Some(vec![(5, &"a"), (5, &"b")]));
+    assert_eq!(changes.since(2), Some(vec![(2, &"b"), (5, &"a")]));
+    assert_eq!(changes.since(3), Some(vec![(5, &"a")]));
     assert_eq!(changes.since(100), Some(vec![]));
 }
+
+proptest! {
+    /// Changes that arrive in any order give the same index as in order of their offsets.
+    #[test]
+    fn the_order_of_arrival_does_not_matter(
+        arrivals in proptest::collection::vec((0..40_u64, 0..8_u8), 0..60),
+        capacity in 1..70_usize,
+        from in 0..50_u64,
+    ) {
+        let mut changes = Changes::new(capacity);
+        for (offset, key) in &arrivals {
+            changes.push(*offset, *key);
+        }
+        let mut sorted = arrivals;
+        sorted.sort_unstable();
+        let dropped = sorted.len().saturating_sub(capacity);
+        let complete_from = dropped.checked_sub(1).map_or(0, |last| sorted[last].0 + 1);
+        prop_assert_eq!(changes.complete_from(), complete_from);
+        let mut expected: BTreeMap<u8, u64> = BTreeMap::new();
+        expected.extend(sorted.iter().filter(|(at, _)| *at >= from).map(|(at, key)| (*key, *at)));
+        let since = changes.since(from);
+        prop_assert_eq!(since.is_none(), from < complete_from);
+        if let Some(since) = since {
+            let offsets: Vec<u64> = since.iter().map(|(at, _)| *at).collect();
+            prop_assert!(offsets.is_sorted());
+            let returned: BTreeMap<u8, u64> = since.iter().map(|(at, key)| (**key, *at)).collect();
+            prop_assert_eq!(returned, expected);
+        }
+    }
+}
