Ignore the entries of a listing as of the start of the log

What callers saw: a host that starts with its fleet keeps a target that has left. Cause: a listing that began before the first record has end 0 and may contain newer entries. The host kept them without an end, so it then took another host's pages, which omit a target removed meanwhile, beside them. Change: entries of such a listing are not applied; they follow in the log from its start, which the host reads next. Ruled out: pages that replace what is held in their range of names. A host with such entries would serve them in pages of its own, beyond the names that it has received.

--- a/crates/routing/src/discovery.rs
+++ b/crates/routing/src/discovery.rs
@@ -287,7 +287,9 @@
         records: Vec<Record<V>>,
         decode: impl Fn(&V) -> Result<Spec, E>,
     ) -> Vec<Change<E>> {
-        if end < self.end {
+        // The entries of a listing as of the start of the log are all newer and follow in the log.
+        // A host without an end would take pages of another one beside them, which omit removals.
+        if end < self.end || end == 0 {
             return Vec::new();
         }
         self.end = end;
--- a/crates/routing/tests/convergence.rs
+++ b/crates/routing/tests/convergence.rs
@@ -448,3 +448,15 @@
     steps.push(Step::Request(1, 0, 1));
     assert_converges(steps, 0, 1);
 }
+
+/// A listing as of the start of the log may contain newer entries. Pages of another host, which
+/// has seen a removal among them, must not leave them in place.
+#[test]
+fn an_entry_newer_than_an_empty_listing_is_removed() {
+    let steps = vec![
+        Step::Write(vec![(0, Some(1))]),
+        Step::List(0, 1, vec![1; usize::from(TARGETS)]),
+        Step::Write(vec![(0, None)]),
+    ];
+    assert_converges(steps, 0, 1);
+}
