Name in a truncated summary all that it covers

Cause: `exact_from` relied on the omitted target's next record being indexed by whichever host sends the next part. To a host that saw the change in between, that record is a heartbeat, so it sends nothing, and the receiver misses the target for good. Host 0 has a truncated part, reads a heartbeat and indexes it; host 1 is sent a part of host 0 that leaves the target to that heartbeat, and the rest by host 3, to which it is none. Change: a part names every target that may have changed before its end, with its newest value, even if its newest change follows. The index keeps from which offset on a key may have changed: for a summary that is the start of its range. Announcements are split by the same pages. The version that a host announces is capped at its end, since entries may be newer. A property test of the index pages. Left: hosts of earlier builds still omit targets from truncated parts and index less; a host that follows one during an upgrade can end with a wrong entry.

--- a/crates/gateway/src/spread/announcing.rs
+++ b/crates/gateway/src/spread/announcing.rs
@@ -20,6 +20,8 @@
 /// Maximum bytes of changes per datagram, so that it fits one packet on the link with the
 /// smallest MTU.
 const CHANGES_BYTES_MAX: usize = 1_000;
+/// Approximate encoded size of the numbers, flags and the address of a change.
+const CHANGE_FIXED_BYTES: usize = 32;
 
 /// The state that this host announced last.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -75,76 +77,61 @@
     /// Returns the changes since the last announcement, split into datagrams. If they are few,
     /// the changes of the previous announcement are repeated in case it was lost.
     fn datagram_parts(&self, announced: &Announced) -> Vec<records::Targets> {
-        let since = |from| {
-            let position = Position { from, after: None };
-            self.deps
-                .catalog
-                .targets_since(&position, ANNOUNCED_CHANGES_MAX)
-        };
-        let repeated = since(announced.targets_from);
-        let is_short = changes_bytes(&repeated) <= CHANGES_BYTES_MAX
-            && repeated.page.is_none()
-            && !repeated.is_complete;
-        let targets = match is_short {
-            true => repeated,
-            false => since(announced.targets_to),
-        };
-        if targets.page.is_some() || targets.is_complete || targets.to < targets.end {
-            let end = self.deps.catalog.targets_end();
-            return vec![records::Targets {
-                from: end,
-                to: end,
-                end,
-                ..records::Targets::default()
-            }];
+        let repeated = self.datagram_part(announced.targets_from);
+        if is_part(&repeated) && repeated.to >= repeated.end {
+            return vec![repeated];
+        }
+        let mut parts = Vec::new();
+        let mut changes = 0;
+        let mut from = announced.targets_to;
+        loop {
+            let part = self.datagram_part(from);
+            changes += part.changes.len();
+            if !is_part(&part) || changes > ANNOUNCED_CHANGES_MAX {
+                let end = part.end;
+                return vec![records::Targets {
+                    from: end,
+                    to: end,
+                    end,
+                    ..records::Targets::default()
+                }];
+            }
+            from = part.to;
+            let is_last = part.to >= part.end;
+            parts.push(part);
+            if is_last {
+                return parts;
+            }
+        }
+    }
+
+    /// Returns the changes from an offset on that fit a datagram. All that may have changed before
+    /// the end of a part must be in it, so it may be larger.
+    fn datagram_part(&self, from: u64) -> records::Targets {
+        let position = Position { from, after: None };
+        let mut limit = CHANGES_BYTES_MAX / CHANGE_FIXED_BYTES;
+        loop {
+            let part = self.deps.catalog.targets_since(&position, limit);
+            if limit == 1 || !is_part(&part) || changes_bytes(&part) <= CHANGES_BYTES_MAX {
+                return part;
+            }
+            limit /= 2;
         }
-        split_changes(targets)
     }
 }
 
+/// Returns whether a difference consists of changes rather than entries.
+fn is_part(targets: &records::Targets) -> bool {
+    targets.page.is_none() && !targets.is_complete
+}
+
 fn changes_bytes(targets: &records::Targets) -> usize {
     targets.changes.iter().map(change_bytes).sum()
 }
 
 /// Returns the approximate encoded size of a change.
 fn change_bytes(change: &records::TargetChange) -> usize {
-    /// Size of numbers, flags and the address.
-    const FIXED: usize = 32;
     let target = change.target.as_ref();
     let names = target.map_or(0, |t| t.service.len() + t.data_centre.len());
-    FIXED + change.id.len() + names
-}
-
-/// Splits changes into datagrams. Only the last one reaches the end of the range.
-fn split_changes(targets: records::Targets) -> Vec<records::Targets> {
-    let mut parts = Vec::new();
-    let mut part = records::Targets {
-        from: targets.from,
-        to: targets.from,
-        end: targets.end,
-        ..records::Targets::default()
-    };
-    let mut bytes = 0;
-    for change in targets.changes {
-        let size = change_bytes(&change);
-        // Changes at the same offset must stay in one datagram, and those newer than the range in
-        // the last one.
-        let is_next = change.offset >= part.to && change.offset < targets.to;
-        if bytes + size > CHANGES_BYTES_MAX && is_next && !part.changes.is_empty() {
-            let next = records::Targets {
-                from: part.to,
-                to: part.to,
-                end: targets.end,
-                ..records::Targets::default()
-            };
-            parts.push(std::mem::replace(&mut part, next));
-            bytes = 0;
-        }
-        bytes += size;
-        part.to = part.to.max(change.offset + 1);
-        part.changes.push(change);
-    }
-    part.to = targets.to;
-    parts.push(part);
-    parts
+    CHANGE_FIXED_BYTES + change.id.len() + names
 }
--- a/crates/proto/src/records.rs
+++ b/crates/proto/src/records.rs
@@ -63,7 +63,7 @@
     pub from: u64,
     /// The end of the offset range, exclusive.
     pub to: u64,
-    /// The offset up to which records must be applied before the entries match the log.
+    /// The offset up to which the sender has read the log.
     pub end: u64,
     /// The page bounds, if the records are a page of a listing.
     pub page: Option<Page>,
--- a/crates/routing/src/discovery.rs
+++ b/crates/routing/src/discovery.rs
@@ -124,9 +124,6 @@
     unreadable: HashSet<TargetId>,
     changes: Changes<TargetId>,
     end: u64,
-    /// The offset up to which records must be applied before the entries match the log, see
-    /// [`difference`].
-    exact_from: u64,
     /// A listing that is being received from other hosts in pages.
     partial_listing: PartialListing,
 }
@@ -136,22 +133,31 @@
 struct Source<'a> {
     at: Instant,
     is_from_peer: bool,
-    /// Whether every record up to these was applied. A summary contains only the newest record
-    /// of each target, so one that repeats the known entry may hide a removal before it.
-    has_all_records: bool,
+    /// The offset from which a summary covers the log; `None` if the source has all records. A
+    /// summary contains only the newest record of each target, so one that repeats the known
+    /// entry may hide a removal before it.
+    summary_from: Option<u64>,
     evidence: &'a Evidence,
 }
 
 impl<'a> Source<'a> {
-    /// Returns the source of a summary read by this host.
-    fn summary(read: &ReadInfo, evidence: &'a Evidence) -> Self {
+    /// Returns the source of a read by this host of all records.
+    fn from_read(read: &ReadInfo, evidence: &'a Evidence) -> Self {
         Self {
             at: read.answered_at,
             is_from_peer: false,
-            has_all_records: false,
+            summary_from: None,
             evidence,
         }
     }
+
+    /// Returns the source of a summary from an offset on.
+    fn summary(from: u64, read: &ReadInfo, evidence: &'a Evidence) -> Self {
+        Self {
+            summary_from: Some(from),
+            ..Self::from_read(read, evidence)
+        }
+    }
 }
 
 impl TargetView {
@@ -171,7 +177,6 @@
             unreadable: HashSet::new(),
             changes: Changes::new(changes_retained),
             end: 0,
-            exact_from: 0,
             partial_listing: PartialListing::default(),
         }
     }
@@ -195,9 +200,14 @@
         confirmed.map(|(id, entry)| (id, entry.offset, &entry.spec))
     }
 
-    /// Returns the offset that follows the newest effective change.
+    /// Returns the offset that follows the newest effective change applied. While a listing is
+    /// incomplete, that of the entries received.
     pub fn changes_end(&self) -> u64 {
-        self.changes.end()
+        match self.end {
+            0 => self.changes.end(),
+            // Entries may be newer than the end, but other hosts receive changes only up to it.
+            end => self.changes.end().min(end),
+        }
     }
 
     /// Applies a listing of all entries as of an offset. The pages of a listing are read one
@@ -210,7 +220,7 @@
         records: Vec<Record<V>>,
         decode: impl Fn(&V) -> Result<Spec, E>,
     ) -> Vec<Change<E>> {
-        let source = Source::summary(read, evidence);
+        let source = Source::summary(end, read, evidence);
         let changes = self.apply_all(source, end, records, decode);
         self.note_read(read);
         changes
@@ -224,16 +234,12 @@
         records: Vec<Record<V>>,
         decode: impl Fn(&V) -> Result<Spec, E>,
     ) -> Vec<Change<E>> {
-        let summary = Source::summary(read, evidence);
+        let source = Source::from_read(read, evidence);
         let mut changes = Vec::new();
         for record in records {
             if record.offset < self.end {
                 continue;
             }
-            let source = Source {
-                has_all_records: record.offset >= self.exact_from,
-                ..summary
-            };
             self.end = record.offset + 1;
             changes.extend(self.apply_record(source, record, &decode));
         }
@@ -257,7 +263,7 @@
         let source = Source {
             at,
             is_from_peer: true,
-            has_all_records: false,
+            summary_from: Some(end),
             evidence,
         };
         self.apply_all(source, end, records, decode)
@@ -324,13 +330,14 @@
         decode: impl Fn(&V) -> Result<Spec, E>,
     ) -> Option<Change<E>> {
         let Record { id, offset, value } = record;
-        if self.known.get(&id).is_some_and(|k| k.offset > offset) {
+        if self.is_older(&id, offset) {
+            self.index_change(source, &id, offset);
             return None;
         }
         let Some(value) = value else {
             // Indexed even if the target is not held: a host that holds it may request the
             // changes from here.
-            self.changes.push(offset, id.clone());
+            self.index_change(source, &id, offset);
             self.unreadable.remove(&id);
             return self.resolve_missing(source, id, offset);
         };
@@ -340,14 +347,25 @@
                 self.missing.remove(&id);
                 self.known.remove(&id);
                 let is_repeat = !self.unreadable.insert(id.clone());
-                if !is_repeat || !source.has_all_records {
-                    self.changes.push(offset, id.clone());
+                if !is_repeat || source.summary_from.is_some() {
+                    self.index_change(source, &id, offset);
                 }
                 Some(Change::Unreadable { id, offset, error })
             }
         }
     }
 
+    /// Returns whether a record is older than what is known of its target.
+    fn is_older(&self, id: &str, offset: u64) -> bool {
+        let known = self.known.get(id).map(|known| known.offset);
+        known.is_some_and(|newest| newest > offset)
+    }
+
+    fn index_change(&mut self, source: Source<'_>, id: &str, offset: u64) {
+        let first = source.summary_from.unwrap_or(offset);
+        self.changes.push_range(first, offset, id.to_owned());
+    }
+
     /// Stores an entry; returns `None` if it repeats the known one.
     fn put<E>(
         &mut self,
@@ -364,8 +382,8 @@
         };
         let previous = self.known.insert(id.clone(), entry);
         let is_repeat = previous.is_some_and(|known| known.spec == spec) && !was_missing;
-        if !is_repeat || !source.has_all_records {
-            self.changes.push(offset, id.clone());
+        if !is_repeat || source.summary_from.is_some() {
+            self.index_change(source, &id, offset);
         }
         (!is_repeat).then_some(Change::Put { id, offset, spec })
     }
@@ -396,14 +414,9 @@
         Some(Change::Retained { id, offset, until })
     }
 
-    /// Returns whether the entries match the log.
-    fn is_exact(&self) -> bool {
-        self.end >= self.exact_from
-    }
-
     /// Advances the time as of which the view is complete.
     fn note_read(&mut self, read: &ReadInfo) {
-        if read.is_at_end && self.is_exact() {
+        if read.is_at_end {
             self.complete_as_of = self.complete_as_of.max(Some(read.requested_at));
         }
     }
--- a/crates/routing/src/discovery/difference.rs
+++ b/crates/routing/src/discovery/difference.rs
@@ -6,21 +6,22 @@
 //! is behind the retained changes is sent all entries at once, and treats entries absent
 //! from them as missing.
 //!
-//! Three values of a [`TargetView`] say what a host may claim, also to others:
+//! Two offsets of a [`TargetView`] say what a host may claim, also to others:
 //!
 //! - `end`: the entry of each target is that of the log as of `end` or later. It may be newer,
-//!   as the pages of a listing are read one after the other while the log grows.
-//! - `exact_from`: a summary that ends before the newest change of a target omits the earlier
-//!   ones, so the entry of a target with records in `end..exact_from` may be older than `end`.
-//!   Each of these records is applied, and indexed, before the entries match the log. Until
-//!   then the host sends `exact_from` with its changes and sends no pages, as these are merged
-//!   with those of other hosts.
+//!   as the pages of a listing are read one after the other while the log grows, and as changes
+//!   name each target once with its newest value.
 //! - `complete_from` of the index: a target is named at or after an offset from there on if a
 //!   host whose entries are as of that offset may hold another entry. The index therefore
 //!   depends on the records and not on what they changed here: removals of targets not held
 //!   and repeated entries from a summary are indexed. Only a repeated entry in the log itself,
 //!   a heartbeat, is not.
 //!
+//! Truncated changes name every target that may have changed before their end, even if its
+//! newest change follows. Leaving such a target to the next part was rejected: the receiver may
+//! get that part from a host to which the newest record is a heartbeat, since it did not miss the
+//! change before.
+//!
 //! Paging by offset was rejected: hosts that listed the entries at different times have
 //! different offsets for the same entry, so an entry could fall between two pages.
 
@@ -51,13 +52,14 @@
     pub from: u64,
     /// The end of the offset range, exclusive.
     pub to: u64,
-    /// The offset up to which records must be applied before the entries match the log.
+    /// The offset up to which the sender has read the log.
     pub end: u64,
     /// The page bounds, if the records are a page of a listing.
     pub page: Option<Page>,
     /// Whether the records are the complete set of entries.
     pub is_complete: bool,
-    /// The records: changes ordered by offset, entries ordered by name.
+    /// The records: changes ordered by offset, which may exceed the range, or entries ordered by
+    /// name.
     pub records: Vec<Record<Spec>>,
 }
 
@@ -78,22 +80,6 @@
     as_of: Option<u64>,
 }
 
-impl Difference {
-    /// Truncates the records to `limit`, keeping all that share the last offset and those newer
-    /// than the range, which stand for earlier records within it.
-    fn truncate(&mut self, limit: usize) {
-        let last = self.records.get(limit - 1).map(|record| record.offset);
-        let Some(last) = last.filter(|last| *last < self.to) else {
-            return;
-        };
-        let count = self.records.partition_point(|record| record.offset <= last);
-        if count < self.records.len() {
-            self.records.truncate(count);
-            self.to = last + 1;
-        }
-    }
-}
-
 impl TargetView {
     /// Returns the position from which to request entries or changes.
     pub fn position(&self) -> Position {
@@ -110,7 +96,7 @@
         let mut difference = Difference {
             from: position.from,
             to: self.end.max(position.from),
-            end: self.end.max(self.exact_from),
+            end: self.end,
             ..Difference::default()
         };
         if position.from == 0 {
@@ -119,12 +105,11 @@
         if position.from >= self.end {
             return difference;
         }
-        if let Some(changes) = self.changes.since(position.from) {
-            let records = changes
-                .into_iter()
-                .map(|(offset, id)| self.record(offset, id));
+        if let Some(page) = self.changes.page(position.from, limit) {
+            let changes = page.changes.into_iter();
+            let records = changes.map(|(offset, id)| self.record(offset, id));
             difference.records = records.collect();
-            difference.truncate(limit);
+            difference.to = page.to.map_or(self.end, |to| to.min(self.end));
         } else {
             difference.from = 0;
             difference.is_complete = true;
@@ -140,16 +125,13 @@
         evidence: &Evidence,
         difference: Difference,
     ) -> Vec<Change<Infallible>> {
-        let source = Source::summary(read, evidence);
         if let Some(page) = difference.page {
+            let source = Source::summary(0, read, evidence);
             return self.apply_page(source, page, difference.end, difference.records);
         }
         let decode = |spec: &Spec| Ok(spec.clone());
         if difference.is_complete {
             let (at, end) = (read.answered_at, difference.to);
-            if end > self.end {
-                self.exact_from = self.exact_from.max(difference.end);
-            }
             let changes = self.apply_peer_listing(at, evidence, end, difference.records, decode);
             if self.end == end {
                 self.note_read(read);
@@ -160,9 +142,7 @@
             return Vec::new();
         }
         let known_to = std::mem::replace(&mut self.end, difference.to);
-        if difference.to > known_to {
-            self.exact_from = self.exact_from.max(difference.end);
-        }
+        let source = Source::summary(known_to, read, evidence);
         let mut changes = Vec::new();
         for record in difference.records {
             if record.offset >= known_to {
@@ -223,12 +203,8 @@
     }
 
     /// Returns the page of a listing at a position. While its own listing is incomplete, a host
-    /// returns the entries received so far, or `None` if it has none after the position or its
-    /// entries may be older than `end`.
+    /// returns the entries received so far, or `None` if it has none after the position.
     fn listing_page(&self, position: &Position, limit: usize) -> Option<Difference> {
-        if !self.is_exact() {
-            return None;
-        }
         let is_partial = self.end == 0;
         let end = match is_partial {
             true => self.partial_listing.as_of?,
--- a/crates/spread/tests/changes.rs
+++ b/crates/spread/tests/changes.rs
@@ -92,3 +92,34 @@
         }
     }
 }
+
+proptest! {
+    /// Pages name every key that changed before their end. Guards against pages that leave a key
+    /// to the page of its newest change.
+    #[test]
+    fn pages_name_each_key_that_changed_before_their_end(
+        ranges in proptest::collection::vec((0..40_u64, 0..10_u64, 0..8_u8), 0..60),
+        from in 0..50_u64,
+        limit in 1..10_usize,
+    ) {
+        let mut changes = Changes::new(1_000);
+        for (first, len, key) in &ranges {
+            changes.push_range(*first, first + len, *key);
+        }
+        let mut next = Some(from);
+        while let Some(at) = next {
+            let page = changes.page(at, limit).unwrap();
+            prop_assert!(page.changes.is_sorted_by_key(|(newest, _)| *newest));
+            let named: BTreeMap<u8, u64> = page.changes.iter().map(|(at, key)| (**key, *at)).collect();
+            prop_assert_eq!(named.len(), page.changes.len());
+            let remaining = ranges.iter().filter(|(first, len, _)| first + len >= at);
+            for (first, len, key) in remaining {
+                if page.to.is_none_or(|to| (*first).max(at) < to) {
+                    prop_assert!(named.get(key).is_some_and(|newest| *newest >= first + len));
+                }
+            }
+            prop_assert!(page.to.is_none_or(|to| to > at));
+            next = page.to;
+        }
+    }
+}
