Recognise records older than a removal

What callers saw: a request is sent to a target that has left, after the host had stopped using it. Cause: a summary may contain a removal newer than its range. The records of the target before it, read from the log next, were taken for a new entry, as a removal left nothing behind. Evidence: a host that was sent one part of a summary, with a removal at offset 4, uses the target again on its heartbeat at offset 3. Change: the offset of a removal is kept until the end of the view passes it.

--- a/crates/routing/src/discovery.rs
+++ b/crates/routing/src/discovery.rs
@@ -122,6 +122,9 @@
     /// The targets whose newest entry cannot be decoded. A heartbeat that repeats such an entry
     /// is not a change.
     unreadable: HashSet<TargetId>,
+    /// The offsets of removals that are not below `end`, by which the records before them are
+    /// recognised as older.
+    removed: HashMap<TargetId, u64>,
     changes: Changes<TargetId>,
     end: u64,
     /// A listing that is being received from other hosts in pages.
@@ -175,6 +178,7 @@
             known: HashMap::new(),
             missing: HashMap::new(),
             unreadable: HashSet::new(),
+            removed: HashMap::new(),
             changes: Changes::new(changes_retained),
             end: 0,
             partial_listing: PartialListing::default(),
@@ -240,7 +244,7 @@
             if record.offset < self.end {
                 continue;
             }
-            self.end = record.offset + 1;
+            self.advance(record.offset + 1);
             changes.extend(self.apply_record(source, record, &decode));
         }
         self.note_read(read);
@@ -298,7 +302,7 @@
         if end < self.end || end == 0 {
             return Vec::new();
         }
-        self.end = end;
+        self.advance(end);
         self.changes.skip_to(end);
         self.partial_listing = PartialListing::default();
         let missing = {
@@ -338,6 +342,7 @@
             // Indexed even if the target is not held: a host that holds it may request the
             // changes from here.
             self.index_change(source, &id, offset);
+            self.record_removal(&id, offset);
             self.unreadable.remove(&id);
             return self.resolve_missing(source, id, offset);
         };
@@ -346,6 +351,7 @@
             Err(error) => {
                 self.missing.remove(&id);
                 self.known.remove(&id);
+                self.record_removal(&id, offset);
                 let is_repeat = !self.unreadable.insert(id.clone());
                 if !is_repeat || source.summary_from.is_some() {
                     self.index_change(source, &id, offset);
@@ -358,7 +364,20 @@
     /// Returns whether a record is older than what is known of its target.
     fn is_older(&self, id: &str, offset: u64) -> bool {
         let known = self.known.get(id).map(|known| known.offset);
-        known.is_some_and(|newest| newest > offset)
+        let removed = self.removed.get(id).copied();
+        known.max(removed).is_some_and(|newest| newest > offset)
+    }
+
+    /// Advances the offset up to which records were applied.
+    fn advance(&mut self, end: u64) {
+        self.end = end;
+        self.removed.retain(|_, offset| *offset >= end);
+    }
+
+    fn record_removal(&mut self, id: &str, offset: u64) {
+        if offset >= self.end {
+            self.removed.insert(id.to_owned(), offset);
+        }
     }
 
     fn index_change(&mut self, source: Source<'_>, id: &str, offset: u64) {
@@ -376,6 +395,7 @@
     ) -> Option<Change<E>> {
         let was_missing = self.missing.remove(&id).is_some();
         self.unreadable.remove(&id);
+        self.removed.remove(&id);
         let entry = TargetEntry {
             offset,
             spec: spec.clone(),
--- a/crates/routing/src/discovery/difference.rs
+++ b/crates/routing/src/discovery/difference.rs
@@ -141,7 +141,8 @@
         if difference.from > self.end || difference.to < self.end || self.end == 0 {
             return Vec::new();
         }
-        let known_to = std::mem::replace(&mut self.end, difference.to);
+        let known_to = self.end;
+        self.advance(difference.to);
         let source = Source::summary(known_to, read, evidence);
         let mut changes = Vec::new();
         for record in difference.records {
@@ -177,7 +178,7 @@
             };
         } else {
             self.partial_listing = PartialListing::default();
-            self.end = as_of;
+            self.advance(as_of);
             self.changes.skip_to(as_of);
         }
         changes
--- a/crates/routing/tests/convergence.rs
+++ b/crates/routing/tests/convergence.rs
@@ -460,3 +460,25 @@
     ];
     assert_converges(steps, 0, 1);
 }
+
+/// A summary may contain a removal newer than its range. The target's records before it follow
+/// and must not bring it back.
+#[test]
+fn a_removed_target_is_not_used_again_for_an_older_record() {
+    let mut cluster = Cluster::new(4_096);
+    let entries = vec![(0, Some(2)), (5, Some(1)), (0, Some(1)), (0, None)];
+    let steps = vec![
+        Step::Write(vec![(0, Some(1))]),
+        list(0),
+        Step::Write(entries),
+        Step::Read(1, ALL),
+        Step::Request(0, 1, 1),
+    ];
+    for step in steps {
+        cluster.run(step);
+    }
+    assert_eq!(cluster.hosts[0].view.end(), 2);
+    assert!(cluster.known(0).is_empty());
+    cluster.read(0, 2);
+    assert!(!cluster.known(0).contains_key("t0"));
+}
