Forget a host that has deleted its entry once it is silent

What callers saw: nothing at first; the list of hosts grew with each host that was removed for good, and each start asked the removed ones for their leases on limits, or counted them as marked. Cause: a host deletes its entry when it begins to shut down, and still sends its status. Others ignored the deletion of a host that was alive, kept it, marked it as silent 5 s after its end and so wrote its entry again. A read of the list that happened to arrive after the failure was detected hid this. Evidence: a trial with two hosts, one of which shuts down after 3 s: the store has one entry, and two again 5 s later, for good. Change: a deletion is remembered, and the host is forgotten when its failure is detected. A new entry of the same host takes the deletion back. Test: times out on the code before (the host stays listed), passes with this.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -116,6 +116,9 @@
     known_since: Instant,
     /// Whether its entry in the host list is marked as silent, or is being marked.
     is_marked_silent: bool,
+    /// Whether its entry in the host list was deleted. It is forgotten once it is silent, as it
+    /// still finishes requests.
+    has_left: bool,
     /// Its data centre, once its entry in the host list is known.
     data_centre: Option<DataCentreId>,
     last_received: Option<Instant>,
@@ -136,6 +139,7 @@
             addr,
             known_since: Instant::now(),
             is_marked_silent: false,
+            has_left: false,
             data_centre: None,
             last_received: None,
             is_alive: false,
@@ -416,6 +420,7 @@
             ctx.items.remove_peer(&host);
             ctx.request_queue.remove_peer(&host);
             ctx.items.wake();
+            host_list::forget_if_left(&ctx, &host);
         }
         host_list::mark_silent(&ctx);
         ctx.request_queue.set_host_count(local_host_count(&ctx));
--- a/crates/gateway/src/peers/host_list.rs
+++ b/crates/gateway/src/peers/host_list.rs
@@ -277,6 +277,7 @@
         .or_insert_with(|| Peer::new(addr));
     peer.addr = addr;
     peer.is_marked_silent = entry.is_silent;
+    peer.has_left = false;
     peer.data_centre = Some(info.data_centre.clone());
     is_new
 }
@@ -335,11 +336,22 @@
     }
 }
 
+/// Removes a host whose entry was deleted, once it is silent.
 fn remove_host(ctx: &Context, host: &str) {
-    let is_silent = lock(&ctx.peers.known)
+    if let Some(peer) = lock(&ctx.peers.known).get_mut(host) {
+        peer.has_left = true;
+    }
+    forget_if_left(ctx, host);
+}
+
+/// Forgets a silent host whose entry was deleted. It would be marked as silent otherwise, which
+/// writes its entry again.
+pub(super) fn forget_if_left(ctx: &Context, host: &str) {
+    let mut known = lock(&ctx.peers.known);
+    let is_left = known
         .get(host)
-        .is_some_and(|p| !p.is_alive);
-    if is_silent {
-        lock(&ctx.peers.known).remove(host);
+        .is_some_and(|peer| peer.has_left && !peer.is_alive);
+    if is_left {
+        known.remove(host);
     }
 }
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -13,6 +13,7 @@
 use harness::wait_until;
 use notchwharf_config::gateway::Settings;
 use notchwharf_gateway::metrics::Counted;
+use notchwharf_gateway::ports::Topic;
 use notchwharf_proto::messages;
 use notchwharf_proto::messages::Load;
 use notchwharf_proto::messages::PeerMessage;
@@ -245,3 +246,25 @@
     .await;
     a1.results("j1", 1).await;
 }
+
+/// Guards against a host that deleted its entry when it shut down and is kept by others, which
+/// marked it as silent later and so wrote its entry again: the list grew with each host removed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_host_that_has_shut_down_is_forgotten() {
+    let harness = Harness::new(&["t1"]);
+    // The deletion is read before the failure is detected.
+    let late = |settings: &mut Settings| settings.peers.down_ms = 2_500;
+    let remaining = harness.start_with("a1", late).await;
+    remaining.wait_ready().await;
+    let leaving = harness.start_ready("a2").await;
+    let ctx = remaining.ctx();
+    wait_until("both are listed", || {
+        harness.store.key_count(Topic::Hosts) == 2 && ctx.peers_listed() == 1
+    })
+    .await;
+    wait_until("it is alive", || ctx.peers_alive() == 1).await;
+    leaving.shut_down().await;
+    wait_until("its failure is detected", || ctx.peers_alive() == 0).await;
+    wait_until("it is forgotten", || ctx.peers_listed() == 0).await;
+    assert_eq!(harness.store.key_count(Topic::Hosts), 1);
+}
