Recognise late and missing records of the host list

What callers saw: a fleet that counts hosts that have left, and asks them at each start for their leases on limits. Cause: the list of hosts applied whatever arrived. A removal left nothing by which an older record, in a read that was in progress meanwhile or in an older listing, was recognised; a listing, or another host's complete list, did not remove the entries that it lacks, so a removal among records that the store no longer has was never applied. The same class as in the view of the targets. Change: `Replica` ignores records below its end and listings older than it, removes what a listing lacks, and indexes each change by its record, as the view of the targets does. The gateway's list is such a replica. The messages stay as they were.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -12,7 +12,6 @@
 mod cell;
 mod contact;
 mod host_list;
-mod host_log;
 mod links;
 mod recipients;
 mod relay;
@@ -66,8 +65,8 @@
 pub(crate) use self::bootstrap::wait_for_role;
 use self::cell::CELL_REPORT_TTL;
 use self::cell::CellState;
+use self::host_list::HostList;
 pub(crate) use self::host_list::deregister;
-use self::host_log::HostLog;
 use self::relay::Relay;
 pub(crate) use self::rpc::CallError;
 
@@ -90,7 +89,7 @@
     socket: OnceLock<UdpSocket>,
     relay: Relay,
     cell_state: CellState,
-    host_log: Mutex<HostLog>,
+    host_list: Mutex<HostList>,
     bootstrap: Bootstrap,
     /// Since when the host list has contained this host's entry.
     registered_at: Mutex<Option<Instant>>,
@@ -164,7 +163,7 @@
             socket: OnceLock::new(),
             relay: Relay::default(),
             cell_state: CellState::new(cell_hosts_max),
-            host_log: Mutex::default(),
+            host_list: Mutex::new(host_list::empty()),
             bootstrap: Bootstrap::default(),
             registered_at: Mutex::default(),
             was_listed: AtomicBool::new(false),
--- a/crates/gateway/src/peers/host_list.rs
+++ b/crates/gateway/src/peers/host_list.rs
@@ -10,6 +10,9 @@
 use notchwharf_listen::Phase;
 use notchwharf_proto::records::Hosts;
 use notchwharf_routing::balancer::HostId;
+use notchwharf_spread::replica::Delta;
+use notchwharf_spread::replica::Record;
+use notchwharf_spread::replica::Replica;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -53,6 +56,17 @@
 /// reader.
 pub(super) const SETTLED_AFTER: Duration = Duration::from_millis(1_500);
 
+/// Number of retained changes of the list. A peer that is further behind is sent all entries.
+const CHANGES_RETAINED: usize = 2_048;
+
+/// The host list as stored, and its recent changes.
+pub(super) type HostList = Replica<HostId, Bytes>;
+
+/// Returns an empty list.
+pub(super) fn empty() -> HostList {
+    Replica::new(CHANGES_RETAINED)
+}
+
 /// The address and location of a host.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct HostInfo {
@@ -122,10 +136,10 @@
     ctx: &Arc<Context>,
     requested_at: Instant,
     is_listing: bool,
-    records: &[StoredRecord],
+    records: &[Record<HostId, Bytes>],
 ) {
-    let own = records.iter().rev().find(|r| r.entry.key == ctx.host());
-    let value = own.and_then(|own| own.entry.value.as_deref());
+    let own = records.iter().rev().find(|r| r.key == ctx.host());
+    let value = own.and_then(|own| own.value.as_deref());
     let is_listed = value.is_some_and(|value| {
         let entry = HostEntry::decode(value);
         entry.is_ok_and(|own| !own.is_silent && own.info == own_info(ctx))
@@ -160,30 +174,43 @@
 
 /// Returns the offset up to which the host list is known.
 pub(super) fn end(ctx: &Context) -> u64 {
-    lock(&ctx.peers.host_log).end
+    lock(&ctx.peers.host_list).end()
 }
 
 /// Returns the changes of the list since an offset.
 pub(super) fn since(ctx: &Context, from: u64) -> Hosts {
-    lock(&ctx.peers.host_log).since(from)
+    let delta = lock(&ctx.peers.host_list).since(from);
+    let changes = delta.records.into_iter();
+    let changes = changes.map(|r| (r.key, r.offset, r.value.map(|value| value.to_vec())));
+    Hosts {
+        from: delta.from,
+        to: delta.to,
+        is_complete: delta.is_complete,
+        changes: changes.collect(),
+    }
 }
 
 /// Applies changes of the list received from a peer.
 pub(super) fn apply_changes(ctx: &Arc<Context>, received: Hosts) {
-    let known_end = end(ctx);
-    if received.from > known_end || received.to <= known_end {
-        return;
-    }
-    let changes = received.changes.into_iter();
-    let changes = changes.filter(|(_, offset, _)| received.is_complete || *offset >= known_end);
-    let records = changes.map(|(host, offset, value)| StoredRecord {
+    let records = received.changes.into_iter();
+    let records = records.map(|(key, offset, value)| Record {
+        key,
         offset,
-        entry: Entry {
-            key: host,
-            value: value.map(Bytes::from),
-        },
+        value: value.map(Bytes::from),
     });
-    apply(ctx, Instant::now(), false, received.to, records.collect());
+    let delta = Delta {
+        from: received.from,
+        to: received.to,
+        is_complete: received.is_complete,
+        records: records.collect(),
+    };
+    if delta.from > end(ctx) || delta.to <= end(ctx) {
+        return;
+    }
+    let requested_at = Instant::now();
+    check_own_entry(ctx, requested_at, false, &delta.records);
+    let applied = lock(&ctx.peers.host_list).apply_delta(delta);
+    update_known(ctx, requested_at, applied);
 }
 
 /// Applies the result of a read of the list.
@@ -194,41 +221,35 @@
         return;
     };
     let listing_end = fetched.listing_end();
-    let records = fetched.records();
-    let read_end = records.last().map_or(0, |record| record.offset + 1);
-    let to = listing_end.unwrap_or(read_end);
-    apply(
-        ctx,
-        attempt.requested_at,
-        listing_end.is_some(),
-        to,
-        records,
-    );
+    let records: Vec<_> = fetched.records().into_iter().map(record).collect();
+    check_own_entry(ctx, attempt.requested_at, listing_end.is_some(), &records);
+    let applied = {
+        let mut list = lock(&ctx.peers.host_list);
+        match listing_end {
+            Some(end) => list.apply_listing(end, records),
+            None => list.apply_read(records),
+        }
+    };
+    update_known(ctx, attempt.requested_at, applied);
 }
 
-fn apply(
-    ctx: &Arc<Context>,
-    requested_at: Instant,
-    is_listing: bool,
-    to: u64,
-    records: Vec<StoredRecord>,
-) {
-    check_own_entry(ctx, requested_at, is_listing, &records);
-    {
-        let mut host_log = lock(&ctx.peers.host_log);
-        records.iter().for_each(|record| host_log.apply(record));
-        if is_listing {
-            host_log.changes.skip_to(to);
-        }
-        host_log.end = host_log.end.max(to);
+fn record(stored: StoredRecord) -> Record<HostId, Bytes> {
+    Record {
+        key: stored.entry.key,
+        offset: stored.offset,
+        value: stored.entry.value,
     }
+}
+
+/// Updates the known hosts by the records of the list that took effect.
+fn update_known(ctx: &Arc<Context>, requested_at: Instant, records: Vec<Record<HostId, Bytes>>) {
     let mut added = Vec::new();
     for record in records {
-        let host = record.entry.key;
+        let host = record.key;
         if host == ctx.host() {
             continue;
         }
-        let Some(value) = record.entry.value else {
+        let Some(value) = record.value else {
             slog::info!(ctx.logger, "host removed from the list"; "peer" => host.as_str());
             remove_host(ctx, &host);
             continue;
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -10,6 +10,8 @@
 use harness::Harness;
 use harness::RunningHost;
 use harness::WAIT_MAX;
+use harness::close_connection;
+use harness::start_two_hosts;
 use harness::wait_until;
 use notchwharf_config::gateway::Settings;
 use notchwharf_gateway::metrics::Counted;
@@ -268,3 +270,22 @@
     wait_until("it is forgotten", || ctx.peers_listed() == 0).await;
     assert_eq!(harness.store.key_count(Topic::Hosts), 1);
 }
+
+/// Guards against a host that keeps others whose entries were deleted in records that it never
+/// read, as the store no longer has them: a listing then lacks their entries.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_host_missing_from_a_listing_is_forgotten() {
+    let harness = Harness::new(&["t1"]);
+    let (host, connection, leaving) = start_two_hosts(&harness).await;
+    let ctx = host.ctx();
+    wait_until("both are listed", || {
+        harness.store.key_count(Topic::Hosts) == 2 && ctx.peers_listed() == 1
+    })
+    .await;
+    close_connection(&host, &connection).await;
+    leaving.shut_down().await;
+    harness.store.expire_history();
+    connection.set_closed(false);
+    wait_until("it is forgotten", || ctx.peers_listed() == 0).await;
+    assert_eq!(harness.store.key_count(Topic::Hosts), 1);
+}
--- a/crates/spread/src/lib.rs
+++ b/crates/spread/src/lib.rs
@@ -29,4 +29,5 @@
 pub mod changes;
 pub mod delay;
 pub mod readers;
+pub mod replica;
 pub mod tree;
