Ignore late records of evacuations

What callers saw: an evacuation that has ended is in force again, for good: the data centre's targets receive no new requests until the next change. Cause: the configuration topic is read by its follower and, for unknown keys, beside it. Results of the follower wait while a large configuration is decoded; its records were then applied on top of the newer state, and counted as the newest version. Evidence: by reading; the decision, moved unchanged to `notchwharf_config::evacuation`, failed two plain tests, of a late record and of a late listing. Change: records and listings below the known version are ignored, under one lock with the update. The configuration itself is replaced by its offset, as before. Tests: both failed before and pass; the gateway's tests of evacuation, catalog and spread pass.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -4,12 +4,14 @@
 //! fleet serves and is signed off by operators; [`history`] is the fold that determines which
 //! bundle is in force. Where the users' platform stores the configuration, [`routes`] defines
 //! what the fleet serves and [`gateway`] what one process reads at start. [`access`]
-//! identifies callers. The crate performs no I/O.
+//! identifies callers, and [`evacuation`] data centres without new requests. The crate performs
+//! no I/O.
 
 pub mod access;
 pub mod bundle;
 mod check;
 pub mod error;
+pub mod evacuation;
 pub mod gateway;
 pub mod history;
 mod json;
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -17,6 +17,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use notchwharf_config::evacuation::Evacuated;
 use notchwharf_config::gateway::Settings;
 use notchwharf_config::routes::Table;
 use notchwharf_routing::balancer::Balancer;
@@ -45,7 +46,6 @@
 use self::config::RemovedKeys;
 pub(crate) use self::config::apply_from_peer as apply_peer_config;
 pub(crate) use self::config::confirm;
-use self::evacuation::Evacuated;
 pub(crate) use self::evacuation::apply_from_peer as apply_peer_evacuation;
 use self::follow::SWEEP_INTERVAL;
 use self::follow::TARGETS_READ_INTERVAL;
--- a/crates/gateway/src/catalog/evacuation.rs
+++ b/crates/gateway/src/catalog/evacuation.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 
 use notchwharf_config::DataCentreId;
+use notchwharf_config::evacuation::Evacuated;
+use notchwharf_config::evacuation::Record;
 use notchwharf_proto::records;
 
 use super::Catalog;
@@ -13,14 +15,6 @@
 use crate::ports::StoredRecord;
 use crate::sync::lock;
 
-/// The evacuated data centres.
-#[derive(Debug, Default)]
-pub(super) struct Evacuated {
-    /// The offset that follows the record of the last change.
-    pub(super) version: u64,
-    pub(super) data_centres: BTreeSet<DataCentreId>,
-}
-
 impl State {
     /// Returns the offset that follows the newest operator record.
     pub(super) fn config_version(&self) -> u64 {
@@ -32,81 +26,65 @@
 /// Applies the evacuation records of the configuration topic. `listing_end` is the end offset
 /// of a complete listing, which replaces the known state, or `None` for incremental records.
 pub(super) fn apply_records(ctx: &Context, listing_end: Option<u64>, records: &[StoredRecord]) {
-    let (previous, mut version) = ctx.catalog.evacuated();
-    let mut current = match listing_end {
-        Some(_) => BTreeSet::new(),
-        None => previous.clone(),
-    };
-    for record in records {
-        let Some(data_centre) = (ctx.decode.evacuation)(&record.entry.key) else {
-            continue;
-        };
-        match record.entry.value {
-            Some(_) => current.insert(data_centre.to_owned()),
-            None => current.remove(data_centre),
-        };
-        version = version.max(record.offset + 1);
-    }
-    if current != previous {
-        // A listing does not include the offsets of deleted records.
-        version = version.max(listing_end.unwrap_or_default());
-    }
-    set(ctx, version, current, "store");
+    let records = records.iter().filter_map(|record| {
+        let data_centre = (ctx.decode.evacuation)(&record.entry.key)?;
+        Some(Record {
+            data_centre: data_centre.to_owned(),
+            offset: record.offset,
+            is_evacuated: record.entry.value.is_some(),
+        })
+    });
+    let records: Vec<Record> = records.collect();
+    update(ctx, "store", |evacuated| {
+        evacuated.apply(listing_end, &records)
+    });
 }
 
 /// Applies the evacuated data centres received from a peer if their version is newer.
 pub(crate) fn apply_from_peer(ctx: &Arc<Context>, received: records::Evacuated) {
-    let (_, version) = ctx.catalog.evacuated();
-    if received.version > version {
-        let data_centres = received.data_centres.into_iter().collect();
-        set(ctx, received.version, data_centres, "peer");
-    }
+    let received = Evacuated {
+        version: received.version,
+        data_centres: received.data_centres.into_iter().collect(),
+    };
+    update(ctx, "peer", |evacuated| evacuated.replace(received));
 }
 
-fn set(ctx: &Context, version: u64, current: BTreeSet<DataCentreId>, source: &'static str) {
-    let Some(previous) = ctx.catalog.set_evacuated(version, &current) else {
+/// Updates the evacuated data centres and notifies their users if `change` returns `true`.
+fn update(ctx: &Context, source: &'static str, change: impl FnOnce(&mut Evacuated) -> bool) {
+    let Some((previous, current)) = ctx.catalog.update_evacuated(change) else {
         return;
     };
-    for data_centre in current.difference(&previous) {
+    let version = current.version;
+    for data_centre in current.data_centres.difference(&previous) {
         slog::warn!(ctx.logger, "data centre evacuation started"; "data_centre" => data_centre,
             "version" => version, "source" => source);
     }
-    for data_centre in previous.difference(&current) {
+    for data_centre in previous.difference(&current.data_centres) {
         slog::info!(ctx.logger, "data centre evacuation ended"; "data_centre" => data_centre,
             "version" => version, "source" => source);
     }
     ctx.metrics.count(Counted::Changes, "evacuation");
-    ctx.metrics.set("data_centres_evacuated", current.len());
+    ctx.metrics
+        .set("data_centres_evacuated", current.data_centres.len());
     ctx.items.wake();
     ctx.peers.notify();
 }
 
 impl Catalog {
-    fn evacuated(&self) -> (BTreeSet<DataCentreId>, u64) {
-        let state = lock(&self.state);
-        (
-            state.evacuated.data_centres.clone(),
-            state.evacuated.version,
-        )
-    }
-
-    /// Replaces the evacuated data centres unless `version` is outdated. Returns the previous
-    /// ones if they differ.
-    fn set_evacuated(
+    /// Updates the evacuated data centres. Returns the previous ones and the new state if
+    /// `change` returns `true`.
+    fn update_evacuated(
         &self,
-        version: u64,
-        current: &BTreeSet<DataCentreId>,
-    ) -> Option<BTreeSet<DataCentreId>> {
+        change: impl FnOnce(&mut Evacuated) -> bool,
+    ) -> Option<(BTreeSet<DataCentreId>, Evacuated)> {
         let mut state = lock(&self.state);
-        if state.evacuated.version > version {
-            return None;
-        }
-        state.evacuated.version = version;
-        if state.evacuated.data_centres == *current {
+        let previous = state.evacuated.data_centres.clone();
+        if !change(&mut state.evacuated) {
             return None;
         }
-        lock(&self.deps.balancer).set_evacuated(current.iter().cloned().collect());
-        let previous = std::mem::replace(&mut state.evacuated.data_centres, current.clone());
-        Some(previous)
+        let current = state.evacuated.clone();
+        let data_centres = current.data_centres.iter().cloned();
+        lock(&self.deps.balancer).set_evacuated(data_centres.collect());
+        Some((previous, current))
     }
 }
