Report targets that differ from the reader's

Cause: changes are sent without the state that they lead to, so a host that missed one did not find out, nor did the operators, until the entry changed again. Change: a view keeps a checksum of its entries, updated with each change. Ruled out: the checksum in the announcement (earlier builds could not decode it), hashing all entries on request (10,000 every 2 s), relisting on a difference (the checksum does not tell which of the two is wrong). Fleets of a single cell do not compare: each of their hosts reads the log itself. Tests: views_converge_to_the_log requires equal checksums at the end; a plain test that different views differ; in the gateway, a forged checksum is reported, and a fleet of two data centres compares as equal.

--- a/crates/gateway/src/catalog/records.rs
+++ b/crates/gateway/src/catalog/records.rs
@@ -86,6 +86,13 @@
         lock(&self.state).targets.end()
     }
 
+    /// Returns the offset and the checksum of the targets as of it, if they can be compared.
+    pub(crate) fn targets_checksum(&self) -> Option<(u64, u64)> {
+        let state = lock(&self.state);
+        let checksum = state.targets.checksum()?;
+        Some((state.targets.end(), checksum))
+    }
+
     /// Returns the position from which to request targets of another host.
     pub(crate) fn targets_position(&self) -> Position {
         lock(&self.state).targets.position()
--- a/crates/gateway/src/peers/status.rs
+++ b/crates/gateway/src/peers/status.rs
@@ -180,6 +180,7 @@
         PeerMessage::SlotTransfer(transfer) => ctx.request_queue.accept_transfer(transfer.target),
         PeerMessage::Limits(message) => limits::handle_message(ctx, addr, &message),
         PeerMessage::Announcement(message) => ctx.distributor.receive(addr, message),
+        PeerMessage::TargetsChecksum(message) => ctx.distributor.check(message),
     }
 }
 
--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -10,6 +10,7 @@
 
 mod announcing;
 mod catching_up;
+mod checking;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -34,6 +35,7 @@
 use self::announcing::Announced;
 use self::catching_up::Missing;
 use self::catching_up::catch_up;
+use self::checking::Check;
 use crate::catalog::Catalog;
 use crate::catalog::PeerReading;
 use crate::catalog::Versions;
@@ -124,6 +126,7 @@
     /// Keyed by incarnation as well, since a reader's clock restarts with it.
     delays: DelayEstimator<(HostId, u64)>,
     announced: Announced,
+    check: Check,
 }
 
 impl Distributor {
@@ -140,6 +143,7 @@
                 last_received_ranked_before: now,
                 delays: DelayEstimator::default(),
                 announced: Announced::default(),
+                check: Check::default(),
             }),
             is_reader: watch::Sender::new(true),
             missing: Mutex::default(),
@@ -298,6 +302,7 @@
             && *distributor.is_reader.borrow()
         {
             distributor.announce(links, neighbours, now);
+            distributor.send_checksum(links, neighbours, now);
         }
     }
 }
--- a/crates/gateway/tests/spread.rs
+++ b/crates/gateway/tests/spread.rs
@@ -20,6 +20,7 @@
 use notchwharf_proto::records::Reading;
 use notchwharf_proto::records::TargetChange;
 use notchwharf_proto::records::Targets;
+use notchwharf_proto::records::TargetsChecksum;
 use rstest::rstest;
 use tokio::net::UdpSocket;
 
@@ -273,3 +274,39 @@
     .unwrap()
     .unwrap();
 }
+
+/// Guards against a host whose targets differ from the reader's without anyone finding out.
+#[tokio::test]
+async fn targets_that_differ_for_long_are_reported() {
+    let harness = Harness::new(&["t1"]);
+    let host = harness.start_ready("a1").await;
+    let ctx = host.ctx();
+    wait_until("the target is known", || ctx.is_target_known("t1")).await;
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let message = PeerMessage::TargetsChecksum(TargetsChecksum {
+        reader: "a2".into(),
+        end: ctx.targets_read_to(),
+        checksum: 1,
+        ..TargetsChecksum::default()
+    });
+    let bytes = messages::encode(&message);
+    wait_until("the difference is reported", || {
+        // Another message follows if this one is lost.
+        let _ = socket.try_send_to(&bytes, ctx.settings.host.peer_listen);
+        ctx.metrics.text().contains("name=\"targets_differ\"} 1")
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn targets_that_are_equal_are_not_reported() {
+    let fleet = Fleet::start(&["t1", "t2"]).await;
+    wait_until("all have compared their targets", || {
+        let mut hosts = fleet.hosts.iter().filter(|host| !host.ctx().reads_log());
+        hosts.all(|host| {
+            let text = host.ctx().metrics.text();
+            text.contains("name=\"targets_differ\"} 0")
+        })
+    })
+    .await;
+}
--- a/crates/proto/src/messages.rs
+++ b/crates/proto/src/messages.rs
@@ -17,6 +17,7 @@
 use serde::Serialize;
 
 use crate::records::Announcement;
+use crate::records::TargetsChecksum;
 
 /// Maximum payload of a datagram that is split by size; fits a single packet on every link.
 const PAYLOAD_BYTES_MAX: usize = 1_200;
@@ -42,6 +43,9 @@
     SlotTransfer(SlotTransfer),
     /// Records that a host has read from the store's log.
     Announcement(Announcement),
+    /// A checksum by which hosts detect that their targets differ from the reader's. Hosts of
+    /// earlier versions count it as unreadable.
+    TargetsChecksum(TargetsChecksum),
 }
 
 /// Transfers a free slot of a target to a request that waits at the receiver.
--- a/crates/proto/src/records.rs
+++ b/crates/proto/src/records.rs
@@ -167,3 +167,16 @@
     /// The hosts to which the receiver forwards the message.
     pub forward_to: Vec<SocketAddr>,
 }
+
+/// A checksum of the targets' entries by the host that reads the log, forwarded along a tree.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetsChecksum {
+    /// The host that reads the log.
+    pub reader: String,
+    /// The offset up to which it has read.
+    pub end: u64,
+    /// The checksum of its entries as of that offset.
+    pub checksum: u64,
+    /// The hosts to which the receiver forwards the message.
+    pub forward_to: Vec<SocketAddr>,
+}
--- a/crates/routing/src/discovery.rs
+++ b/crates/routing/src/discovery.rs
@@ -32,6 +32,7 @@
 
 mod call_history;
 mod difference;
+mod entries;
 mod record;
 
 use std::collections::HashMap;
@@ -48,6 +49,7 @@
 pub use self::difference::Page;
 use self::difference::PartialListing;
 pub use self::difference::Position;
+use self::entries::Entries;
 pub use self::record::Change;
 pub use self::record::ReadInfo;
 pub use self::record::Record;
@@ -117,7 +119,7 @@
     /// When the newest complete read was requested: every change that the store had
     /// acknowledged before is known.
     complete_as_of: Option<Instant>,
-    known: HashMap<TargetId, TargetEntry>,
+    known: Entries,
     missing: HashMap<TargetId, MissingEntry>,
     /// The targets whose newest entry cannot be decoded. A heartbeat that repeats such an entry
     /// is not a change.
@@ -175,7 +177,7 @@
         Self {
             timeouts,
             complete_as_of: None,
-            known: HashMap::new(),
+            known: Entries::default(),
             missing: HashMap::new(),
             unreadable: HashSet::new(),
             removed: HashMap::new(),
@@ -214,6 +216,13 @@
         }
     }
 
+    /// Returns a checksum of the entries that is equal on all hosts with the same end; `None` if
+    /// the entries may be newer than the end, or any of them is missing.
+    pub fn checksum(&self) -> Option<u64> {
+        let is_exact = self.end > 0 && self.changes.end() <= self.end;
+        (is_exact && self.missing.is_empty()).then(|| self.known.checksum())
+    }
+
     /// Applies a listing of all entries as of an offset. The pages of a listing are read one
     /// after the other, so some entries may be newer than that.
     pub fn apply_listing<V, E>(
@@ -415,7 +424,7 @@
         id: TargetId,
         offset: u64,
     ) -> Option<Change<E>> {
-        if !self.known.contains_key(&id) {
+        if !self.known.contains(&id) {
             return None;
         }
         let new = MissingEntry {
--- /dev/null
+++ b/crates/routing/src/discovery/entries.rs
@@ -0,0 +1,70 @@
+//! The entries of a view, with a checksum by which hosts detect that their views differ.
+//!
+//! The checksum combines the hashes of all entries by exclusive or, so it is updated with each
+//! change. Hashing all entries on request was rejected: a reader compares every few seconds, and
+//! hashing 10,000 entries takes a host with a tenth of a core several milliseconds.
+
+use std::collections::HashMap;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::TargetEntry;
+use crate::balancer::Spec;
+use crate::balancer::TargetId;
+
+/// The newest entries by target.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Entries {
+    entries: HashMap<TargetId, TargetEntry>,
+    checksum: u64,
+}
+
+impl Entries {
+    pub(super) fn get(&self, id: &str) -> Option<&TargetEntry> {
+        self.entries.get(id)
+    }
+
+    pub(super) fn contains(&self, id: &str) -> bool {
+        self.entries.contains_key(id)
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = (&TargetId, &TargetEntry)> {
+        self.entries.iter()
+    }
+
+    /// Stores an entry; returns the previous one.
+    pub(super) fn insert(&mut self, id: TargetId, entry: TargetEntry) -> Option<TargetEntry> {
+        let added = hash(&id, &entry.spec);
+        let removed = self.entries.get(&id).map(|entry| hash(&id, &entry.spec));
+        self.checksum ^= added ^ removed.unwrap_or_default();
+        self.entries.insert(id, entry)
+    }
+
+    /// Removes an entry.
+    pub(super) fn remove(&mut self, id: &str) {
+        if let Some(entry) = self.entries.remove(id) {
+            self.checksum ^= hash(id, &entry.spec);
+        }
+    }
+
+    /// Returns the checksum of all entries, the same on all hosts and in all versions.
+    pub(super) fn checksum(&self) -> u64 {
+        self.checksum
+    }
+}
+
+/// Returns the hash of an entry. How long its target is cold is left out, as that decreases.
+fn hash(id: &str, spec: &Spec) -> u64 {
+    let addr = spec.addr.to_string();
+    let mut bytes = Vec::new();
+    for part in [id, &spec.service, &spec.data_centre, &addr] {
+        // The length prefix keeps the boundaries between parts unambiguous.
+        bytes.extend((part.len() as u64).to_be_bytes());
+        bytes.extend(part.as_bytes());
+    }
+    bytes.extend(spec.slots.to_be_bytes());
+    bytes.push(spec.is_leaving.into());
+    bytes.push(spec.started_unix_ms.is_some().into());
+    bytes.extend(spec.started_unix_ms.unwrap_or_default().to_be_bytes());
+    xxh3_64(&bytes)
+}
--- a/crates/routing/tests/convergence.rs
+++ b/crates/routing/tests/convergence.rs
@@ -294,6 +294,10 @@
             prop_assert_eq!(cluster.known(host), expected.clone(), "host {}", host);
             cluster.expire_all(host);
             prop_assert_eq!(cluster.known(host), expected.clone(), "host {} later", host);
+            let checksum = cluster.hosts[host].view.checksum();
+            prop_assert!(checksum.is_some() || cluster.log.is_empty(), "host {}", host);
+            let first = cluster.hosts[order[0]].view.checksum();
+            prop_assert_eq!(checksum, first, "host {}", host);
         }
     }
 }
@@ -482,3 +486,24 @@
     cluster.read(0, 2);
     assert!(!cluster.known(0).contains_key("t0"));
 }
+
+/// Views that differ at the same offset have different checksums.
+#[test]
+fn the_checksum_shows_that_views_differ() {
+    let mut cluster = Cluster::new(4_096);
+    cluster.write(&[(0, Some(1)), (1, Some(1))]);
+    cluster.catch_up(0);
+    let mut other = Cluster::new(4_096);
+    other.write(&[(0, Some(1)), (1, Some(2))]);
+    other.catch_up(0);
+    let view = &cluster.hosts[0].view;
+    assert_eq!(view.end(), other.hosts[0].view.end());
+    assert_ne!(view.checksum(), other.hosts[0].view.checksum());
+    cluster.write(&[(1, Some(2))]);
+    other.write(&[(1, Some(2))]);
+    cluster.catch_up(0);
+    other.catch_up(0);
+    assert!(cluster.hosts[0].view.checksum().is_some());
+    let (view, other) = (&cluster.hosts[0].view, &other.hosts[0].view);
+    assert_eq!(view.checksum(), other.checksum());
+}
