--- a/crates/ledger/tests/jobs.rs
+++ b/crates/ledger/tests/jobs.rs
@@ -159,16 +159,19 @@
         records in vec(any_record(), 1..40),
         original_index in any::<prop::sample::Index>(),
     ) {
-        let original_index = original_index.index(records.len());
-        let duplicate = records[original_index].clone();
         let mut jobs = Jobs::default();
-        let applied = (0..).zip(records).map(|(offset, record)| jobs.apply(offset, record));
-        let applied: Vec<Applied> = applied.collect();
-        // The duplicate of a record that was ignored may take effect, for example if the
-        // original preceded the acceptance of its job.
-        prop_assume!(!matches!(applied[original_index], Applied::Ignored(_)));
+        let mut effective = Vec::new();
+        for (offset, record) in (0..).zip(&records) {
+            // The duplicate of a record that was ignored may take effect, for example if the
+            // original preceded the acceptance of its job.
+            if !matches!(jobs.apply(offset, record.clone()), Applied::Ignored(_)) {
+                effective.push(record.clone());
+            }
+        }
+        prop_assume!(!effective.is_empty());
+        let duplicate = original_index.get(&effective).clone();
         let before = view(&jobs);
-        jobs.apply(applied.len() as u64, duplicate);
+        jobs.apply(records.len() as u64, duplicate);
         prop_assert_eq!(before, view(&jobs));
     }
 
