Keep a host that restarts known while it is down

Cause: since its deletion is remembered, a host that shuts down was forgotten as soon as its failure was detected, so one that restarts was a stranger, of no data centre, until its new entry was read. Ruled out: forgetting it at once and keeping its data centre aside; it is a second state of the same. Tests: the gateway's tests of peers, cells, contact and start pass (24).

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -115,8 +115,8 @@
     known_since: Instant,
     /// Whether its entry in the host list is marked as silent, or is being marked.
     is_marked_silent: bool,
-    /// Whether its entry in the host list was deleted. It is forgotten once it is silent, as it
-    /// still finishes requests.
+    /// Whether its entry in the host list was deleted. It is forgotten once it has been silent for
+    /// long, as it still finishes requests or may be restarting.
     has_left: bool,
     /// Its data centre, once its entry in the host list is known.
     data_centre: Option<DataCentreId>,
@@ -149,6 +149,11 @@
             cell_report: None,
         }
     }
+
+    /// Returns the time since its last message.
+    fn silence(&self) -> Duration {
+        self.last_received.unwrap_or(self.known_since).elapsed()
+    }
 }
 
 impl Peers {
@@ -419,8 +424,8 @@
             ctx.items.remove_peer(&host);
             ctx.request_queue.remove_peer(&host);
             ctx.items.wake();
-            host_list::forget_if_left(&ctx, &host);
         }
+        host_list::forget_left(&ctx);
         host_list::mark_silent(&ctx);
         ctx.request_queue.set_host_count(local_host_count(&ctx));
     }
--- a/crates/gateway/src/peers/host_list.rs
+++ b/crates/gateway/src/peers/host_list.rs
@@ -303,6 +303,13 @@
     is_new
 }
 
+/// Forgets hosts that have been silent for long and whose entries were deleted. They would be
+/// marked as silent otherwise, which writes their entries again.
+pub(super) fn forget_left(ctx: &Context) {
+    let mut known = lock(&ctx.peers.known);
+    known.retain(|_, peer| !peer.has_left || peer.is_alive || peer.silence() < MARK_SILENT_AFTER);
+}
+
 /// Marks hosts in the list that have been silent for long, if this host is responsible for it. A
 /// starting host queries all listed hosts for their leases on limits, and a query to a failed host
 /// would only time out. Marked hosts still count as hosts of the fleet, since a host that is only partitioned
@@ -328,8 +335,8 @@
     let cells = ctx.peers.cell_state.cells();
     let known = lock(&ctx.peers.known);
     let silent_hosts = known.iter().filter_map(|(host, peer)| {
-        let silence = peer.last_received.unwrap_or(peer.known_since).elapsed();
-        let has_failed = !peer.is_alive && silence >= MARK_SILENT_AFTER && !peer.is_marked_silent;
+        let is_silent = !peer.is_alive && peer.silence() >= MARK_SILENT_AFTER;
+        let has_failed = is_silent && !peer.is_marked_silent;
         if !has_failed || (cells.is_divided() && !cell::is_in_own_cell(ctx, cells, host, peer)) {
             return None;
         }
@@ -357,22 +364,14 @@
     }
 }
 
-/// Removes a host whose entry was deleted, once it is silent.
+/// Removes a host whose entry was deleted, or leaves that to [`forget_left`] while it is alive.
 fn remove_host(ctx: &Context, host: &str) {
-    if let Some(peer) = lock(&ctx.peers.known).get_mut(host) {
-        peer.has_left = true;
-    }
-    forget_if_left(ctx, host);
-}
-
-/// Forgets a silent host whose entry was deleted. It would be marked as silent otherwise, which
-/// writes its entry again.
-pub(super) fn forget_if_left(ctx: &Context, host: &str) {
     let mut known = lock(&ctx.peers.known);
-    let is_left = known
-        .get(host)
-        .is_some_and(|peer| peer.has_left && !peer.is_alive);
-    if is_left {
+    let Some(peer) = known.get_mut(host) else {
+        return;
+    };
+    peer.has_left = true;
+    if !peer.is_alive {
         known.remove(host);
     }
 }
