Update the known hosts in the order of the list

Cause: a read and another host's changes of the list may be applied at the same time; the list ignores late records, but the hosts known by them were updated after its lock was released, in either order, so a host removed by one could be added again by the other. Evidence: by reading; no run has shown it, and there is no test that draws this order. Change: they are updated under the list's lock. Tests: the gateway's tests of peers, cells, contact, start and spread pass (37).

--- a/crates/gateway/src/peers/host_list.rs
+++ b/crates/gateway/src/peers/host_list.rs
@@ -209,8 +209,12 @@
     }
     let requested_at = Instant::now();
     check_own_entry(ctx, requested_at, false, &delta.records);
-    let applied = lock(&ctx.peers.host_list).apply_delta(delta);
-    update_known(ctx, requested_at, applied);
+    let added = {
+        let mut list = lock(&ctx.peers.host_list);
+        let applied = list.apply_delta(delta);
+        update_known(ctx, applied)
+    };
+    finish_update(ctx, requested_at, &added);
 }
 
 /// Applies the result of a read of the list.
@@ -223,14 +227,15 @@
     let listing_end = fetched.listing_end();
     let records: Vec<_> = fetched.records().into_iter().map(record).collect();
     check_own_entry(ctx, attempt.requested_at, listing_end.is_some(), &records);
-    let applied = {
+    let added = {
         let mut list = lock(&ctx.peers.host_list);
-        match listing_end {
+        let applied = match listing_end {
             Some(end) => list.apply_listing(end, records),
             None => list.apply_read(records),
-        }
+        };
+        update_known(ctx, applied)
     };
-    update_known(ctx, attempt.requested_at, applied);
+    finish_update(ctx, attempt.requested_at, &added);
 }
 
 fn record(stored: StoredRecord) -> Record<HostId, Bytes> {
@@ -241,8 +246,9 @@
     }
 }
 
-/// Updates the known hosts by the records of the list that took effect.
-fn update_known(ctx: &Arc<Context>, requested_at: Instant, records: Vec<Record<HostId, Bytes>>) {
+/// Updates the known hosts by the records of the list that took effect; returns the new ones. The
+/// caller holds the lock on the list, so that the records of two results are applied in order.
+fn update_known(ctx: &Context, records: Vec<Record<HostId, Bytes>>) -> Vec<(HostId, SocketAddr)> {
     let mut added = Vec::new();
     for record in records {
         let host = record.key;
@@ -261,7 +267,12 @@
                 "peer" => host, "error" => err.to_string()),
         }
     }
-    log_known(ctx, &added);
+    added
+}
+
+/// Logs new hosts and notifies the users of the list.
+fn finish_update(ctx: &Context, requested_at: Instant, added: &[(HostId, SocketAddr)]) {
+    log_known(ctx, added);
     cell::update_division(ctx);
     ctx.peers.bootstrap.record_list_read(requested_at);
     ctx.peers.notify();
