Log the software versions of targets and what a request resumes

The logs could not tell why: nothing in the product knew a target's version, and no line said that a request takes up an earlier one. Three explanations were open: a resumption that reaches any target, a host that resumes within one response at any target, and a target that is of another version than its entry says.

The entry's version is now decoded and passed on between hosts. It stands in the log lines of a target, a request, an interrupted stream and a run of an item; a request's line also names the request that it resumes and the last event that its caller has. No decision uses either.

The encoding between hosts does not tell fields apart, so the versions follow the messages, as contention follows a status: hosts of earlier builds ignore them, and from such hosts the versions are unknown. A field in the entry itself was ruled out, since earlier builds would misread all that follows it; the checksum leaves versions out for the same reason.

--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -294,7 +294,8 @@
                     before.is_some_and(|b| b.started_unix_ms != spec.started_unix_ms);
                 slog::info!(self.deps.logger, "target"; "target" => id,
                     "addr" => spec.addr.to_string(), "service" => spec.service.as_str(),
-                    "leaving" => spec.is_leaving, "started_anew" => has_restarted, "offset" => offset);
+                    "version" => spec.version.as_deref(), "leaving" => spec.is_leaving,
+                    "started_anew" => has_restarted, "offset" => offset);
             }
             self.deps.metrics.count(Counted::Changes, "target");
         }
--- a/crates/gateway/src/catalog/records.rs
+++ b/crates/gateway/src/catalog/records.rs
@@ -199,6 +199,7 @@
         leaving: spec.is_leaving,
         born_unix_ms: spec.started_unix_ms,
         cold_left_ms: millis(spec.cold_left),
+        version: spec.version,
     }
 }
 
@@ -211,6 +212,7 @@
         is_leaving: target.leaving,
         started_unix_ms: target.born_unix_ms,
         cold_left: ms(target.cold_left_ms),
+        version: target.version,
     }
 }
 
--- a/crates/gateway/src/items/run.rs
+++ b/crates/gateway/src/items/run.rs
@@ -66,6 +66,8 @@
     let in_progress = ctx.items.runs.enter();
     let started = Instant::now();
     let resumed_after = item.last_event;
+    let spec = lock(&ctx.balancer).spec(&target).cloned();
+    let version = spec.and_then(|spec| spec.version);
     let RunHandle {
         run: number,
         cancelled,
@@ -85,7 +87,8 @@
     );
     let fingerprint = is_broken.then(|| item.fingerprint(&ctx.decode));
     slog::info!(ctx.logger, "item run"; "job" => item.key.0.as_str(),
-        "id" => item.request.id.as_str(), "target" => target.as_str(), "ended" => label(outcome),
+        "id" => item.request.id.as_str(), "target" => target.as_str(),
+        "version" => version.as_deref(), "ended" => label(outcome),
         "from_event" => resumed_after, "last_event" => item.last_event, "failures" => item.failures,
         "took_ms" => millis(took),
         "fingerprint" => fingerprint.map(fingerprint::to_hex));
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -24,6 +24,7 @@
 use notchwharf_config::routes::Route;
 use notchwharf_config::routes::Table;
 
+use crate::RequestId;
 use crate::access;
 use crate::access::Caller;
 use crate::access::Identified;
@@ -60,6 +61,18 @@
     pub deadline: Option<Duration>,
     /// A hash of the prompt's shared prefix.
     pub affinity: u64,
+    /// The stream that it takes up again, if any.
+    pub resumption: Option<Resumption>,
+}
+
+/// A stream that its caller takes up again after an interruption.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Resumption {
+    /// The id of the request that brought the stream's first event; `None` if the caller names
+    /// none, or not one.
+    pub stream: Option<RequestId>,
+    /// The number of the last event that the caller received, if it is one.
+    pub last_event: Option<u64>,
 }
 
 /// A target's response as it is forwarded to the caller.
@@ -95,7 +108,7 @@
     access::set_workspace(ctx, &mut req.forwarded.headers, &caller);
     req.forwarded.workspace = caller.name().map(str::to_owned);
     let wait = req.deadline.map_or(route.timeout, |d| d.min(route.timeout));
-    let mut trace = Trace::new(ctx, &req.forwarded, &route, table.version(), arrived);
+    let mut trace = Trace::new(ctx, &req, &route, table.version(), arrived);
     let deadline = arrived + wait;
     let permit = admit(ctx, &caller, &route, deadline).await;
     let permit = permit.inspect_err(|failure| trace.fail(failure))?;
--- a/crates/gateway/src/online/trace.rs
+++ b/crates/gateway/src/online/trace.rs
@@ -13,16 +13,17 @@
 use notchwharf_routing::balancer::Choice;
 use notchwharf_routing::balancer::SlotSource;
 use notchwharf_routing::balancer::TargetId;
+use notchwharf_routing::balancer::TargetVersion;
 use notchwharf_routing::fingerprint::Fingerprint;
 
 use super::Request;
+use super::Resumption;
 use crate::RequestId;
 use crate::context::Context;
 use crate::error::Failure;
 use crate::fingerprint;
 use crate::metrics::Counted;
 use crate::metrics::Timed;
-use crate::ports::ForwardedRequest;
 use crate::ports::NoReply;
 use crate::sync::lock;
 use crate::time::millis;
@@ -42,6 +43,9 @@
     routes_version: u64,
     arrived: Instant,
     target: Option<TargetId>,
+    /// The version of that target's software, if known.
+    version: Option<TargetVersion>,
+    resumption: Option<Resumption>,
     slot_source: &'static str,
     load: u32,
     offers: u32,
@@ -60,19 +64,21 @@
 impl Trace {
     pub(super) fn new(
         ctx: &Arc<Context>,
-        request: &ForwardedRequest,
+        request: &Request,
         route: &Arc<Route>,
         routes_version: u64,
         arrived: Instant,
     ) -> Self {
         let record = Record {
             ctx: Arc::clone(ctx),
-            id: request.id.clone(),
-            workspace: request.workspace.clone(),
+            id: request.forwarded.id.clone(),
+            workspace: request.forwarded.workspace.clone(),
             route: Arc::clone(route),
             routes_version,
             arrived,
             target: None,
+            version: None,
+            resumption: request.resumption.clone(),
             slot_source: "none",
             load: 0,
             offers: 0,
@@ -93,7 +99,11 @@
             return;
         };
         record.offers += 1;
-        let load = lock(&record.ctx.balancer).load(&choice.target);
+        let balancer = lock(&record.ctx.balancer);
+        let load = balancer.load(&choice.target);
+        let spec = balancer.spec(&choice.target);
+        record.version = spec.and_then(|spec| spec.version.clone());
+        drop(balancer);
         record.load = load.total().saturating_sub(1);
         record.target = Some(choice.target.clone());
         record.slot_source = match choice.slot_source {
@@ -134,7 +144,8 @@
         };
         record.ctx.metrics.count(Counted::Offers, reason);
         slog::info!(record.ctx.logger, "stream interrupted"; "id" => record.id.as_str(),
-            "target" => target.as_str(), "reason" => reason, "last_event" => last_event,
+            "target" => target.as_str(), "version" => record.version.as_deref(),
+            "reason" => reason, "last_event" => last_event,
             "resumable" => record.route.resumable, "after_ms" => millis(record.arrived.elapsed()),
             "fingerprint" => fingerprint::to_hex(fingerprint));
     }
@@ -207,7 +218,9 @@
             "why" => failure.map(ToString::to_string),
             "workspace" => self.workspace.as_deref(),
             "route" => self.route.name.as_str(), "routes_version" => self.routes_version,
-            "target" => self.target.as_deref(), "room" => self.slot_source, "load" => self.load,
+            "resumes" => self.resumption.as_ref().and_then(|r| r.stream.as_deref()),
+            "after_event" => self.resumption.as_ref().and_then(|r| r.last_event),
+            "target" => self.target.as_deref(), "version" => self.version.as_deref(), "room" => self.slot_source, "load" => self.load,
             "offers" => self.offers, "status" => self.status.map(|s| s.as_u16()),
             "first_ms" => first.map(millis), "target_first_ms" => self.target_first_event.map(millis),
             "whole_ms" => millis(self.arrived.elapsed()));
--- a/crates/gateway/src/peers/links.rs
+++ b/crates/gateway/src/peers/links.rs
@@ -6,7 +6,7 @@
 
 use futures_util::FutureExt as _;
 use notchwharf_proto::records::ChangesRequest;
-use notchwharf_proto::records::ChangesResponse;
+use notchwharf_proto::records::decode_changes;
 
 use super::bootstrap;
 use super::host_list;
@@ -83,5 +83,5 @@
     let body = postcard::to_stdvec(&request).expect("Requests are representable.");
     let response = rpc::call(addr, rpc::CHANGES, body.into(), REQUEST_TIMEOUT).await;
     let bytes = response.map_err(rpc::CallError::reason)?;
-    postcard::from_bytes::<ChangesResponse>(&bytes).map_err(|_| "invalid response")
+    decode_changes(&bytes).ok_or("invalid response")
 }
--- a/crates/gateway/src/peers/rpc.rs
+++ b/crates/gateway/src/peers/rpc.rs
@@ -20,6 +20,7 @@
 use hyper_util::rt::TokioIo;
 use notchwharf_proto::records::ChangesRequest;
 use notchwharf_proto::records::ChangesResponse;
+use notchwharf_proto::records::encode_changes;
 use notchwharf_routing::discovery;
 use notchwharf_telemetry::gauge::Gauge;
 use tokio::net::TcpListener;
@@ -157,7 +158,7 @@
         hosts: host_list::since(ctx, request.hosts_from),
         reading: ctx.catalog.reading(Instant::now()),
     };
-    Some(postcard::to_stdvec(&response).expect("Responses are representable."))
+    Some(encode_changes(&response))
 }
 
 fn records(ctx: &Context) -> Vec<u8> {
--- a/crates/gateway/src/spread/announcing.rs
+++ b/crates/gateway/src/spread/announcing.rs
@@ -133,6 +133,8 @@
 /// Returns the approximate encoded size of a change.
 fn change_bytes(change: &records::TargetChange) -> usize {
     let target = change.target.as_ref();
-    let names = target.map_or(0, |t| t.service.len() + t.data_centre.len());
+    let names = target.map_or(0, |t| {
+        t.service.len() + t.data_centre.len() + t.version.as_ref().map_or(0, String::len)
+    });
     CHANGE_FIXED_BYTES + change.id.len() + names
 }
--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -313,6 +313,7 @@
         host: HOST.to_owned(),
         deadline: Some(Duration::from_secs(10)),
         affinity: 0,
+        resumption: None,
     }
 }
 
--- a/crates/proto/src/messages.rs
+++ b/crates/proto/src/messages.rs
@@ -217,13 +217,18 @@
     pub target: u32,
 }
 
-/// Encodes a message as a datagram.
+/// Encodes a message as a datagram. The versions of the targets follow an announcement.
 ///
 /// # Panics
 ///
 /// Never: postcard can represent every value of the type.
 pub fn encode(message: &PeerMessage) -> Vec<u8> {
-    postcard::to_stdvec(message).expect("Messages are always representable.")
+    let bytes = postcard::to_stdvec(message).expect("Messages are always representable.");
+    let PeerMessage::Announcement(announcement) = message else {
+        return bytes;
+    };
+    let versions = announcement.targets.versions();
+    postcard::to_extend(&versions, bytes).expect("Versions are always representable.")
 }
 
 /// Encodes a status, followed by the contention at the host if there is any. Hosts of earlier
@@ -279,7 +284,11 @@
 /// Decodes a datagram and the contention that follows the message, if present. Trailing bytes
 /// that cannot be decoded were written by another version and are ignored.
 pub fn decode_with_contention(bytes: &[u8]) -> Option<(PeerMessage, Option<Contention>)> {
-    let (message, rest) = postcard::take_from_bytes(bytes).ok()?;
+    let (mut message, rest) = postcard::take_from_bytes(bytes).ok()?;
+    if let PeerMessage::Announcement(announcement) = &mut message {
+        announcement.targets.decode_versions(rest);
+        return Some((message, None));
+    }
     let contention = (!rest.is_empty()).then(|| postcard::from_bytes(rest).ok());
     Some((message, contention.flatten()))
 }
--- a/crates/proto/src/records.rs
+++ b/crates/proto/src/records.rs
@@ -2,6 +2,31 @@
 //!
 //! A host that follows another requests the changes since its last known offset. Times are
 //! sent as ages, since hosts have no common clock.
+//!
+//! Hosts of earlier builds don't know the versions of targets, and the encoding doesn't tell
+//! fields apart. The versions therefore follow a message, and such hosts ignore them. A message
+//! from such a host has none, and then the versions are unknown.
+//!
+//! ```
+//! use notchwharf_proto::records::{ChangesResponse, Target, TargetChange, decode_changes, encode_changes};
+//!
+//! let mut response = ChangesResponse::default();
+//! response.targets.changes.push(TargetChange {
+//!     id: "t1".into(),
+//!     offset: 3,
+//!     target: Some(Target {
+//!         service: "s".into(),
+//!         data_centre: "d".into(),
+//!         addr: ([127, 0, 0, 1], 80).into(),
+//!         slots: 2,
+//!         leaving: false,
+//!         born_unix_ms: None,
+//!         cold_left_ms: 0,
+//!         version: Some("v1".into()),
+//!     }),
+//! });
+//! assert_eq!(decode_changes(&encode_changes(&response)), Some(response));
+//! ```
 
 use std::net::SocketAddr;
 
@@ -110,6 +135,52 @@
     pub born_unix_ms: Option<u64>,
     /// Remaining time for which the target is cold.
     pub cold_left_ms: u64,
+    /// The version of the target's software, if known. It is not encoded here but after the
+    /// message, see [`Targets::versions`].
+    #[serde(skip)]
+    pub version: Option<String>,
+}
+
+impl Targets {
+    /// Returns the versions of the changed targets, in the order of the changes.
+    pub(crate) fn versions(&self) -> Vec<Option<&str>> {
+        let targets = self.changes.iter().map(|change| change.target.as_ref());
+        let versions = targets.map(|target| target.and_then(|t| t.version.as_deref()));
+        versions.collect()
+    }
+
+    /// Sets the versions of the changed targets, unless `bytes` are not their versions.
+    pub(crate) fn decode_versions(&mut self, bytes: &[u8]) {
+        let Ok(versions) = postcard::from_bytes::<Vec<Option<String>>>(bytes) else {
+            return;
+        };
+        if versions.len() != self.changes.len() {
+            return;
+        }
+        for (change, version) in self.changes.iter_mut().zip(versions) {
+            if let Some(target) = &mut change.target {
+                target.version = version;
+            }
+        }
+    }
+}
+
+/// Encodes a response, followed by the versions of its targets.
+///
+/// # Panics
+///
+/// Never: postcard can represent every value of the types.
+pub fn encode_changes(response: &ChangesResponse) -> Vec<u8> {
+    let bytes = postcard::to_stdvec(response).expect("Responses are always representable.");
+    let versions = response.targets.versions();
+    postcard::to_extend(&versions, bytes).expect("Versions are always representable.")
+}
+
+/// Decodes a response; returns `None` if the bytes are not one.
+pub fn decode_changes(bytes: &[u8]) -> Option<ChangesResponse> {
+    let (mut response, rest) = postcard::take_from_bytes::<ChangesResponse>(bytes).ok()?;
+    response.targets.decode_versions(rest);
+    Some(response)
 }
 
 /// Changes of the host list in an offset range, or all entries.
--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -55,6 +55,8 @@
 pub type HostId = String;
 /// A hash of a target's name, which identifies the target in messages between hosts.
 pub type TargetKey = u32;
+/// The version of a target's software, compared for equality only.
+pub type TargetVersion = String;
 
 /// Time for which no item is started at a target whose slots online requests had filled.
 ///
@@ -108,6 +110,8 @@
     pub started_unix_ms: Option<u64>,
     /// Remaining time for which the target is cold and sustains a lower request rate.
     pub cold_left: Duration,
+    /// The version of its software; `None` if it is not known.
+    pub version: Option<TargetVersion>,
 }
 
 impl Default for Spec {
@@ -120,6 +124,7 @@
             is_leaving: false,
             started_unix_ms: None,
             cold_left: Duration::ZERO,
+            version: None,
         }
     }
 }
--- a/crates/routing/src/discovery/entries.rs
+++ b/crates/routing/src/discovery/entries.rs
@@ -61,7 +61,8 @@
     }
 }
 
-/// Returns the hash of an entry. How long its target is cold is left out, as that decreases.
+/// Returns the hash of an entry. How long its target is cold is left out, as that decreases, and
+/// so is its version, which hosts of earlier builds don't know.
 fn hash(id: &str, spec: &Spec) -> u64 {
     let addr = spec.addr.to_string();
     let mut bytes = Vec::new();
