Resume a stream within one response only at its version

Cause: a host that resumed an interrupted stream chose among all targets of the service, as nothing in a choice named a version.

A choice now has one criterion for it, `Criteria::version`, which each way of choosing a target asks through `Criteria::allow`: the direct choice, reliably free slots, transferred slots, and items. A response fixes the version with its first complete event. Before that event any target may run the request, since the caller has received nothing. The version is not known if the target's entry has changed since the choice; the stream is then not resumed.

Ruled out: a filter at the place where a stream resumes. The wait queue, preemption and transfers choose targets of their own, and a later one would be forgotten.

--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -323,6 +323,7 @@
         },
         objective: None,
         ahead,
+        version: None,
     };
     let target = balancer.choose_batch(&criteria, Instant::now())?;
     drop(balancer);
--- a/crates/gateway/src/online/body.rs
+++ b/crates/gateway/src/online/body.rs
@@ -18,6 +18,7 @@
 use notchwharf_config::routes::Kind;
 
 use super::ForwardedResponse;
+use super::dispatch::AllowedVersions;
 use super::dispatch::Dispatch;
 use super::dispatch::StartedResponse;
 use crate::error::Failure;
@@ -196,9 +197,23 @@
             self.last_event = event.id;
             complete.extend_from_slice(&event.raw);
         }
+        let has_begun = self.last_event.is_some();
+        if has_begun && self.dispatch.allowed_versions == AllowedVersions::Any {
+            self.begin_stream();
+        }
         Ok(Some(complete.freeze()))
     }
 
+    /// Fixes the version of the stream, whose first event is about to be forwarded.
+    fn begin_stream(&mut self) {
+        let response = self.response.as_ref();
+        let version = response.and_then(|r| self.dispatch.confirmed_version(r));
+        self.dispatch.allowed_versions = match version {
+            Some(version) => AllowedVersions::Only(version),
+            None => AllowedVersions::Unknown,
+        };
+    }
+
     /// Returns whether the body is known to be complete.
     fn is_at_end(&self) -> bool {
         let response = self.response.as_ref();
@@ -265,6 +280,7 @@
             sent_at,
             headers_at,
             run_guard,
+            ..
         } = response;
         // The target stops as soon as its connection is closed.
         drop((reply, running));
--- a/crates/gateway/src/online/dispatch.rs
+++ b/crates/gateway/src/online/dispatch.rs
@@ -12,6 +12,7 @@
 use notchwharf_quarantine::gate::RunGuard;
 use notchwharf_routing::balancer::Choice;
 use notchwharf_routing::balancer::TargetId;
+use notchwharf_routing::balancer::TargetVersion;
 use notchwharf_routing::fingerprint::Fingerprint;
 use notchwharf_startup::Dependency;
 
@@ -38,6 +39,18 @@
 /// Remaining time below which no offer is made: a response takes longer.
 pub(super) const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 
+/// The versions of targets that may run a request.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(super) enum AllowedVersions {
+    /// Any, as its caller has received no event.
+    #[default]
+    Any,
+    /// The one that sent the stream's first event.
+    Only(TargetVersion),
+    /// None: which one sent the first event is not known.
+    Unknown,
+}
+
 /// A request that is being dispatched.
 pub(super) struct Dispatch {
     pub(super) ctx: Arc<Context>,
@@ -49,6 +62,7 @@
     pub(super) affinity: u64,
     pub(super) deadline: Instant,
     pub(super) tried: Vec<TargetId>,
+    pub(super) allowed_versions: AllowedVersions,
     /// The number of targets that ran the request or may have run it.
     pub(super) runs: u32,
     /// The fingerprint of its content, computed on first use.
@@ -65,6 +79,8 @@
     pub(super) reply: Reply,
     pub(super) running: Running,
     pub(super) addr: SocketAddr,
+    /// The version of the target, by its entry at the time of the choice.
+    pub(super) version: Option<TargetVersion>,
     pub(super) sent_at: Instant,
     /// When the response's headers arrived.
     pub(super) headers_at: Instant,
@@ -93,6 +109,7 @@
             service: service.cloned().unwrap_or_default(),
             route,
             tried: Vec::new(),
+            allowed_versions: AllowedVersions::default(),
             runs: 0,
             fingerprint: None,
             scheduling: None,
@@ -168,6 +185,15 @@
         }
     }
 
+    /// Returns the version of a target that has sent the first event. It is not known if the
+    /// target's entry has changed since the choice: the process that answers may be another one.
+    pub(super) fn confirmed_version(&self, response: &StartedResponse) -> Option<TargetVersion> {
+        let balancer = lock(&self.ctx.balancer);
+        let entry = balancer.spec(response.running.target());
+        let is_changed = entry.is_some_and(|entry| entry.version != response.version);
+        response.version.clone().filter(|_| !is_changed)
+    }
+
     /// Records whether the request may have run, and so has used its permit.
     fn set_used(&mut self, is_used: bool) {
         if let Some(permit) = &mut self.permit {
@@ -285,6 +311,7 @@
             reply,
             running,
             addr: choice.addr,
+            version: choice.version.clone(),
             sent_at,
             headers_at: Instant::now(),
             run_guard: None,
--- a/crates/gateway/src/online/slot.rs
+++ b/crates/gateway/src/online/slot.rs
@@ -10,6 +10,7 @@
 use notchwharf_routing::balancer::key_of;
 use notchwharf_routing::items::peer_queues::Ahead;
 
+use super::dispatch::AllowedVersions;
 use super::dispatch::Dispatch;
 use super::dispatch::MIN_TIME_LEFT;
 use crate::cpu_time;
@@ -77,6 +78,11 @@
             tried: &self.tried,
             objective: self.objective(),
             ahead: Ahead::default(),
+            version: match &self.allowed_versions {
+                AllowedVersions::Any => None,
+                AllowedVersions::Only(version) => Some(version),
+                AllowedVersions::Unknown => return Err(self.final_failure("unknown version")),
+            },
         };
         let chosen = cpu_time::measure(&self.ctx.metrics, Activity::SelectTarget, || {
             lock(&self.ctx.balancer).choose_online(&criteria, now)
--- a/crates/gateway/src/waiting/slot_request.rs
+++ b/crates/gateway/src/waiting/slot_request.rs
@@ -45,6 +45,7 @@
             tried: &self.tried,
             objective: None,
             ahead: Ahead::default(),
+            version: None,
         }
     }
 }
--- a/crates/loadplay/src/host.rs
+++ b/crates/loadplay/src/host.rs
@@ -93,6 +93,7 @@
             tried: &[],
             objective: None,
             ahead,
+            version: None,
         };
         let target = self.balancer.choose_batch(&criteria, now)?;
         Some((self.queue.pop()?, next.is_late, target))
--- a/crates/loadplay/src/simulation/arrivals.rs
+++ b/crates/loadplay/src/simulation/arrivals.rs
@@ -102,6 +102,7 @@
             tried: &[],
             objective: Some(Duration::from_millis(self.load.online.objective_ms)),
             ahead: Ahead::default(),
+            version: None,
         };
         let Ok(choice) = self.hosts[host].balancer.choose_online(&criteria, now) else {
             self.outcome.online[index].is_rejected = true;
--- a/crates/routing/benches/items.rs
+++ b/crates/routing/benches/items.rs
@@ -81,6 +81,7 @@
                     tried: &[],
                     objective: None,
                     ahead: peer_queues.ahead(next.sort_key_unix_ms()),
+                    version: None,
                 };
                 black_box(balancer.choose_batch(&criteria, now))
             });
--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -14,7 +14,7 @@
 //! let mut balancer = Balancer::new(Config { reserve: 0, ..Config::default() }, 7);
 //! let spec = Spec { service: "s".into(), data_centre: "d".into(), slots: 1, ..Spec::default() };
 //! balancer.upsert("t1", spec);
-//! let criteria = Criteria { service: "s", data_centre: "d", affinity: 0, tried: &[], objective: None, ahead: Default::default() };
+//! let criteria = Criteria { service: "s", data_centre: "d", affinity: 0, tried: &[], objective: None, ahead: Default::default(), version: None };
 //! let item = balancer.choose_batch(&criteria, now).unwrap();
 //! balancer.begin_batch(&item);
 //! let choice = balancer.choose_online(&criteria, now).unwrap();
@@ -144,6 +144,21 @@
     pub objective: Option<Duration>,
     /// Earlier items of other hosts, for which free slots are left.
     pub ahead: Ahead,
+    /// The version at which a stream or a text goes on; `None` if any target may run the
+    /// request.
+    pub version: Option<&'a str>,
+}
+
+impl Criteria<'_> {
+    /// Returns whether a target may run the request. Each choice of a target asks this, so that
+    /// no stream holds events of two versions.
+    fn allow(&self, spec: &Spec) -> bool {
+        let is_version_allowed = match self.version {
+            Some(version) => spec.version.as_deref() == Some(version),
+            None => true,
+        };
+        spec.service == self.service && is_version_allowed
+    }
 }
 
 /// How a request obtains a slot of the chosen target.
@@ -166,6 +181,8 @@
     pub target: TargetId,
     /// The address at which it accepts requests.
     pub addr: SocketAddr,
+    /// The version of its software, if known.
+    pub version: Option<TargetVersion>,
     /// How the request obtains a slot there.
     pub slot_source: SlotSource,
 }
--- a/crates/routing/src/balancer/choice.rs
+++ b/crates/routing/src/balancer/choice.rs
@@ -83,7 +83,7 @@
         let Some(id) = best else {
             let retry_after = Duration::from_millis(self.rng.random_range(RETRY_AFTER_MS));
             let mut targets = self.targets.values();
-            if targets.any(|t| t.spec.service == criteria.service && !t.is_closed) {
+            if targets.any(|t| criteria.allow(&t.spec) && !t.is_closed) {
                 return Err(Refusal::Full { retry_after });
             }
             return Err(Refusal::NoTarget { retry_after });
@@ -96,6 +96,7 @@
         let target = &self.targets[&id];
         Choice {
             addr: target.spec.addr,
+            version: target.spec.version.clone(),
             slot_source: self.slot_source(target),
             target: id,
         }
@@ -193,7 +194,8 @@
         cost: impl Fn(&Target) -> Option<f64>,
     ) -> Option<&TargetId> {
         let targets = self.targets_of(criteria.service, with_ejected, now);
-        let open = targets.filter(|(id, _)| !criteria.tried.contains(id));
+        let open =
+            targets.filter(|(id, t)| criteria.allow(&t.spec) && !criteria.tried.contains(id));
         let costs = open.filter_map(|(id, t)| Some((cost(t)?, id)));
         let least = costs.min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1)));
         least.map(|(_, id)| id)
--- a/crates/routing/src/balancer/free.rs
+++ b/crates/routing/src/balancer/free.rs
@@ -69,7 +69,7 @@
         now: Instant,
     ) -> Option<Choice> {
         let target = self.targets.get(id)?;
-        let is_suitable = target.spec.service == criteria.service && !criteria.tried.contains(id);
+        let is_suitable = criteria.allow(&target.spec) && !criteria.tried.contains(id);
         if !is_suitable || target.is_closed || target.is_ejected(now) {
             return None;
         }
@@ -104,9 +104,9 @@
 
     /// Returns whether there is a target that has not been tried for a request.
     pub fn has_untried(&self, criteria: &Criteria<'_>) -> bool {
-        self.targets.iter().any(|(id, t)| {
-            t.spec.service == criteria.service && !t.is_closed && !criteria.tried.contains(id)
-        })
+        self.targets
+            .iter()
+            .any(|(id, t)| criteria.allow(&t.spec) && !t.is_closed && !criteria.tried.contains(id))
     }
 
     /// Returns the slots that a waiting request can expect to obtain.
--- a/crates/routing/tests/balancer.rs
+++ b/crates/routing/tests/balancer.rs
@@ -47,6 +47,7 @@
         tried,
         objective: None,
         ahead: Ahead::default(),
+        version: None,
     }
 }
 
--- a/crates/routing/tests/items.rs
+++ b/crates/routing/tests/items.rs
@@ -147,6 +147,7 @@
             items: items_ahead,
             last_start_at,
         },
+        version: None,
     }
 }
 
