Resume a stream for its caller only at the version that began it

Cause: a host dispatched such a request like a new one. No host knew at which version a stream had begun, and the service of a weighted route was drawn anew.

The host that forwards a first event now records the stream's origin, service and version, under a hash of the request's id, and sends a copy to three hosts before the event leaves: by rendezvous hashing, each in another data centre where there are as many. A host that is asked to resume a stream uses its record, or asks the hosts of the same ranking in waves. The request then runs only at targets of that version; it goes ahead of new requests, which other versions can serve. Without a record it is refused: 503 without `Retry-After` if it can succeed nowhere, also if no target of the version is left, and with it if a peer did not answer. Records that disagree are no evidence. A host that starts is sent the origins of streams that still run.

Old builds ignore the copies and cannot answer, so their streams are refused rather than guessed.

--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -20,6 +20,7 @@
 use notchwharf_config::evacuation::Evacuated;
 use notchwharf_config::gateway::Settings;
 use notchwharf_config::routes::Table;
+use notchwharf_origins::history::VersionHistory;
 use notchwharf_routing::balancer::Balancer;
 use notchwharf_routing::balancer::Spec;
 use notchwharf_routing::discovery;
@@ -101,6 +102,7 @@
     pub(crate) store: Store,
     pub(crate) decode: Decode,
     pub(crate) balancer: Arc<Mutex<Balancer>>,
+    pub(crate) version_history: Arc<Mutex<VersionHistory>>,
     pub(crate) routes: watch::Sender<Option<Arc<Table>>>,
     pub(crate) startup: Arc<Startup>,
     pub(crate) metrics: Arc<Metrics>,
@@ -242,7 +244,7 @@
                     slog::error!(self.deps.logger, "invalid target record"; "target" => id.as_str(),
                         "offset" => offset, "error" => error.to_string(),
                         "was_known" => lock(&self.deps.balancer).spec(&id).is_some());
-                    lock(&self.deps.balancer).remove(&id);
+                    self.remove_from_balancer(&id);
                 }
                 Change::Removed { id, offset } => {
                     counts.removed += 1;
@@ -299,15 +301,33 @@
             }
             self.deps.metrics.count(Counted::Changes, "target");
         }
+        self.record_version(balancer.spec(id), Some(&spec), now);
         let cold_left = spec.cold_left;
         balancer.upsert(id, spec);
         balancer.set_cold(id, cold_left, now);
     }
 
     fn remove_target(&self, id: &str) {
-        lock(&self.deps.balancer).remove(id);
+        self.remove_from_balancer(id);
         self.deps.metrics.count(Counted::Changes, "target gone");
     }
+
+    fn remove_from_balancer(&self, id: &str) {
+        let mut balancer = lock(&self.deps.balancer);
+        self.record_version(balancer.spec(id), None, Instant::now());
+        balancer.remove(id);
+    }
+
+    /// Records a change of a target in the versions of its service.
+    fn record_version(&self, before: Option<&Spec>, after: Option<&Spec>, now: Instant) {
+        let mut history = lock(&self.deps.version_history);
+        if let Some(after) = after {
+            history.add(&after.service, after.version.as_deref());
+        }
+        if let Some(before) = before {
+            history.remove(&before.service, before.version.as_deref(), now);
+        }
+    }
 }
 
 fn record(stored: StoredRecord) -> discovery::Record<Bytes> {
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -24,6 +24,7 @@
 use crate::journal::Journal;
 use crate::limits::Limits;
 use crate::metrics::Metrics;
+use crate::origins::StreamOrigins;
 use crate::peers::Peers;
 use crate::ports::Decode;
 use crate::ports::Ports;
@@ -86,6 +87,7 @@
     pub(crate) startup: Arc<Startup>,
     pub(crate) suspects: Suspects,
     pub(crate) limits: Limits,
+    pub(crate) origins: StreamOrigins,
     pub(crate) request_queue: Arc<RequestQueue>,
 }
 
@@ -111,7 +113,9 @@
         let routes = watch::Sender::new(None);
         let wait = ms(settings.online.start_wait_ms);
         let startup = Arc::new(Startup::new(wait, logger.clone()));
+        let origins = StreamOrigins::default();
         let catalog_deps = catalog::Dependencies {
+            version_history: Arc::clone(&origins.history),
             startup: Arc::clone(&startup),
             store: store.clone(),
             decode: ports.decode,
@@ -169,6 +173,7 @@
             startup,
             suspects: Suspects::new(&settings.host.name),
             limits: Limits::new(&settings),
+            origins,
             store,
             metrics,
             settings,
--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -26,6 +26,18 @@
         /// The reason.
         reason: &'static str,
     },
+    /// The stream cannot be taken up again; nothing ran and nothing will.
+    NotResumable {
+        /// The reason.
+        reason: &'static str,
+        /// When another attempt may succeed; `None` if it cannot.
+        retry_after: Option<Duration>,
+    },
+    /// The request is malformed; nothing ran.
+    Malformed {
+        /// The reason.
+        reason: &'static str,
+    },
     /// Targets crash under the request; nothing ran and nothing will.
     Crashing {
         /// When it may be retried once more.
@@ -58,6 +70,8 @@
             Self::NotReady { .. } => "not ready",
             Self::NoRoute => "no route",
             Self::NotRun { .. } => "not run",
+            Self::NotResumable { .. } => "not resumable",
+            Self::Malformed { .. } => "malformed",
             Self::Crashing { .. } => "crashing",
             Self::Unauthorized(reason) => reason.label(),
             Self::OverLimit { .. } => "over limit",
@@ -76,6 +90,14 @@
             }
             Self::NoRoute => f.write_str("no route matches the request"),
             Self::NotRun { reason, .. } => write!(f, "not run ({reason}); retry later"),
+            Self::NotResumable {
+                reason,
+                retry_after: None,
+            } => write!(f, "not run ({reason}); the stream cannot be resumed"),
+            Self::NotResumable { reason, .. } => {
+                write!(f, "not run ({reason}); retry to resume the stream")
+            }
+            Self::Malformed { reason } => write!(f, "not run ({reason})"),
             Self::Crashing { crashes, .. } => {
                 write!(
                     f,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod limits;
 pub mod metrics;
 pub mod online;
+mod origins;
 mod peers;
 pub mod ports;
 mod progress;
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -18,6 +18,7 @@
 use crate::items;
 use crate::journal;
 use crate::limits;
+use crate::origins;
 use crate::peers;
 use crate::ports::Ports;
 use crate::quarantine;
@@ -67,6 +68,7 @@
         ));
         items::start(&ctx);
         tokio::spawn(cleanup::run(Arc::clone(&ctx)));
+        tokio::spawn(origins::run(Arc::clone(&ctx)));
         tokio::spawn(cpu_time::report(
             Arc::clone(&ctx.metrics),
             ctx.logger.clone(),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -13,6 +13,10 @@
     Requests,
     /// Offers of requests to targets by outcome.
     Offers,
+    /// Streams that are taken up again, by how their origin is known or why they are refused.
+    Resumptions,
+    /// Copies of the origins of streams by direction.
+    StreamOrigins,
     /// Online requests that wait for a slot, by event.
     WaitQueue,
     /// Items by event.
@@ -35,9 +39,19 @@
     WorkMicros,
 }
 
-const COUNTERS: [Counter; 12] = [
+const COUNTERS: [Counter; 14] = [
     counter("notchwharf_requests_total", "Online requests.", "outcome"),
     counter("notchwharf_offers_total", "Offers to targets.", "outcome"),
+    counter(
+        "notchwharf_resumptions_total",
+        "Streams that are taken up again.",
+        "outcome",
+    ),
+    counter(
+        "notchwharf_stream_origins_total",
+        "Copies of the origins of streams.",
+        "direction",
+    ),
     counter(
         "notchwharf_line_total",
         "Online requests that waited for a place.",
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -23,6 +23,7 @@
 use notchwharf_config::routes::Kind;
 use notchwharf_config::routes::Route;
 use notchwharf_config::routes::Table;
+use notchwharf_ledger::rendezvous::hash;
 
 use crate::RequestId;
 use crate::access;
@@ -34,6 +35,8 @@
 use crate::limits;
 use crate::limits::Permit;
 use crate::metrics::Counted;
+use crate::origins;
+use crate::origins::Resumed;
 use crate::ports::Body;
 use crate::ports::ForwardedRequest;
 use crate::waiting::SchedulingParams;
@@ -67,12 +70,39 @@
 
 /// A stream that its caller takes up again after an interruption.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Resumption {
-    /// The id of the request that brought the stream's first event; `None` if the caller names
-    /// none, or not one.
-    pub stream: Option<RequestId>,
-    /// The number of the last event that the caller received, if it is one.
-    pub last_event: Option<u64>,
+pub enum Resumption {
+    /// Its caller names it.
+    Named {
+        /// The id of the request that brought its first event.
+        stream: RequestId,
+        /// The number of the last event that the caller received, if it is one.
+        last_event: Option<u64>,
+    },
+    /// Its caller only says which event it received last.
+    Unnamed {
+        /// The number of that event, if it is one.
+        last_event: Option<u64>,
+    },
+    /// Its caller doesn't name it by one request id.
+    Malformed,
+}
+
+impl Resumption {
+    /// Returns the request that brought the stream's first event, if the caller names it.
+    fn stream(&self) -> Option<&str> {
+        match self {
+            Self::Named { stream, .. } => Some(stream),
+            Self::Unnamed { .. } | Self::Malformed => None,
+        }
+    }
+
+    /// Returns the number of the last event that the caller received, if it names one.
+    fn last_event(&self) -> Option<u64> {
+        match self {
+            Self::Named { last_event, .. } | Self::Unnamed { last_event } => *last_event,
+            Self::Malformed => None,
+        }
+    }
 }
 
 /// A target's response as it is forwarded to the caller.
@@ -112,12 +142,36 @@
     let deadline = arrived + wait;
     let permit = admit(ctx, &caller, &route, deadline).await;
     let permit = permit.inspect_err(|failure| trace.fail(failure))?;
+    let resumed = find_origin(ctx, &req, &route, deadline, &mut trace).await;
+    let resumed = resumed.inspect_err(|failure| trace.fail(failure))?;
     let scheduling = queues_at_hosts(ctx, &table).then(|| scheduling_params(&caller, &route));
-    let dispatch =
-        Dispatch::new(ctx, req, route, trace, permit, deadline).with_scheduling(scheduling);
+    let dispatch = Dispatch::new(ctx, req, route, trace, permit, deadline)
+        .with_scheduling(scheduling)
+        .with_resumed(resumed);
     dispatch.run().await
 }
 
+/// Finds the origin of the stream that a request takes up again; `None` for a new stream.
+async fn find_origin(
+    ctx: &Arc<Context>,
+    req: &Request,
+    route: &Route,
+    deadline: Instant,
+    trace: &mut Trace,
+) -> Result<Option<Resumed>, Failure> {
+    let resumption = req.resumption.as_ref();
+    let Some(resumption) = resumption.filter(|_| route.kind == Kind::Stream) else {
+        return Ok(None);
+    };
+    let started = Instant::now();
+    let service = route.select_service(hash(&req.forwarded.id));
+    let service = service.map_or("", String::as_str);
+    let key = |stream: &str| origins::key(req.forwarded.workspace.as_deref(), &req.host, stream);
+    let resumed = origins::find(ctx, resumption, key, route, service, deadline).await?;
+    trace.record_origin(&resumed, started.elapsed());
+    Ok(Some(resumed))
+}
+
 /// Identifies the caller.
 async fn identify_caller(
     ctx: &Context,
--- a/crates/gateway/src/online/body.rs
+++ b/crates/gateway/src/online/body.rs
@@ -16,12 +16,15 @@
 use hyper::body::Frame;
 use hyper::header::CONTENT_LENGTH;
 use notchwharf_config::routes::Kind;
+use notchwharf_origins::Origin;
 
 use super::ForwardedResponse;
 use super::dispatch::AllowedVersions;
 use super::dispatch::Dispatch;
 use super::dispatch::StartedResponse;
 use crate::error::Failure;
+use crate::origins;
+use crate::origins::RunningStream;
 use crate::ports::Body;
 use crate::quarantine;
 use crate::sse::Events;
@@ -49,6 +52,10 @@
     /// The last two bytes that were forwarded; an empty body counts as complete.
     last_bytes: [u8; 2],
     first_event: Option<Bytes>,
+    /// Whether an event was received.
+    has_begun: bool,
+    /// Keeps the stream's origin available to starting hosts.
+    running_stream: Option<RunningStream>,
     is_done: bool,
 }
 
@@ -77,6 +84,8 @@
             is_out_of_order: false,
             last_bytes: EVENT_END,
             first_event: None,
+            has_begun: false,
+            running_stream: None,
             is_done: false,
         }
     }
@@ -197,21 +206,35 @@
             self.last_event = event.id;
             complete.extend_from_slice(&event.raw);
         }
-        let has_begun = self.last_event.is_some();
-        if has_begun && self.dispatch.allowed_versions == AllowedVersions::Any {
+        if self.last_event.is_some() && !std::mem::replace(&mut self.has_begun, true) {
             self.begin_stream();
         }
         Ok(Some(complete.freeze()))
     }
 
-    /// Fixes the version of the stream, whose first event is about to be forwarded.
+    /// Fixes the version of a new stream, whose first event is about to be forwarded, and records
+    /// the stream's origin.
     fn begin_stream(&mut self) {
-        let response = self.response.as_ref();
-        let version = response.and_then(|r| self.dispatch.confirmed_version(r));
-        self.dispatch.allowed_versions = match version {
-            Some(version) => AllowedVersions::Only(version),
-            None => AllowedVersions::Unknown,
-        };
+        let dispatch = &mut self.dispatch;
+        if dispatch.allowed_versions == AllowedVersions::Any {
+            let response = self.response.as_ref();
+            let version = response.and_then(|r| dispatch.confirmed_version(r));
+            dispatch.allowed_versions = match version {
+                Some(version) => AllowedVersions::Only(version),
+                None => AllowedVersions::Unknown,
+            };
+        }
+        if let (Some(stream), AllowedVersions::Only(version)) =
+            (dispatch.stream, &dispatch.allowed_versions)
+        {
+            let origin = Origin {
+                service: dispatch.service.clone(),
+                version: version.clone(),
+            };
+            let ctx = &dispatch.ctx;
+            let recorded = origins::record(ctx, stream, &origin, dispatch.caller_deadline);
+            self.running_stream = Some(recorded);
+        }
     }
 
     /// Returns whether the body is known to be complete.
--- a/crates/gateway/src/online/dispatch.rs
+++ b/crates/gateway/src/online/dispatch.rs
@@ -6,8 +6,10 @@
 use std::time::Instant;
 
 use hyper::StatusCode;
+use notchwharf_config::routes::Kind;
 use notchwharf_config::routes::Route;
 use notchwharf_ledger::rendezvous::hash;
+use notchwharf_origins::StreamKey;
 use notchwharf_quarantine::gate::Blocked;
 use notchwharf_quarantine::gate::RunGuard;
 use notchwharf_routing::balancer::Choice;
@@ -16,6 +18,7 @@
 use notchwharf_routing::fingerprint::Fingerprint;
 use notchwharf_startup::Dependency;
 
+use super::DEFAULT_DEADLINE;
 use super::ForwardedResponse;
 use super::Request;
 use super::body::ResponseBody;
@@ -25,6 +28,8 @@
 use crate::fingerprint;
 use crate::limits::Permit;
 use crate::metrics::Counted;
+use crate::origins;
+use crate::origins::Resumed;
 use crate::ports::Call;
 use crate::ports::ForwardedRequest;
 use crate::ports::NoReply;
@@ -72,6 +77,12 @@
     permit: Option<Permit>,
     /// Its parameters in this host's wait queue; none if targets queue requests.
     pub(super) scheduling: Option<SchedulingParams>,
+    /// The stream whose origin is recorded; `None` if it cannot be resumed by its id.
+    pub(super) stream: Option<StreamKey>,
+    /// Whether the caller takes up a stream again.
+    pub(super) is_resumption: bool,
+    /// Until when the caller waits, over all its attempts.
+    pub(super) caller_deadline: Instant,
 }
 
 /// A target's response whose headers have arrived.
@@ -98,7 +109,15 @@
         deadline: Instant,
     ) -> Self {
         let service = route.select_service(hash(&req.forwarded.id));
+        let is_resumable = route.kind == Kind::Stream && route.resumable;
+        let stream = is_resumable.then(|| {
+            let workspace = req.forwarded.workspace.as_deref();
+            origins::key(workspace, &req.host, &req.forwarded.id)
+        });
         Self {
+            stream,
+            is_resumption: false,
+            caller_deadline: trace.arrived() + req.deadline.unwrap_or(DEFAULT_DEADLINE),
             trace,
             permit,
             ctx: Arc::clone(ctx),
@@ -122,6 +141,18 @@
         self
     }
 
+    /// Makes the request go on with a stream, at its origin only.
+    pub(super) fn with_resumed(mut self, resumed: Option<Resumed>) -> Self {
+        if let Some(resumed) = resumed {
+            self.is_resumption = true;
+            self.service.clone_from(&resumed.origin.service);
+            self.allowed_versions = AllowedVersions::Only(resumed.origin.version.clone());
+            // The attempt that brought the first event is the one that callers name again.
+            self.stream = resumed.stream;
+        }
+        self
+    }
+
     /// Sends the request until a target responds, and forwards the response.
     pub(super) async fn run(mut self) -> Result<ForwardedResponse, Failure> {
         match self.send(None).await {
@@ -266,10 +297,11 @@
     }
 
     /// Returns the time left to the first-event objective. None if the route has no objective,
-    /// or if the request may have run: such a request is no longer refused for lateness.
+    /// or if the request may have run or goes on with a stream: such a request is no longer
+    /// refused for lateness, and does not wait behind new ones.
     pub(super) fn objective(&self) -> Option<Duration> {
         let objective = self.route.objective;
-        if self.runs > 0 || objective.is_zero() {
+        if self.runs > 0 || self.is_resumption || objective.is_zero() {
             return None;
         }
         Some(objective.saturating_sub(self.trace.age()))
--- a/crates/gateway/src/online/slot.rs
+++ b/crates/gateway/src/online/slot.rs
@@ -16,6 +16,7 @@
 use crate::cpu_time;
 use crate::cpu_time::Activity;
 use crate::error::Failure;
+use crate::origins;
 use crate::sync::lock;
 use crate::target::Class;
 use crate::target::Running;
@@ -89,6 +90,9 @@
         });
         match chosen {
             Ok(choice) => Ok(choice),
+            Err(Refusal::NoTarget { .. }) if self.is_resumption && self.runs == 0 => {
+                Err(origins::not_resumable("no target of its version is left"))
+            }
             Err(refusal) if offers == 0 && self.runs == 0 => Err(refusal_failure(refusal)),
             Err(_) => Err(self.final_failure("no other target")),
         }
--- a/crates/gateway/src/online/trace.rs
+++ b/crates/gateway/src/online/trace.rs
@@ -24,6 +24,7 @@
 use crate::fingerprint;
 use crate::metrics::Counted;
 use crate::metrics::Timed;
+use crate::origins::Resumed;
 use crate::ports::NoReply;
 use crate::sync::lock;
 use crate::time::millis;
@@ -46,6 +47,12 @@
     /// The version of that target's software, if known.
     version: Option<TargetVersion>,
     resumption: Option<Resumption>,
+    /// The version at which the stream began.
+    began_at: Option<TargetVersion>,
+    /// How that is known: the host with the record, or a word on the evidence.
+    known_by: Option<String>,
+    /// Time that it took to find.
+    known_after: Option<Duration>,
     slot_source: &'static str,
     load: u32,
     offers: u32,
@@ -79,6 +86,9 @@
             target: None,
             version: None,
             resumption: request.resumption.clone(),
+            began_at: None,
+            known_by: None,
+            known_after: None,
             slot_source: "none",
             load: 0,
             offers: 0,
@@ -92,6 +102,16 @@
         }
     }
 
+    /// Records the origin of the stream that the request takes up again, and how long it took to
+    /// find.
+    pub(super) fn record_origin(&mut self, resumed: &Resumed, took: Duration) {
+        if let Some(record) = &mut self.record {
+            record.began_at = Some(resumed.origin.version.clone());
+            record.known_by = Some(resumed.evidence.to_string());
+            record.known_after = Some(took);
+        }
+    }
+
     /// Records the target that the request is about to be sent to; its slot there is already
     /// counted.
     pub(super) fn record_choice(&mut self, choice: &Choice) {
@@ -218,8 +238,10 @@
             "why" => failure.map(ToString::to_string),
             "workspace" => self.workspace.as_deref(),
             "route" => self.route.name.as_str(), "routes_version" => self.routes_version,
-            "resumes" => self.resumption.as_ref().and_then(|r| r.stream.as_deref()),
-            "after_event" => self.resumption.as_ref().and_then(|r| r.last_event),
+            "resumes" => self.resumption.as_ref().and_then(Resumption::stream),
+            "after_event" => self.resumption.as_ref().and_then(Resumption::last_event),
+            "began_at" => self.began_at.as_deref(), "known_by" => self.known_by.as_deref(),
+            "known_after_ms" => self.known_after.map(millis),
             "target" => self.target.as_deref(), "version" => self.version.as_deref(), "room" => self.slot_source, "load" => self.load,
             "offers" => self.offers, "status" => self.status.map(|s| s.as_u16()),
             "first_ms" => first.map(millis), "target_first_ms" => self.target_first_event.map(millis),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -13,6 +13,7 @@
 mod contact;
 mod host_list;
 mod links;
+pub(crate) mod origins;
 mod recipients;
 mod relay;
 mod rpc;
--- a/crates/gateway/src/peers/rpc.rs
+++ b/crates/gateway/src/peers/rpc.rs
@@ -28,6 +28,7 @@
 
 use super::contact;
 use super::host_list;
+use super::origins;
 use super::suspects;
 use crate::context::Context;
 use crate::jobs;
@@ -42,6 +43,8 @@
 pub(super) const SUSPECTS: &str = "/suspects";
 /// The path of introductions by hosts that cannot read the host list.
 pub(super) const CONTACTS: &str = "/contacts";
+/// The path of requests for the origin of a stream.
+pub(super) const STREAM_ORIGINS: &str = "/stream-origins";
 /// The path of calls about jobs.
 pub(super) const JOBS: &str = "/jobs";
 
@@ -180,6 +183,7 @@
         (RECORDS, _) if ctx.journal.is_loaded() => transfer_records(ctx, in_progress, records),
         (CONTACTS, Some(body)) => contact::respond(ctx, &body),
         (SUSPECTS, _) => suspects::snapshot(ctx),
+        (STREAM_ORIGINS, Some(body)) => origins::respond(ctx, &body),
         (JOBS, Some(body)) => jobs::handle_forwarded(ctx, &body).await,
         _ => None,
     };
--- a/crates/gateway/src/peers/status.rs
+++ b/crates/gateway/src/peers/status.rs
@@ -22,6 +22,7 @@
 
 use super::Peer;
 use super::cell;
+use super::origins;
 use super::recipients::status_recipients;
 use super::relay;
 use super::suspects;
@@ -181,6 +182,7 @@
         PeerMessage::Limits(message) => limits::handle_message(ctx, addr, &message),
         PeerMessage::Announcement(message) => ctx.distributor.receive(addr, message),
         PeerMessage::TargetsChecksum(message) => ctx.distributor.check(message),
+        PeerMessage::StreamOrigins(copies) => origins::apply(ctx, copies),
     }
 }
 
@@ -240,6 +242,7 @@
         ctx.metrics.count(Counted::Changes, "host up");
         ctx.peers.notify();
         suspects::send_to_new_host(ctx, update.addr);
+        origins::send_to_new_host(ctx, &host, update.addr);
     }
     if update.is_request_due {
         ctx.distributor.record_newer_versions(update.addr, versions);
--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -335,8 +335,8 @@
 /// Returns a request that resumes a stream after an event.
 pub fn resumption(path: &str, id: &str, stream: &str, last_event: u64) -> online::Request {
     online::Request {
-        resumption: Some(Resumption {
-            stream: Some(stream.to_owned()),
+        resumption: Some(Resumption::Named {
+            stream: stream.to_owned(),
             last_event: Some(last_event),
         }),
         ..request(path, id)
--- a/crates/gateway/tests/versions.rs
+++ b/crates/gateway/tests/versions.rs
@@ -4,17 +4,31 @@
 
 mod harness;
 
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
 use harness::Harness;
 use harness::RESUMABLE;
 use harness::RunningHost;
+use harness::request;
+use harness::resumption;
 use harness::targets::Action;
 use harness::targets::full_response;
 use harness::wait_until;
+use notchwharf_gateway::context::Context;
+use notchwharf_gateway::error::Failure;
+use notchwharf_gateway::metrics::Counted;
+use notchwharf_gateway::online;
+use notchwharf_gateway::online::Resumption;
 use rstest::rstest;
 
 /// Number of streams per test: a host that ignores versions joins none of them with a
 /// probability below one in a thousand.
 const STREAMS: usize = 12;
+/// Interval at which a test sends a request again.
+const POLL_INTERVAL: Duration = Duration::from_millis(2);
 
 /// Returns targets of two versions, as many of each.
 fn mixed(of_each: usize) -> Harness {
@@ -120,6 +134,227 @@
     }
 }
 
+#[tokio::test]
+async fn host_that_started_later_resumes_a_stream_at_its_version() {
+    let harness = mixed(2);
+    let hosts = start(&harness, &["a1", "a2"], 4).await;
+    let mut began = Vec::new();
+    for number in 0..STREAMS {
+        let id = format!("r{number}");
+        began.push((begin(&harness, &hosts[0], &id).await, id));
+    }
+    let newest = harness.start_ready("a3").await;
+    for (number, (version, id)) in began.iter().enumerate() {
+        let next = format!("n{number}");
+        let resumed = newest.resume(harness::NON_RETRIED, &next, id, 1);
+        assert!(resumed.await.unwrap().body.is_some(), "{next}");
+        assert_eq!(versions_of(&harness, &next), [version.as_str()], "{next}");
+    }
+}
+
+/// The only copy was lost with its holder, which has started again since.
+#[tokio::test]
+async fn origin_of_a_running_stream_is_sent_to_a_host_that_starts() {
+    let harness = mixed(1);
+    let mut hosts = start(&harness, &["a1", "a2"], 2).await;
+    harness.targets.hold();
+    let (ctx, req) = (
+        Arc::clone(hosts[0].ctx()),
+        harness::request(RESUMABLE, "r1"),
+    );
+    let stream = online::serve(&ctx, req, Instant::now()).await.unwrap();
+    let version = versions_of(&harness, "r1").remove(0);
+    hosts.remove(1).kill();
+    wait_until("the loss is detected", || hosts[0].ctx().peers_alive() == 0).await;
+    let restarted = harness.start_ready("a2").await;
+    let sent = |ctx: &Context| ctx.metrics.counted(Counted::StreamOrigins, "received");
+    wait_until("the copy is sent again", || sent(restarted.ctx()) == 1).await;
+    hosts.remove(0).kill();
+    drop(stream);
+    harness.targets.release();
+    let resumed = restarted.resume(RESUMABLE, "n1", "r1", 1).await.unwrap();
+    assert!(resumed.body.is_some());
+    assert_eq!(versions_of(&harness, "n1"), [version]);
+}
+
+#[tokio::test]
+async fn third_attempt_names_the_one_that_began_the_stream() {
+    let harness = mixed(2);
+    let hosts = start(&harness, &["a1", "a2"], 4).await;
+    let version = begin(&harness, &hosts[0], "r1").await;
+    harness
+        .targets
+        .script_request("r2", &[Action::BreakAfter(1)]);
+    let second = hosts[1].resume(harness::NON_RETRIED, "r2", "r1", 1).await;
+    assert!(second.unwrap().body.is_none());
+    let third = hosts[0].resume(harness::NON_RETRIED, "r3", "r1", 2).await;
+    assert!(third.unwrap().body.is_some());
+    for id in ["r2", "r3"] {
+        assert_eq!(versions_of(&harness, id), [version.as_str()], "{id}");
+    }
+}
+
+#[tokio::test]
+async fn stream_that_no_host_knows_is_refused_for_good() {
+    let harness = mixed(1);
+    let hosts = start(&harness, &["a1", "a2"], 2).await;
+    let is_fleet_known = || {
+        let ctx = hosts[0].ctx();
+        ctx.metrics.counted(Counted::Resumptions, "unknown stream") > 0
+    };
+    let started = Instant::now();
+    // While the hosts don't know whether there are others, a retry may succeed.
+    while !is_fleet_known() {
+        let err = hosts[0].resume(RESUMABLE, "n1", "r1", 1).await.unwrap_err();
+        assert!(matches!(err, Failure::NotResumable { .. }), "{err:?}");
+        assert!(started.elapsed() < harness::WAIT_MAX);
+    }
+    let err = hosts[0].resume(RESUMABLE, "n1", "r1", 1).await.unwrap_err();
+    let expected = Failure::NotResumable {
+        reason: "unknown stream",
+        retry_after: None,
+    };
+    assert_eq!(err, expected);
+    assert_eq!(harness.targets.runs("n1"), []);
+}
+
+#[rstest]
+#[case::one_version(&["v1"], true)]
+#[case::two_versions(&["v1", "v2"], false)]
+#[case::one_that_is_not_known(&["unknown"], false)]
+#[case::one_beside_one_that_is_not_known(&["v1", "unknown"], false)]
+#[tokio::test]
+async fn stream_that_its_caller_does_not_name_goes_on_if_one_version_serves_alone(
+    #[case] versions: &[&str],
+    #[case] is_resumed: bool,
+) {
+    let harness = Harness::new(&[]);
+    for version in versions {
+        harness.store.put_target(version, &format!("up#{version}"));
+    }
+    let hosts = start(&harness, &["a1"], versions.len()).await;
+    let mut req = request(RESUMABLE, "n1");
+    req.resumption = Some(Resumption::Unnamed {
+        last_event: Some(1),
+    });
+    let resumed = hosts[0].send_request(req).await;
+    assert_eq!(resumed.is_ok(), is_resumed, "{resumed:?}");
+    assert_eq!(harness.targets.runs("n1").len(), usize::from(is_resumed));
+}
+
+#[tokio::test]
+async fn unnamed_stream_is_refused_after_a_version_has_gone() {
+    let harness = mixed(1);
+    let hosts = start(&harness, &["a1"], 2).await;
+    harness.store.delete_target("v1-0");
+    wait_until("the target is gone", || hosts[0].ctx().targets_known() == 1).await;
+    let mut req = request(RESUMABLE, "n1");
+    req.resumption = Some(Resumption::Unnamed { last_event: None });
+    let err = hosts[0].send_request(req).await.unwrap_err();
+    assert!(matches!(err, Failure::NotResumable { .. }), "{err:?}");
+}
+
+#[tokio::test]
+async fn id_that_was_used_for_streams_of_two_versions_is_refused() {
+    let harness = mixed(1);
+    let hosts = start(&harness, &["a1"], 2).await;
+    let mut versions = HashSet::new();
+    while versions.len() < 2 {
+        harness
+            .targets
+            .script_request("r1", &[Action::BreakAfter(2)]);
+        let _ = hosts[0].send(harness::NON_RETRIED, "r1").await;
+        versions.extend(versions_of(&harness, "r1"));
+    }
+    let err = hosts[0].resume(RESUMABLE, "n1", "r1", 1).await.unwrap_err();
+    let expected = Failure::NotResumable {
+        reason: "conflicting records",
+        retry_after: None,
+    };
+    assert_eq!(err, expected);
+}
+
+#[tokio::test]
+async fn id_names_no_stream_of_another_workspace() {
+    let harness = mixed(1);
+    harness.configure_keys(2, &[("k1", "w1"), ("k2", "w2")]);
+    let hosts = start(&harness, &["a1"], 2).await;
+    let with_key = |key: &str, mut req: online::Request| {
+        let value = format!("Key {key}").parse().unwrap();
+        req.forwarded.headers.insert(harness::KEY_HEADER, value);
+        req
+    };
+    harness
+        .targets
+        .script_request("r1", &[Action::BreakAfter(2)]);
+    let first = with_key("k1", request(harness::NON_RETRIED, "r1"));
+    assert!(hosts[0].send_request(first).await.unwrap().body.is_none());
+    let other = with_key("k2", resumption(harness::NON_RETRIED, "n1", "r1", 1));
+    let err = hosts[0].send_request(other).await.unwrap_err();
+    assert!(matches!(err, Failure::NotResumable { .. }), "{err:?}");
+    let own = with_key("k1", resumption(harness::NON_RETRIED, "n2", "r1", 1));
+    assert!(hosts[0].send_request(own).await.unwrap().body.is_some());
+}
+
+#[tokio::test]
+async fn malformed_name_of_a_stream_is_rejected() {
+    let harness = mixed(1);
+    let hosts = start(&harness, &["a1"], 2).await;
+    let mut req = request(RESUMABLE, "n1");
+    req.resumption = Some(Resumption::Malformed);
+    let err = hosts[0].send_request(req).await.unwrap_err();
+    assert!(matches!(err, Failure::Malformed { .. }), "{err:?}");
+}
+
+#[rstest]
+#[case::leaves("leaving")]
+#[case::is_upgraded_in_place("up#v3")]
+#[tokio::test]
+async fn stream_whose_version_is_gone_is_refused_for_good_at_once(#[case] change: &str) {
+    let harness = mixed(1);
+    let hosts = start(&harness, &["a1"], 2).await;
+    let version = begin(&harness, &hosts[0], "r1").await;
+    let target = format!("{version}-0");
+    let change = match change {
+        "leaving" => format!("leaving#{version}"),
+        change => change.to_owned(),
+    };
+    harness.store.put_target(&target, &change);
+    let started = Instant::now();
+    let expected = Failure::NotResumable {
+        reason: "no target of its version is left",
+        retry_after: None,
+    };
+    // Until the host has read the change, the stream goes on.
+    loop {
+        match hosts[0].resume(RESUMABLE, "n1", "r1", 1).await {
+            Err(err) if err == expected => break,
+            resumed => assert!(resumed.is_ok(), "{resumed:?}"),
+        }
+        assert!(started.elapsed() < harness::WAIT_MAX);
+        // Lets the host read the change.
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    let versions = versions_of(&harness, "n1");
+    assert!(versions.iter().all(|v| *v == version), "{versions:?}");
+}
+
+#[tokio::test]
+async fn stream_of_a_target_whose_version_is_not_known_is_not_resumed() {
+    let harness = Harness::new(&[]);
+    harness.store.put_target("t1", "up#unknown");
+    harness.store.put_target("t2", "up#unknown");
+    let hosts = start(&harness, &["a1"], 2).await;
+    harness
+        .targets
+        .script_request("r1", &[Action::BreakAfter(2)]);
+    let response = hosts[0].send(RESUMABLE, "r1").await.unwrap();
+    assert!(response.body.is_none());
+    assert_eq!(harness.targets.runs("r1").len(), 1);
+    let err = hosts[0].resume(RESUMABLE, "n1", "r1", 1).await.unwrap_err();
+    assert!(matches!(err, Failure::NotResumable { .. }), "{err:?}");
+}
+
 #[tokio::test]
 async fn item_goes_on_only_at_the_version_that_began_its_text() {
     let harness = mixed(1);
--- a/crates/proto/src/messages.rs
+++ b/crates/proto/src/messages.rs
@@ -46,6 +46,38 @@
     /// A checksum by which hosts detect that their targets differ from the reader's. Hosts of
     /// earlier versions count it as unreadable.
     TargetsChecksum(TargetsChecksum),
+    /// Origins of streams that the sender forwards. Hosts of earlier versions count it as
+    /// unreadable.
+    StreamOrigins(Vec<StreamOrigin>),
+}
+
+/// Where a stream began.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamOrigin {
+    /// The hash of the request that brought its first event.
+    pub stream: u128,
+    /// The service.
+    pub service: String,
+    /// The version of the target's software.
+    pub version: String,
+    /// Time for which the receiver keeps the record.
+    pub keep_ms: u64,
+}
+
+/// What a host has recorded of a stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OriginAnswer {
+    /// Nothing.
+    Unknown,
+    /// Its origin.
+    Known {
+        /// The service.
+        service: String,
+        /// The version of the target's software.
+        version: String,
+    },
+    /// Records that disagree.
+    Conflicting,
 }
 
 /// Transfers a free slot of a target to a request that waits at the receiver.
@@ -266,6 +298,16 @@
     groups
 }
 
+/// Returns the encoded size of a stream's origin in bytes.
+///
+/// # Panics
+///
+/// Never: postcard can represent every value of the type.
+pub fn origin_encoded_len(origin: &StreamOrigin) -> usize {
+    let bytes = postcard::to_stdvec(origin);
+    bytes.expect("Origins are always representable.").len()
+}
+
 /// Returns the encoded size of a suspect in bytes.
 ///
 /// # Panics
--- a/crates/proto/src/records.rs
+++ b/crates/proto/src/records.rs
@@ -135,8 +135,7 @@
     pub born_unix_ms: Option<u64>,
     /// Remaining time for which the target is cold.
     pub cold_left_ms: u64,
-    /// The version of the target's software, if known. It is not encoded here but after the
-    /// message, see [`Targets::versions`].
+    /// The version of the target's software, if known. It is encoded after the message.
     #[serde(skip)]
     pub version: Option<String>,
 }
