Continue the text of an item only at the version that began it

Items are streams too: they are preempted, interrupted and taken over more often than any other.

Cause: an item kept its text and its last event, and no version; any target, at any host, went on with it.

An item now keeps the origin of its text, also in its saved progress. It goes on at targets of that version. If none is left, the origin is not known, or the item has waited for a second while other targets had free slots, it starts over, which items may do. While it waits, it does not delay those behind it. The version follows the record of the saved progress: hosts of earlier builds read what they know, and a text that such a host saved starts over, once.

Ruled out: refusing to move items between versions at all, which leaves items of a version that is being replaced waiting until they expire.

--- a/crates/gateway/src/backlog.rs
+++ b/crates/gateway/src/backlog.rs
@@ -15,6 +15,7 @@
 use notchwharf_ledger::jobs::JobId;
 use notchwharf_ledger::jobs::Jobs;
 use notchwharf_ledger::jobs::Offset;
+use notchwharf_origins::Origin;
 use notchwharf_routing::balancer::TargetId;
 use notchwharf_routing::fingerprint::Fingerprint;
 use notchwharf_routing::items::estimate::Size;
@@ -53,6 +54,10 @@
     pub(crate) text: Vec<u8>,
     /// The number of the last event received.
     pub(crate) last_event: Option<u64>,
+    /// The origin of the text; `None` without events, or if it is not known.
+    pub(crate) origin: Option<Origin>,
+    /// Since when it has waited for a target of its text's version while others had free slots.
+    pub(crate) waiting_since: Option<Instant>,
     /// Number of failed runs.
     pub(crate) failures: u32,
     /// Number of failures attributed to the item, because the target does not fail others.
@@ -115,14 +120,28 @@
         self.blamed >= max || self.failures >= max.saturating_mul(FAILURES_PER_ATTEMPT)
     }
 
-    /// Continues from saved progress.
+    /// Continues from saved progress. A text of unknown origin is discarded, as no target may
+    /// continue it.
     pub(crate) fn resume(&mut self, saved: SavedProgress) {
-        self.saved_event = saved.last_event;
         self.saved_failures = saved.failures;
-        self.last_event = saved.last_event;
         self.failures = saved.failures;
         self.blamed = saved.blamed;
+        if saved.origin.is_none() {
+            return;
+        }
+        self.saved_event = saved.last_event;
+        self.last_event = saved.last_event;
         self.text = saved.text;
+        self.origin = saved.origin;
+    }
+
+    /// Discards the text, so that any target may run it.
+    pub(crate) fn start_over(&mut self) {
+        self.text.clear();
+        self.last_event = None;
+        self.saved_event = None;
+        self.origin = None;
+        self.waiting_since = None;
     }
 }
 
--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -21,7 +21,9 @@
 use notchwharf_ledger::jobs::Reason;
 use notchwharf_ledger::rendezvous::hash;
 use notchwharf_listen::Phase;
+use notchwharf_origins::Origin;
 use notchwharf_quarantine::gate::RunGuard;
+use notchwharf_routing::balancer::Balancer;
 use notchwharf_routing::balancer::Criteria;
 use notchwharf_routing::balancer::TargetId;
 use notchwharf_routing::items::estimate::Estimators;
@@ -65,6 +67,10 @@
 /// item or crashes.
 const BLOCKED_DELAY: Duration = Duration::from_millis(200);
 
+/// Time for which an item waits for a target that may continue its text while others have free
+/// slots: about the time in which a text is generated that is half done.
+const VERSION_WAIT_MAX: Duration = Duration::from_secs(1);
+
 /// Items that run at this host.
 #[derive(Debug, Default)]
 pub(crate) struct Items {
@@ -247,11 +253,13 @@
                     deadline,
                     route,
                     target,
+                    origin,
                     guard,
                 } = *start;
                 let running = Running::start(ctx, &target, Class::Batch);
                 let handle = lock(&ctx.items.running).add(&target, &item, deadline, running);
-                let run = run::run(Arc::clone(ctx), item, route, target, handle, guard);
+                let destination = run::Destination { target, origin };
+                let run = run::run(Arc::clone(ctx), item, route, destination, handle, guard);
                 tokio::spawn(run);
                 tokio::time::sleep(interval).await;
             }
@@ -273,7 +281,8 @@
 /// What to do with the next item.
 enum Next {
     Start(Box<ItemStart>),
-    /// The quarantine blocks the item, because targets crash or may crash while they run it.
+    /// The quarantine blocks the item, because targets crash or may crash while they run it, or
+    /// only targets that may not continue its text have free slots.
     Postpone(Item),
     Fail(Item, Reason),
 }
@@ -284,6 +293,8 @@
     deadline: queue::Deadline,
     route: Arc<Route>,
     target: TargetId,
+    /// The origin of the text that the target would begin, if its version is known.
+    origin: Option<Origin>,
     /// The quarantine's guard of this run, if the item is a suspect.
     guard: Option<RunGuard>,
 }
@@ -312,7 +323,8 @@
     ctx.metrics.set("items_ahead", ahead.items as usize);
     let mut balancer = lock(&ctx.balancer);
     let has_failed_everywhere = balancer.ids().all(|id| item.failed_at.contains(id));
-    let criteria = Criteria {
+    let now = Instant::now();
+    let any_version = Criteria {
         service,
         data_centre: &ctx.settings.host.data_centre,
         affinity: 0,
@@ -325,10 +337,36 @@
         ahead,
         version: None,
     };
-    let target = balancer.choose_batch(&criteria, Instant::now())?;
+    let version = continued_version(&balancer, item, any_version, now);
+    let criteria = Criteria {
+        version,
+        ..any_version
+    };
+    let starts_over = version.is_none() && item.last_event.is_some();
+    let Some(target) = balancer.choose_batch(&criteria, now) else {
+        let is_slot_left = version.is_some() && balancer.choose_batch(&any_version, now).is_some();
+        drop(balancer);
+        if !is_slot_left {
+            return None;
+        }
+        let mut item = backlog.pop()?;
+        item.waiting_since.get_or_insert(now);
+        return Some(Next::Postpone(item));
+    };
+    let version = balancer.spec(&target).and_then(|s| s.version.clone());
+    let origin = version.map(|version| Origin {
+        service: service.clone(),
+        version,
+    });
     drop(balancer);
     let admitted = quarantine::try_admit(ctx, item);
-    let item = backlog.pop()?;
+    let mut item = backlog.pop()?;
+    item.waiting_since = None;
+    if starts_over {
+        ctx.metrics
+            .count(Counted::Items, "started over, no target of its version");
+        item.start_over();
+    }
     // A blocked item does not fail: its caller expects a result until the job may be
     // abandoned, and an item that was suspected by mistake succeeds at its next run.
     let Ok(guard) = admitted else {
@@ -339,11 +377,35 @@
         deadline,
         route,
         target,
+        origin,
         guard,
     };
     Some(Next::Start(Box::new(start)))
 }
 
+/// Returns the version at which an item's text goes on; `None` if it has none, or starts over
+/// since its origin is not known, has no targets, or has had no free slot for too long.
+fn continued_version<'a>(
+    balancer: &Balancer,
+    item: &'a Item,
+    any_version: Criteria<'_>,
+    now: Instant,
+) -> Option<&'a str> {
+    item.last_event?;
+    let origin = item.origin.as_ref()?;
+    let waited = item.waiting_since.map(|since| now.duration_since(since));
+    if waited.is_some_and(|waited| waited >= VERSION_WAIT_MAX) {
+        return None;
+    }
+    let criteria = Criteria {
+        version: Some(&origin.version),
+        tried: &[],
+        ..any_version
+    };
+    let has_targets = origin.service == any_version.service && balancer.has_untried(&criteria);
+    has_targets.then_some(&origin.version)
+}
+
 /// Returns whether an item that starts now is expected to end after its job's objective.
 fn is_late(table: &Table, item: &Item, estimators: &Estimators) -> bool {
     let path = item.request.path.split('?').next().unwrap_or_default();
--- a/crates/gateway/src/items/load.rs
+++ b/crates/gateway/src/items/load.rs
@@ -116,6 +116,8 @@
             }),
             text: Vec::new(),
             last_event: None,
+            origin: None,
+            waiting_since: None,
             failures: 0,
             blamed: 0,
             failed_at: Vec::new(),
--- a/crates/gateway/src/items/run.rs
+++ b/crates/gateway/src/items/run.rs
@@ -8,6 +8,7 @@
 use hyper::StatusCode;
 use notchwharf_config::routes::Route;
 use notchwharf_ledger::jobs::Reason;
+use notchwharf_origins::Origin;
 use notchwharf_quarantine::gate::RunGuard;
 use notchwharf_routing::balancer::TargetId;
 
@@ -54,28 +55,35 @@
     Unusable(&'static str),
 }
 
+/// Where an item runs.
+#[derive(Clone, Debug)]
+pub(super) struct Destination {
+    pub(super) target: TargetId,
+    /// The origin of a text that begins there, if the target's version is known.
+    pub(super) origin: Option<Origin>,
+}
+
 /// Runs an item at a target, and queues it again or records its outcome.
 pub(super) async fn run(
     ctx: Arc<Context>,
     mut item: Item,
     route: Arc<Route>,
-    target: TargetId,
+    destination: Destination,
     handle: RunHandle,
     guard: Option<RunGuard>,
 ) {
     let in_progress = ctx.items.runs.enter();
     let started = Instant::now();
     let resumed_after = item.last_event;
-    let spec = lock(&ctx.balancer).spec(&target).cloned();
-    let version = spec.and_then(|spec| spec.version);
     let RunHandle {
         run: number,
         cancelled,
     } = handle;
     let outcome = tokio::select! {
-        outcome = exchange(&ctx, &mut item, &target) => outcome,
+        outcome = exchange(&ctx, &mut item, &destination) => outcome,
         _ = cancelled => RunOutcome::Cancelled,
     };
+    let Destination { target, origin } = destination;
     let entry = lock(&ctx.items.running).take(&target, number);
     // Dropped after the registry is unlocked: freeing the slot wakes tasks that lock it.
     drop(entry);
@@ -88,7 +96,7 @@
     let fingerprint = is_broken.then(|| item.fingerprint(&ctx.decode));
     slog::info!(ctx.logger, "item run"; "job" => item.key.0.as_str(),
         "id" => item.request.id.as_str(), "target" => target.as_str(),
-        "version" => version.as_deref(), "ended" => label(outcome),
+        "version" => origin.map(|origin| origin.version), "ended" => label(outcome),
         "from_event" => resumed_after, "last_event" => item.last_event, "failures" => item.failures,
         "took_ms" => millis(took),
         "fingerprint" => fingerprint.map(fingerprint::to_hex));
@@ -183,7 +191,8 @@
 }
 
 /// Sends an item to a target and reads the response.
-async fn exchange(ctx: &Context, item: &mut Item, target: &TargetId) -> RunOutcome {
+async fn exchange(ctx: &Context, item: &mut Item, destination: &Destination) -> RunOutcome {
+    let target = &destination.target;
     let Some(addr) = lock(&ctx.balancer).spec(target).map(|spec| spec.addr) else {
         return RunOutcome::NotRun(NoReply::NotSent("target gone"));
     };
@@ -208,7 +217,7 @@
         StatusCode::INTERNAL_SERVER_ERROR => RunOutcome::Failed,
         status if !status.is_success() => RunOutcome::Unusable("other status"),
         _ if !reply.is_signed => RunOutcome::Unusable("unsigned success"),
-        _ => read(ctx, reply, item, stall_timeout).await,
+        _ => read(ctx, reply, item, destination, stall_timeout).await,
     }
 }
 
@@ -217,6 +226,7 @@
     ctx: &Context,
     mut reply: Reply,
     item: &mut Item,
+    destination: &Destination,
     stall_timeout: Duration,
 ) -> RunOutcome {
     let mut events = Events::default();
@@ -240,6 +250,8 @@
             }
             if item.last_event.is_some() {
                 item.text.push(b'\n');
+            } else {
+                item.origin = confirmed_origin(ctx, destination);
             }
             item.text.extend_from_slice(&event.data());
             item.last_event = event.id;
@@ -249,3 +261,13 @@
         }
     }
 }
+
+/// Returns the origin of a text that begins. It is not known if the target's entry has changed
+/// since the choice: the process that answers may be another one.
+fn confirmed_origin(ctx: &Context, destination: &Destination) -> Option<Origin> {
+    let origin = destination.origin.clone()?;
+    let balancer = lock(&ctx.balancer);
+    let entry = balancer.spec(&destination.target);
+    let is_changed = entry.is_some_and(|e| e.version.as_ref() != Some(&origin.version));
+    (!is_changed).then_some(origin)
+}
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -22,6 +22,7 @@
 use bytes::Bytes;
 use notchwharf_ledger::jobs::HostId;
 use notchwharf_listen::Phase;
+use notchwharf_origins::Origin;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::sync::mpsc;
@@ -54,6 +55,30 @@
     pub(crate) failures: u32,
     /// Number of failures attributed to the item.
     pub(crate) blamed: u32,
+    /// The origin of the text. It follows the record, so that hosts of earlier builds can read
+    /// what they know; in their records it is missing.
+    #[serde(skip)]
+    pub(crate) origin: Option<Origin>,
+}
+
+impl SavedProgress {
+    fn encode(&self) -> Vec<u8> {
+        let bytes = postcard::to_stdvec(self).expect("Progress is representable.");
+        let Some(origin) = &self.origin else {
+            return bytes;
+        };
+        let fields = (&origin.service, &origin.version);
+        postcard::to_extend(&fields, bytes).expect("Origins are representable.")
+    }
+
+    fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        let (mut saved, rest): (Self, _) = postcard::take_from_bytes(bytes)?;
+        if !rest.is_empty() {
+            let (service, version) = postcard::from_bytes(rest)?;
+            saved.origin = Some(Origin { service, version });
+        }
+        Ok(saved)
+    }
 }
 
 /// The progress of this host's items that was or is to be written.
@@ -96,11 +121,11 @@
             last_event: item.last_event,
             failures: item.failures,
             blamed: item.blamed,
+            origin: item.origin.clone(),
         };
         item.saved_event = item.last_event;
         item.saved_failures = item.failures;
-        let bytes = postcard::to_stdvec(&saved).expect("Progress is representable.");
-        let unsaved = Some(Bytes::from(bytes));
+        let unsaved = Some(Bytes::from(saved.encode()));
         lock(&self.state).unsaved.insert(item.key.clone(), unsaved);
     }
 
@@ -235,7 +260,7 @@
                     continue;
                 };
                 let number = number.parse().ok();
-                let saved = record.entry.value.as_deref().map(postcard::from_bytes);
+                let saved = record.entry.value.as_deref().map(SavedProgress::decode);
                 match (number, saved) {
                     (Some(number), Some(Ok(saved))) => found.push((number, saved)),
                     _ => slog::error!(self.deps.logger, "invalid progress record";
--- a/crates/gateway/tests/harness/store.rs
+++ b/crates/gateway/tests/harness/store.rs
@@ -210,6 +210,20 @@
         keys.len()
     }
 
+    /// Edits each value of a topic.
+    pub fn edit_values(&self, topic: Topic, edit: impl Fn(&mut Vec<u8>)) {
+        let mut state = self.state.lock().unwrap();
+        let partitions = state.partitions.iter_mut();
+        let of_topic = partitions.filter(|((of, _), _)| *of == topic);
+        for record in of_topic.flat_map(|(_, partition)| &mut partition.records) {
+            if let Some(value) = &mut record.entry.value {
+                let mut bytes = value.to_vec();
+                edit(&mut bytes);
+                *value = bytes.into();
+            }
+        }
+    }
+
     fn put(&self, topic: Topic, key: &str, value: Option<&str>) {
         let entry = Entry {
             key: key.to_owned(),
--- a/crates/gateway/tests/progress.rs
+++ b/crates/gateway/tests/progress.rs
@@ -195,3 +195,53 @@
     a1.results("j1", 3).await;
     assert_eq!(harness.store.pages_read(Topic::Progress), 0);
 }
+
+/// Returns the event after which the last run of the item was resumed, once it has completed.
+async fn resumed_after_takeover(harness: &Harness, host: &RunningHost) -> Option<u64> {
+    wait_until("the item runs again", || {
+        harness.targets.runs("j1-0").len() == 2
+    })
+    .await;
+    harness.targets.release();
+    let results = host.results("j1", 1).await;
+    assert_eq!(results[0].text.as_ref().unwrap(), &item_text("j1-0"));
+    harness.targets.runs("j1-0").pop().unwrap().1
+}
+
+#[rstest]
+#[case::same_version("up#v1", true)]
+#[case::other_version("up#v2", false)]
+#[case::version_not_known("up#unknown", false)]
+#[tokio::test]
+async fn saved_text_is_continued_only_at_the_version_that_began_it(
+    #[case] target: &str,
+    #[case] is_continued: bool,
+) {
+    let harness = Harness::new(&["t1"]);
+    let a1 = start(&harness, "a1", save_at_once).await;
+    start_item(&harness, &a1).await;
+    wait_saved(&harness).await;
+    a1.kill();
+    harness.store.delete_target("t1");
+    harness.store.put_target("t2", target);
+    let restarted = start(&harness, "a1", save_at_once).await;
+    let resumed_after = resumed_after_takeover(&harness, &restarted).await;
+    assert_eq!(resumed_after.is_some(), is_continued, "{resumed_after:?}");
+}
+
+/// Hosts of earlier builds save a text without its origin.
+#[tokio::test]
+async fn text_that_was_saved_without_its_origin_starts_over() {
+    let harness = Harness::new(&["t1"]);
+    let a1 = start(&harness, "a1", save_at_once).await;
+    start_item(&harness, &a1).await;
+    wait_saved(&harness).await;
+    a1.kill();
+    let origin = postcard::to_stdvec(&("s", "v1")).unwrap();
+    harness.store.edit_values(Topic::Progress, |value| {
+        assert!(value.ends_with(&origin));
+        value.truncate(value.len() - origin.len());
+    });
+    let restarted = start(&harness, "a1", save_at_once).await;
+    assert_eq!(resumed_after_takeover(&harness, &restarted).await, None);
+}
--- a/crates/gateway/tests/versions.rs
+++ b/crates/gateway/tests/versions.rs
@@ -16,6 +16,7 @@
 use harness::resumption;
 use harness::targets::Action;
 use harness::targets::full_response;
+use harness::targets::item_text;
 use harness::wait_until;
 use notchwharf_gateway::context::Context;
 use notchwharf_gateway::error::Failure;
@@ -27,6 +28,8 @@
 /// Number of streams per test: a host that ignores versions joins none of them with a
 /// probability below one in a thousand.
 const STREAMS: usize = 12;
+/// Slots of each target.
+const SLOTS: usize = 2;
 /// Interval at which a test sends a request again.
 const POLL_INTERVAL: Duration = Duration::from_millis(2);
 
@@ -376,3 +379,58 @@
         );
     }
 }
+
+#[tokio::test]
+async fn item_starts_over_if_no_target_of_its_version_is_left() {
+    let harness = Harness::new(&[]);
+    harness.store.put_target("v1-0", "up#v1");
+    let hosts = start(&harness, &["a1"], 1).await;
+    harness.targets.hold();
+    hosts[0].submit("j1", 1, 10).await.unwrap();
+    wait_until("the item runs", || harness.targets.active() == 1).await;
+    harness.store.put_target("v2-0", "up#v2");
+    harness.store.delete_target("v1-0");
+    wait_until("the target is replaced", || {
+        let ctx = hosts[0].ctx();
+        ctx.is_target_known("v2-0") && !ctx.is_target_known("v1-0")
+    })
+    .await;
+    harness.targets.crash("v1-0");
+    harness.targets.release();
+    let results = hosts[0].results("j1", 1).await;
+    assert_eq!(results[0].text.as_ref().unwrap(), &item_text("j1-0"));
+    let expected = [("v1-0".to_owned(), None), ("v2-0".to_owned(), None)];
+    assert_eq!(harness.targets.runs("j1-0"), expected);
+}
+
+/// The slots of the only target that may continue the item are taken for good.
+#[tokio::test]
+async fn item_that_waits_for_its_version_neither_blocks_others_nor_waits_for_ever() {
+    let harness = mixed(1);
+    let hosts = start(&harness, &["a1"], 2).await;
+    harness
+        .targets
+        .script_request("j1-0", &[Action::BreakAfter(2)]);
+    harness.targets.script("v1-0", &[]);
+    harness.targets.script("v2-0", &[]);
+    hosts[0].submit("j1", 1, 10).await.unwrap();
+    wait_until("the item runs", || !harness.targets.runs("j1-0").is_empty()).await;
+    let version = versions_of(&harness, "j1-0").remove(0);
+    let mut taken = Vec::new();
+    for number in 0..2 * SLOTS {
+        let id = format!("r{number}");
+        harness.targets.script_request(&id, &[Action::HangAfter(1)]);
+        let response = online::serve(hosts[0].ctx(), request(RESUMABLE, &id), Instant::now());
+        let response = response.await.unwrap();
+        if versions_of(&harness, &id) == [version.as_str()] {
+            taken.push(response);
+        }
+    }
+    hosts[0].submit("j2", 1, 10).await.unwrap();
+    for job in ["j2", "j1"] {
+        let results = hosts[0].results(job, 1).await;
+        let expected = item_text(&format!("{job}-0"));
+        assert_eq!(results[0].text.as_ref().unwrap(), &expected);
+    }
+    drop(taken);
+}
