Copy the origins of streams to hosts of other cells

In a fleet of several cells a host knows by messages only which hosts of its own cell are alive, and sent all copies there: a cell that was lost took the origins of its streams with it, and its callers were refused at all other hosts.

Hosts of other cells now hold copies unless they have left or are marked as silent in the list. The request log also says how old the record of a resumed stream is.

Evidence: `stream_goes_on_at_its_version_after_the_cell_that_began_it_was_lost` fails with the earlier condition ("peers did not answer") and passes.

--- a/crates/gateway/src/online/trace.rs
+++ b/crates/gateway/src/online/trace.rs
@@ -51,6 +51,8 @@
     began_at: Option<TargetVersion>,
     /// How that is known: the host with the record, or a word on the evidence.
     known_by: Option<String>,
+    /// Age of that record.
+    record_age: Option<Duration>,
     /// Time that it took to find.
     known_after: Option<Duration>,
     slot_source: &'static str,
@@ -88,6 +90,7 @@
             resumption: request.resumption.clone(),
             began_at: None,
             known_by: None,
+            record_age: None,
             known_after: None,
             slot_source: "none",
             load: 0,
@@ -108,6 +111,7 @@
         if let Some(record) = &mut self.record {
             record.began_at = Some(resumed.origin.version.clone());
             record.known_by = Some(resumed.evidence.to_string());
+            record.record_age = resumed.age;
             record.known_after = Some(took);
         }
     }
@@ -241,7 +245,7 @@
             "resumes" => self.resumption.as_ref().and_then(Resumption::stream),
             "after_event" => self.resumption.as_ref().and_then(Resumption::last_event),
             "began_at" => self.began_at.as_deref(), "known_by" => self.known_by.as_deref(),
-            "known_after_ms" => self.known_after.map(millis),
+            "record_age_ms" => self.record_age.map(millis), "known_after_ms" => self.known_after.map(millis),
             "target" => self.target.as_deref(), "version" => self.version.as_deref(), "room" => self.slot_source, "load" => self.load,
             "offers" => self.offers, "status" => self.status.map(|s| s.as_u16()),
             "first_ms" => first.map(millis), "target_first_ms" => self.target_first_event.map(millis),
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -105,6 +105,8 @@
     pub(crate) origin: Arc<Origin>,
     /// How that is known.
     pub(crate) evidence: Evidence,
+    /// The age of the record, if there is one.
+    pub(crate) age: Option<Duration>,
 }
 
 /// Returns the key of the stream that a request began.
@@ -156,11 +158,15 @@
 ) -> Result<Resumed, Failure> {
     let known = lock(&ctx.origins.table).get(stream, Instant::now());
     match known {
-        Lookup::Known(origin) => {
+        Lookup::Known {
+            origin,
+            recorded_at,
+        } => {
             return Ok(Resumed {
                 stream: Some(stream),
                 origin,
                 evidence: Evidence::OwnRecord,
+                age: Some(recorded_at.elapsed()),
             });
         }
         Lookup::Conflicting => return Err(not_resumable("conflicting records")),
@@ -168,10 +174,11 @@
     }
     let deadline = deadline.min(Instant::now() + LOOKUP_TIMEOUT);
     match peer_origins::find(ctx, stream, deadline).await {
-        PeerLookup::Known { host, origin } => Ok(Resumed {
+        PeerLookup::Known { host, origin, age } => Ok(Resumed {
             stream: Some(stream),
             origin: Arc::new(origin),
             evidence: Evidence::PeerRecord(host),
+            age: Some(age),
         }),
         PeerLookup::Conflicting => Err(not_resumable("conflicting records")),
         PeerLookup::Unknown => Err(not_resumable("unknown stream")),
@@ -193,6 +200,7 @@
             version: version.to_owned(),
         }),
         evidence: Evidence::OnlyVersion,
+        age: None,
     })
 }
 
--- a/crates/gateway/src/peers/origins.rs
+++ b/crates/gateway/src/peers/origins.rs
@@ -26,6 +26,7 @@
 use notchwharf_routing::balancer::HostId;
 
 use super::Peer;
+use super::cell;
 use super::rpc;
 use crate::context::Context;
 use crate::metrics::Counted;
@@ -48,6 +49,8 @@
         host: HostId,
         /// The origin.
         origin: Origin,
+        /// The age of the record.
+        age: Duration,
     },
     /// The stream's id was used for streams of several origins.
     Conflicting,
@@ -60,16 +63,26 @@
 /// Sends an origin to the peers that hold copies.
 pub(crate) fn send_copies(ctx: &Context, stream: StreamKey, origin: &Origin, keep: Duration) {
     let copy = copy(stream, origin, keep);
-    for (_, addr) in ranked(ctx, stream, holders::COPIES, |peer| peer.is_alive) {
+    for (_, addr) in holders_of(ctx, stream) {
         send(ctx, addr, vec![copy.clone()]);
     }
 }
 
+/// Returns the peers that hold copies of a stream's origin. Failures of hosts of other cells are
+/// not detected here, but those of silent hosts are marked in the list.
+fn holders_of(ctx: &Context, stream: StreamKey) -> Vec<(HostId, SocketAddr)> {
+    let cells = ctx.peers.cell_state.cells();
+    ranked(ctx, stream, holders::COPIES, |host, peer| {
+        let is_remote = cells.is_divided() && !cell::is_in_own_cell(ctx, cells, host, peer);
+        peer.is_alive || (is_remote && !peer.has_left && !peer.is_marked_silent)
+    })
+}
+
 /// Sends the origins of this host's streams to a host that has started, if it is to hold copies.
 pub(super) fn send_to_new_host(ctx: &Context, host: &str, addr: SocketAddr) {
     let running = origins::running(ctx);
     let held = running.iter().filter(|(stream, ..)| {
-        let holders = ranked(ctx, *stream, holders::COPIES, |peer| peer.is_alive);
+        let holders = holders_of(ctx, *stream);
         holders.iter().any(|(holder, _)| holder == host)
     });
     let copies = held.map(|(stream, origin, keep)| copy(*stream, origin, *keep));
@@ -110,9 +123,13 @@
 pub(super) fn respond(ctx: &Context, body: &[u8]) -> Option<Vec<u8>> {
     let stream: StreamKey = postcard::from_bytes(body).ok()?;
     let answer = match origins::recorded(ctx, stream) {
-        Lookup::Known(origin) => OriginAnswer::Known {
+        Lookup::Known {
+            origin,
+            recorded_at,
+        } => OriginAnswer::Known {
             service: origin.service.clone(),
             version: origin.version.clone(),
+            age_ms: millis(recorded_at.elapsed()),
         },
         Lookup::Conflicting => OriginAnswer::Conflicting,
         Lookup::Unknown => OriginAnswer::Unknown,
@@ -126,7 +143,7 @@
     let mut pending = FuturesUnordered::new();
     let mut is_unanswered = false;
     while Instant::now() < deadline {
-        let candidates = ranked(ctx, stream, holders::ASKED_MAX, |peer| !peer.has_left);
+        let candidates = ranked(ctx, stream, holders::ASKED_MAX, |_, peer| !peer.has_left);
         let next = candidates
             .into_iter()
             .filter(|(host, _)| !asked.contains(host));
@@ -148,9 +165,16 @@
             tokio::time::timeout_at(wave_end.into(), pending.next()).await
         {
             match answer {
-                Some(OriginAnswer::Known { service, version }) => {
-                    let origin = Origin { service, version };
-                    return PeerLookup::Known { host, origin };
+                Some(OriginAnswer::Known {
+                    service,
+                    version,
+                    age_ms,
+                }) => {
+                    return PeerLookup::Known {
+                        host,
+                        origin: Origin { service, version },
+                        age: ms(age_ms),
+                    };
                 }
                 Some(OriginAnswer::Conflicting) => return PeerLookup::Conflicting,
                 Some(OriginAnswer::Unknown) => {}
@@ -183,10 +207,10 @@
     ctx: &Context,
     stream: StreamKey,
     count: usize,
-    condition: impl Fn(&Peer) -> bool,
+    condition: impl Fn(&str, &Peer) -> bool,
 ) -> Vec<(HostId, SocketAddr)> {
     let known = lock(&ctx.peers.known);
-    let eligible = known.iter().filter(|(_, peer)| condition(peer));
+    let eligible = known.iter().filter(|(host, peer)| condition(host, peer));
     let candidates = eligible.map(|(host, peer)| Candidate {
         host,
         data_centre: peer.data_centre.as_deref().unwrap_or_default(),
--- a/crates/gateway/tests/cells.rs
+++ b/crates/gateway/tests/cells.rs
@@ -6,8 +6,10 @@
 mod harness;
 
 use harness::Harness;
+use harness::NON_RETRIED;
 use harness::RunningHost;
 use harness::store::ScriptedStore;
+use harness::targets::Action;
 use harness::targets::item_text;
 use harness::wait_until;
 use notchwharf_gateway::jobs::ItemResult;
@@ -171,3 +173,40 @@
     hosts[0].submit("j1", 2, 10).await.unwrap();
     assert_complete(&hosts[1].results("j1", 2).await);
 }
+
+/// Copies within the cell only would be lost with it.
+#[tokio::test]
+async fn stream_goes_on_at_its_version_after_the_cell_that_began_it_was_lost() {
+    let harness = Harness::new(&[]);
+    for target in ["v1-0", "v2-0", "v1-1", "v2-1"] {
+        harness
+            .store
+            .put_target(target, &format!("up#{}", &target[..2]));
+    }
+    let mut hosts = start(&harness).await;
+    wait_until("the targets are known", || {
+        hosts.iter().all(|host| host.ctx().targets_known() == 4)
+    })
+    .await;
+    let mut began = Vec::new();
+    for number in 0..8 {
+        let id = format!("r{number}");
+        harness
+            .targets
+            .script_request(&id, &[Action::BreakAfter(2)]);
+        let response = hosts[0].send(NON_RETRIED, &id).await.unwrap();
+        assert!(response.body.is_none(), "{response:?}");
+        began.push((harness.targets.runs(&id)[0].0.clone(), id));
+    }
+    for host in hosts.drain(..HOSTS) {
+        host.kill();
+    }
+    for (number, (target, id)) in began.iter().enumerate() {
+        let next = format!("n{number}");
+        let host = &hosts[number % hosts.len()];
+        let resumed = host.resume(NON_RETRIED, &next, id, 1).await.unwrap();
+        assert!(resumed.body.is_some(), "{next}");
+        let runs = harness.targets.runs(&next);
+        assert_eq!(runs[0].0[..2], target[..2], "{next}");
+    }
+}
--- a/crates/origins/src/lib.rs
+++ b/crates/origins/src/lib.rs
@@ -16,7 +16,7 @@
 //! let origin = Origin { service: "s".into(), version: "v1".into() };
 //! let stream = key(None, "a.example", "r1");
 //! origins.record(stream, &origin, now + Duration::from_secs(9), now);
-//! assert!(matches!(origins.get(stream, now), Lookup::Known(known) if *known == origin));
+//! assert!(matches!(origins.get(stream, now), Lookup::Known { origin: known, .. } if *known == origin));
 //! assert!(matches!(origins.get(key(None, "a.example", "r2"), now), Lookup::Unknown));
 //! ```
 //!
--- a/crates/origins/src/table.rs
+++ b/crates/origins/src/table.rs
@@ -44,7 +44,12 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Lookup {
     /// Its origin.
-    Known(Arc<Origin>),
+    Known {
+        /// The origin.
+        origin: Arc<Origin>,
+        /// When it was first recorded here.
+        recorded_at: Instant,
+    },
     /// Its id was used for streams of several origins.
     Conflicting,
     /// There is no record of it.
@@ -55,6 +60,7 @@
 struct Entry {
     /// `None` if records of the stream disagree.
     origin: Option<Arc<Origin>>,
+    recorded_at: Instant,
     expires_at: Instant,
 }
 
@@ -87,7 +93,7 @@
         self.expire(now);
         let origin = self.intern(origin);
         let Some(entry) = self.entries.get_mut(&key) else {
-            return self.insert(key, origin, expires_at);
+            return self.insert(key, origin, expires_at, now);
         };
         if entry.origin.as_ref().is_some_and(|known| *known != origin) {
             entry.origin = None;
@@ -102,10 +108,15 @@
     /// Returns what is known of a stream.
     pub fn get(&self, key: StreamKey, now: Instant) -> Lookup {
         let entry = self.entries.get(&key).filter(|e| now < e.expires_at);
-        match entry.map(|entry| &entry.origin) {
-            Some(Some(origin)) => Lookup::Known(Arc::clone(origin)),
-            Some(None) => Lookup::Conflicting,
-            None => Lookup::Unknown,
+        let Some(entry) = entry else {
+            return Lookup::Unknown;
+        };
+        match &entry.origin {
+            Some(origin) => Lookup::Known {
+                origin: Arc::clone(origin),
+                recorded_at: entry.recorded_at,
+            },
+            None => Lookup::Conflicting,
         }
     }
 
@@ -142,7 +153,7 @@
         self.evicted
     }
 
-    fn insert(&mut self, key: StreamKey, origin: Arc<Origin>, expires_at: Instant) {
+    fn insert(&mut self, key: StreamKey, origin: Arc<Origin>, expires_at: Instant, now: Instant) {
         if self.entries.len() >= self.entries_max
             && let Some((_, first)) = self.by_expiry.pop_first()
         {
@@ -152,6 +163,7 @@
         self.by_expiry.insert((expires_at, key));
         let entry = Entry {
             origin: Some(origin),
+            recorded_at: now,
             expires_at,
         };
         self.entries.insert(key, entry);
--- a/crates/origins/tests/simulation.rs
+++ b/crates/origins/tests/simulation.rs
@@ -246,7 +246,7 @@
             .into_iter()
             .map(|asked| self.hosts[asked].origins.get(stream, self.now));
         let mut known = answers.filter_map(|answer| match answer {
-            Lookup::Known(origin) => Some(origin.version.clone()),
+            Lookup::Known { origin, .. } => Some(origin.version.clone()),
             Lookup::Conflicting | Lookup::Unknown => None,
         });
         known.next()
--- a/crates/origins/tests/table.rs
+++ b/crates/origins/tests/table.rs
@@ -26,7 +26,7 @@
 
 fn version(lookup: Lookup) -> Option<String> {
     match lookup {
-        Lookup::Known(origin) => Some(origin.version.clone()),
+        Lookup::Known { origin, .. } => Some(origin.version.clone()),
         Lookup::Conflicting | Lookup::Unknown => None,
     }
 }
--- a/crates/proto/src/messages.rs
+++ b/crates/proto/src/messages.rs
@@ -75,6 +75,8 @@
         service: String,
         /// The version of the target's software.
         version: String,
+        /// Time since the host first recorded it.
+        age_ms: u64,
     },
     /// Records that disagree.
     Conflicting,
