--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -29,7 +29,7 @@
 use crate::peers::origins::PeerLookup;
 use crate::sync::lock;
 
-/// Maximum number of streams of which a host keeps the origin; a few megabytes.
+/// Maximum number of streams of which a host keeps the origin; about 6 MB.
 const ORIGINS_MAX: usize = 32_768;
 /// Time beyond its caller's deadline for which an origin is kept: the attempts of a caller are
 /// counted from its first one, whose deadline a host may see late.
