Ask peers for the versions of targets that a host lacks

In a large fleet one host of a data centre reads the targets for all. If it is of an earlier build, it sends them without versions, and entries that don't change are not sent again. A host that was upgraded early would have refused to resume the streams of such targets for as long as both live.

Nothing is sent while all are known.

Ruled out: listing the targets again, of which all else is known.

Evidence: `version_that_a_host_lacks_is_learned_from_a_peer`, in which all streams were refused without the requests.

--- a/crates/gateway/src/catalog/records.rs
+++ b/crates/gateway/src/catalog/records.rs
@@ -15,6 +15,7 @@
 use notchwharf_startup::Dependency;
 
 use super::Catalog;
+use super::ChangeCounts;
 use crate::sync::lock;
 use crate::time::millis;
 use crate::time::ms;
@@ -140,6 +141,47 @@
         }
     }
 
+    /// Returns up to `limit` targets whose versions are not known.
+    pub(crate) fn without_version(&self, limit: usize) -> Vec<records::TargetStart> {
+        let state = lock(&self.state);
+        let entries = state.targets.entries();
+        let unknown = entries.filter(|(_, _, spec)| spec.version.is_none());
+        let starts = unknown.map(|(id, _, spec)| records::TargetStart {
+            id: id.clone(),
+            born_unix_ms: spec.started_unix_ms,
+        });
+        starts.take(limit).collect()
+    }
+
+    /// Returns the versions of these starts of targets, as far as known.
+    pub(crate) fn versions_of(&self, starts: &[records::TargetStart]) -> Vec<Option<String>> {
+        let balancer = lock(&self.deps.balancer);
+        let versions = starts.iter().map(|start| {
+            let spec = balancer.spec(&start.id)?;
+            let is_same = spec.started_unix_ms == start.born_unix_ms;
+            spec.version.clone().filter(|_| is_same)
+        });
+        versions.collect()
+    }
+
+    /// Sets the versions of starts of targets that are not known here.
+    pub(crate) fn set_versions(
+        &self,
+        known: impl Iterator<Item = (records::TargetStart, String)>,
+        now: Instant,
+    ) {
+        let mut state = lock(&self.state);
+        let mut counts = ChangeCounts::default();
+        for (start, version) in known {
+            let targets = &mut state.targets;
+            let changed = targets.set_version(&start.id, start.born_unix_ms, version);
+            if let Some((offset, spec)) = changed {
+                let spec = spec.clone();
+                self.upsert_target((&start.id, offset, spec), false, &mut counts, now);
+            }
+        }
+    }
+
     /// Returns the state of reading the log, by this host or by the reader it follows.
     pub(crate) fn reading(&self, now: Instant) -> records::Reading {
         let state = lock(&self.state);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -19,6 +19,7 @@
 mod rpc;
 mod status;
 pub(crate) mod suspects;
+mod versions;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -383,6 +384,7 @@
     tokio::spawn(cell::run(Arc::clone(ctx)));
     tokio::spawn(bootstrap::run(Arc::clone(ctx)));
     tokio::spawn(suspects::send_periodic_reports(Arc::clone(ctx)));
+    tokio::spawn(versions::run(Arc::clone(ctx)));
     tokio::spawn(sweep(Arc::clone(ctx)));
     for listener in listeners {
         tokio::spawn(rpc::serve(Arc::clone(ctx), listener));
--- a/crates/gateway/src/peers/rpc.rs
+++ b/crates/gateway/src/peers/rpc.rs
@@ -30,6 +30,7 @@
 use super::host_list;
 use super::origins;
 use super::suspects;
+use super::versions;
 use crate::context::Context;
 use crate::jobs;
 use crate::spread::RESPONSE_TARGETS_MAX;
@@ -45,6 +46,8 @@
 pub(super) const CONTACTS: &str = "/contacts";
 /// The path of requests for the origin of a stream.
 pub(super) const STREAM_ORIGINS: &str = "/stream-origins";
+/// The path of requests for the versions of targets.
+pub(super) const TARGET_VERSIONS: &str = "/target-versions";
 /// The path of calls about jobs.
 pub(super) const JOBS: &str = "/jobs";
 
@@ -184,6 +187,7 @@
         (CONTACTS, Some(body)) => contact::respond(ctx, &body),
         (SUSPECTS, _) => suspects::snapshot(ctx),
         (STREAM_ORIGINS, Some(body)) => origins::respond(ctx, &body),
+        (TARGET_VERSIONS, Some(body)) => versions::respond(ctx, &body),
         (JOBS, Some(body)) => jobs::handle_forwarded(ctx, &body).await,
         _ => None,
     };
--- a/crates/gateway/tests/versions.rs
+++ b/crates/gateway/tests/versions.rs
@@ -23,6 +23,7 @@
 use notchwharf_gateway::metrics::Counted;
 use notchwharf_gateway::online;
 use notchwharf_gateway::online::Resumption;
+use notchwharf_gateway::ports::Topic;
 use rstest::rstest;
 
 /// Number of streams per test: a host that ignores versions joins none of them with a
@@ -434,3 +435,32 @@
     }
     drop(taken);
 }
+
+/// A host that follows one of an earlier build learns of targets without their versions.
+#[tokio::test]
+async fn version_that_a_host_lacks_is_learned_from_a_peer() {
+    let harness = Harness::new(&[]);
+    harness.store.put_target("t1", "up#unknown");
+    let first = harness.start_ready("a1").await;
+    harness.store.edit_values(Topic::Targets, |value| {
+        let text = String::from_utf8_lossy(value).replace("#unknown", "#v1");
+        *value = text.into_bytes();
+    });
+    let _second = harness.start_ready("a2").await;
+    let mut number = 0;
+    // A stream is resumed only if its version is known.
+    loop {
+        number += 1;
+        let id = format!("r{number}");
+        harness
+            .targets
+            .script_request(&id, &[Action::BreakAfter(2)]);
+        let _ = first.send(harness::NON_RETRIED, &id).await;
+        let resumed = first.resume(RESUMABLE, &format!("n{number}"), &id, 1).await;
+        if resumed.is_ok() {
+            break;
+        }
+        assert!(number < 100, "{resumed:?}");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
--- a/crates/proto/src/records.rs
+++ b/crates/proto/src/records.rs
@@ -164,6 +164,15 @@
     }
 }
 
+/// A start of a target, of which the version is requested.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetStart {
+    /// The target.
+    pub id: String,
+    /// Its start time, if known.
+    pub born_unix_ms: Option<u64>,
+}
+
 /// Encodes a response, followed by the versions of its targets.
 ///
 /// # Panics
--- a/crates/routing/src/discovery.rs
+++ b/crates/routing/src/discovery.rs
@@ -55,6 +55,7 @@
 pub use self::record::Record;
 use crate::balancer::Spec;
 use crate::balancer::TargetId;
+use crate::balancer::TargetVersion;
 
 /// Number of changes retained by a view. A host that is further behind is sent all entries.
 const CHANGES_RETAINED: usize = 4_096;
@@ -282,6 +283,19 @@
         self.apply_all(source, end, records, decode)
     }
 
+    /// Sets the version of a target whose entry came from a host that knows no versions, unless
+    /// the target has started again since. Returns the offset of the entry and the target if that
+    /// changes it.
+    pub fn set_version(
+        &mut self,
+        id: &str,
+        started_unix_ms: Option<u64>,
+        version: TargetVersion,
+    ) -> Option<(u64, &Spec)> {
+        let entry = self.known.set_version(id, started_unix_ms, version)?;
+        Some((entry.offset, &entry.spec))
+    }
+
     /// Returns whether any entry is missing that may only have expired.
     pub fn has_missing_entries(&self) -> bool {
         !self.missing.is_empty()
--- a/crates/routing/src/discovery/entries.rs
+++ b/crates/routing/src/discovery/entries.rs
@@ -11,6 +11,7 @@
 use super::TargetEntry;
 use crate::balancer::Spec;
 use crate::balancer::TargetId;
+use crate::balancer::TargetVersion;
 
 /// The newest entries by target.
 #[derive(Clone, Debug, Default)]
@@ -48,6 +49,22 @@
         is_same
     }
 
+    /// Sets the version of a target that is not known, unless the target has started again.
+    /// Returns its entry if that changes it. The checksum does not depend on versions.
+    pub(super) fn set_version(
+        &mut self,
+        id: &str,
+        started_unix_ms: Option<u64>,
+        version: TargetVersion,
+    ) -> Option<&TargetEntry> {
+        let entry = self.entries.get_mut(id)?;
+        if entry.spec.version.is_some() || entry.spec.started_unix_ms != started_unix_ms {
+            return None;
+        }
+        entry.spec.version = Some(version);
+        Some(entry)
+    }
+
     /// Removes an entry.
     pub(super) fn remove(&mut self, id: &str) {
         if let Some(entry) = self.entries.remove(id) {
--- a/crates/routing/tests/discovery.rs
+++ b/crates/routing/tests/discovery.rs
@@ -393,3 +393,38 @@
         }
     }
 }
+
+#[rstest]
+#[case::same_start(Some(7), None, Some("v1"))]
+#[case::started_again(Some(8), None, None)]
+#[case::known_already(Some(7), Some("v0"), Some("v0"))]
+fn version_from_a_peer_is_set_for_the_same_start_only(
+    #[case] started_unix_ms: Option<u64>,
+    #[case] known: Option<&str>,
+    #[case] expected: Option<&str>,
+) {
+    let now = Instant::now();
+    let mut view = TargetView::new(Timeouts::default());
+    let decode = |_: &u8| {
+        Ok::<_, ()>(Spec {
+            started_unix_ms: Some(7),
+            version: known.map(str::to_owned),
+            ..Spec::default()
+        })
+    };
+    let entry = Record {
+        id: "t1".to_owned(),
+        offset: 3,
+        value: Some(1),
+    };
+    let read = ReadInfo::at_end(now, now);
+    view.apply_listing(&read, &Evidence::default(), 4, vec![entry], decode);
+    let checksum = view.checksum();
+    let is_changed = view
+        .set_version("t1", started_unix_ms, "v1".into())
+        .is_some();
+    assert_eq!(is_changed, known.is_none() && expected.is_some());
+    let (_, offset, spec) = view.entries().next().unwrap();
+    assert_eq!((offset, spec.version.as_deref()), (3, expected));
+    assert_eq!(view.checksum(), checksum);
+}
