--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -363,8 +363,7 @@
     let mut item = backlog.pop()?;
     item.waiting_since = None;
     if starts_over {
-        ctx.metrics
-            .count(Counted::Items, "started over, no target of its version");
+        ctx.metrics.count(Counted::Items, "started over");
         item.start_over();
     }
     // A blocked item does not fail: its caller expects a result until the job may be
