Ignore leases of limits that were requested before a restart

What callers could see: a workspace beyond its rate limit after a host has restarted.

Cause: until a host has requested its first leases, any timestamp up to the present one counted as current. A lease that was requested before a restart, and arrives just after it, may have a timestamp below the new random base. The difference wraps around in a release build, and the lease is then held for ever; a debug build panics.

The first valid timestamp is now the base. Leases between it and the present have a duration of zero until the host requests some.

Evidence: `host_that_restarted_ignores_a_lease_that_it_requested_before` panicked in a debug build and reported a held lease in a release build; it passes.

--- a/crates/quota/src/limiter.rs
+++ b/crates/quota/src/limiter.rs
@@ -125,7 +125,7 @@
             stamp_base_ms: stamp_base.into(),
             requested_at: None,
             held_asked_at: None,
-            lease_duration: (Duration::ZERO, 0),
+            lease_duration: (Duration::ZERO, stamp_base.into()),
             pending: HashMap::new(),
             next_number: 0,
             admitted: HashMap::new(),
--- a/crates/quota/tests/limits.rs
+++ b/crates/quota/tests/limits.rs
@@ -314,3 +314,18 @@
     assert_eq!(fleet.excess(limit(before.max(after)), 0), None);
     assert_eq!(fleet.excess(limit(after), WARM_UP + 13 * SECOND), None);
 }
+
+/// A lease from before a restart would be held for ever.
+#[test]
+fn host_that_restarted_ignores_a_lease_that_it_requested_before() {
+    let now = Instant::now();
+    let mut limiter = Limiter::new(1, 1_000, now);
+    let late = Message::Lent {
+        slot: 0,
+        stamp_ms: 400,
+        hosts: 2,
+    };
+    assert_eq!(limiter.receive(2, &late, now), Action::None);
+    let held = limiter.receive(2, &Message::AskHeld, now);
+    assert_eq!(held, Action::Reply(Message::Held { slots: 0 }));
+}
