--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -31,8 +31,8 @@
 
 /// Maximum number of streams of which a host keeps the origin; about 6 MB.
 const ORIGINS_MAX: usize = 32_768;
-/// Time beyond its caller's deadline for which an origin is kept: the attempts of a caller are
-/// counted from its first one, whose deadline a host may see late.
+/// Time beyond its caller's deadline for which an origin is kept, as the deadline of an attempt
+/// may be shorter than the time for which its caller waits.
 const KEEP_AFTER_DEADLINE: Duration = Duration::from_secs(5);
 /// Maximum time for which an origin is kept.
 const KEEP_MAX: Duration = Duration::from_secs(600);
@@ -133,8 +133,8 @@
             reason: "the resumed stream is not named by one request id",
         }),
         Resumption::Unnamed { .. } => {
-            let targets_known = &ctx.startup;
-            targets_known
+            let startup = &ctx.startup;
+            startup
                 .wait_ready_until(Dependency::Targets, deadline)
                 .await;
             only_version(ctx, service)
