Let the tests check ports without listening on them

Cause: `free_addr` checked a port by listening on it. While another thread starts a process, the child holds a copy of the socket until it executes its program, and the copy keeps listening after the check has closed its own. The soak's tests run in parallel and start processes all the time.

The check now binds a socket without listening. Copies of such sockets do not conflict with a listener that reuses addresses, and a port on which another process listens still fails the check.

Ruled out: a port given out twice, as assigned ports are remembered, and ephemeral ports, which start at 32768.

--- a/crates/gateway/tests/harness/ports.rs
+++ b/crates/gateway/tests/harness/ports.rs
@@ -5,6 +5,8 @@
 use std::net::SocketAddr;
 use std::sync::Mutex;
 
+use tokio::net::TcpSocket;
+
 /// Ports below the ephemeral range, so that no outgoing connection takes a port between its
 /// selection and its use.
 const PORTS: std::ops::Range<u16> = 10_000..32_000;
@@ -22,9 +24,17 @@
             continue;
         }
         let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
-        let is_free = std::net::TcpListener::bind(addr).is_ok();
-        if is_free && std::net::UdpSocket::bind(addr).is_ok() {
+        if is_free_for_tcp(addr) && std::net::UdpSocket::bind(addr).is_ok() {
             return addr;
         }
     }
 }
+
+/// Returns whether a listener can be bound to an address. The check does not listen itself: a
+/// process that is being started holds a copy of the socket until it executes its program, and
+/// a copy that listens keeps the address in use.
+fn is_free_for_tcp(addr: SocketAddr) -> bool {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_reuseaddr(true).unwrap();
+    socket.bind(addr).is_ok()
+}
