--- a/crates/gateway/src/backlog.rs
+++ b/crates/gateway/src/backlog.rs
@@ -23,6 +23,7 @@
 use notchwharf_routing::items::peer_queues::QueuedItems;
 use notchwharf_routing::items::queue::Deadline;
 use notchwharf_routing::items::queue::Queue;
+use notchwharf_routing::prompt::PartId;
 
 use crate::fingerprint;
 use crate::ports::Decode;
@@ -76,6 +77,8 @@
     pub(crate) loaded_at: Instant,
     /// The hash of its content, computed on first use.
     pub(crate) fingerprint: OnceLock<Fingerprint>,
+    /// The shared parts of its prompt, read on first use.
+    pub(crate) parts: OnceLock<Vec<PartId>>,
 }
 
 impl Item {
@@ -85,6 +88,12 @@
         *self.fingerprint.get_or_init(compute)
     }
 
+    /// Returns the shared parts of its prompt.
+    pub(crate) fn parts(&self, decode: &Decode) -> &[PartId] {
+        self.parts
+            .get_or_init(|| (decode.parts)(&self.request.headers))
+    }
+
     /// Returns the time at which it is due.
     pub(crate) fn due_unix_ms(&self) -> u64 {
         self.submitted_unix_ms
--- a/crates/gateway/src/items/load.rs
+++ b/crates/gateway/src/items/load.rs
@@ -127,6 +127,7 @@
             due_after,
             loaded_at: Instant::now(),
             fingerprint: OnceLock::new(),
+            parts: OnceLock::new(),
         }
     });
     items.collect()
--- a/crates/gateway/src/items/run.rs
+++ b/crates/gateway/src/items/run.rs
@@ -149,6 +149,7 @@
     };
     let run = quarantine::BrokenRun {
         fingerprint: item.fingerprint(&ctx.decode),
+        parts: item.parts(&ctx.decode).to_vec(),
         id: item.request.id.clone(),
         target,
         addr,
--- a/crates/gateway/src/online/dispatch.rs
+++ b/crates/gateway/src/online/dispatch.rs
@@ -16,6 +16,7 @@
 use notchwharf_routing::balancer::TargetId;
 use notchwharf_routing::balancer::TargetVersion;
 use notchwharf_routing::fingerprint::Fingerprint;
+use notchwharf_routing::prompt::PartId;
 use notchwharf_startup::Dependency;
 
 use super::DEFAULT_DEADLINE;
@@ -72,6 +73,8 @@
     pub(super) runs: u32,
     /// The fingerprint of its content, computed on first use.
     pub(super) fingerprint: Option<Fingerprint>,
+    /// The shared parts of its prompt, read on first use.
+    parts: Option<Arc<[PartId]>>,
     pub(super) trace: Trace,
     /// The permit from its workspace's limit; refunded if the request never runs.
     permit: Option<Permit>,
@@ -131,6 +134,7 @@
             allowed_versions: AllowedVersions::default(),
             runs: 0,
             fingerprint: None,
+            parts: None,
             scheduling: None,
         }
     }
@@ -240,6 +244,15 @@
             .get_or_insert_with(|| fingerprint::of(&ctx.decode, host, request))
     }
 
+    /// Returns the shared parts of the request's prompt.
+    pub(super) fn parts(&mut self) -> Arc<[PartId]> {
+        let (ctx, request) = (&self.ctx, &self.request);
+        let parts = self
+            .parts
+            .get_or_insert_with(|| (ctx.decode.parts)(&request.headers).into());
+        Arc::clone(parts)
+    }
+
     /// Returns the number of crashes that are attributed to the request.
     fn crash_count(&mut self) -> u32 {
         let gate = Arc::clone(&self.ctx.suspects.gate);
@@ -287,6 +300,7 @@
     ) {
         let run = quarantine::BrokenRun {
             fingerprint: self.fingerprint(),
+            parts: self.parts().to_vec(),
             id: self.request.id.clone(),
             target: target.clone(),
             addr,
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -22,6 +22,7 @@
 use notchwharf_routing::balancer::Spec;
 use notchwharf_routing::balancer::TargetId;
 use notchwharf_routing::items::estimate::Size;
+use notchwharf_routing::prompt::PartId;
 
 use crate::RequestId;
 
@@ -290,6 +291,10 @@
 /// identified.
 pub type DecodeCaller = fn(headers: &HeaderMap) -> &[u8];
 
+/// Reads the parts of a request's prompt that other requests may share, in order; empty if the
+/// request names none.
+pub type DecodeParts = fn(headers: &HeaderMap) -> Vec<PartId>;
+
 /// Reads the API key from a request's headers.
 pub type DecodeKey = fn(headers: &HeaderMap) -> Result<&str, KeyError>;
 
@@ -310,6 +315,8 @@
     pub size: DecodeSize,
     /// Reads the identity of the caller if no workspaces are configured.
     pub caller: DecodeCaller,
+    /// Reads the shared parts of a request's prompt.
+    pub parts: DecodeParts,
     /// Reads the API key of a request.
     pub key: DecodeKey,
     /// Sets the workspace in the headers of a request to a target.
--- a/crates/gateway/src/quarantine/probe.rs
+++ b/crates/gateway/src/quarantine/probe.rs
@@ -9,6 +9,8 @@
 
 use notchwharf_routing::balancer::TargetId;
 use notchwharf_routing::fingerprint::Fingerprint;
+use notchwharf_routing::prompt;
+use notchwharf_routing::prompt::PartId;
 use notchwharf_routing::quarantine::Change;
 use notchwharf_routing::quarantine::Crash;
 use notchwharf_routing::quarantine::IncarnationId;
@@ -35,6 +37,8 @@
 pub(crate) struct BrokenRun {
     /// The fingerprint of the request or item.
     pub(crate) fingerprint: Fingerprint,
+    /// The shared parts of its prompt.
+    pub(crate) parts: Vec<PartId>,
     /// The id of the attempt.
     pub(crate) id: RequestId,
     /// The target it ran at.
@@ -128,7 +132,7 @@
     slog::info!(ctx.logger, "target crashed under a request"; "id" => pending.run.id.as_str(),
         "target" => pending.run.target.as_str(), "ran_ms" => millis(run_time),
         "crashes" => ctx.suspects.gate.crash_count(fingerprint),
-        "fingerprint" => fingerprint::to_hex(fingerprint));
+        "fingerprint" => fingerprint::to_hex(fingerprint), "parts" => prompt::join(&pending.run.parts));
     if let Change::Blamed { crashes } = change {
         log_blamed(ctx, fingerprint, crashes, ctx.host());
         records::save(ctx, fingerprint);
--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -51,6 +51,8 @@
 use notchwharf_ledger::jobs::ItemSpec;
 use notchwharf_routing::balancer::Spec;
 use notchwharf_routing::items::estimate::Size;
+use notchwharf_routing::prompt::PartId;
+use notchwharf_routing::prompt::part_id;
 
 pub use self::ports::free_addr;
 use self::store::ScriptedStore;
@@ -64,6 +66,8 @@
 pub const KEY_HEADER: &str = "x-key";
 /// The header that carries the workspace to targets.
 pub const WORKSPACE_HEADER: &str = "x-workspace";
+/// The header that lists the parts of a prompt; the last one is the request's own.
+pub const PARTS_HEADER: &str = "x-parts";
 /// Path prefix of the route of resumable streams.
 pub const RESUMABLE: &str = "/resumable/";
 /// Path prefix of the route of streams that cannot be resumed.
@@ -154,6 +158,7 @@
                 target: decode_target,
                 size: |_| Size::default(),
                 caller: |_| b"",
+                parts: shared_parts,
                 key: parse_key,
                 set_workspace,
             },
@@ -369,6 +374,13 @@
     access::parse_key("Key", values.map(hyper::header::HeaderValue::as_bytes))
 }
 
+fn shared_parts(headers: &HeaderMap) -> Vec<PartId> {
+    let prompt = headers.get(PARTS_HEADER).and_then(|v| v.to_str().ok());
+    let shared = prompt.and_then(|prompt| prompt.rsplit_once(','));
+    let names = shared.map_or("", |(shared, _)| shared).split(',');
+    names.filter(|n| !n.is_empty()).map(part_id).collect()
+}
+
 fn set_workspace(headers: &mut HeaderMap, workspace: Option<&str>) {
     headers.remove(KEY_HEADER);
     headers.remove(WORKSPACE_HEADER);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -7,8 +7,8 @@
 //! Where hosts share all targets and exchange their load, [`balancer`] replaces [`table`] and
 //! [`slots`], and [`items`] schedules batch items. [`cells`] divides a large fleet, [`dissemination`]
 //! decides which host reports to which, and [`discovery`] tracks which targets exist.
-//! [`fingerprint`] identifies a request by its content, and [`quarantine`] withholds requests under
-//! which targets crash.
+//! [`fingerprint`] identifies a request by its content, [`prompt`] the parts of a prompt that requests
+//! share, and [`quarantine`] withholds requests under which targets crash.
 //!
 //! All modules take the current time as an argument and do no I/O.
 
@@ -21,6 +21,7 @@
 pub mod fingerprint;
 pub mod items;
 pub mod limit;
+pub mod prompt;
 pub mod quarantine;
 pub mod slots;
 pub mod table;
