Add failing tests of requests that share a part of their prompt

What users saw: requests with one part in their prompts, no two alike, were sent to 36 more targets after five had crashed under them. The tests send such requests to three hosts in turn, and hand in a job with such items; the bound is the users' five crashes and three more. Requests that share the first part only must be served.

--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -21,6 +21,7 @@
 use harness::wait_until;
 use notchwharf_config::gateway::Settings;
 use notchwharf_gateway::error::Failure;
+use notchwharf_gateway::jobs;
 use notchwharf_gateway::metrics::Counted;
 use notchwharf_gateway::ports::NoReply;
 use notchwharf_gateway::ports::Topic;
@@ -32,6 +33,11 @@
 const CRASHES_BEFORE_REPORT: u32 = 3;
 /// How often the request is sent.
 const ATTEMPTS: u32 = 14;
+/// Crashes after which requests with a part are to reach no target, and further ones until all
+/// hosts know, as the users' rule counts them.
+const PART_CRASHES_MAX: u32 = 5 + 3;
+/// How many requests with the part are sent.
+const PART_ATTEMPTS: u32 = 24;
 /// Duration of a run that shows that its target survives it.
 const LONG_RUN: Duration = Duration::from_millis(1_200);
 /// A body that crashes targets.
@@ -94,6 +100,55 @@
     );
 }
 
+#[rstest]
+#[case::streams_that_run_once(NON_RESUMABLE)]
+#[case::resumable_streams(RESUMABLE)]
+#[tokio::test]
+async fn requests_sharing_a_prompt_part_crash_target_after_target(#[case] path: &str) {
+    let harness = Harness::new(&["t1", "t2", "t3", "t4", "t5", "t6"]);
+    harness.targets.crash_on_part("bad");
+    let hosts = hosts(&harness, &["a1", "b1", "c1"]).await;
+    for (number, host) in (0..PART_ATTEMPTS).zip(hosts.iter().cycle()) {
+        let parts = format!("shared,bad,own{number}");
+        // The outcome doesn't matter here.
+        let _ = host
+            .send_with_parts(path, &format!("b{number}"), &parts)
+            .await;
+        harness.targets.restart_all();
+        let parts = format!("shared,sound{},own{number}", number % 4);
+        let id = format!("s{number}");
+        let served = host.send_with_parts(path, &id, &parts).await.unwrap();
+        assert!(served.body.is_some(), "{id} shares only the first part");
+    }
+    let crashes = harness.targets.crash_count();
+    assert!(crashes <= PART_CRASHES_MAX, "{crashes} targets crashed");
+}
+
+#[tokio::test]
+async fn items_sharing_a_prompt_part_crash_target_after_target() {
+    let harness = Harness::new(&["t1", "t2", "t3", "t4", "t5", "t6"]);
+    harness.targets.crash_on_part("bad");
+    let host = harness.start_ready("a1").await;
+    let mut submission = harness::submission("j1", 20, 1);
+    for (number, (_, item)) in submission.items.iter_mut().enumerate() {
+        let part = if number < 10 { "bad" } else { "sound" };
+        let parts = format!("shared,{part},own{number}");
+        item.headers.push((harness::PARTS_HEADER.into(), parts));
+    }
+    jobs::submit(host.ctx(), submission).await.unwrap();
+    let started = Instant::now();
+    wait_until("the items may be abandoned", || {
+        harness.targets.restart_all();
+        started.elapsed() > harness::ABANDON_AFTER
+    })
+    .await;
+    let crashes = harness.targets.crash_count();
+    assert!(crashes <= PART_CRASHES_MAX, "{crashes} targets crashed");
+    let results = host.results("j1", 20).await;
+    let completed = results.iter().filter(|result| result.text.is_some());
+    assert_eq!(completed.count(), 10, "{results:?}");
+}
+
 /// Lets a request crash as many targets as are needed to blame it.
 async fn blame(harness: &Harness, host: &RunningHost) {
     for attempt in 0..CRASHES_BEFORE_BLAME {
--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -261,6 +261,21 @@
         self.send_request(req).await
     }
 
+    /// Sends a request with a prompt of the given parts and returns the response. Its body is
+    /// its id.
+    pub async fn send_with_parts(
+        &self,
+        path: &str,
+        id: &str,
+        parts: &str,
+    ) -> Result<Response, Failure> {
+        let mut req = request(path, id);
+        req.forwarded.body = Bytes::from(id.to_owned());
+        let parts = parts.parse().unwrap();
+        req.forwarded.headers.insert(PARTS_HEADER, parts);
+        self.send_request(req).await
+    }
+
     pub async fn submit(&self, job: &str, items: u32, tokens: u32) -> Result<(), JobError> {
         jobs::submit(self.ctx(), submission(job, items, tokens)).await
     }
--- a/crates/gateway/tests/harness/targets.rs
+++ b/crates/gateway/tests/harness/targets.rs
@@ -24,6 +24,8 @@
 use notchwharf_gateway::ports::Reply;
 use notchwharf_gateway::ports::Targets;
 
+use super::PARTS_HEADER;
+
 /// Number of events in a complete response.
 pub const EVENTS: u64 = 6;
 
@@ -67,6 +69,8 @@
     is_held: bool,
     /// Bodies of requests that crash a target once its response has started.
     crashing_bodies: HashSet<Bytes>,
+    /// Parts of prompts that do the same.
+    crashing_parts: HashSet<String>,
     /// Targets that crashed and have not been restarted.
     down: HashSet<String>,
     /// Number of crashes by target.
@@ -129,6 +133,20 @@
         self.state.lock().unwrap().crashing_bodies.insert(body);
     }
 
+    /// Makes requests with a part in their prompts crash the targets that run them.
+    pub fn crash_on_part(&self, part: &str) {
+        let mut state = self.state.lock().unwrap();
+        state.crashing_parts.insert(part.to_owned());
+    }
+
+    fn is_crashing(&self, call: &Call) -> bool {
+        let state = self.state.lock().unwrap();
+        let prompt = call.request.headers.get(PARTS_HEADER);
+        let prompt = prompt.map_or("", |value| value.to_str().unwrap());
+        state.crashing_bodies.contains(&call.request.body)
+            || prompt.split(',').any(|p| state.crashing_parts.contains(p))
+    }
+
     /// Crashes a target: its responses are interrupted and it refuses connections.
     pub fn crash(&self, target: &str) {
         let mut state = self.state.lock().unwrap();
@@ -234,12 +252,7 @@
             Action::Status(status) => Ok(reply(status, true, Full::new(Bytes::new()))),
             Action::Unsigned => Ok(reply(200, false, Full::new(Bytes::from("data: x\n\n")))),
             _ => {
-                let is_crashing = self
-                    .state
-                    .lock()
-                    .unwrap()
-                    .crashing_bodies
-                    .contains(&call.request.body);
+                let is_crashing = self.is_crashing(&call);
                 let action = if is_crashing { Action::Crash } else { action };
                 Ok(self.stream(&call, action, active))
             }
