Save a blame at three hosts that learn of it

The host that blamed it had no store and was killed; then all hosts restarted, and none had saved the blame.

Cause: beside the host that blames, one host saved what it learned, the first choice by rendezvous. If that one does not get its append through, or is restarted while it retries, nobody else saves the blame although all know it.

Evidence: `blames_known_to_one_host_with_a_store_survive_a_restart_of_ all_hosts` has two hosts whose appends are refused; it timed out before (20 s, of five blames not all saved) and passes.

Now the three first choices save it, and a blame that was loaded from the store is not saved again. Saving at all hosts was rejected: one append for each host and blame. If all three have no store, a restart of all hosts still loses it.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -338,10 +338,15 @@
 
     /// Returns whether this host is the one of its cell that should take over a job.
     pub(crate) fn is_successor(&self, own: &str, job: &str) -> bool {
+        self.is_among_successors(own, job, 1)
+    }
+
+    /// Returns whether this host is one of several of its cell that share a task redundantly.
+    pub(crate) fn is_among_successors(&self, own: &str, task: &str, count: usize) -> bool {
         let item_hosts = self.item_hosts();
         let mut hosts: Vec<&str> = item_hosts.iter().map(String::as_str).collect();
         hosts.push(own);
-        rendezvous::top_ranked(job, &hosts, 1) == [own]
+        rendezvous::top_ranked(task, &hosts, count).contains(&own)
     }
 }
 
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -41,6 +41,10 @@
 use crate::peers::suspects;
 use crate::time::millis;
 
+/// Number of hosts that save a blame beside the one that detected the last crash. A host that
+/// does not reach the store keeps trying, and the record is lost if it is restarted meanwhile.
+const SAVERS: usize = 3;
+
 /// The requests under which targets crashed, as known to this host.
 #[derive(Debug)]
 pub(crate) struct Suspects {
@@ -118,13 +122,19 @@
         return;
     };
     log_blamed(ctx, report.fingerprint, crashes, host);
-    // The host that detected the last crash may have failed since.
     let task = fingerprint::to_hex(report.fingerprint);
-    if peers::is_assigned_to_own_cell(ctx, &task) && ctx.peers.is_successor(ctx.host(), &task) {
+    if host != records::STORE_REPORTER && is_saver(ctx, &task) {
         records::save(ctx, report.fingerprint);
     }
 }
 
+/// Returns whether this host saves a blame that it learned of. The host that detected the last
+/// crash may have failed since, and so may any other.
+fn is_saver(ctx: &Context, task: &str) -> bool {
+    peers::is_assigned_to_own_cell(ctx, task)
+        && ctx.peers.is_among_successors(ctx.host(), task, SAVERS)
+}
+
 /// Logs the evidence on which a request is blamed.
 fn log_blamed(ctx: &Context, fingerprint: Fingerprint, crashes: u32, by: &str) {
     let report = ctx.suspects.gate.report(fingerprint);
--- a/crates/gateway/src/quarantine/records.rs
+++ b/crates/gateway/src/quarantine/records.rs
@@ -33,7 +33,7 @@
 const MIN_CRASHES_SAVED: u32 = 3;
 
 /// Reporter of loaded records, in place of the host that wrote them.
-const STORE_REPORTER: &str = "store";
+pub(super) const STORE_REPORTER: &str = "store";
 
 /// Age of a record's newest crash from which it is deleted. By then hosts have evicted it,
 /// except for requests that were blamed repeatedly.
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -255,6 +255,45 @@
     assert!(is_crashing(&result), "{result:?}");
 }
 
+#[tokio::test]
+async fn blames_known_to_one_host_with_a_store_survive_a_restart_of_all_hosts() {
+    let harness = Harness::new(&["t1", "t2", "t3", "t4", "t5", "t6"]);
+    let connections = [harness.store.connection(), harness.store.connection()];
+    let mut hosts = Vec::new();
+    for (name, connection) in ["a1", "b1"].into_iter().zip(&connections) {
+        let host = harness.start_with_store(name, connection.clone(), |_| {});
+        hosts.push(host.await);
+    }
+    hosts.push(harness.start_ready("c1").await);
+    for host in &hosts {
+        host.wait_ready().await;
+        wait_until("hosts know each other", || host.ctx().peers_alive() == 2).await;
+    }
+    for connection in &connections {
+        connection.refuse_appends(Topic::Blamed);
+    }
+    // Enough that each host is the first choice for one of them.
+    let bodies = ["deadly 1", "deadly 2", "deadly 3", "deadly 4", "deadly 5"];
+    for body in bodies {
+        harness.targets.crash_on_body(body);
+        for attempt in 0..CRASHES_BEFORE_BLAME {
+            let id = format!("{body} {attempt}");
+            let _ = hosts[0].send_with_body(NON_RESUMABLE, &id, body).await;
+            harness.targets.restart_all();
+        }
+    }
+    wait_until("all blames are saved", || {
+        harness.store.key_count(Topic::Blamed) == bodies.len()
+    })
+    .await;
+    hosts.into_iter().for_each(RunningHost::kill);
+    let restarted = harness.start_ready("b1").await;
+    for body in bodies {
+        let result = restarted.send_with_body(NON_RESUMABLE, "again", body).await;
+        assert!(is_crashing(&result), "{result:?}");
+    }
+}
+
 /// Connection resets and lost or invalid responses look like a crash, but the target still
 /// listens.
 #[rstest]
--- a/crates/gateway/tests/harness/store.rs
+++ b/crates/gateway/tests/harness/store.rs
@@ -81,6 +81,8 @@
     is_closed: Arc<Mutex<bool>>,
     /// A topic whose listings over this connection are refused.
     refused_listing: Arc<Mutex<Option<Topic>>>,
+    /// A topic to which appends over this connection are refused.
+    refused_append: Arc<Mutex<Option<Topic>>>,
     /// A topic whose next listing over this connection times out, and after which delay.
     timed_out_listing: Arc<Mutex<Option<(Topic, Duration)>>>,
 }
@@ -92,6 +94,7 @@
             state: Arc::clone(&self.state),
             is_closed: Arc::default(),
             refused_listing: Arc::default(),
+            refused_append: Arc::default(),
             timed_out_listing: Arc::default(),
         }
     }
@@ -101,6 +104,11 @@
         *self.timed_out_listing.lock().unwrap() = Some((topic, delay));
     }
 
+    /// Refuses all appends to a topic over this connection.
+    pub fn refuse_appends(&self, topic: Topic) {
+        *self.refused_append.lock().unwrap() = Some(topic);
+    }
+
     /// Refuses all listings of a topic over this connection.
     pub fn refuse_listings(&self, topic: Topic) {
         *self.refused_listing.lock().unwrap() = Some(topic);
@@ -249,6 +257,9 @@
         entries: Vec<Entry>,
     ) -> Result<u64, StoreError> {
         self.check_open()?;
+        if *self.refused_append.lock().unwrap() == Some(topic) {
+            return Err(StoreError::Refused("scripted"));
+        }
         let outcome = {
             let mut state = self.state.lock().unwrap();
             let outcomes = state.append_outcomes.entry(topic).or_default();
