--- a/crates/gateway/src/items/run.rs
+++ b/crates/gateway/src/items/run.rs
@@ -79,8 +79,9 @@
         run: number,
         cancelled,
     } = handle;
+    let mut headers_at = None;
     let outcome = tokio::select! {
-        outcome = exchange(&ctx, &mut item, &destination) => outcome,
+        outcome = exchange(&ctx, &mut item, &destination, &mut headers_at) => outcome,
         _ = cancelled => RunOutcome::Cancelled,
     };
     let Destination { target, origin } = destination;
@@ -111,6 +112,7 @@
                 .kind_mut(&item.route)
                 .record_completion(item.size, item.event_count());
             quarantine::record_success(&ctx, || item.fingerprint(&ctx.decode));
+            quarantine::record_parts_success(&ctx, || item.parts(&ctx.decode).into());
             completion::stop_tracking(&ctx, &item);
             drop(in_progress);
             completion::complete(Arc::clone(&ctx), item).await;
@@ -132,7 +134,9 @@
             lock(&ctx.items.backlog).requeue(item);
         }
         RunOutcome::Interrupted(_) => {
-            check_crash(&ctx, &item, target, took).await;
+            let run_time = headers_at.map_or(took, |at| at.elapsed());
+            let sent_at = headers_at.map(|_| started);
+            check_crash(&ctx, &item, target, run_time, sent_at).await;
             requeue_after_delay(&ctx, item).await;
         }
         RunOutcome::NotRun(_) | RunOutcome::Unusable(_) => requeue_after_delay(&ctx, item).await,
@@ -142,8 +146,15 @@
     ctx.items.wake();
 }
 
-/// Checks whether a target crashed while it ran an item.
-async fn check_crash(ctx: &Arc<Context>, item: &Item, target: TargetId, run_time: Duration) {
+/// Checks whether a target crashed while it ran an item. `sent_at` is when the item was sent, if
+/// the target had started to respond.
+async fn check_crash(
+    ctx: &Arc<Context>,
+    item: &Item,
+    target: TargetId,
+    run_time: Duration,
+    sent_at: Option<Instant>,
+) {
     let Some(addr) = lock(&ctx.balancer).spec(&target).map(|spec| spec.addr) else {
         return;
     };
@@ -154,7 +165,7 @@
         target,
         addr,
         run_time,
-        sent_at: None,
+        sent_at,
     };
     quarantine::check_crash(ctx, run).await;
 }
@@ -191,8 +202,14 @@
     }
 }
 
-/// Sends an item to a target and reads the response.
-async fn exchange(ctx: &Context, item: &mut Item, destination: &Destination) -> RunOutcome {
+/// Sends an item to a target and reads the response. Sets `headers_at` when the target starts to
+/// respond.
+async fn exchange(
+    ctx: &Context,
+    item: &mut Item,
+    destination: &Destination,
+    headers_at: &mut Option<Instant>,
+) -> RunOutcome {
     let target = &destination.target;
     let Some(addr) = lock(&ctx.balancer).spec(target).map(|spec| spec.addr) else {
         return RunOutcome::NotRun(NoReply::NotSent("target gone"));
@@ -213,6 +230,7 @@
         Ok(Err(err)) => return RunOutcome::NotRun(err),
         Ok(Ok(reply)) => reply,
     };
+    *headers_at = Some(Instant::now());
     match reply.status {
         StatusCode::UNPROCESSABLE_ENTITY => RunOutcome::Impossible,
         StatusCode::INTERNAL_SERVER_ERROR => RunOutcome::Failed,
--- a/crates/gateway/src/online/body.rs
+++ b/crates/gateway/src/online/body.rs
@@ -272,6 +272,7 @@
             if status.is_success() {
                 let ctx = Arc::clone(&self.dispatch.ctx);
                 quarantine::record_success(&ctx, || self.dispatch.fingerprint());
+                quarantine::record_parts_success(&ctx, || self.dispatch.parts());
             }
             let mut balancer = lock(&self.dispatch.ctx.balancer);
             if status.is_server_error() {
--- a/crates/gateway/src/online/dispatch.rs
+++ b/crates/gateway/src/online/dispatch.rs
@@ -180,10 +180,11 @@
             .await;
         loop {
             let run_guard = self.admit().await?;
-            let crashes = self.crash_count();
+            let crashes = self.crash_counts();
             let (choice, running) = self.reserve_slot(offers).await?;
-            if self.crash_count() > crashes {
-                // While it waited for a slot, requests with the same content crashed targets.
+            if self.crash_counts() != crashes {
+                // While it waited for a slot, others with its content or a part of its prompt
+                // crashed targets.
                 continue;
             }
             self.preempt(&choice);
@@ -253,13 +254,19 @@
         Arc::clone(parts)
     }
 
-    /// Returns the number of crashes that are attributed to the request.
-    fn crash_count(&mut self) -> u32 {
+    /// Returns the number of crashes that are attributed to the request, and to blamed parts of
+    /// its prompt.
+    fn crash_counts(&mut self) -> (u32, u32) {
         let gate = Arc::clone(&self.ctx.suspects.gate);
-        if gate.is_empty() {
-            return 0;
-        }
-        gate.crash_count(self.fingerprint())
+        let of_request = match gate.is_empty() {
+            true => 0,
+            false => gate.crash_count(self.fingerprint()),
+        };
+        let of_parts = match gate.has_parts() {
+            true => gate.blamed_crash_count(&self.parts()),
+            false => 0,
+        };
+        (of_request, of_parts)
     }
 
     /// Waits until the quarantine lets the request run. It is checked before each offer,
@@ -271,12 +278,22 @@
         // After this timeout there is no time left for an offer either.
         let _ = tokio::time::timeout_at(admit_deadline.into(), suspects_known).await;
         let gate = Arc::clone(&self.ctx.suspects.gate);
+        if gate.has_parts() {
+            let parts = self.parts();
+            let admitted = gate.admit_parts(&parts, admit_deadline).await;
+            admitted.map_err(|blocked| self.blocked_failure(blocked))?;
+        }
         if gate.is_empty() {
             return Ok(None);
         }
         let fingerprint = self.fingerprint();
-        let admitted = gate.admit(fingerprint, admit_deadline);
-        admitted.await.map_err(|blocked| match blocked {
+        let admitted = gate.admit(fingerprint, admit_deadline).await;
+        admitted.map_err(|blocked| self.blocked_failure(blocked))
+    }
+
+    /// Returns the failure for a request that the quarantine blocks.
+    fn blocked_failure(&self, blocked: Blocked) -> Failure {
+        match blocked {
             Blocked::Refused {
                 crashes,
                 retry_after,
@@ -286,7 +303,7 @@
             },
             Blocked::Refused { .. } => self.final_failure("targets crash under it"),
             Blocked::Waiting => self.final_failure("others like it run"),
-        })
+        }
     }
 
     /// Checks whether the target crashed under the request. `sent_at` is when the request was
--- a/crates/gateway/src/peers/status.rs
+++ b/crates/gateway/src/peers/status.rs
@@ -182,6 +182,7 @@
         PeerMessage::Limits(message) => limits::handle_message(ctx, addr, &message),
         PeerMessage::Announcement(message) => ctx.distributor.receive(addr, message),
         PeerMessage::TargetsChecksum(message) => ctx.distributor.check(message),
+        PeerMessage::SuspectParts(reports) => suspects::apply_part_reports(ctx, &reports),
         PeerMessage::StreamOrigins(copies) => origins::apply(ctx, copies),
     }
 }
--- a/crates/gateway/src/peers/suspects.rs
+++ b/crates/gateway/src/peers/suspects.rs
@@ -1,4 +1,4 @@
-//! Exchange of reports on requests under which targets crash.
+//! Exchange of reports on requests and parts of prompts under which targets crash.
 //!
 //! Changes are sent immediately to all hosts, also of other cells, since any of them may receive
 //! the next such request. As datagrams get lost, a crash is sent twice. Hosts restart or are
@@ -17,13 +17,17 @@
 use notchwharf_listen::Phase;
 use notchwharf_proto::messages;
 use notchwharf_proto::messages::PeerMessage;
+use notchwharf_proto::messages::Suspect;
+use notchwharf_proto::messages::SuspectPart;
+use notchwharf_quarantine::reports::Batch;
 use notchwharf_quarantine::reports::REPORT_FANOUT;
 use notchwharf_quarantine::reports::REPORT_INTERVAL;
 use notchwharf_quarantine::reports::decode;
+use notchwharf_quarantine::reports::decode_part;
 use notchwharf_quarantine::reports::encode;
+use notchwharf_quarantine::reports::encode_parts;
 use notchwharf_quarantine::reports::send_changes;
 use notchwharf_routing::balancer::HostId;
-use notchwharf_routing::quarantine::Report;
 use notchwharf_startup::Dependency;
 use rand::seq::IteratorRandom as _;
 
@@ -46,20 +50,29 @@
 /// Sends changes to all hosts, until the host stops.
 pub(crate) async fn broadcast_changes(ctx: Arc<Context>) {
     let gate = Arc::clone(&ctx.suspects.gate);
-    send_changes(gate, move |report| send_to_all(&ctx, report)).await;
+    send_changes(gate, move |batch| send_to_all(&ctx, batch)).await;
 }
 
-fn send_to_all(ctx: &Context, report: &Report) {
+fn send_to_all(ctx: &Context, batch: &Batch) {
     let addrs: Vec<SocketAddr> = {
         let known = lock(&ctx.peers.known);
         known.values().map(|peer| peer.addr).collect()
     };
-    send(ctx, std::slice::from_ref(report), &addrs);
+    send(ctx, batch, &addrs);
+}
+
+/// Returns the relevant reports.
+fn periodic_reports(ctx: &Context) -> Batch {
+    let gate = &ctx.suspects.gate;
+    Batch {
+        requests: gate.periodic_reports(),
+        parts: gate.periodic_part_reports(),
+    }
 }
 
 /// Sends the relevant reports to a host that was not alive before.
 pub(super) fn send_to_new_host(ctx: &Context, addr: SocketAddr) {
-    send(ctx, &ctx.suspects.gate.periodic_reports(), &[addr]);
+    send(ctx, &periodic_reports(ctx), &[addr]);
 }
 
 /// Sends the relevant reports periodically to random hosts, until the host stops.
@@ -67,11 +80,14 @@
     let mut ticks = ctx.timer.subscribe(REPORT_INTERVAL);
     while ticks.recv().await.is_some() && ctx.phase() != Phase::Stopped {
         let gate = &ctx.suspects.gate;
-        if gate.is_empty() {
+        if gate.is_empty() && !gate.has_parts() {
             continue;
         }
-        let reports = gate.periodic_reports();
+        let reports = periodic_reports(&ctx);
         ctx.metrics.set("suspects", gate.len());
+        let (suspected, blamed) = gate.part_counts();
+        ctx.metrics.set("suspected_parts", suspected);
+        ctx.metrics.set("blamed_parts", blamed);
         let addrs: Vec<SocketAddr> = {
             let known = lock(&ctx.peers.known);
             let addrs = known.values().map(|peer| peer.addr);
@@ -81,16 +97,21 @@
     }
 }
 
-fn send(ctx: &Context, reports: &[Report], addrs: &[SocketAddr]) {
+fn send(ctx: &Context, reports: &Batch, addrs: &[SocketAddr]) {
+    let host = || ctx.host().to_owned();
+    let requests = encode(&reports.requests).into_iter().map(|suspects| {
+        let host = host();
+        PeerMessage::Suspects(messages::Suspects { host, suspects })
+    });
+    let parts = encode_parts(&reports.parts).into_iter().map(|parts| {
+        let host = host();
+        PeerMessage::SuspectParts(messages::SuspectParts { host, parts })
+    });
     let Some(socket) = ctx.peers.socket.get() else {
         return;
     };
-    for suspects in encode(reports) {
-        let host = ctx.host().to_owned();
-        let bytes = messages::encode(&PeerMessage::Suspects(messages::Suspects {
-            host,
-            suspects,
-        }));
+    for message in requests.chain(parts) {
+        let bytes = messages::encode(&message);
         for addr in addrs {
             // If this is lost, a later report replaces it.
             let _ = socket.try_send_to(&bytes, *addr);
@@ -105,9 +126,12 @@
     if !ctx.startup.is_ready(Dependency::Suspects) {
         return None;
     }
-    let reports = ctx.suspects.gate.periodic_reports();
-    let suspects: Vec<messages::Suspect> = encode(&reports).into_iter().flatten().collect();
-    Some(postcard::to_stdvec(&suspects).expect("Suspects are representable."))
+    let reports = periodic_reports(ctx);
+    let suspects: Vec<Suspect> = encode(&reports.requests).into_iter().flatten().collect();
+    let parts: Vec<SuspectPart> = encode_parts(&reports.parts).into_iter().flatten().collect();
+    // Hosts of earlier versions read the first list and ignore the rest.
+    let bytes = postcard::to_stdvec(&suspects).expect("Suspects are representable.");
+    Some(postcard::to_extend(&parts, bytes).expect("Parts are representable."))
 }
 
 /// Requests reports from peers until those from before this host's start are known, from a peer or
@@ -138,11 +162,14 @@
             .metrics
             .count(Counted::Changes, "suspects not handed over");
     };
-    match postcard::from_bytes::<Vec<messages::Suspect>>(&bytes) {
-        Ok(suspects) => {
+    match decode_snapshot(&bytes) {
+        Ok((suspects, parts)) => {
             for suspect in &suspects {
                 quarantine::merge_report(ctx, host, &decode(suspect));
             }
+            for part in &parts {
+                quarantine::merge_part_report(ctx, host, &decode_part(part));
+            }
             ctx.startup.mark_ready(Dependency::Suspects, host);
         }
         Err(err) => slog::error!(ctx.logger, "invalid response from peer";
@@ -150,6 +177,22 @@
     }
 }
 
+/// Decodes the reports of a running host. One of an earlier version sends none on parts.
+fn decode_snapshot(bytes: &[u8]) -> Result<(Vec<Suspect>, Vec<SuspectPart>), postcard::Error> {
+    let (suspects, rest) = postcard::take_from_bytes(bytes)?;
+    if rest.is_empty() {
+        return Ok((suspects, Vec::new()));
+    }
+    Ok((suspects, postcard::from_bytes(rest)?))
+}
+
+/// Applies reports on parts received from a host.
+pub(super) fn apply_part_reports(ctx: &Arc<Context>, reports: &messages::SuspectParts) {
+    for part in &reports.parts {
+        quarantine::merge_part_report(ctx, &reports.host, &decode_part(part));
+    }
+}
+
 /// Applies reports received from a host.
 pub(super) fn apply_reports(ctx: &Arc<Context>, reports: &messages::Suspects) {
     for suspect in &reports.suspects {
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -7,6 +7,9 @@
 //! suspects. Waiting until another request is refused there was rejected: a target that failed
 //! is not used for 400 ms or more, and callers retry the suspects meanwhile.
 //!
+//! A request passes the gate twice, for the shared parts of its prompt and for its content: the
+//! first recurs where the second does not.
+//!
 //! Fingerprints are computed only while there are suspects, or for an interrupted run. Without
 //! crashes all this costs one check of an empty table.
 //!
@@ -26,8 +29,11 @@
 use notchwharf_quarantine::gate::RunGuard;
 use notchwharf_routing::balancer::HostId;
 use notchwharf_routing::fingerprint::Fingerprint;
+use notchwharf_routing::prompt;
+use notchwharf_routing::prompt::PartId;
 use notchwharf_routing::quarantine::Change;
 use notchwharf_routing::quarantine::Report;
+use notchwharf_routing::quarantine::parts;
 
 pub(crate) use self::probe::BrokenRun;
 use self::probe::Probes;
@@ -76,6 +82,9 @@
 /// Returns why it may not.
 pub(crate) fn try_admit(ctx: &Context, item: &Item) -> Result<Option<RunGuard>, Blocked> {
     let gate = &ctx.suspects.gate;
+    if gate.has_parts() {
+        gate.try_admit_parts(item.parts(&ctx.decode))?;
+    }
     if gate.is_empty() {
         return Ok(None);
     }
@@ -95,6 +104,24 @@
     }
 }
 
+/// Records that a target answered a request, which clears the shared parts of its prompt. These
+/// are read only if there are suspects.
+pub(crate) fn record_parts_success(ctx: &Arc<Context>, parts: impl FnOnce() -> Arc<[PartId]>) {
+    let gate = &ctx.suspects.gate;
+    if !gate.has_parts() {
+        return;
+    }
+    for cleared in gate.record_parts_success(&parts()) {
+        ctx.metrics.count(Counted::Changes, "prompt part cleared");
+        let Some(blamed_for) = cleared.blamed_for else {
+            continue;
+        };
+        slog::info!(ctx.logger, "prompt part cleared"; "crashes" => cleared.crashes,
+            "part" => prompt::to_hex(cleared.part), "blamed_for_ms" => millis(blamed_for));
+        records::delete_part_record(ctx, &cleared);
+    }
+}
+
 /// Records that an item ran for a time, made progress and was preempted. If it ran for long
 /// enough, it is cleared: targets evidently survive it.
 pub(crate) fn record_survival(ctx: &Arc<Context>, item: &Item, run_time: Duration) {
@@ -128,6 +155,29 @@
     }
 }
 
+/// Merges a host's report on a part of prompts.
+pub(crate) fn merge_part_report(ctx: &Arc<Context>, host: &HostId, report: &parts::Report) {
+    let Change::Blamed { crashes } = ctx.suspects.gate.merge_part_report(report) else {
+        return;
+    };
+    log_blamed_part(ctx, report.part, crashes, host);
+    if host != records::STORE_REPORTER && is_saver(ctx, &prompt::to_hex(report.part)) {
+        records::save_part(ctx, report.part);
+    }
+}
+
+/// Logs the evidence on which a part of prompts is blamed.
+fn log_blamed_part(ctx: &Context, part: PartId, crashes: u32, by: &str) {
+    let report = ctx.suspects.gate.part_report(part);
+    let crash_reports = report.iter().flat_map(|report| &report.crashes);
+    let ran_ms: Vec<String> = crash_reports
+        .map(|crash| millis(crash.run_time).to_string())
+        .collect();
+    slog::warn!(ctx.logger, "prompt part blamed for crashes"; "crashes" => crashes,
+        "part" => prompt::to_hex(part), "told_by" => by, "ran_ms" => ran_ms.join(","));
+    ctx.metrics.count(Counted::Changes, "prompt part blamed");
+}
+
 /// Returns whether this host saves a blame that it learned of. The host that detected the last
 /// crash may have failed since, and so may any other.
 fn is_saver(ctx: &Context, task: &str) -> bool {
--- a/crates/gateway/src/quarantine/probe.rs
+++ b/crates/gateway/src/quarantine/probe.rs
@@ -14,10 +14,12 @@
 use notchwharf_routing::quarantine::Change;
 use notchwharf_routing::quarantine::Crash;
 use notchwharf_routing::quarantine::IncarnationId;
+use notchwharf_routing::quarantine::parts;
 use tokio::sync::oneshot;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::log_blamed;
+use super::log_blamed_part;
 use super::records;
 use crate::RequestId;
 use crate::context::Context;
@@ -128,6 +130,7 @@
         run_time,
         detected_at: pending.detected_at,
     };
+    record_part_crashes(ctx, &pending.run, incarnation, pending.detected_at);
     let change = ctx.suspects.gate.record_crash(fingerprint, crash);
     slog::info!(ctx.logger, "target crashed under a request"; "id" => pending.run.id.as_str(),
         "target" => pending.run.target.as_str(), "ran_ms" => millis(run_time),
@@ -139,6 +142,30 @@
     }
 }
 
+/// Records that a target crashed under the shared parts of a request's prompt.
+fn record_part_crashes(
+    ctx: &Arc<Context>,
+    run: &BrokenRun,
+    incarnation: IncarnationId,
+    detected_at: Instant,
+) {
+    let gate = &ctx.suspects.gate;
+    for part in run.parts.iter().copied() {
+        let crash = parts::Crash {
+            incarnation: run.sent_at.map_or(incarnation, |sent_at| {
+                gate.incarnation_of_part_run(part, incarnation, sent_at)
+            }),
+            run_time: run.run_time,
+            has_begun: run.sent_at.is_some(),
+            detected_at,
+        };
+        if let Change::Blamed { crashes } = gate.record_part_crash(part, crash) {
+            log_blamed_part(ctx, part, crashes, ctx.host());
+            records::save_part(ctx, part);
+        }
+    }
+}
+
 /// Returns the id of a target's current incarnation. It is the same at all hosts, and differs
 /// after a restart under the same name.
 fn incarnation_of(ctx: &Context, target: &str) -> IncarnationId {
--- a/crates/gateway/src/quarantine/records.rs
+++ b/crates/gateway/src/quarantine/records.rs
@@ -1,9 +1,12 @@
-//! Records of blamed requests in the store.
+//! Records of blamed requests and parts of prompts in the store.
 //!
 //! Hosts report suspects to one another, and a starting host gets them from running ones. If
 //! all hosts lose power at once, those reports are lost, and a blamed request would crash three
 //! more targets each time. So blamed requests are saved, and a starting host loads them. Saving
 //! every suspect was rejected: a crash leaves eight, of which seven are never sent again.
+//!
+//! A part is saved some time after it is blamed: one in wide use may be blamed when many targets
+//! crash at once, and is cleared by the next answer.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,8 +14,12 @@
 use notchwharf_ledger::jobs::HostId;
 use notchwharf_listen::Phase;
 use notchwharf_routing::fingerprint::Fingerprint;
+use notchwharf_routing::prompt;
+use notchwharf_routing::prompt::PartId;
 use notchwharf_routing::quarantine::CrashReport;
 use notchwharf_routing::quarantine::Report;
+use notchwharf_routing::quarantine::parts;
+use notchwharf_routing::quarantine::parts::Cleared;
 use notchwharf_startup::Dependency;
 use serde::Deserialize;
 use serde::Serialize;
@@ -29,6 +36,12 @@
 /// Delay before a failed call of the store is retried.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 
+/// Prefix of the keys of parts.
+const PART_PREFIX: &str = "part-";
+
+/// Delay before a blamed part is saved.
+const PART_SAVE_DELAY: Duration = Duration::from_millis(500);
+
 /// Least number of crashes from which a request may be blamed, and so have a record.
 const MIN_CRASHES_SAVED: u32 = 3;
 
@@ -36,10 +49,10 @@
 pub(super) const STORE_REPORTER: &str = "store";
 
 /// Age of a record's newest crash from which it is deleted. By then hosts have evicted it,
-/// except for requests that were blamed repeatedly.
-const RECORD_MAX_AGE: Duration = Duration::from_secs(6 * 3_600);
+/// except for requests and parts that were blamed repeatedly.
+const RECORD_MAX_AGE: Duration = Duration::from_secs(48 * 3_600);
 
-/// A blamed request.
+/// A blamed request or part.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct BlameRecord {
     clearances: u32,
@@ -78,6 +91,50 @@
     tokio::spawn(write(Arc::clone(ctx), entry));
 }
 
+/// Saves a part in a task of its own, if it is still blamed after a delay.
+pub(super) fn save_part(ctx: &Arc<Context>, part: PartId) {
+    let ctx = Arc::clone(ctx);
+    tokio::spawn(async move {
+        tokio::time::sleep(PART_SAVE_DELAY).await;
+        let gate = &ctx.suspects.gate;
+        let report = gate.part_report(part).filter(|_| gate.is_part_blamed(part));
+        let Some(report) = report else {
+            return;
+        };
+        let now_unix_ms = unix_ms();
+        let crashes = report.crashes.iter().map(|crash| CrashRecord {
+            incarnation: crash.incarnation,
+            ran_ms: millis(crash.run_time),
+            at_unix_ms: now_unix_ms.saturating_sub(millis(crash.age)),
+        });
+        let record = BlameRecord {
+            clearances: 0,
+            crashes: crashes.collect(),
+        };
+        let value = postcard::to_stdvec(&record).expect("Records are representable.");
+        let entry = Entry {
+            key: part_key(part),
+            value: Some(value.into()),
+        };
+        write(ctx, entry).await;
+    });
+}
+
+/// Deletes the record of a cleared part, if it may have one.
+pub(super) fn delete_part_record(ctx: &Arc<Context>, cleared: &Cleared) {
+    if cleared
+        .blamed_for
+        .is_some_and(|time| time >= PART_SAVE_DELAY)
+    {
+        let entry = Entry::tombstone(part_key(cleared.part));
+        tokio::spawn(write(Arc::clone(ctx), entry));
+    }
+}
+
+fn part_key(part: PartId) -> String {
+    format!("{PART_PREFIX}{}", prompt::to_hex(part))
+}
+
 /// Deletes the record of a cleared request, if it may have one.
 pub(super) fn delete_record(ctx: &Arc<Context>, fingerprint: Fingerprint, crashes: u32) {
     if crashes >= MIN_CRASHES_SAVED {
@@ -121,28 +178,58 @@
     let Some(value) = &entry.value else {
         return;
     };
-    let Some((fingerprint, record)) = decode(&entry.key, value) else {
+    let Some((subject, record)) = decode(&entry.key, value) else {
         slog::error!(ctx.logger, "unreadable record of a blamed request"; "key" => &entry.key);
         return;
     };
+    let reporter = HostId::from(STORE_REPORTER);
     let now_unix_ms = unix_ms();
-    let crashes = record.crashes.iter().map(|crash| CrashReport {
-        incarnation: crash.incarnation,
-        run_time: ms(crash.ran_ms),
-        age: ms(now_unix_ms.saturating_sub(crash.at_unix_ms)),
-    });
-    let report = Report {
-        fingerprint,
-        clearances: record.clearances,
-        crashes: crashes.collect(),
-        running_for: None,
-    };
-    super::merge_report(ctx, &HostId::from(STORE_REPORTER), &report);
+    let age = |crash: &CrashRecord| ms(now_unix_ms.saturating_sub(crash.at_unix_ms));
+    let crashes = record.crashes.iter();
+    match subject {
+        Subject::Request(fingerprint) => {
+            let crashes = crashes.map(|crash| CrashReport {
+                incarnation: crash.incarnation,
+                run_time: ms(crash.ran_ms),
+                age: age(crash),
+            });
+            let report = Report {
+                fingerprint,
+                clearances: record.clearances,
+                crashes: crashes.collect(),
+                running_for: None,
+            };
+            super::merge_report(ctx, &reporter, &report);
+        }
+        Subject::Part(part) => {
+            let crashes = crashes.map(|crash| parts::CrashReport {
+                incarnation: crash.incarnation,
+                run_time: ms(crash.ran_ms),
+                has_begun: true,
+                age: age(crash),
+            });
+            let report = parts::Report {
+                part,
+                cleared_age: None,
+                crashes: crashes.collect(),
+            };
+            super::merge_part_report(ctx, &reporter, &report);
+        }
+    }
 }
 
-fn decode(key: &str, value: &[u8]) -> Option<(Fingerprint, BlameRecord)> {
-    let fingerprint = Fingerprint::from_str_radix(key, 16).ok()?;
-    Some((fingerprint, postcard::from_bytes(value).ok()?))
+/// What a record blames.
+enum Subject {
+    Request(Fingerprint),
+    Part(PartId),
+}
+
+fn decode(key: &str, value: &[u8]) -> Option<(Subject, BlameRecord)> {
+    let subject = match key.strip_prefix(PART_PREFIX) {
+        Some(part) => Subject::Part(PartId::from_str_radix(part, 16).ok()?),
+        None => Subject::Request(Fingerprint::from_str_radix(key, 16).ok()?),
+    };
+    Some((subject, postcard::from_bytes(value).ok()?))
 }
 
 /// Deletes the records of requests whose last crash is long ago.
--- a/crates/proto/src/messages.rs
+++ b/crates/proto/src/messages.rs
@@ -49,6 +49,42 @@
     /// Origins of streams that the sender forwards. Hosts of earlier versions count it as
     /// unreadable.
     StreamOrigins(Vec<StreamOrigin>),
+    /// Parts of prompts that are suspected of crashing targets. Hosts of earlier versions count
+    /// it as unreadable.
+    SuspectParts(SuspectParts),
+}
+
+/// The parts of prompts that a host suspects of crashing targets.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectParts {
+    /// The host.
+    pub host: String,
+    /// Some or all of the parts that it suspects.
+    pub parts: Vec<SuspectPart>,
+}
+
+/// A part of a prompt that is suspected of crashing targets.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectPart {
+    /// The part's id.
+    pub part: u128,
+    /// Time since an answer last cleared it of suspicion.
+    pub cleared_age_ms: Option<u64>,
+    /// The crashes since then.
+    pub crashes: Vec<PartCrash>,
+}
+
+/// A crash of a target that was running a request with the part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartCrash {
+    /// Identifies the incarnation of the target that crashed.
+    pub incarnation: u64,
+    /// Time for which the request had run there.
+    pub run_time_ms: u64,
+    /// Whether the target had begun to answer it.
+    pub has_begun: bool,
+    /// Time since the crash was detected.
+    pub age_ms: u64,
 }
 
 /// Where a stream began.
@@ -320,6 +356,16 @@
     bytes.expect("Suspects are always representable.").len()
 }
 
+/// Returns the encoded size of a suspected part in bytes.
+///
+/// # Panics
+///
+/// Never: postcard can represent every value of the type.
+pub fn part_encoded_len(part: &SuspectPart) -> usize {
+    let bytes = postcard::to_stdvec(part);
+    bytes.expect("Parts are always representable.").len()
+}
+
 /// Decodes a datagram; returns `None` if it is not a message.
 pub fn decode(bytes: &[u8]) -> Option<PeerMessage> {
     decode_with_contention(bytes).map(|(message, _)| message)
--- a/crates/quarantine/src/gate.rs
+++ b/crates/quarantine/src/gate.rs
@@ -13,12 +13,16 @@
 
 use notchwharf_routing::balancer::HostId;
 use notchwharf_routing::fingerprint::Fingerprint;
+use notchwharf_routing::prompt::PartId;
 use notchwharf_routing::quarantine::Change;
 use notchwharf_routing::quarantine::Crash;
 use notchwharf_routing::quarantine::Decision;
 use notchwharf_routing::quarantine::IncarnationId;
 use notchwharf_routing::quarantine::Quarantine;
 use notchwharf_routing::quarantine::Report;
+use notchwharf_routing::quarantine::parts;
+use notchwharf_routing::quarantine::parts::Cleared;
+use notchwharf_routing::quarantine::parts::Parts;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
@@ -26,15 +30,28 @@
 /// blocking others after a time limit, and no event marks that moment.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// A request whose state changed and has to be sent to other hosts.
+/// A suspect whose state changed and has to be sent to other hosts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Update {
-    /// The request.
-    pub(crate) fingerprint: Fingerprint,
+    /// The suspect.
+    pub(crate) subject: Subject,
     /// Whether a target has just crashed under it.
     pub(crate) is_crash: bool,
 }
 
+/// What is suspected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum Subject {
+    /// A request.
+    Request(Fingerprint),
+    /// A part of prompts.
+    Part(PartId),
+}
+
+/// Least number of crashes from which a clearance of a part is sent at once. Parts in wide use
+/// are cleared at all hosts independently after each crash; the periodic reports suffice there.
+const IMMEDIATE_CLEARANCE_CRASHES: u32 = 2;
+
 /// Why a request must not be sent to a target now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Blocked {
@@ -49,11 +66,12 @@
     },
 }
 
-/// Requests under which targets crashed, as known to one host.
+/// Requests and parts of prompts under which targets crashed, as known to one host.
 #[derive(Debug)]
 pub struct Gate {
     host: HostId,
     quarantine: Mutex<Quarantine>,
+    parts: Mutex<Parts>,
     /// Notified when a run of a suspect may have ended, for requests that wait for it.
     changed: watch::Sender<()>,
     updates: mpsc::UnboundedSender<Update>,
@@ -73,7 +91,7 @@
         self.gate
             .quarantine()
             .end_run(self.fingerprint, &self.gate.host);
-        self.gate.publish(self.fingerprint, false);
+        self.gate.publish(Subject::Request(self.fingerprint), false);
         self.gate.changed.send_replace(());
     }
 }
@@ -85,6 +103,7 @@
         let gate = Self {
             host,
             quarantine: Mutex::default(),
+            parts: Mutex::default(),
             changed: watch::Sender::new(()),
             updates,
             update_receiver: Mutex::new(Some(update_receiver)),
@@ -167,7 +186,7 @@
         match decision {
             Decision::Admit if self.crash_count(fingerprint) == 0 => Ok(None),
             Decision::Admit => {
-                self.publish(fingerprint, false);
+                self.publish(Subject::Request(fingerprint), false);
                 let gate = Arc::clone(self);
                 Ok(Some(RunGuard { gate, fingerprint }))
             }
@@ -192,9 +211,48 @@
         fingerprint: Fingerprint,
         deadline: Instant,
     ) -> Result<Option<RunGuard>, Blocked> {
+        self.wait_while_blocked(deadline, || self.try_admit(fingerprint))
+            .await
+    }
+
+    /// Waits until a request whose prompt has these shared parts may be sent to a target, or
+    /// until the deadline. Call it before [`Self::admit`], which counts the request as running.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request must not be sent.
+    pub async fn admit_parts(&self, parts: &[PartId], deadline: Instant) -> Result<(), Blocked> {
+        self.wait_while_blocked(deadline, || self.try_admit_parts(parts))
+            .await
+    }
+
+    /// Decides whether a request whose prompt has these shared parts may be sent to a target now.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request must not be sent.
+    pub fn try_admit_parts(&self, parts: &[PartId]) -> Result<(), Blocked> {
+        match self.parts().admit(parts, Instant::now()) {
+            Decision::Admit => Ok(()),
+            Decision::Wait => Err(Blocked::Waiting),
+            Decision::Refuse {
+                crashes,
+                retry_after,
+            } => Err(Blocked::Refused {
+                crashes,
+                retry_after,
+            }),
+        }
+    }
+
+    async fn wait_while_blocked<T>(
+        &self,
+        deadline: Instant,
+        try_admit: impl Fn() -> Result<T, Blocked>,
+    ) -> Result<T, Blocked> {
         let mut changed = self.changed.subscribe();
         loop {
-            let admitted = self.try_admit(fingerprint);
+            let admitted = try_admit();
             if !matches!(admitted, Err(Blocked::Waiting)) || Instant::now() >= deadline {
                 return admitted;
             }
@@ -208,11 +266,99 @@
     pub fn record_crash(&self, fingerprint: Fingerprint, crash: Crash) -> Change {
         let change = self.quarantine().record_crash(fingerprint, crash);
         if change != Change::None {
-            self.publish(fingerprint, true);
+            self.publish(Subject::Request(fingerprint), true);
         }
         change
     }
 
+    /// Returns whether any part of a prompt is known to have been in a crash.
+    pub fn has_parts(&self) -> bool {
+        !self.parts().is_empty()
+    }
+
+    /// Returns the number of parts of prompts that were in a crash, and of those that are blamed.
+    pub fn part_counts(&self) -> (usize, usize) {
+        let parts = self.parts();
+        (parts.len(), parts.blamed_count())
+    }
+
+    /// Returns the number of crashes that count against parts of a prompt, of all that are blamed.
+    pub fn blamed_crash_count(&self, parts: &[PartId]) -> u32 {
+        let table = self.parts();
+        if table.blamed_count() == 0 {
+            return 0;
+        }
+        let blamed = parts.iter().filter(|part| table.is_blamed(**part));
+        blamed.map(|part| table.crash_count(*part)).sum()
+    }
+
+    /// Returns whether a part of prompts is blamed.
+    pub fn is_part_blamed(&self, part: PartId) -> bool {
+        self.parts().is_blamed(part)
+    }
+
+    /// Returns the number of crashes that count against a part of prompts.
+    pub fn part_crash_count(&self, part: PartId) -> u32 {
+        self.parts().crash_count(part)
+    }
+
+    /// Returns the incarnation of a target that answered a request with the part; see
+    /// [`Self::incarnation_of_run`].
+    pub fn incarnation_of_part_run(
+        &self,
+        part: PartId,
+        known: IncarnationId,
+        sent_at: Instant,
+    ) -> IncarnationId {
+        self.parts().incarnation_of_run(part, known, sent_at)
+    }
+
+    /// Records that a target crashed under a part of a prompt.
+    pub fn record_part_crash(&self, part: PartId, crash: parts::Crash) -> Change {
+        let change = self.parts().record_crash(part, crash);
+        if change != Change::None {
+            self.publish(Subject::Part(part), true);
+        }
+        change
+    }
+
+    /// Records that a target answered a request whose prompt has these shared parts, which clears
+    /// them; returns those that had been in crashes.
+    pub fn record_parts_success(&self, parts: &[PartId]) -> Vec<Cleared> {
+        let cleared = self.parts().record_success(parts, Instant::now());
+        for part in &cleared {
+            if part.crashes >= IMMEDIATE_CLEARANCE_CRASHES {
+                self.publish(Subject::Part(part.part), false);
+            }
+        }
+        if cleared.iter().any(|part| part.blamed_for.is_some()) {
+            self.changed.send_replace(());
+        }
+        cleared
+    }
+
+    /// Merges another host's report on a part of prompts.
+    pub fn merge_part_report(&self, report: &parts::Report) -> Change {
+        let change = self.parts().merge_report(report, Instant::now());
+        if change != Change::None {
+            self.changed.send_replace(());
+        }
+        change
+    }
+
+    /// Returns this host's report on a part of prompts; `None` if it was in no crash.
+    pub fn part_report(&self, part: PartId) -> Option<parts::Report> {
+        self.parts().report(part, Instant::now())
+    }
+
+    /// Evicts expired parts; returns the reports that are resent periodically.
+    pub fn periodic_part_reports(&self) -> Vec<parts::Report> {
+        let now = Instant::now();
+        let mut parts = self.parts();
+        parts.evict_expired(now);
+        parts.periodic_reports(now)
+    }
+
     /// Records that a request completed, which clears a suspect; returns the number of
     /// crashes that no longer count, if it was one.
     pub fn record_success(&self, fingerprint: Fingerprint) -> Option<u32> {
@@ -239,7 +385,7 @@
             let crashes = quarantine.crash_count(fingerprint);
             clear(&mut quarantine).then_some(crashes)?
         };
-        self.publish(fingerprint, false);
+        self.publish(Subject::Request(fingerprint), false);
         self.changed.send_replace(());
         Some(crashes)
     }
@@ -268,12 +414,13 @@
         quarantine.periodic_reports(&self.host, now)
     }
 
-    fn publish(&self, fingerprint: Fingerprint, is_crash: bool) {
+    fn publish(&self, subject: Subject, is_crash: bool) {
         // Fails only on a host that is stopping.
-        let _ = self.updates.send(Update {
-            fingerprint,
-            is_crash,
-        });
+        let _ = self.updates.send(Update { subject, is_crash });
+    }
+
+    fn parts(&self) -> MutexGuard<'_, Parts> {
+        self.parts.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
--- a/crates/quarantine/src/reports.rs
+++ b/crates/quarantine/src/reports.rs
@@ -1,14 +1,18 @@
 //! Exchange of suspects between hosts: when reports are sent, and their form on the wire.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use notchwharf_proto::messages;
 use notchwharf_proto::messages::Suspect;
+use notchwharf_proto::messages::SuspectPart;
 use notchwharf_routing::quarantine::CrashReport;
 use notchwharf_routing::quarantine::Report;
+use notchwharf_routing::quarantine::parts;
 
 use crate::gate::Gate;
+use crate::gate::Subject;
 
 /// Interval at which suspects are reported again. Several fit into the time within which a
 /// host that was partitioned has to be up to date.
@@ -21,26 +25,52 @@
 /// link, and is shorter than the time after which a retry of the request usually arrives.
 const CRASH_RESEND_DELAY: Duration = Duration::from_millis(50);
 
-/// Sends a report on each change at a gate, and on each crash a second one. Never returns,
-/// unless another task already does the same; returns immediately then.
-pub async fn send_changes(gate: Arc<Gate>, send: impl Fn(&Report) + Clone + Send + 'static) {
-    let Some(mut updates) = gate.take_updates() else {
+/// Maximum number of changes that are sent together. A crash changes about eight requests and
+/// twice as many parts at the hosts of a busy target.
+const CHANGES_MAX: usize = 64;
+
+/// Reports that are sent together.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Batch {
+    /// Reports on requests.
+    pub requests: Vec<Report>,
+    /// Reports on parts of prompts.
+    pub parts: Vec<parts::Report>,
+}
+
+impl Batch {
+    /// Returns the present reports on some suspects.
+    fn new(gate: &Gate, subjects: &HashSet<Subject>) -> Self {
+        let mut batch = Self::default();
+        for subject in subjects {
+            match subject {
+                Subject::Request(fingerprint) => batch.requests.extend(gate.report(*fingerprint)),
+                Subject::Part(part) => batch.parts.extend(gate.part_report(*part)),
+            }
+        }
+        batch
+    }
+}
+
+/// Sends reports on changes at a gate, and on crashes a second time. Never returns, unless
+/// another task already does the same; returns immediately then.
+pub async fn send_changes(gate: Arc<Gate>, send: impl Fn(&Batch) + Clone + Send + 'static) {
+    let Some(mut receiver) = gate.take_updates() else {
         return;
     };
-    while let Some(update) = updates.recv().await {
-        let Some(report) = gate.report(update.fingerprint) else {
-            continue;
-        };
-        send(&report);
-        if !update.is_crash {
+    let mut updates = Vec::new();
+    while receiver.recv_many(&mut updates, CHANGES_MAX).await > 0 {
+        let changed = updates.iter().map(|update| update.subject).collect();
+        send(&Batch::new(&gate, &changed));
+        let crashes = updates.drain(..).filter(|update| update.is_crash);
+        let crashed: HashSet<Subject> = crashes.map(|update| update.subject).collect();
+        if crashed.is_empty() {
             continue;
         }
         let (gate, send) = (Arc::clone(&gate), send.clone());
         tokio::spawn(async move {
             tokio::time::sleep(CRASH_RESEND_DELAY).await;
-            if let Some(report) = gate.report(update.fingerprint) {
-                send(&report);
-            }
+            send(&Batch::new(&gate, &crashed));
         });
     }
 }
@@ -82,6 +112,40 @@
     }
 }
 
+/// Encodes reports on parts, split into messages that each fit into a datagram.
+pub fn encode_parts(reports: &[parts::Report]) -> Vec<Vec<SuspectPart>> {
+    messages::split_by_size(reports.iter().map(encode_part), messages::part_encoded_len)
+}
+
+fn encode_part(report: &parts::Report) -> SuspectPart {
+    let crashes = report.crashes.iter().map(|crash| messages::PartCrash {
+        incarnation: crash.incarnation,
+        run_time_ms: millis(crash.run_time),
+        has_begun: crash.has_begun,
+        age_ms: millis(crash.age),
+    });
+    SuspectPart {
+        part: report.part,
+        cleared_age_ms: report.cleared_age.map(millis),
+        crashes: crashes.collect(),
+    }
+}
+
+/// Decodes a report on a part.
+pub fn decode_part(part: &SuspectPart) -> parts::Report {
+    let crashes = part.crashes.iter().map(|crash| parts::CrashReport {
+        incarnation: crash.incarnation,
+        run_time: Duration::from_millis(crash.run_time_ms),
+        has_begun: crash.has_begun,
+        age: Duration::from_millis(crash.age_ms),
+    });
+    parts::Report {
+        part: part.part,
+        cleared_age: part.cleared_age_ms.map(Duration::from_millis),
+        crashes: crashes.collect(),
+    }
+}
+
 fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/routing/src/quarantine.rs
+++ b/crates/routing/src/quarantine.rs
@@ -56,6 +56,7 @@
 //! Ages are measured on the given clock. If it stops, as on a suspended machine, suspects
 //! are remembered and blocked for longer, never for shorter.
 
+pub mod parts;
 mod suspect;
 
 use std::collections::HashMap;
@@ -66,6 +67,8 @@
 use crate::balancer::HostId;
 use crate::fingerprint::Fingerprint;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use self::suspect::Suspect;
 
 /// Identifies one incarnation of a target, from a start of its process to its end.
@@ -81,6 +84,15 @@
 /// first, and the suspects with the most crashes are evicted last.
 const SUSPECTS_MAX: usize = 16_384;
 
+/// Highest crash rate of a target that crashes for other reasons: four targets in ten crash
+/// every three seconds.
+const CRASH_RATE_MAX_PER_S: f64 = 0.14;
+
+/// Lower bound on the run time with which a crash is counted. A crashed target is still sent
+/// requests until the crash is detected, and those fail at once; a request that ran for 50 ms
+/// is also no more suspicious than one that ran for 100 ms.
+const RUN_TIME_MIN: Duration = Duration::from_millis(100);
+
 /// A crash of a target under a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Crash {
@@ -289,3 +301,24 @@
         }
     }
 }
+
+/// Returns the probability that something healthy meets as many crashes, each this soon after it
+/// started to run.
+fn probability_if_healthy(run_times: impl Iterator<Item = Duration>) -> f64 {
+    run_times
+        .map(|run_time| (CRASH_RATE_MAX_PER_S * run_time.max(RUN_TIME_MIN).as_secs_f64()).min(1.0))
+        .product()
+}
+
+/// Returns the first incarnation, from the known one on, that has not crashed. Later ones are
+/// named the same on all hosts.
+fn first_incarnation_without(
+    known: IncarnationId,
+    has_crashed: impl Fn(IncarnationId) -> bool,
+) -> IncarnationId {
+    let mut incarnation = known;
+    while has_crashed(incarnation) {
+        incarnation = xxh3_64(&incarnation.to_le_bytes());
+    }
+    incarnation
+}
--- /dev/null
+++ b/crates/routing/src/quarantine/parts.rs
@@ -0,0 +1,503 @@
+//! Decides which requests are withheld because targets crash on a part of their prompts.
+//!
+//! Some parts of prompts crash every target that begins to write an answer on them, whatever
+//! else the request holds. No two such requests need be alike, so their contents recur in no
+//! crash; the part does. Each crash makes suspects of all parts that ran at the target. A part
+//! that is not to blame is answered at other targets, and an answer clears it; the part to
+//! blame is in crashes and in no answer. A part is blamed for three crashes or more if a
+//! healthy one would hardly have met them since its last answer.
+//!
+//! ```
+//! use std::time::{Duration, Instant};
+//! use notchwharf_routing::quarantine::Decision;
+//! use notchwharf_routing::quarantine::parts::{Crash, Parts};
+//!
+//! let now = Instant::now();
+//! let mut parts = Parts::default();
+//! for incarnation in 0..3 {
+//!     let run_time = Duration::from_millis(50);
+//!     let crash = Crash { incarnation, run_time, has_begun: true, detected_at: now };
+//!     parts.record_crash(7, crash);
+//!     parts.record_crash(8, crash);
+//! }
+//! parts.record_success(&[8, 9], now);
+//! let later = now + Duration::from_secs(1);
+//! assert!(matches!(parts.admit(&[8, 7], later), Decision::Refuse { crashes: 3, .. }));
+//! assert_eq!(parts.admit(&[8, 9], later), Decision::Admit);
+//! ```
+//!
+//! # Parts that occur together
+//!
+//! If every crash under a part was also one under another part, either explains them. Then only
+//! requests with both are withheld; one with a single of them runs, and its outcome tells which
+//! part is to blame. Withholding all requests with either was rejected: a part that shares its
+//! crashes with a rarer one would never be answered again, and so never be cleared.
+//!
+//! # Trade-offs
+//!
+//! Unlike requests, suspected parts are not limited in their number of runs before they are
+//! blamed: a part may be shared by half of a route. Requests with the part that run when the
+//! third crash is detected therefore crash more targets.
+//!
+//! Many targets that crash at once may make a part suspicious that is in use at all of them.
+//! Such a part is answered elsewhere within moments, so requests wait for a short time after a
+//! crash before they are refused.
+//!
+//! Clearances are points in time and not counted as those of requests are: hosts clear a part
+//! in wide use independently of one another, and a crash after one clearance must not be
+//! discarded with those before another. Times are exchanged as ages, so a crash that is detected
+//! within [`AGE_ERROR`] after a clearance elsewhere may be lost.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::time::Duration;
+use std::time::Instant;
+
+use super::Change;
+use super::Decision;
+use super::IncarnationId;
+use super::SUSPECT_RETENTION;
+use super::SUSPECTS_MAX;
+use super::probability_if_healthy;
+use crate::prompt::PartId;
+
+/// Least number of crashes for which a part is blamed.
+pub const CRASHES_MIN: usize = 3;
+
+/// Probability that a healthy part meets the same crashes, below which a part is blamed.
+const BLAME_PROBABILITY: f64 = 1e-5;
+
+/// Time after a crash for which requests with a blamed part wait instead of being refused. Longer
+/// than most answers take at targets that run on.
+const SETTLE_TIME: Duration = Duration::from_millis(500);
+
+/// Time for which a part is blocked after the last of [`CRASHES_MIN`] crashes; each further one
+/// doubles it, up to [`BLOCK_TIME_MAX`].
+const BLOCK_TIME: Duration = Duration::from_secs(3_600);
+const BLOCK_TIME_MAX: Duration = Duration::from_secs(24 * 3_600);
+
+/// Interval at which a host tries a part whose block has ended, with one request each. Exceeds
+/// the time in which the other hosts learn of a crash.
+const TRIAL_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time for which a change is resent to hosts that may have missed it.
+const RESEND_PERIOD: Duration = Duration::from_secs(3);
+
+/// Error of an age that was sent between hosts: the latency of a message that is not lost.
+const AGE_ERROR: Duration = Duration::from_millis(100);
+
+/// Number of crashes retained for each part, the newest ones.
+const CRASHES_RETAINED: usize = 8;
+
+/// A crash of a target under a part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Crash {
+    /// The incarnation of the target that crashed.
+    pub incarnation: IncarnationId,
+    /// Time for which a request with the part had run there.
+    pub run_time: Duration,
+    /// Whether the target had begun to answer that request.
+    pub has_begun: bool,
+    /// When the crash was detected.
+    pub detected_at: Instant,
+}
+
+/// A host's report on a part. Times are relative, as the clocks of hosts differ.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// The part.
+    pub part: PartId,
+    /// Time since its last answer that cleared it.
+    pub cleared_age: Option<Duration>,
+    /// The crashes since then.
+    pub crashes: Vec<CrashReport>,
+}
+
+/// A crash in a report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CrashReport {
+    /// The incarnation of the target that crashed.
+    pub incarnation: IncarnationId,
+    /// Time for which a request with the part had run there.
+    pub run_time: Duration,
+    /// Whether the target had begun to answer that request.
+    pub has_begun: bool,
+    /// Time since the crash was detected.
+    pub age: Duration,
+}
+
+/// A part that was cleared by an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Cleared {
+    /// The part.
+    pub part: PartId,
+    /// Number of crashes that no longer count.
+    pub crashes: u32,
+    /// Time for which it had been blamed, if it was.
+    pub blamed_for: Option<Duration>,
+}
+
+/// A part under which targets crashed.
+#[derive(Clone, Debug)]
+struct Suspect {
+    crashes: Vec<Crash>,
+    cleared_at: Option<Instant>,
+    blamed_since: Option<Instant>,
+    /// When this host last tried the part after its block had ended.
+    tried_at: Option<Instant>,
+    changed_at: Instant,
+}
+
+/// Parts of prompts under which targets crashed, as known to one host.
+#[derive(Clone, Debug, Default)]
+pub struct Parts {
+    suspects: HashMap<PartId, Suspect>,
+    blamed: HashSet<PartId>,
+}
+
+impl Parts {
+    /// Returns whether no part is known to have been in a crash.
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+    }
+
+    /// Returns the number of parts that were in a crash.
+    pub fn len(&self) -> usize {
+        self.suspects.len()
+    }
+
+    /// Returns the number of blamed parts. While there are none, every request is admitted.
+    pub fn blamed_count(&self) -> usize {
+        self.blamed.len()
+    }
+
+    /// Returns whether a part is blamed.
+    pub fn is_blamed(&self, part: PartId) -> bool {
+        self.blamed.contains(&part)
+    }
+
+    /// Returns the number of crashes that count against a part.
+    pub fn crash_count(&self, part: PartId) -> u32 {
+        self.suspects.get(&part).map_or(0, Suspect::crash_count)
+    }
+
+    /// Returns the incarnation of a target that answered a request with the part; see
+    /// [`Quarantine::incarnation_of_run`](super::Quarantine::incarnation_of_run).
+    pub fn incarnation_of_run(
+        &self,
+        part: PartId,
+        known: IncarnationId,
+        sent_at: Instant,
+    ) -> IncarnationId {
+        let Some(suspect) = self.suspects.get(&part) else {
+            return known;
+        };
+        super::first_incarnation_without(known, |incarnation| {
+            let mut crashes = suspect.crashes.iter();
+            crashes.any(|c| c.incarnation == incarnation && c.detected_at < sent_at)
+        })
+    }
+
+    /// Decides whether a request whose prompt has these shared parts may be sent now.
+    pub fn admit(&mut self, parts: &[PartId], now: Instant) -> Decision {
+        if self.blamed.is_empty() {
+            return Decision::Admit;
+        }
+        for part in parts {
+            if !self.is_blamed(*part) || self.is_explained_without(*part, parts) {
+                continue;
+            }
+            let suspect = self.suspects.get_mut(part);
+            let decision = suspect.map_or(Decision::Admit, |suspect| suspect.admit(now));
+            if decision != Decision::Admit {
+                return decision;
+            }
+        }
+        Decision::Admit
+    }
+
+    /// Returns whether the crashes under a part are explained by a blamed part that the prompt
+    /// does not have.
+    fn is_explained_without(&self, part: PartId, prompt: &[PartId]) -> bool {
+        let Some(suspect) = self.suspects.get(&part) else {
+            return false;
+        };
+        let mut others = self.blamed.iter().filter(|other| !prompt.contains(other));
+        others.any(|other| {
+            let other = self.suspects.get(other);
+            other.is_some_and(|other| suspect.is_subset_of(other))
+        })
+    }
+
+    /// Records that a target crashed under a part.
+    pub fn record_crash(&mut self, part: PartId, crash: Crash) -> Change {
+        let now = crash.detected_at;
+        self.update(part, now, |suspect| suspect.add(crash))
+    }
+
+    /// Records that a target answered a request whose prompt has these shared parts, which clears
+    /// them; returns those that had been in crashes.
+    pub fn record_success(&mut self, parts: &[PartId], now: Instant) -> Vec<Cleared> {
+        let mut cleared = Vec::new();
+        for part in parts {
+            let Some(suspect) = self.suspects.get_mut(part) else {
+                continue;
+            };
+            if suspect.crashes.is_empty() {
+                continue;
+            }
+            cleared.push(Cleared {
+                part: *part,
+                crashes: suspect.crash_count(),
+                blamed_for: suspect
+                    .blamed_since
+                    .map(|since| now.saturating_duration_since(since)),
+            });
+            suspect.clear(now);
+            suspect.changed_at = now;
+            self.blamed.remove(part);
+        }
+        cleared
+    }
+
+    /// Merges another host's report on a part.
+    pub fn merge_report(&mut self, report: &Report, now: Instant) -> Change {
+        if report.crashes.is_empty() && !self.suspects.contains_key(&report.part) {
+            return Change::None;
+        }
+        self.update(report.part, now, |suspect| suspect.merge(report, now))
+    }
+
+    /// Applies a change, which returns whether it had an effect; returns the effect.
+    fn update(
+        &mut self,
+        part: PartId,
+        now: Instant,
+        change: impl FnOnce(&mut Suspect) -> bool,
+    ) -> Change {
+        self.evict_if_full(now);
+        let suspect = self.suspects.entry(part);
+        let suspect = suspect.or_insert_with(|| Suspect::new(now));
+        let last_crash_at = suspect.last_crash_at();
+        if !change(suspect) {
+            return Change::None;
+        }
+        suspect.changed_at = now;
+        if !suspect.should_be_blamed() {
+            suspect.blamed_since = None;
+            self.blamed.remove(&part);
+            return Change::Updated;
+        }
+        suspect.blamed_since.get_or_insert(now);
+        let crashes = suspect.crash_count();
+        let is_new = self.blamed.insert(part);
+        if is_new || suspect.last_crash_at() > last_crash_at {
+            return Change::Blamed { crashes };
+        }
+        Change::Updated
+    }
+
+    /// Returns the report on a part; `None` if it was in no crash.
+    pub fn report(&self, part: PartId, now: Instant) -> Option<Report> {
+        let suspect = self.suspects.get(&part)?;
+        Some(suspect.report(part, now))
+    }
+
+    /// Returns the reports that a host resends periodically, for hosts that missed them.
+    pub fn periodic_reports(&self, now: Instant) -> Vec<Report> {
+        let resent = self.suspects.iter().filter(|(_, s)| s.is_resent(now));
+        resent.map(|(part, s)| s.report(*part, now)).collect()
+    }
+
+    /// Evicts parts whose last crash was long ago.
+    pub fn evict_expired(&mut self, now: Instant) {
+        let blamed = &mut self.blamed;
+        self.suspects.retain(|part, suspect| {
+            let is_retained = !suspect.is_expired(now);
+            if !is_retained {
+                blamed.remove(part);
+            }
+            is_retained
+        });
+    }
+
+    /// Evicts the parts with the fewest and oldest crashes if there are too many.
+    fn evict_if_full(&mut self, now: Instant) {
+        if self.suspects.len() < SUSPECTS_MAX {
+            return;
+        }
+        self.evict_expired(now);
+        let mut by_rank: Vec<_> = self
+            .suspects
+            .iter()
+            .map(|(part, s)| ((s.crash_count(), s.last_crash_at()), *part))
+            .collect();
+        by_rank.sort_unstable();
+        // Evicts many at once, so that sorting is rare.
+        for (_, part) in by_rank.into_iter().take(SUSPECTS_MAX / 8) {
+            self.suspects.remove(&part);
+            self.blamed.remove(&part);
+        }
+    }
+}
+
+impl Suspect {
+    fn new(now: Instant) -> Self {
+        Self {
+            crashes: Vec::new(),
+            cleared_at: None,
+            blamed_since: None,
+            tried_at: None,
+            changed_at: now,
+        }
+    }
+
+    fn crash_count(&self) -> u32 {
+        u32::try_from(self.crashes.len()).unwrap_or(u32::MAX)
+    }
+
+    fn should_be_blamed(&self) -> bool {
+        let run_times = self.crashes.iter().map(|crash| crash.run_time);
+        self.crashes.len() >= CRASHES_MIN && probability_if_healthy(run_times) < BLAME_PROBABILITY
+    }
+
+    /// Returns whether each crash under this part was also one under the other.
+    fn is_subset_of(&self, other: &Self) -> bool {
+        let is_shared = |crash: &Crash| {
+            let mut others = other.crashes.iter();
+            others.any(|c| c.incarnation == crash.incarnation)
+        };
+        self.crashes.iter().all(is_shared)
+    }
+
+    /// Decides for a request with this part, which is blamed.
+    fn admit(&mut self, now: Instant) -> Decision {
+        let elapsed = now.saturating_duration_since(self.last_crash_at());
+        let remaining = self.block_time().saturating_sub(elapsed);
+        if remaining.is_zero() {
+            let is_tried = self
+                .tried_at
+                .is_some_and(|at| is_within(at, TRIAL_INTERVAL, now));
+            if is_tried {
+                return Decision::Wait;
+            }
+            self.tried_at = Some(now);
+            return Decision::Admit;
+        }
+        if elapsed < SETTLE_TIME {
+            return Decision::Wait;
+        }
+        Decision::Refuse {
+            crashes: self.crash_count(),
+            retry_after: remaining,
+        }
+    }
+
+    fn block_time(&self) -> Duration {
+        let beyond = self.crashes.len().saturating_sub(CRASHES_MIN);
+        let factor = 2u32.saturating_pow(u32::try_from(beyond).unwrap_or(u32::MAX));
+        BLOCK_TIME.saturating_mul(factor).min(BLOCK_TIME_MAX)
+    }
+
+    /// Adds a crash; returns whether that changed anything.
+    fn add(&mut self, crash: Crash) -> bool {
+        let is_cleared = |cleared_at| crash.detected_at <= cleared_at;
+        if self.cleared_at.is_some_and(is_cleared) {
+            return false;
+        }
+        let mut known = self.crashes.iter_mut();
+        if let Some(known) = known.find(|known| known.incarnation == crash.incarnation) {
+            // A request that had not begun is no evidence beside one that had. Of several that
+            // had, the longest run decides how likely it was to be present.
+            let is_stronger = (crash.has_begun, crash.run_time) > (known.has_begun, known.run_time);
+            if is_stronger {
+                known.has_begun = crash.has_begun;
+                known.run_time = crash.run_time;
+            }
+            return is_stronger;
+        }
+        self.crashes.push(crash);
+        if self.crashes.len() <= CRASHES_RETAINED {
+            return true;
+        }
+        let oldest = self
+            .crashes
+            .iter()
+            .enumerate()
+            .min_by_key(|(_, c)| c.detected_at);
+        let Some(oldest) = oldest.map(|(index, _)| index) else {
+            return false;
+        };
+        self.crashes.swap_remove(oldest).incarnation != crash.incarnation
+    }
+
+    /// Discards the crashes up to a time; returns whether there were any.
+    fn clear(&mut self, at: Instant) -> bool {
+        let known = self.crashes.len();
+        self.crashes.retain(|crash| crash.detected_at > at);
+        self.cleared_at = self.cleared_at.max(Some(at));
+        if self.crashes.is_empty() {
+            self.blamed_since = None;
+        }
+        self.crashes.len() < known
+    }
+
+    /// Merges a report; returns whether it had an effect.
+    fn merge(&mut self, report: &Report, now: Instant) -> bool {
+        let cleared_at = report.cleared_age.and_then(|age| now.checked_sub(age));
+        let mut is_changed = cleared_at.is_some_and(|at| self.clear(at));
+        for crash in &report.crashes {
+            let detected_at = now.checked_sub(crash.age).unwrap_or(now);
+            let is_cleared = |cleared_at| detected_at <= cleared_at + AGE_ERROR;
+            if self.cleared_at.is_some_and(is_cleared) {
+                continue;
+            }
+            is_changed |= self.add(Crash {
+                incarnation: crash.incarnation,
+                run_time: crash.run_time,
+                has_begun: crash.has_begun,
+                detected_at,
+            });
+        }
+        is_changed
+    }
+
+    fn report(&self, part: PartId, now: Instant) -> Report {
+        let age = |at: Instant| now.saturating_duration_since(at);
+        let crashes = self.crashes.iter().map(|crash| CrashReport {
+            incarnation: crash.incarnation,
+            run_time: crash.run_time,
+            has_begun: crash.has_begun,
+            age: age(crash.detected_at),
+        });
+        Report {
+            part,
+            cleared_age: self.cleared_at.map(age),
+            crashes: crashes.collect(),
+        }
+    }
+
+    /// Returns whether periodic reports include the part.
+    fn is_resent(&self, now: Instant) -> bool {
+        self.crashes.len() > 1 || is_within(self.changed_at, RESEND_PERIOD, now)
+    }
+
+    fn is_expired(&self, now: Instant) -> bool {
+        let retention = match self.blamed_since {
+            // Must still be known when it is tried again.
+            Some(_) => self.block_time() * 2,
+            None => SUSPECT_RETENTION,
+        };
+        !is_within(self.last_crash_at(), retention, now)
+    }
+
+    /// Returns the time of the newest crash, or of the last change if there is none.
+    fn last_crash_at(&self) -> Instant {
+        let newest = self.crashes.iter().map(|crash| crash.detected_at).max();
+        newest.unwrap_or(self.changed_at)
+    }
+}
+
+fn is_within(at: Instant, time: Duration, now: Instant) -> bool {
+    now.saturating_duration_since(at) < time
+}
--- a/crates/routing/src/quarantine/suspect.rs
+++ b/crates/routing/src/quarantine/suspect.rs
@@ -9,8 +9,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use xxhash_rust::xxh3::xxh3_64;
-
 use super::Change;
 use super::Crash;
 use super::CrashReport;
@@ -18,16 +16,13 @@
 use super::IncarnationId;
 use super::Report;
 use super::SUSPECT_RETENTION;
+use super::probability_if_healthy;
 use crate::balancer::HostId;
 use crate::fingerprint::Fingerprint;
 
 /// Number of targets that a request may crash before it can be blamed.
 const CRASHES_ALLOWED: u32 = 3;
 
-/// Highest crash rate of a target that crashes for other reasons: four targets in ten crash
-/// every three seconds.
-const CRASH_RATE_MAX_PER_S: f64 = 0.14;
-
 /// Thresholds on the probability that a healthy request would meet the same crashes; a request
 /// below its threshold is blamed. Indexed by the number of crashes from [`CRASHES_ALLOWED`] on;
 /// beyond the last entry the request is blamed in any case. The threshold starts at one in
@@ -38,11 +33,6 @@
 /// none at all.
 const BLAME_PROBABILITIES: [f64; 3] = [1e-5, 1e-5, 1e-4];
 
-/// Lower bound on the run time with which a crash is counted. A crashed target is still sent
-/// requests until the crash is detected, and those fail at once; a request that ran for 50 ms
-/// is also no more suspicious than one that ran for 100 ms.
-const RUN_TIME_MIN: Duration = Duration::from_millis(100);
-
 /// Multiple of the longest run before a crash that a run must survive to clear a request:
 /// it would have crashed its target before.
 const SURVIVAL_FACTOR: u32 = 2;
@@ -156,11 +146,7 @@
                 .iter()
                 .any(|c| c.incarnation == incarnation && c.detected_at < sent_at)
         };
-        let mut incarnation = known;
-        while has_crashed(incarnation) {
-            incarnation = next_incarnation(incarnation);
-        }
-        incarnation
+        super::first_incarnation_without(known, has_crashed)
     }
 
     /// Adds a crash; returns whether it was unknown.
@@ -307,24 +293,11 @@
             return false;
         };
         let threshold = BLAME_PROBABILITIES.get(beyond);
-        threshold.is_none_or(|threshold| self.probability_if_healthy() < *threshold)
+        threshold.is_none_or(|threshold| {
+            let run_times = self.crashes.iter().map(|crash| crash.run_time);
+            probability_if_healthy(run_times) < *threshold
+        })
     }
-
-    /// Returns the probability that a healthy request meets as many crashes this soon after
-    /// it started to run.
-    fn probability_if_healthy(&self) -> f64 {
-        let crashes = self.crashes.iter();
-        crashes
-            .map(|crash| {
-                (CRASH_RATE_MAX_PER_S * crash.run_time.max(RUN_TIME_MIN).as_secs_f64()).min(1.0)
-            })
-            .product()
-    }
-}
-
-/// Returns an id for the incarnation that follows one, the same on all hosts.
-fn next_incarnation(incarnation: IncarnationId) -> IncarnationId {
-    xxh3_64(&incarnation.to_le_bytes())
 }
 
 fn is_within(at: Instant, time: Duration, now: Instant) -> bool {
--- a/crates/server/src/quarantine.rs
+++ b/crates/server/src/quarantine.rs
@@ -19,6 +19,7 @@
 use notchwharf_proto::messages;
 use notchwharf_quarantine::gate::Blocked;
 use notchwharf_quarantine::gate::RunGuard;
+use notchwharf_quarantine::reports::Batch;
 use notchwharf_quarantine::reports::REPORT_FANOUT;
 use notchwharf_quarantine::reports::REPORT_INTERVAL;
 use notchwharf_quarantine::reports::decode;
@@ -46,9 +47,8 @@
 /// Starts to report suspects to other hosts.
 pub(crate) fn start(ctx: &Arc<Context>) {
     let shared = Arc::clone(ctx);
-    let send_report =
-        move |report: &Report| send(&shared, std::slice::from_ref(report), usize::MAX);
-    tokio::spawn(send_changes(Arc::clone(&ctx.suspects), send_report));
+    let send_batch = move |batch: &Batch| send(&shared, &batch.requests, usize::MAX);
+    tokio::spawn(send_changes(Arc::clone(&ctx.suspects), send_batch));
     tokio::spawn(send_periodic_reports(Arc::clone(ctx)));
 }
 
