Take no answer that ends with its connection as proof of health

What would be seen: a target that crashes between two events of an answer without a length or chunks looks as if it had answered. The run was taken for a success, which cleared the part that crashed the target, and no probe was sent; requests with the part went on to other targets.

Cause: a success was recorded wherever a body had ended, also where only the connection had. Found by reading; the users announce such answers.

Such an end now counts once a probe shows that the target listens, and as a crash if connections are refused there. Targets are probed for it only while there are suspects. What callers receive is unchanged: the answer is whole if it ends between events.

--- a/crates/gateway/src/items/run.rs
+++ b/crates/gateway/src/items/run.rs
@@ -55,6 +55,15 @@
     Unusable(&'static str),
 }
 
+/// The start of a response.
+#[derive(Clone, Copy, Debug)]
+struct Head {
+    /// When it arrived.
+    at: Instant,
+    /// Whether the end of the body is marked; see [`Reply::is_end_marked`].
+    is_end_marked: bool,
+}
+
 /// Where an item runs.
 #[derive(Clone, Debug)]
 pub(super) struct Destination {
@@ -79,9 +88,9 @@
         run: number,
         cancelled,
     } = handle;
-    let mut headers_at = None;
+    let mut head = None;
     let outcome = tokio::select! {
-        outcome = exchange(&ctx, &mut item, &destination, &mut headers_at) => outcome,
+        outcome = exchange(&ctx, &mut item, &destination, &mut head) => outcome,
         _ = cancelled => RunOutcome::Cancelled,
     };
     let Destination { target, origin } = destination;
@@ -111,8 +120,7 @@
             lock(&ctx.items.estimators)
                 .kind_mut(&item.route)
                 .record_completion(item.size, item.event_count());
-            quarantine::record_success(&ctx, || item.fingerprint(&ctx.decode));
-            quarantine::record_parts_success(&ctx, || item.parts(&ctx.decode).into());
+            record_success(&ctx, &item, &target, head, started);
             completion::stop_tracking(&ctx, &item);
             drop(in_progress);
             completion::complete(Arc::clone(&ctx), item).await;
@@ -134,9 +142,9 @@
             lock(&ctx.items.backlog).requeue(item);
         }
         RunOutcome::Interrupted(_) => {
-            let run_time = headers_at.map_or(took, |at| at.elapsed());
-            let sent_at = headers_at.map(|_| started);
-            check_crash(&ctx, &item, target, run_time, sent_at).await;
+            if let Some(run) = broken_run(&ctx, &item, &target, head, started) {
+                quarantine::check_crash(&ctx, run).await;
+            }
             requeue_after_delay(&ctx, item).await;
         }
         RunOutcome::NotRun(_) | RunOutcome::Unusable(_) => requeue_after_delay(&ctx, item).await,
@@ -146,28 +154,44 @@
     ctx.items.wake();
 }
 
-/// Checks whether a target crashed while it ran an item. `sent_at` is when the item was sent, if
-/// the target had started to respond.
-async fn check_crash(
+/// Records that a target answered an item with success.
+fn record_success(
     ctx: &Arc<Context>,
     item: &Item,
-    target: TargetId,
-    run_time: Duration,
-    sent_at: Option<Instant>,
+    target: &TargetId,
+    head: Option<Head>,
+    started: Instant,
 ) {
-    let Some(addr) = lock(&ctx.balancer).spec(&target).map(|spec| spec.addr) else {
+    if head.is_none_or(|head| head.is_end_marked) {
+        quarantine::record_success(ctx, || item.fingerprint(&ctx.decode));
+        quarantine::record_parts_success(ctx, || item.parts(&ctx.decode).into());
         return;
-    };
-    let run = quarantine::BrokenRun {
+    }
+    if let Some(run) = broken_run(ctx, item, target, head, started) {
+        let is_complete = true;
+        quarantine::check_unmarked_end(ctx, || quarantine::BrokenRun { is_complete, ..run });
+    }
+}
+
+/// Returns an interrupted run of an item; `None` if its target has been removed.
+fn broken_run(
+    ctx: &Context,
+    item: &Item,
+    target: &TargetId,
+    head: Option<Head>,
+    started: Instant,
+) -> Option<quarantine::BrokenRun> {
+    let addr = lock(&ctx.balancer).spec(target).map(|spec| spec.addr)?;
+    Some(quarantine::BrokenRun {
         fingerprint: item.fingerprint(&ctx.decode),
         parts: item.parts(&ctx.decode).to_vec(),
         id: item.request.id.clone(),
-        target,
+        target: target.clone(),
         addr,
-        run_time,
-        sent_at,
-    };
-    quarantine::check_crash(ctx, run).await;
+        run_time: head.map_or(started, |head| head.at).elapsed(),
+        sent_at: head.map(|_| started),
+        is_complete: false,
+    })
 }
 
 async fn requeue_after_delay(ctx: &Context, item: Item) {
@@ -202,13 +226,12 @@
     }
 }
 
-/// Sends an item to a target and reads the response. Sets `headers_at` when the target starts to
-/// respond.
+/// Sends an item to a target and reads the response. Sets `head` when the target starts to respond.
 async fn exchange(
     ctx: &Context,
     item: &mut Item,
     destination: &Destination,
-    headers_at: &mut Option<Instant>,
+    head: &mut Option<Head>,
 ) -> RunOutcome {
     let target = &destination.target;
     let Some(addr) = lock(&ctx.balancer).spec(target).map(|spec| spec.addr) else {
@@ -230,7 +253,10 @@
         Ok(Err(err)) => return RunOutcome::NotRun(err),
         Ok(Ok(reply)) => reply,
     };
-    *headers_at = Some(Instant::now());
+    *head = Some(Head {
+        at: Instant::now(),
+        is_end_marked: reply.is_end_marked,
+    });
     match reply.status {
         StatusCode::UNPROCESSABLE_ENTITY => RunOutcome::Impossible,
         StatusCode::INTERNAL_SERVER_ERROR => RunOutcome::Failed,
--- a/crates/gateway/src/online/body.rs
+++ b/crates/gateway/src/online/body.rs
@@ -2,7 +2,6 @@
 //! that is interrupted continues at another target within the same body.
 
 use std::io;
-use std::sync::Arc;
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -26,7 +25,6 @@
 use crate::origins;
 use crate::origins::RunningStream;
 use crate::ports::Body;
-use crate::quarantine;
 use crate::sse::Events;
 use crate::sse::is_next;
 use crate::sync::lock;
@@ -270,9 +268,7 @@
         if let Some(response) = self.response.take() {
             let status = response.reply.status;
             if status.is_success() {
-                let ctx = Arc::clone(&self.dispatch.ctx);
-                quarantine::record_success(&ctx, || self.dispatch.fingerprint());
-                quarantine::record_parts_success(&ctx, || self.dispatch.parts());
+                self.dispatch.record_success(&response);
             }
             let mut balancer = lock(&self.dispatch.ctx.balancer);
             if status.is_server_error() {
--- a/crates/gateway/src/online/dispatch.rs
+++ b/crates/gateway/src/online/dispatch.rs
@@ -323,10 +323,31 @@
             addr,
             run_time,
             sent_at,
+            is_complete: false,
         };
         quarantine::check_crash(&self.ctx, run).await;
     }
 
+    /// Records that a target answered the request with success.
+    pub(super) fn record_success(&mut self, response: &StartedResponse) {
+        let ctx = Arc::clone(&self.ctx);
+        if response.reply.is_end_marked {
+            quarantine::record_success(&ctx, || self.fingerprint());
+            quarantine::record_parts_success(&ctx, || self.parts());
+            return;
+        }
+        quarantine::check_unmarked_end(&ctx, || quarantine::BrokenRun {
+            fingerprint: self.fingerprint(),
+            parts: self.parts().to_vec(),
+            id: self.request.id.clone(),
+            target: response.running.target().clone(),
+            addr: response.addr,
+            run_time: response.headers_at.elapsed(),
+            sent_at: Some(response.sent_at),
+            is_complete: true,
+        });
+    }
+
     /// Returns the time left to the first-event objective. None if the route has no objective,
     /// or if the request may have run or goes on with a stream: such a request is no longer
     /// refused for lateness, and does not wait behind new ones.
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -71,6 +71,9 @@
     pub body: Body,
     /// Whether the target has signed it. An unsigned response does not count as success.
     pub is_signed: bool,
+    /// Whether the end of the body is marked by a length or chunks. Otherwise it ends with the
+    /// connection, and may be incomplete if the target has crashed.
+    pub is_end_marked: bool,
 }
 
 impl fmt::Debug for Reply {
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -38,6 +38,7 @@
 pub(crate) use self::probe::BrokenRun;
 use self::probe::Probes;
 pub(crate) use self::probe::check_crash;
+pub(crate) use self::probe::check_unmarked_end;
 pub(crate) use self::records::delete_expired;
 use crate::backlog::Item;
 use crate::context::Context;
--- a/crates/gateway/src/quarantine/probe.rs
+++ b/crates/gateway/src/quarantine/probe.rs
@@ -1,4 +1,5 @@
-//! Probes a target after runs there were interrupted, to detect whether it crashed.
+//! Probes a target after runs there were interrupted, to detect whether it crashed. A run whose
+//! answer ended with its connection may have been interrupted too.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -20,6 +21,8 @@
 
 use super::log_blamed;
 use super::log_blamed_part;
+use super::record_parts_success;
+use super::record_success;
 use super::records;
 use crate::RequestId;
 use crate::context::Context;
@@ -34,7 +37,7 @@
 /// doesn't respond at all is not worth a longer wait.
 const PROBE_WAIT: Duration = Duration::from_millis(30);
 
-/// An interrupted run.
+/// A run that was interrupted, or whose answer ended with its connection.
 #[derive(Clone, Debug)]
 pub(crate) struct BrokenRun {
     /// The fingerprint of the request or item.
@@ -51,6 +54,8 @@
     pub(crate) run_time: Duration,
     /// When it was sent, if the target had started to respond: the target was running then.
     pub(crate) sent_at: Option<Instant>,
+    /// Whether its answer was a success and looked complete.
+    pub(crate) is_complete: bool,
 }
 
 /// An interrupted run that waits for the probe of its target.
@@ -97,12 +102,32 @@
     let _ = tokio::time::timeout(PROBE_WAIT, done).await;
 }
 
+/// Records the success of a run whose answer ended with its connection, unless its target has
+/// crashed. While nothing is suspected, no success has to be recorded, and the target isn't probed.
+pub(crate) fn check_unmarked_end(ctx: &Arc<Context>, run: impl FnOnce() -> BrokenRun) {
+    let gate = &ctx.suspects.gate;
+    if gate.is_empty() && !gate.has_parts() {
+        return;
+    }
+    let (ctx, run) = (Arc::clone(ctx), run());
+    tokio::spawn(async move { check_crash(&ctx, run).await });
+}
+
 /// Probes a target. If it has crashed, records that for the runs that wait.
 async fn probe(ctx: Arc<Context>, target: TargetId, addr: SocketAddr) {
     let presence = (ctx.targets.probe)(addr).await;
     let pending_runs = ctx.suspects.probes.take(&target);
     slog::info!(ctx.logger, "target probed"; "target" => target.as_str(),
         "presence" => ?presence, "runs" => pending_runs.len());
+    if presence == Presence::Listening {
+        let complete = pending_runs
+            .iter()
+            .filter(|pending| pending.run.is_complete);
+        for pending in complete {
+            record_success(&ctx, || pending.run.fingerprint);
+            record_parts_success(&ctx, || pending.run.parts.as_slice().into());
+        }
+    }
     if presence != Presence::Gone {
         return;
     }
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -124,6 +124,33 @@
     assert!(crashes <= PART_CRASHES_MAX, "{crashes} targets crashed");
 }
 
+#[tokio::test]
+async fn answers_cut_at_an_events_end_by_a_crash_clear_no_prompt_part() {
+    let harness = Harness::new(&["t1", "t2", "t3", "t4", "t5", "t6"]);
+    harness.targets.crash_on_part("bad");
+    let host = harness.start_ready("a1").await;
+    for number in 0..PART_ATTEMPTS {
+        let id = format!("b{number}");
+        if number % 3 == 2 {
+            harness
+                .targets
+                .script_request(&id, &[Action::CrashAtEventEnd]);
+        }
+        let parts = format!("shared,bad,own{number}");
+        // The outcome doesn't matter here.
+        let _ = host.send_with_parts(NON_RESUMABLE, &id, &parts).await;
+        let metrics = &host.ctx().metrics;
+        wait_until("the host has probed the target", || {
+            let crashes = u64::from(harness.targets.crash_count());
+            metrics.counted(Counted::Changes, "target crashed") == crashes
+        })
+        .await;
+        harness.targets.restart_all();
+    }
+    let crashes = harness.targets.crash_count();
+    assert!(crashes <= PART_CRASHES_MAX, "{crashes} targets crashed");
+}
+
 #[tokio::test]
 async fn items_sharing_a_prompt_part_crash_target_after_target() {
     let harness = Harness::new(&["t1", "t2", "t3", "t4", "t5", "t6"]);
--- a/crates/gateway/tests/harness/targets.rs
+++ b/crates/gateway/tests/harness/targets.rs
@@ -54,6 +54,8 @@
     Unsigned,
     /// Crashes once the response has started.
     Crash,
+    /// Crashes after the first event, which looks like the end of a response without a length.
+    CrashAtEventEnd,
     /// Fails without a response.
     NoReply(NoReply),
 }
@@ -252,8 +254,10 @@
             Action::Status(status) => Ok(reply(status, true, Full::new(Bytes::new()))),
             Action::Unsigned => Ok(reply(200, false, Full::new(Bytes::from("data: x\n\n")))),
             _ => {
-                let is_crashing = self.is_crashing(&call);
-                let action = if is_crashing { Action::Crash } else { action };
+                let action = match action {
+                    Action::Run if self.is_crashing(&call) => Action::Crash,
+                    other => other,
+                };
                 Ok(self.stream(&call, action, active))
             }
         }
@@ -300,6 +304,10 @@
                         drop(active);
                         return Some((Ok(Frame::data(half)), None));
                     }
+                    Action::CrashAtEventEnd if event > first => {
+                        targets.crash(&target);
+                        return None;
+                    }
                     Action::HangAfter(events) if event - first >= events => {
                         std::future::pending::<()>().await;
                         return None;
@@ -321,6 +329,7 @@
             headers: HeaderMap::new(),
             body: frames,
             is_signed: true,
+            is_end_marked: action != Action::CrashAtEventEnd,
         };
         let from = call.target.parse().unwrap();
         reply.headers.insert("x-from", from);
@@ -348,6 +357,7 @@
         headers: HeaderMap::new(),
         body: body.map_err(|never| match never {}).boxed_unsync(),
         is_signed,
+        is_end_marked: true,
     }
 }
 
