Take streams whose lines end in CR LF for whole

What callers would see: a stream that cannot be resumed and whose lines end in carriage return and line feed broke off at its regular end, since the gateway took its last two bytes for the middle of an event.

Cause: the end of an event was compared with two line feeds, while the parser of resumable streams also accepts CR LF. Found by reading; the users announce answers that end with their connection, where the end of an event decides. Both cases of the new test in the gateway show it: the stream that cannot be resumed failed before and passes.

--- a/crates/gateway/src/online/body.rs
+++ b/crates/gateway/src/online/body.rs
@@ -25,14 +25,12 @@
 use crate::origins;
 use crate::origins::RunningStream;
 use crate::ports::Body;
+use crate::sse::EventEnd;
 use crate::sse::Events;
 use crate::sse::is_next;
 use crate::sync::lock;
 use crate::time::ms;
 
-/// The bytes that end an event, as targets send them.
-const EVENT_END: [u8; 2] = *b"\n\n";
-
 /// A response whose body is being forwarded.
 pub(super) struct ResponseBody {
     dispatch: Dispatch,
@@ -47,8 +45,8 @@
     last_event: Option<u64>,
     /// Whether an event was received that isn't the successor of the last one.
     is_out_of_order: bool,
-    /// The last two bytes that were forwarded; an empty body counts as complete.
-    last_bytes: [u8; 2],
+    /// Whether the forwarded bytes end between events; an empty body counts as complete.
+    event_end: EventEnd,
     first_event: Option<Bytes>,
     /// Whether an event was received.
     has_begun: bool,
@@ -80,7 +78,7 @@
             response: Some(response),
             last_event: None,
             is_out_of_order: false,
-            last_bytes: EVENT_END,
+            event_end: EventEnd::default(),
             first_event: None,
             has_begun: false,
             running_stream: None,
@@ -191,7 +189,7 @@
             lock(&self.dispatch.ctx.balancer).record_success(response.running.target(), Some(took));
         }
         let Some(events) = &mut self.events else {
-            self.record_last_bytes(&bytes);
+            self.event_end.push(&bytes);
             return Ok(Some(bytes));
         };
         events.push(&bytes);
@@ -242,19 +240,11 @@
         is_end && !self.is_out_of_order && self.check_end().is_ok()
     }
 
-    /// Records the last bytes that are forwarded.
-    fn record_last_bytes(&mut self, bytes: &[u8]) {
-        let newest = bytes.len().saturating_sub(EVENT_END.len());
-        for byte in &bytes[newest..] {
-            self.last_bytes = [self.last_bytes[1], *byte];
-        }
-    }
-
     /// Returns an error if the body ended inside an event.
     fn check_end(&self) -> Result<Option<Bytes>, Interruption> {
         let is_complete = match &self.events {
             Some(events) => events.is_empty(),
-            None => !self.is_stream || self.last_bytes == EVENT_END,
+            None => !self.is_stream || self.event_end.is_between_events(),
         };
         if !is_complete {
             return Err(Interruption::ConnectionLost("ended in an event"));
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -50,6 +50,36 @@
     }
 }
 
+/// Tracks whether a stream that is forwarded unparsed has ended between two events.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct EventEnd {
+    /// Whether the current event has a line that isn't empty.
+    has_content: bool,
+    /// Whether the current line has a byte other than a carriage return.
+    has_line: bool,
+}
+
+impl EventEnd {
+    /// Records bytes that are forwarded.
+    pub(crate) fn push(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            match byte {
+                b'\n' if !std::mem::take(&mut self.has_line) => self.has_content = false,
+                b'\n' | b'\r' => {}
+                _ => {
+                    self.has_line = true;
+                    self.has_content = true;
+                }
+            }
+        }
+    }
+
+    /// Returns whether no event has begun since the last one ended.
+    pub(crate) fn is_between_events(&self) -> bool {
+        !self.has_content
+    }
+}
+
 impl Iterator for Events {
     type Item = Event;
 
--- a/crates/gateway/tests/harness/targets.rs
+++ b/crates/gateway/tests/harness/targets.rs
@@ -50,6 +50,8 @@
     SkipAt(u64),
     /// Runs the request and sends the complete response in one frame.
     SingleFrame,
+    /// The same with lines that end in carriage return and line feed.
+    CrLf,
     /// Responds successfully without a signature.
     Unsigned,
     /// Crashes once the response has started.
@@ -245,8 +247,12 @@
                 drop(active);
                 Err(NoReply::Unknown("never"))
             }
-            Action::SingleFrame => {
-                let body = Full::new(Bytes::from(full_response(&call.request.id)));
+            Action::SingleFrame | Action::CrLf => {
+                let mut text = full_response(&call.request.id);
+                if action == Action::CrLf {
+                    text = text.replace('\n', "\r\n");
+                }
+                let body = Full::new(Bytes::from(text));
                 let mut reply = reply(200, true, body);
                 reply.headers.insert("x-from", call.target.parse().unwrap());
                 Ok(reply)
--- a/crates/gateway/tests/online.rs
+++ b/crates/gateway/tests/online.rs
@@ -136,6 +136,19 @@
     .await;
 }
 
+#[rstest]
+#[case::resumable(RESUMABLE)]
+#[case::not_resumable(NON_RESUMABLE)]
+#[tokio::test]
+async fn streams_with_crlf_line_ends_are_whole(#[case] path: &str) {
+    let harness = Harness::new(&["t1"]);
+    let host = harness.start_ready("a1").await;
+    harness.targets.script_request("r1", &[Action::CrLf]);
+    let response = host.send(path, "r1").await.unwrap();
+    let text = full_response("r1").replace('\n', "\r\n");
+    assert_eq!(response.text(), Some(text));
+}
+
 /// Regression: a response whose body was complete in its first chunk was forwarded without its
 /// headers.
 #[rstest]
