Tell parts that occur together apart by the request they were in

Only a part whose crashes were a superset explained those of another.

A crash is now explained by any part of the request that ran there which has two crashes or more, and a part blocks only for what others, which the prompt lacks, do not explain. Crashes carry the request for it.

The new simulation of fleets in virtual time draws one or two parts, as first or second ones, with 12, 60 and 300 hosts, lost messages, restarts of one and of all hosts, and up to four targets in ten that crash every 3 s for no request's sake.

Tried and dropped: parts of any request at the target as explanation.

--- a/crates/gateway/src/quarantine/probe.rs
+++ b/crates/gateway/src/quarantine/probe.rs
@@ -175,11 +175,14 @@
     detected_at: Instant,
 ) {
     let gate = &ctx.suspects.gate;
+    // The lower half identifies a request among the few at one target.
+    let request = run.fingerprint as parts::RequestKey;
     for part in run.parts.iter().copied() {
         let crash = parts::Crash {
             incarnation: run.sent_at.map_or(incarnation, |sent_at| {
                 gate.incarnation_of_part_run(part, incarnation, sent_at)
             }),
+            request,
             run_time: run.run_time,
             has_begun: run.sent_at.is_some(),
             detected_at,
--- a/crates/gateway/src/quarantine/records.rs
+++ b/crates/gateway/src/quarantine/records.rs
@@ -52,7 +52,7 @@
 /// except for requests and parts that were blamed repeatedly.
 const RECORD_MAX_AGE: Duration = Duration::from_secs(48 * 3_600);
 
-/// A blamed request or part.
+/// A blamed request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct BlameRecord {
     clearances: u32,
@@ -68,6 +68,21 @@
     at_unix_ms: u64,
 }
 
+/// A blamed part.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct PartRecord {
+    crashes: Vec<PartCrashRecord>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct PartCrashRecord {
+    incarnation: u64,
+    request: u64,
+    run_time_ms: u64,
+    /// By the clock of the host that wrote the record.
+    at_unix_ms: u64,
+}
+
 /// Saves a blamed request in a task of its own, which retries while the store is unavailable.
 pub(super) fn save(ctx: &Arc<Context>, fingerprint: Fingerprint) {
     let Some(report) = ctx.suspects.gate.report(fingerprint) else {
@@ -102,13 +117,13 @@
             return;
         };
         let now_unix_ms = unix_ms();
-        let crashes = report.crashes.iter().map(|crash| CrashRecord {
+        let crashes = report.crashes.iter().map(|crash| PartCrashRecord {
             incarnation: crash.incarnation,
-            ran_ms: millis(crash.run_time),
+            request: crash.request,
+            run_time_ms: millis(crash.run_time),
             at_unix_ms: now_unix_ms.saturating_sub(millis(crash.age)),
         });
-        let record = BlameRecord {
-            clearances: 0,
+        let record = PartRecord {
             crashes: crashes.collect(),
         };
         let value = postcard::to_stdvec(&record).expect("Records are representable.");
@@ -178,20 +193,15 @@
     let Some(value) = &entry.value else {
         return;
     };
-    let Some((subject, record)) = decode(&entry.key, value) else {
-        slog::error!(ctx.logger, "unreadable record of a blamed request"; "key" => &entry.key);
-        return;
-    };
     let reporter = HostId::from(STORE_REPORTER);
     let now_unix_ms = unix_ms();
-    let age = |crash: &CrashRecord| ms(now_unix_ms.saturating_sub(crash.at_unix_ms));
-    let crashes = record.crashes.iter();
-    match subject {
-        Subject::Request(fingerprint) => {
-            let crashes = crashes.map(|crash| CrashReport {
+    let age = |at_unix_ms: u64| ms(now_unix_ms.saturating_sub(at_unix_ms));
+    match decode(&entry.key, value) {
+        Some(Record::Request(fingerprint, record)) => {
+            let crashes = record.crashes.iter().map(|crash| CrashReport {
                 incarnation: crash.incarnation,
                 run_time: ms(crash.ran_ms),
-                age: age(crash),
+                age: age(crash.at_unix_ms),
             });
             let report = Report {
                 fingerprint,
@@ -201,12 +211,13 @@
             };
             super::merge_report(ctx, &reporter, &report);
         }
-        Subject::Part(part) => {
-            let crashes = crashes.map(|crash| parts::CrashReport {
+        Some(Record::Part(part, record)) => {
+            let crashes = record.crashes.iter().map(|crash| parts::CrashReport {
                 incarnation: crash.incarnation,
-                run_time: ms(crash.ran_ms),
+                request: crash.request,
+                run_time: ms(crash.run_time_ms),
                 has_begun: true,
-                age: age(crash),
+                age: age(crash.at_unix_ms),
             });
             let report = parts::Report {
                 part,
@@ -215,21 +226,39 @@
             };
             super::merge_part_report(ctx, &reporter, &report);
         }
+        None => {
+            slog::error!(ctx.logger, "unreadable record of a blamed request"; "key" => &entry.key);
+        }
     }
 }
 
-/// What a record blames.
-enum Subject {
-    Request(Fingerprint),
-    Part(PartId),
+/// A record with what it blames.
+enum Record {
+    Request(Fingerprint, BlameRecord),
+    Part(PartId, PartRecord),
 }
 
-fn decode(key: &str, value: &[u8]) -> Option<(Subject, BlameRecord)> {
-    let subject = match key.strip_prefix(PART_PREFIX) {
-        Some(part) => Subject::Part(PartId::from_str_radix(part, 16).ok()?),
-        None => Subject::Request(Fingerprint::from_str_radix(key, 16).ok()?),
-    };
-    Some((subject, postcard::from_bytes(value).ok()?))
+impl Record {
+    /// Returns the time of the newest crash.
+    fn newest_unix_ms(&self) -> Option<u64> {
+        match self {
+            Self::Request(_, record) => record.crashes.iter().map(|c| c.at_unix_ms).max(),
+            Self::Part(_, record) => record.crashes.iter().map(|c| c.at_unix_ms).max(),
+        }
+    }
+}
+
+fn decode(key: &str, value: &[u8]) -> Option<Record> {
+    Some(match key.strip_prefix(PART_PREFIX) {
+        Some(part) => Record::Part(
+            PartId::from_str_radix(part, 16).ok()?,
+            postcard::from_bytes(value).ok()?,
+        ),
+        None => Record::Request(
+            Fingerprint::from_str_radix(key, 16).ok()?,
+            postcard::from_bytes(value).ok()?,
+        ),
+    })
 }
 
 /// Deletes the records of requests whose last crash is long ago.
@@ -242,10 +271,8 @@
     let records = ctx.store.all_newest(Topic::Blamed, 0).await?.before_end();
     let is_expired = |entry: &Entry| {
         let record = entry.value.as_deref().and_then(|v| decode(&entry.key, v));
-        let crashes = record.map(|(_, record)| record.crashes).unwrap_or_default();
-        crashes
-            .iter()
-            .all(|crash| crash.at_unix_ms < expiry_unix_ms)
+        let newest_unix_ms = record.and_then(|record| record.newest_unix_ms());
+        newest_unix_ms.is_none_or(|at_unix_ms| at_unix_ms < expiry_unix_ms)
     };
     let expired = records
         .into_iter()
--- a/crates/proto/src/messages.rs
+++ b/crates/proto/src/messages.rs
@@ -79,6 +79,8 @@
 pub struct PartCrash {
     /// Identifies the incarnation of the target that crashed.
     pub incarnation: u64,
+    /// Identifies the request.
+    pub request: u64,
     /// Time for which the request had run there.
     pub run_time_ms: u64,
     /// Whether the target had begun to answer it.
--- a/crates/quarantine/src/reports.rs
+++ b/crates/quarantine/src/reports.rs
@@ -120,6 +120,7 @@
 fn encode_part(report: &parts::Report) -> SuspectPart {
     let crashes = report.crashes.iter().map(|crash| messages::PartCrash {
         incarnation: crash.incarnation,
+        request: crash.request,
         run_time_ms: millis(crash.run_time),
         has_begun: crash.has_begun,
         age_ms: millis(crash.age),
@@ -135,6 +136,7 @@
 pub fn decode_part(part: &SuspectPart) -> parts::Report {
     let crashes = part.crashes.iter().map(|crash| parts::CrashReport {
         incarnation: crash.incarnation,
+        request: crash.request,
         run_time: Duration::from_millis(crash.run_time_ms),
         has_begun: crash.has_begun,
         age: Duration::from_millis(crash.age_ms),
--- a/crates/routing/src/quarantine/parts.rs
+++ b/crates/routing/src/quarantine/parts.rs
@@ -16,7 +16,7 @@
 //! let mut parts = Parts::default();
 //! for incarnation in 0..3 {
 //!     let run_time = Duration::from_millis(50);
-//!     let crash = Crash { incarnation, run_time, has_begun: true, detected_at: now };
+//!     let crash = Crash { incarnation, request: 1, run_time, has_begun: true, detected_at: now };
 //!     parts.record_crash(7, crash);
 //!     parts.record_crash(8, crash);
 //! }
@@ -28,10 +28,15 @@
 //!
 //! # Parts that occur together
 //!
-//! If every crash under a part was also one under another part, either explains them. Then only
-//! requests with both are withheld; one with a single of them runs, and its outcome tells which
-//! part is to blame. Withholding all requests with either was rejected: a part that shares its
-//! crashes with a rarer one would never be answered again, and so never be cleared.
+//! The request that a target ran when it crashed may have several suspected parts, and each
+//! explains the crash. So a blamed part blocks a request only for crashes that no other
+//! part explains, unless the request has that part too: a request with one of several parts that
+//! share their crashes runs, and its outcome tells which of them is to blame. Withholding all
+//! requests with any of them was rejected: a sound part that is rarely used without the one to
+//! blame would never be answered again, and so never be cleared. The price is up to three more
+//! crashes where that happens. A part of another request that ran at the target explains nothing:
+//! while many targets crash, so many parts are in use at them that together they would explain
+//! any crash.
 //!
 //! # Trade-offs
 //!
@@ -64,6 +69,10 @@
 /// Least number of crashes for which a part is blamed.
 pub const CRASHES_MIN: usize = 3;
 
+/// Least number of crashes with which a part explains those of another one. One crash is met by
+/// any part.
+const EXPLAINING_CRASHES_MIN: usize = 2;
+
 /// Probability that a healthy part meets the same crashes, below which a part is blamed.
 const BLAME_PROBABILITY: f64 = 1e-5;
 
@@ -89,12 +98,17 @@
 /// Number of crashes retained for each part, the newest ones.
 const CRASHES_RETAINED: usize = 8;
 
+/// Identifies a request among those that ran at a target when it crashed.
+pub type RequestKey = u64;
+
 /// A crash of a target under a part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Crash {
     /// The incarnation of the target that crashed.
     pub incarnation: IncarnationId,
-    /// Time for which a request with the part had run there.
+    /// The request with the part that ran there.
+    pub request: RequestKey,
+    /// Time for which that request had run.
     pub run_time: Duration,
     /// Whether the target had begun to answer that request.
     pub has_begun: bool,
@@ -118,7 +132,9 @@
 pub struct CrashReport {
     /// The incarnation of the target that crashed.
     pub incarnation: IncarnationId,
-    /// Time for which a request with the part had run there.
+    /// The request with the part that ran there.
+    pub request: RequestKey,
+    /// Time for which that request had run.
     pub run_time: Duration,
     /// Whether the target had begun to answer that request.
     pub has_begun: bool,
@@ -153,6 +169,8 @@
 pub struct Parts {
     suspects: HashMap<PartId, Suspect>,
     blamed: HashSet<PartId>,
+    /// Parts that explain crashes of others: those with [`EXPLAINING_CRASHES_MIN`] or more.
+    explaining: HashSet<PartId>,
 }
 
 impl Parts {
@@ -204,7 +222,7 @@
             return Decision::Admit;
         }
         for part in parts {
-            if !self.is_blamed(*part) || self.is_explained_without(*part, parts) {
+            if !self.is_blamed(*part) || !self.blocks(*part, parts) {
                 continue;
             }
             let suspect = self.suspects.get_mut(part);
@@ -216,17 +234,25 @@
         Decision::Admit
     }
 
-    /// Returns whether the crashes under a part are explained by a blamed part that the prompt
-    /// does not have.
-    fn is_explained_without(&self, part: PartId, prompt: &[PartId]) -> bool {
+    /// Returns whether a blamed part blocks a request: whether it would also be blamed for those
+    /// of its crashes that are not explained by parts which the prompt does not have.
+    fn blocks(&self, part: PartId, prompt: &[PartId]) -> bool {
         let Some(suspect) = self.suspects.get(&part) else {
             return false;
         };
-        let mut others = self.blamed.iter().filter(|other| !prompt.contains(other));
-        others.any(|other| {
-            let other = self.suspects.get(other);
-            other.is_some_and(|other| suspect.is_subset_of(other))
-        })
+        let others = self
+            .explaining
+            .iter()
+            .filter(|other| !prompt.contains(other));
+        let others: Vec<&Suspect> = others.filter_map(|p| self.suspects.get(p)).collect();
+        let is_explained = |crash: &Crash| {
+            let mut explaining = others.iter().flat_map(|other| &other.crashes);
+            explaining.any(|other| {
+                (other.incarnation, other.request) == (crash.incarnation, crash.request)
+            })
+        };
+        let unexplained = suspect.crashes.iter().filter(|crash| !is_explained(crash));
+        are_to_blame(unexplained)
     }
 
     /// Records that a target crashed under a part.
@@ -256,6 +282,7 @@
             suspect.clear(now);
             suspect.changed_at = now;
             self.blamed.remove(part);
+            self.explaining.remove(part);
         }
         cleared
     }
@@ -283,7 +310,11 @@
             return Change::None;
         }
         suspect.changed_at = now;
-        if !suspect.should_be_blamed() {
+        match suspect.crashes.len() >= EXPLAINING_CRASHES_MIN {
+            true => self.explaining.insert(part),
+            false => self.explaining.remove(&part),
+        };
+        if !are_to_blame(suspect.crashes.iter()) {
             suspect.blamed_since = None;
             self.blamed.remove(&part);
             return Change::Updated;
@@ -311,14 +342,8 @@
 
     /// Evicts parts whose last crash was long ago.
     pub fn evict_expired(&mut self, now: Instant) {
-        let blamed = &mut self.blamed;
-        self.suspects.retain(|part, suspect| {
-            let is_retained = !suspect.is_expired(now);
-            if !is_retained {
-                blamed.remove(part);
-            }
-            is_retained
-        });
+        self.suspects.retain(|_, suspect| !suspect.is_expired(now));
+        self.remove_evicted();
     }
 
     /// Evicts the parts with the fewest and oldest crashes if there are too many.
@@ -336,8 +361,14 @@
         // Evicts many at once, so that sorting is rare.
         for (_, part) in by_rank.into_iter().take(SUSPECTS_MAX / 8) {
             self.suspects.remove(&part);
-            self.blamed.remove(&part);
         }
+        self.remove_evicted();
+    }
+
+    fn remove_evicted(&mut self) {
+        let suspects = &self.suspects;
+        self.blamed.retain(|part| suspects.contains_key(part));
+        self.explaining.retain(|part| suspects.contains_key(part));
     }
 }
 
@@ -356,20 +387,6 @@
         u32::try_from(self.crashes.len()).unwrap_or(u32::MAX)
     }
 
-    fn should_be_blamed(&self) -> bool {
-        let run_times = self.crashes.iter().map(|crash| crash.run_time);
-        self.crashes.len() >= CRASHES_MIN && probability_if_healthy(run_times) < BLAME_PROBABILITY
-    }
-
-    /// Returns whether each crash under this part was also one under the other.
-    fn is_subset_of(&self, other: &Self) -> bool {
-        let is_shared = |crash: &Crash| {
-            let mut others = other.crashes.iter();
-            others.any(|c| c.incarnation == crash.incarnation)
-        };
-        self.crashes.iter().all(is_shared)
-    }
-
     /// Decides for a request with this part, which is blamed.
     fn admit(&mut self, now: Instant) -> Decision {
         let elapsed = now.saturating_duration_since(self.last_crash_at());
@@ -412,6 +429,7 @@
             let is_stronger = (crash.has_begun, crash.run_time) > (known.has_begun, known.run_time);
             if is_stronger {
                 known.has_begun = crash.has_begun;
+                known.request = crash.request;
                 known.run_time = crash.run_time;
             }
             return is_stronger;
@@ -454,6 +472,7 @@
             }
             is_changed |= self.add(Crash {
                 incarnation: crash.incarnation,
+                request: crash.request,
                 run_time: crash.run_time,
                 has_begun: crash.has_begun,
                 detected_at,
@@ -466,6 +485,7 @@
         let age = |at: Instant| now.saturating_duration_since(at);
         let crashes = self.crashes.iter().map(|crash| CrashReport {
             incarnation: crash.incarnation,
+            request: crash.request,
             run_time: crash.run_time,
             has_begun: crash.has_begun,
             age: age(crash.detected_at),
@@ -498,6 +518,13 @@
     }
 }
 
+/// Returns whether a healthy part would hardly have met these crashes.
+fn are_to_blame<'a>(crashes: impl Iterator<Item = &'a Crash>) -> bool {
+    let run_times: Vec<Duration> = crashes.map(|crash| crash.run_time).collect();
+    run_times.len() >= CRASHES_MIN
+        && probability_if_healthy(run_times.into_iter()) < BLAME_PROBABILITY
+}
+
 fn is_within(at: Instant, time: Duration, now: Instant) -> bool {
     now.saturating_duration_since(at) < time
 }
--- /dev/null
+++ b/crates/routing/tests/parts.rs
@@ -0,0 +1,238 @@
+//! Quarantine of parts of prompts: the decisions of one host, and of simulated fleets.
+#![allow(clippy::unwrap_used, reason = "Tests fail by panicking.")]
+
+mod parts_simulation;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use notchwharf_routing::prompt::PartId;
+use notchwharf_routing::prompt::part_id;
+use notchwharf_routing::prompt::to_hex;
+use notchwharf_routing::quarantine::Change;
+use notchwharf_routing::quarantine::Decision;
+use notchwharf_routing::quarantine::IncarnationId;
+use notchwharf_routing::quarantine::parts::Crash;
+use notchwharf_routing::quarantine::parts::Parts;
+use parts_simulation::Fleet;
+use parts_simulation::Setting;
+use rstest::rstest;
+
+const A: PartId = 1;
+const B: PartId = 2;
+const C: PartId = 3;
+const D: PartId = 4;
+const SHORT_RUN: Duration = Duration::from_millis(80);
+/// Time after which a crash is no longer recent.
+const LATER: Duration = Duration::from_secs(1);
+/// Time after which a blamed part may be tried again.
+const MUCH_LATER: Duration = Duration::from_secs(25 * 3_600);
+
+fn crash(incarnation: IncarnationId, run_time: Duration, detected_at: Instant) -> Crash {
+    Crash {
+        incarnation,
+        request: incarnation,
+        run_time,
+        has_begun: true,
+        detected_at,
+    }
+}
+
+/// Returns a table in which targets crashed under prompts, each with these parts.
+fn parts_after(prompts: &[&[PartId]], now: Instant) -> Parts {
+    let mut parts = Parts::default();
+    for (incarnation, prompt) in (0..).zip(prompts) {
+        for part in *prompt {
+            parts.record_crash(*part, crash(incarnation, SHORT_RUN, now));
+        }
+    }
+    parts
+}
+
+fn is_refused(decision: Decision) -> bool {
+    matches!(decision, Decision::Refuse { .. })
+}
+
+#[rstest]
+#[case::two_crashes(&[80, 80], false)]
+#[case::three_soon_after_the_begin(&[80, 120, 150], true)]
+#[case::three_long_after_it(&[2_000, 3_000, 900], false)]
+#[case::five_long_after_it(&[1_000; 5], false)]
+#[case::four_of_which_one_long_after_it(&[80, 5_000, 80, 80], true)]
+fn a_part_is_blamed_if_a_sound_one_would_hardly_meet_its_crashes(
+    #[case] ran_ms: &[u64],
+    #[case] is_blamed: bool,
+) {
+    let now = Instant::now();
+    let mut parts = Parts::default();
+    for (incarnation, ran_ms) in (0..).zip(ran_ms) {
+        parts.record_crash(A, crash(incarnation, Duration::from_millis(*ran_ms), now));
+    }
+    assert_eq!(is_refused(parts.admit(&[A], now + LATER)), is_blamed);
+    assert_eq!(parts.admit(&[B], now + LATER), Decision::Admit);
+}
+
+#[rstest]
+#[case::shares_all_its_crashes(&[&[A, B][..], &[A, B], &[A, B]], &[A, B], true)]
+#[case::lacks_a_part_with_the_same_crashes(&[&[A, B][..], &[A, B], &[A, B]], &[A, C], false)]
+#[case::lacks_the_other_one(&[&[A, B][..], &[A, B], &[A, B]], &[C, B], false)]
+#[case::lacks_a_part_with_one_crash_fewer(&[&[A, B][..], &[A, B], &[A, B], &[C, B]], &[C, B], false)]
+#[case::lacks_a_part_with_three_crashes_fewer(
+    &[&[A, B][..], &[A, B], &[A, B], &[C, B], &[D, B], &[5, B]], &[C, B], true)]
+#[case::shares_its_crashes_with_two_others(
+    &[&[A, B][..], &[A, B], &[A, B], &[A, C], &[A, C], &[A, C]], &[A, D], false)]
+#[case::lacks_a_part_with_more_crashes(&[&[A, B][..], &[A, B], &[A, B], &[C, B]], &[A, C], false)]
+fn parts_with_common_crashes_are_told_apart_by_requests_with_one_of_them(
+    #[case] crashed: &[&[PartId]],
+    #[case] prompt: &[PartId],
+    #[case] is_blocked: bool,
+) {
+    let now = Instant::now();
+    let mut parts = parts_after(crashed, now);
+    assert_eq!(is_refused(parts.admit(prompt, now + LATER)), is_blocked);
+}
+
+#[test]
+fn an_answer_clears_the_parts_of_its_prompt_only() {
+    let now = Instant::now();
+    let mut parts = parts_after(&[&[A, B], &[A, B], &[A, B]], now);
+    let cleared = parts.record_success(&[A, C], now);
+    assert_eq!(cleared.len(), 1);
+    assert_eq!((cleared[0].part, cleared[0].crashes), (A, 3));
+    assert_eq!(parts.admit(&[A, C], now + LATER), Decision::Admit);
+    assert!(is_refused(parts.admit(&[A, B], now + LATER)));
+    assert!(is_refused(parts.admit(&[C, B], now + LATER)));
+}
+
+#[test]
+fn requests_wait_until_the_answers_in_progress_have_had_time_to_end() {
+    let now = Instant::now();
+    let mut parts = parts_after(&[&[A], &[A], &[A]], now);
+    assert_eq!(parts.admit(&[A], now), Decision::Wait);
+    assert!(is_refused(parts.admit(&[A], now + LATER)));
+}
+
+#[test]
+fn a_blamed_part_is_tried_with_one_request_at_a_time() {
+    let now = Instant::now();
+    let mut parts = parts_after(&[&[A], &[A], &[A]], now);
+    let later = now + MUCH_LATER;
+    assert_eq!(parts.admit(&[A], later), Decision::Admit);
+    assert_eq!(parts.admit(&[A], later), Decision::Wait);
+    parts.record_crash(A, crash(9, SHORT_RUN, later));
+    assert!(is_refused(parts.admit(&[A], later + LATER)));
+}
+
+#[test]
+fn of_runs_at_one_crash_those_that_had_begun_count() {
+    let now = Instant::now();
+    let mut parts = Parts::default();
+    for incarnation in 0..3 {
+        let queued = Crash {
+            has_begun: false,
+            ..crash(incarnation, Duration::from_secs(4), now)
+        };
+        parts.record_crash(A, queued);
+        assert_eq!(parts.admit(&[A], now + LATER), Decision::Admit);
+    }
+    for incarnation in 0..3 {
+        parts.record_crash(A, crash(incarnation, SHORT_RUN, now));
+    }
+    assert_eq!(parts.crash_count(A), 3);
+    assert!(is_refused(parts.admit(&[A], now + LATER)));
+}
+
+#[test]
+fn reports_are_idempotent_and_a_clearance_discards_only_earlier_crashes() {
+    let now = Instant::now();
+    let mut parts = parts_after(&[&[A], &[A]], now);
+    let before = parts.report(A, now).unwrap();
+    parts.record_success(&[A], now + LATER);
+    let cleared = parts.report(A, now + LATER).unwrap();
+    let mut other = Parts::default();
+    assert_eq!(other.merge_report(&before, now), Change::Updated);
+    assert_eq!(other.merge_report(&before, now), Change::None);
+    other.record_crash(A, crash(7, SHORT_RUN, now + LATER * 2));
+    assert_eq!(other.merge_report(&cleared, now + LATER), Change::Updated);
+    assert_eq!(other.crash_count(A), 1);
+    let late = parts.merge_report(&before, now + LATER);
+    assert_eq!((late, parts.crash_count(A)), (Change::None, 0));
+}
+
+#[test]
+fn the_parts_with_the_most_crashes_are_kept_when_there_are_too_many() {
+    let now = Instant::now();
+    let mut parts = parts_after(&[&[A], &[A], &[A]], now);
+    for part in 1_000..40_000 {
+        parts.record_crash(part, crash(9, SHORT_RUN, now + LATER));
+    }
+    assert!(parts.len() <= 16_384, "{}", parts.len());
+    assert!(is_refused(parts.admit(&[A], now + LATER)));
+}
+
+#[rstest]
+#[case::hexadecimal("5c1e07a2", "5c1e07a2")]
+#[case::leading_zeros("00ff", "ff")]
+#[case::another_name("a name", "9a6b4d0c32d1a0ea")]
+fn parts_are_identified_by_their_names(#[case] name: &str, #[case] hex: &str) {
+    let id = to_hex(part_id(name));
+    if name == "a name" {
+        assert_ne!(part_id(name), part_id("another name"));
+        assert_eq!(part_id(name), part_id("a name"));
+    } else {
+        assert_eq!(id, hex);
+    }
+}
+
+const SETTING: Setting = Setting {
+    hosts: 12,
+    bad_parts: 1,
+    is_first: false,
+    bad_rate: 5.0,
+    first_parts: 20,
+    crash_share: 0.0,
+    loss: 0.0,
+    restarts: false,
+    duration: Duration::from_secs(40),
+};
+
+/// Checks the users' bounds, summed over simulations: three sends of each part later than
+/// `contactMs` after its fifth crash, and half of the sound requests with the same first part.
+#[rstest]
+#[case::calm(SETTING, 20)]
+#[case::first_part(Setting { is_first: true, ..SETTING }, 20)]
+#[case::two_parts(Setting { bad_parts: 2, ..SETTING }, 20)]
+#[case::rarely_sent(Setting { bad_rate: 0.5, ..SETTING }, 20)]
+#[case::often_sent(Setting { bad_rate: 30.0, ..SETTING }, 20)]
+#[case::many_rare_first_parts(Setting { first_parts: 400, ..SETTING }, 20)]
+#[case::lost_messages(Setting { loss: 0.2, ..SETTING }, 20)]
+#[case::restarts(Setting { restarts: true, ..SETTING }, 20)]
+#[case::healthy_crashes(Setting { crash_share: 0.15, ..SETTING }, 20)]
+#[case::many_healthy_crashes(Setting { crash_share: 0.4, loss: 0.1, restarts: true, ..SETTING }, 20)]
+#[case::sixty_hosts(Setting { hosts: 60, bad_rate: 20.0, ..SETTING }, 4)]
+#[case::three_hundred_hosts(
+    Setting { hosts: 300, bad_rate: 50.0, duration: Duration::from_secs(12), ..SETTING }, 1)]
+fn a_fleet_withholds_a_part_that_crashes_targets_and_nothing_else(
+    #[case] setting: Setting,
+    #[case] seeds: u64,
+) {
+    let (mut siblings, mut siblings_sent, mut worst) = (0, 0, 0);
+    let (mut sound, mut refused) = (0, 0);
+    for seed in 0..seeds {
+        let outcome = Fleet::new(setting, seed).run();
+        assert!(outcome.late_sends <= 3, "seed {seed}: {outcome:?}");
+        siblings += outcome.siblings;
+        siblings_sent += outcome.siblings_sent;
+        worst = worst.max(outcome.crashes.values().copied().max().unwrap_or(0));
+        sound += outcome.sound;
+        refused += outcome.sound_refused;
+    }
+    assert!(refused * 100 <= sound, "{refused} of {sound} refused");
+    println!(
+        "{siblings_sent} of {siblings} siblings; {refused} of {sound} refused; {worst} crashes"
+    );
+    assert!(
+        siblings_sent * 2 >= siblings,
+        "{siblings_sent} of {siblings}"
+    );
+}
