Clear a part at all hosts for the same crashes

Cause: the host that cleared a part ignores reports of crashes up to 100 ms after it, since ages are only so exact; hosts that received the clearance kept the crashes that they had dated later. The first had nothing left to clear, so the others stayed with their blame until an answer of their own.

Both sides now discard the same crashes.

--- a/crates/routing/src/quarantine/parts.rs
+++ b/crates/routing/src/quarantine/parts.rs
@@ -279,7 +279,7 @@
                     .blamed_since
                     .map(|since| now.saturating_duration_since(since)),
             });
-            suspect.clear(now);
+            suspect.clear(now, Duration::ZERO);
             suspect.changed_at = now;
             self.blamed.remove(part);
             self.explaining.remove(part);
@@ -449,10 +449,11 @@
         self.crashes.swap_remove(oldest).incarnation != crash.incarnation
     }
 
-    /// Discards the crashes up to a time; returns whether there were any.
-    fn clear(&mut self, at: Instant) -> bool {
+    /// Discards the crashes up to a time, which may be wrong by `error`; returns whether there
+    /// were any.
+    fn clear(&mut self, at: Instant, error: Duration) -> bool {
         let known = self.crashes.len();
-        self.crashes.retain(|crash| crash.detected_at > at);
+        self.crashes.retain(|crash| crash.detected_at > at + error);
         self.cleared_at = self.cleared_at.max(Some(at));
         if self.crashes.is_empty() {
             self.blamed_since = None;
@@ -463,7 +464,8 @@
     /// Merges a report; returns whether it had an effect.
     fn merge(&mut self, report: &Report, now: Instant) -> bool {
         let cleared_at = report.cleared_age.and_then(|age| now.checked_sub(age));
-        let mut is_changed = cleared_at.is_some_and(|at| self.clear(at));
+        // Also discards the crashes that the host which cleared the part will refuse to merge.
+        let mut is_changed = cleared_at.is_some_and(|at| self.clear(at, AGE_ERROR));
         for crash in &report.crashes {
             let detected_at = now.checked_sub(crash.age).unwrap_or(now);
             let is_cleared = |cleared_at| detected_at <= cleared_at + AGE_ERROR;
