Blame no part for crashes of one recurring request

What callers saw: a request that crashes targets by the rest of its content was sent three times, and with it all parts of its prompt were blamed, where nobody else used them in between. Sound requests with these parts were answered 503.

Cause: a part was blamed for three crashes under one and the same content.

Now the request with the strongest evidence is left out: the other requests' crashes alone have to be improbable for a healthy part. Where no two requests are alike a part is blamed at its fourth crash, not its third.

--- a/crates/routing/src/quarantine/parts.rs
+++ b/crates/routing/src/quarantine/parts.rs
@@ -5,7 +5,9 @@
 //! crash; the part does. Each crash makes suspects of all parts that ran at the target. A part
 //! that is not to blame is answered at other targets, and an answer clears it; the part to
 //! blame is in crashes and in no answer. A part is blamed for three crashes or more if a
-//! healthy one would hardly have met them since its last answer.
+//! healthy one would hardly have met them since its last answer. Crashes under one request don't
+//! count beside those, since the rest of its content may be to blame: the request would be
+//! withheld as such, and all others with its parts with it.
 //!
 //! ```
 //! use std::time::{Duration, Instant};
@@ -14,15 +16,15 @@
 //!
 //! let now = Instant::now();
 //! let mut parts = Parts::default();
-//! for incarnation in 0..3 {
+//! for incarnation in 0..4 {
 //!     let run_time = Duration::from_millis(50);
-//!     let crash = Crash { incarnation, request: 1, run_time, has_begun: true, detected_at: now };
+//!     let crash = Crash { incarnation, request: incarnation, run_time, has_begun: true, detected_at: now };
 //!     parts.record_crash(7, crash);
 //!     parts.record_crash(8, crash);
 //! }
 //! parts.record_success(&[8, 9], now);
 //! let later = now + Duration::from_secs(1);
-//! assert!(matches!(parts.admit(&[8, 7], later), Decision::Refuse { crashes: 3, .. }));
+//! assert!(matches!(parts.admit(&[8, 7], later), Decision::Refuse { crashes: 4, .. }));
 //! assert_eq!(parts.admit(&[8, 9], later), Decision::Admit);
 //! ```
 //!
@@ -42,7 +44,7 @@
 //!
 //! Unlike requests, suspected parts are not limited in their number of runs before they are
 //! blamed: a part may be shared by half of a route. Requests with the part that run when the
-//! third crash is detected therefore crash more targets.
+//! fourth crash is detected therefore crash more targets.
 //!
 //! Many targets that crash at once may make a part suspicious that is in use at all of them.
 //! Such a part is answered elsewhere within moments, so requests wait for a short time after a
@@ -66,7 +68,7 @@
 use super::probability_if_healthy;
 use crate::prompt::PartId;
 
-/// Least number of crashes for which a part is blamed.
+/// Least number of crashes for which a part is blamed, beside those under one request.
 pub const CRASHES_MIN: usize = 3;
 
 /// Least number of crashes with which a part explains those of another one. One crash is met by
@@ -80,8 +82,8 @@
 /// than most answers take at targets that run on.
 const SETTLE_TIME: Duration = Duration::from_millis(500);
 
-/// Time for which a part is blocked after the last of [`CRASHES_MIN`] crashes; each further one
-/// doubles it, up to [`BLOCK_TIME_MAX`].
+/// Time for which a part is blocked after the last crash, if there were [`CRASHES_MIN`]; each
+/// further one doubles it, up to [`BLOCK_TIME_MAX`].
 const BLOCK_TIME: Duration = Duration::from_secs(3_600);
 const BLOCK_TIME_MAX: Duration = Duration::from_secs(24 * 3_600);
 
@@ -520,11 +522,26 @@
     }
 }
 
-/// Returns whether a healthy part would hardly have met these crashes.
+/// Returns whether a healthy part would hardly have met these crashes. Those under one request
+/// may be due to the rest of its content, so the request with the strongest evidence is left out.
 fn are_to_blame<'a>(crashes: impl Iterator<Item = &'a Crash>) -> bool {
-    let run_times: Vec<Duration> = crashes.map(|crash| crash.run_time).collect();
-    run_times.len() >= CRASHES_MIN
-        && probability_if_healthy(run_times.into_iter()) < BLAME_PROBABILITY
+    let mut by_request: HashMap<RequestKey, Vec<Duration>> = HashMap::new();
+    for crash in crashes {
+        by_request
+            .entry(crash.request)
+            .or_default()
+            .push(crash.run_time);
+    }
+    let strongest = by_request
+        .iter()
+        .map(|(request, run_times)| (probability_if_healthy(run_times.iter().copied()), *request))
+        .min_by(|(a, _), (b, _)| a.total_cmp(b));
+    if let Some((_, request)) = strongest {
+        by_request.remove(&request);
+    }
+    let remaining: Vec<Duration> = by_request.into_values().flatten().collect();
+    remaining.len() >= CRASHES_MIN
+        && probability_if_healthy(remaining.into_iter()) < BLAME_PROBABILITY
 }
 
 fn is_within(at: Instant, time: Duration, now: Instant) -> bool {
