Withhold completions that share a message which crashes targets

All messages but the last now count as parts of the prompt. The view of targets may be stale there, so a crash after a known one counts for a later incarnation, as at the gateway.

A completion that shares the other message is served.

--- a/crates/proto/src/datagram.rs
+++ b/crates/proto/src/datagram.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::messages::SuspectParts;
 use crate::messages::Suspects;
 
 /// A datagram between hosts.
@@ -22,6 +23,9 @@
     },
     /// Requests that are suspected of crashing targets.
     Suspects(Suspects),
+    /// Parts of prompts that are suspected of crashing targets. Hosts of earlier versions ignore
+    /// it.
+    SuspectParts(SuspectParts),
 }
 
 /// Encodes a datagram.
--- a/crates/server/src/members.rs
+++ b/crates/server/src/members.rs
@@ -306,6 +306,7 @@
             }
         }
         Some(Datagram::Suspects(reports)) => quarantine::merge_reports(shared, &reports),
+        Some(Datagram::SuspectParts(reports)) => quarantine::merge_part_reports(shared, &reports),
         None => {}
     }
 }
--- a/crates/server/src/quarantine.rs
+++ b/crates/server/src/quarantine.rs
@@ -1,4 +1,4 @@
-//! Quarantines chat completions during which targets crash.
+//! Quarantines chat completions, and messages that these share, during which targets crash.
 //!
 //! The gate is shared with the gateway. Targets report their incarnation, so after an
 //! interrupted stream the target itself is queried: it has crashed if its incarnation has
@@ -23,17 +23,22 @@
 use notchwharf_quarantine::reports::REPORT_FANOUT;
 use notchwharf_quarantine::reports::REPORT_INTERVAL;
 use notchwharf_quarantine::reports::decode;
+use notchwharf_quarantine::reports::decode_part;
 use notchwharf_quarantine::reports::encode;
+use notchwharf_quarantine::reports::encode_parts;
 use notchwharf_quarantine::reports::send_changes;
 use notchwharf_routing::fingerprint;
 use notchwharf_routing::fingerprint::Content;
 use notchwharf_routing::fingerprint::Fingerprint;
+use notchwharf_routing::prompt;
+use notchwharf_routing::prompt::PartId;
 use notchwharf_routing::quarantine::Change;
 use notchwharf_routing::quarantine::Crash;
 use notchwharf_routing::quarantine::IncarnationId;
-use notchwharf_routing::quarantine::Report;
+use notchwharf_routing::quarantine::parts;
 use notchwharf_routing::table::Refusal;
 use rand::seq::IteratorRandom as _;
+use serde_json::Value;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::context::Context;
@@ -47,7 +52,7 @@
 /// Starts to report suspects to other hosts.
 pub(crate) fn start(ctx: &Arc<Context>) {
     let shared = Arc::clone(ctx);
-    let send_batch = move |batch: &Batch| send(&shared, &batch.requests, usize::MAX);
+    let send_batch = move |batch: &Batch| send(&shared, batch, usize::MAX);
     tokio::spawn(send_changes(Arc::clone(&ctx.suspects), send_batch));
     tokio::spawn(send_periodic_reports(Arc::clone(ctx)));
 }
@@ -60,21 +65,36 @@
 /// Returns a failure if the request must not be sent; this attempt has not run.
 pub(crate) async fn admit(ctx: &Context, req: &Request) -> Result<Option<RunGuard>, Failure> {
     let gate = &ctx.suspects;
+    if gate.has_parts() {
+        let admission = gate.admit_parts(&parts_of(req), req.deadline).await;
+        admission.map_err(failure_of)?;
+    }
     if gate.is_empty() {
         return Ok(None);
     }
     let admission = gate.admit(fingerprint_of(req), req.deadline).await;
-    admission.map_err(|blocked| match blocked {
+    admission.map_err(failure_of)
+}
+
+fn failure_of(blocked: Blocked) -> Failure {
+    match blocked {
         Blocked::Refused { retry_after, .. } => Failure::Quarantined { retry_after },
         Blocked::Waiting => Failure::NotRun(Refusal::Full {
             retry_after: RETRY_AFTER,
         }),
-    })
+    }
 }
 
 /// Records that a request completed, which clears it of suspicion.
 pub(crate) fn record_success(ctx: &Context, req: &Request) {
     let gate = &ctx.suspects;
+    if gate.has_parts() {
+        let cleared = gate.record_parts_success(&parts_of(req));
+        for part in cleared.iter().filter(|part| part.blamed_for.is_some()) {
+            slog::info!(ctx.logger, "prompt part cleared"; "crashes" => part.crashes,
+                "part" => prompt::to_hex(part.part));
+        }
+    }
     if gate.is_empty() {
         return;
     }
@@ -115,6 +135,21 @@
         return;
     }
     let fingerprint = fingerprint_of(req);
+    let sent_at = detected_at.checked_sub(run_time).unwrap_or(detected_at);
+    for part in parts_of(req) {
+        let gate = &ctx.suspects;
+        let crash = parts::Crash {
+            // The view may be stale: this host may have recorded the crash of that incarnation.
+            incarnation: gate.incarnation_of_part_run(part, before, sent_at),
+            // The lower half identifies a request among the few at one target.
+            request: fingerprint as parts::RequestKey,
+            run_time,
+            has_begun: true,
+            detected_at,
+        };
+        let change = gate.record_part_crash(part, crash);
+        log_if_part_blamed(ctx, part, change, ctx.host());
+    }
     let crash = Crash {
         incarnation: before,
         run_time,
@@ -137,6 +172,21 @@
     }
 }
 
+/// Merges the reports of another host on parts of prompts.
+pub(crate) fn merge_part_reports(ctx: &Context, reports: &messages::SuspectParts) {
+    for part in &reports.parts {
+        let change = ctx.suspects.merge_part_report(&decode_part(part));
+        log_if_part_blamed(ctx, part.part, change, &reports.host);
+    }
+}
+
+fn log_if_part_blamed(ctx: &Context, part: PartId, change: Change, reported_by: &str) {
+    if let Change::Blamed { crashes } = change {
+        slog::warn!(ctx.logger, "prompt part blamed for crashes"; "crashes" => crashes,
+            "part" => prompt::to_hex(part), "told_by" => reported_by);
+    }
+}
+
 fn log_if_blamed(ctx: &Context, fingerprint: Fingerprint, change: Change, reported_by: &str) {
     if let Change::Blamed { crashes } = change {
         slog::warn!(ctx.logger, "request blamed for crashes"; "crashes" => crashes,
@@ -148,14 +198,20 @@
 async fn send_periodic_reports(ctx: Arc<Context>) {
     let mut ticks = ctx.timer.subscribe(REPORT_INTERVAL);
     while ticks.recv().await.is_some() && ctx.phase() != Phase::Stopped {
-        if !ctx.suspects.is_empty() {
-            send(&ctx, &ctx.suspects.periodic_reports(), REPORT_FANOUT);
+        let gate = &ctx.suspects;
+        if gate.is_empty() && !gate.has_parts() {
+            continue;
         }
+        let batch = Batch {
+            requests: gate.periodic_reports(),
+            parts: gate.periodic_part_reports(),
+        };
+        send(&ctx, &batch, REPORT_FANOUT);
     }
 }
 
 /// Sends reports to at most `hosts` other hosts, selected at random.
-fn send(ctx: &Context, reports: &[Report], hosts: usize) {
+fn send(ctx: &Context, batch: &Batch, hosts: usize) {
     let Some(socket) = ctx.update_socket.get() else {
         return;
     };
@@ -165,9 +221,16 @@
         let addrs = others.filter_map(|(_, host)| Some(host.addr.as_ref()?.gossip));
         addrs.sample(&mut rand::rng(), hosts)
     };
-    for suspects in encode(reports) {
-        let host = ctx.host().clone();
-        let datagram = Datagram::Suspects(messages::Suspects { host, suspects });
+    let host = || ctx.host().clone();
+    let requests = encode(&batch.requests).into_iter().map(|suspects| {
+        let host = host();
+        Datagram::Suspects(messages::Suspects { host, suspects })
+    });
+    let parts = encode_parts(&batch.parts).into_iter().map(|parts| {
+        let host = host();
+        Datagram::SuspectParts(messages::SuspectParts { host, parts })
+    });
+    for datagram in requests.chain(parts) {
         let bytes = datagram::encode(&datagram);
         for addr in &addrs {
             ctx.metrics
@@ -178,6 +241,16 @@
     }
 }
 
+/// Returns the shared parts of a completion's prompt: its messages but the last.
+fn parts_of(req: &Request) -> Vec<PartId> {
+    let messages = req.target_request.body.get("messages");
+    let messages = messages.and_then(Value::as_array).map(Vec::as_slice);
+    let shared = messages.and_then(<[Value]>::split_last);
+    let shared = shared.map_or(&[][..], |(_, shared)| shared);
+    let names = shared.iter().take(prompt::PARTS_MAX).map(Value::to_string);
+    names.map(|name| prompt::part_id(&name)).collect()
+}
+
 fn fingerprint_of(req: &Request) -> Fingerprint {
     // Encoding a JSON map cannot fail.
     let body = serde_json::to_vec(&req.target_request.body).unwrap_or_default();
--- a/crates/server/tests/crashes.rs
+++ b/crates/server/tests/crashes.rs
@@ -14,6 +14,8 @@
 
 /// Crashes that one request may cause, including some until the reports reach all hosts.
 const CRASHES_MAX: u64 = 6;
+/// The same for a message that requests share: five and three more.
+const PART_CRASHES_MAX: u64 = 8;
 /// Number of times the request is sent.
 const CALL_COUNT: usize = 10;
 
@@ -59,3 +61,30 @@
         .await;
     assert_eq!(healthy.unwrap().status, 200);
 }
+
+#[tokio::test]
+async fn completions_sharing_a_message_crash_target_after_target() {
+    let config = Config {
+        hosts: 3,
+        engines: 4,
+        ..Config::default()
+    };
+    let fleet = Fleet::ready(config).await;
+    let request = |system: &str, question: usize| {
+        json!({"model": "hints", "max_tokens": 8, "stream": false, "messages": [
+            {"role": "system", "content": "You teach music."},
+            {"role": "system", "content": system},
+            {"role": "user", "content": format!("Which note follows number {question}?")}]})
+    };
+    for (number, host) in fleet.hosts.keys().cycle().take(CALL_COUNT).enumerate() {
+        let crashing = request(&format!("Be brief. {POISON}"), number);
+        // The outcome doesn't matter here.
+        let _ = fleet.chat(host, SCHOOL_KEY, &crashing).await;
+    }
+    let crashes: u64 = fleet.engines.values().map(|engine| engine.crashes()).sum();
+    assert!(crashes <= PART_CRASHES_MAX, "{crashes} targets crashed");
+    let sound = fleet
+        .chat(fleet.any_host(), SCHOOL_KEY, &request("Be brief.", 0))
+        .await;
+    assert_eq!(sound.unwrap().status, 200);
+}
