Delete the record of a part that is cleared after a restart

Cause: the record was deleted only if the part had been blamed for as long as it takes to save it, counted at the host that cleared it. A host that has just loaded the record cleared the part sooner; the record stayed and blamed the part again after each restart of all hosts.

Now the age of the first crash decides. The test of blamed parts over a restart of all hosts timed out before (the record of the sound part was still there after 20 s) and passes; a second one has a starting host learn of parts from a running one.

--- a/crates/gateway/src/quarantine/records.rs
+++ b/crates/gateway/src/quarantine/records.rs
@@ -137,10 +137,7 @@
 
 /// Deletes the record of a cleared part, if it may have one.
 pub(super) fn delete_part_record(ctx: &Arc<Context>, cleared: &Cleared) {
-    if cleared
-        .blamed_for
-        .is_some_and(|time| time >= PART_SAVE_DELAY)
-    {
+    if cleared.blamed_for.is_some() && cleared.suspected_for >= PART_SAVE_DELAY {
         let entry = Entry::tombstone(part_key(cleared.part));
         tokio::spawn(write(Arc::clone(ctx), entry));
     }
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -29,6 +29,8 @@
 
 /// Targets that one request may crash before it is blamed.
 const CRASHES_BEFORE_BLAME: u32 = 3;
+/// Targets that requests with a part may crash before it is blamed.
+const CRASHES_BEFORE_PART_BLAME: u32 = 4;
 /// Further targets that it may crash until the reports reach the other hosts.
 const CRASHES_BEFORE_REPORT: u32 = 3;
 /// How often the request is sent.
@@ -124,6 +126,58 @@
     assert!(crashes <= PART_CRASHES_MAX, "{crashes} targets crashed");
 }
 
+/// Lets requests that share two parts crash as many targets as are needed to blame the parts.
+async fn blame_parts(harness: &Harness, host: &RunningHost) {
+    harness.targets.crash_on_part("bad");
+    for attempt in 0..CRASHES_BEFORE_PART_BLAME {
+        let id = format!("blame{attempt}");
+        let parts = format!("shared,bad,own{attempt}");
+        let _ = host.send_with_parts(NON_RESUMABLE, &id, &parts).await;
+        harness.targets.restart_all();
+    }
+    wait_until_parts_blamed(host).await;
+}
+
+async fn wait_until_parts_blamed(host: &RunningHost) {
+    let metrics = &host.ctx().metrics;
+    let blamed = || metrics.counted(Counted::Changes, "prompt part blamed") >= 2;
+    wait_until("the host knows of the blame", blamed).await;
+}
+
+#[tokio::test]
+async fn blamed_prompt_parts_survive_a_restart_of_all_hosts() {
+    let harness = Harness::new(&["t1", "t2", "t3", "t4", "t5", "t6"]);
+    let first = harness.start_ready("a1").await;
+    blame_parts(&harness, &first).await;
+    let is_saved = || harness.store.key_count(Topic::Blamed) == 2;
+    wait_until("both parts are saved", is_saved).await;
+    first.kill();
+    let second = harness.start_ready("a1").await;
+    wait_until_parts_blamed(&second).await;
+    let result = second.send_with_parts(NON_RESUMABLE, "again", "shared,bad,own");
+    let result = result.await;
+    assert!(is_crashing(&result), "{result:?}");
+    let sound = second.send_with_parts(NON_RESUMABLE, "sound", "shared,other,own");
+    assert!(sound.await.unwrap().body.is_some());
+    let is_deleted = || harness.store.key_count(Topic::Blamed) == 1;
+    wait_until("the sound part's record is deleted", is_deleted).await;
+}
+
+#[tokio::test]
+async fn a_starting_host_gets_reports_on_prompt_parts_from_running_hosts() {
+    let harness = Harness::new(&["t1", "t2", "t3", "t4", "t5", "t6"]);
+    harness
+        .store
+        .script(Topic::Blamed, &[AppendOutcome::Refused; 100]);
+    let first = harness.start_ready("a1").await;
+    blame_parts(&harness, &first).await;
+    let second = harness.start_ready("b1").await;
+    wait_until_parts_blamed(&second).await;
+    let result = second.send_with_parts(NON_RESUMABLE, "again", "shared,bad,own");
+    let result = result.await;
+    assert!(is_crashing(&result), "{result:?}");
+}
+
 #[tokio::test]
 async fn answers_cut_at_an_events_end_by_a_crash_clear_no_prompt_part() {
     let harness = Harness::new(&["t1", "t2", "t3", "t4", "t5", "t6"]);
--- a/crates/routing/src/quarantine/parts.rs
+++ b/crates/routing/src/quarantine/parts.rs
@@ -151,8 +151,10 @@
     pub part: PartId,
     /// Number of crashes that no longer count.
     pub crashes: u32,
-    /// Time for which it had been blamed, if it was.
+    /// Time for which it had been blamed at this host, if it was.
     pub blamed_for: Option<Duration>,
+    /// Time since the first of these crashes.
+    pub suspected_for: Duration,
 }
 
 /// A part under which targets crashed.
@@ -274,12 +276,14 @@
             if suspect.crashes.is_empty() {
                 continue;
             }
+            let age = |since| now.saturating_duration_since(since);
+            let crashes = suspect.crashes.iter();
+            let suspected_since = crashes.map(|crash| crash.detected_at).min();
             cleared.push(Cleared {
                 part: *part,
                 crashes: suspect.crash_count(),
-                blamed_for: suspect
-                    .blamed_since
-                    .map(|since| now.saturating_duration_since(since)),
+                blamed_for: suspect.blamed_since.map(age),
+                suspected_for: suspected_since.map_or(Duration::ZERO, age),
             });
             suspect.clear(now, Duration::ZERO);
             suspect.changed_at = now;
