Tell a host that missed the clearance of a part of it again

Cause: a clearance is resent for 3 s. A host that was cut off for longer kept its blame and reported it twice a second; the others ignored that, as they knew better, and did not answer. It would have refused sound requests with the part for an hour or more, and could not clear it since it sent none.

A report of crashes that were cleared makes the receiver resend its clearance. The new test failed before (refused, 7,140 s left).

--- a/crates/routing/src/quarantine/parts.rs
+++ b/crates/routing/src/quarantine/parts.rs
@@ -476,6 +476,8 @@
             let detected_at = now.checked_sub(crash.age).unwrap_or(now);
             let is_cleared = |cleared_at| detected_at <= cleared_at + AGE_ERROR;
             if self.cleared_at.is_some_and(is_cleared) {
+                // That host has missed the clearance, so it is resent.
+                self.changed_at = now;
                 continue;
             }
             is_changed |= self.add(Crash {
--- a/crates/routing/tests/parts.rs
+++ b/crates/routing/tests/parts.rs
@@ -182,6 +182,23 @@
     assert_eq!((late, parts.crash_count(A)), (Change::None, 0));
 }
 
+#[test]
+fn a_host_that_missed_a_clearance_is_told_of_it_again() {
+    let now = Instant::now();
+    let mut parts = parts_after(&[&[A][..]; 4], now);
+    let mut cut_off = parts.clone();
+    parts.record_success(&[A], now + LATER);
+    let healed = now + Duration::from_secs(60);
+    assert_eq!(parts.periodic_reports(healed), []);
+    for report in cut_off.periodic_reports(healed) {
+        parts.merge_report(&report, healed);
+    }
+    for report in parts.periodic_reports(healed) {
+        cut_off.merge_report(&report, healed);
+    }
+    assert_eq!(cut_off.admit(&[A], healed), Decision::Admit);
+}
+
 #[test]
 fn the_parts_with_the_most_crashes_are_kept_when_there_are_too_many() {
     let now = Instant::now();
