--- a/crates/routing/src/quarantine/parts.rs
+++ b/crates/routing/src/quarantine/parts.rs
@@ -53,7 +53,7 @@
 //! Clearances are points in time and not counted as those of requests are: hosts clear a part
 //! in wide use independently of one another, and a crash after one clearance must not be
 //! discarded with those before another. Times are exchanged as ages, so a crash that is detected
-//! within [`AGE_ERROR`] after a clearance elsewhere may be lost.
+//! within 100 ms after a clearance elsewhere may be lost.
 
 use std::collections::HashMap;
 use std::collections::HashSet;
