Keep a slot if a suspect was cleared while the request waited for it

Read in the diff: a request gave its slot back when the number of crashes that count against it changed, also when it fell. Also removes an accessor that nothing uses.

--- a/crates/gateway/src/online/dispatch.rs
+++ b/crates/gateway/src/online/dispatch.rs
@@ -182,7 +182,8 @@
             let run_guard = self.admit().await?;
             let crashes = self.crash_counts();
             let (choice, running) = self.reserve_slot(offers).await?;
-            if self.crash_counts() != crashes {
+            let newest = self.crash_counts();
+            if newest.0 > crashes.0 || newest.1 > crashes.1 {
                 // While it waited for a slot, others with its content or a part of its prompt
                 // crashed targets.
                 continue;
--- a/crates/quarantine/src/gate.rs
+++ b/crates/quarantine/src/gate.rs
@@ -297,11 +297,6 @@
         self.parts().is_blamed(part)
     }
 
-    /// Returns the number of crashes that count against a part of prompts.
-    pub fn part_crash_count(&self, part: PartId) -> u32 {
-        self.parts().crash_count(part)
-    }
-
     /// Returns the incarnation of a target that answered a request with the part; see
     /// [`Self::incarnation_of_run`].
     pub fn incarnation_of_part_run(
