Save a blamed part at once if its crashes are not all recent

Traced: one host blamed the part at 40.352 s, the other two were killed within 110 ms and loaded the store's records, and the first was killed before it had waited 500 ms to save the part. The wait is for parts in wide use, which are cleared in moments when many targets crash at once.

It now counts from the first crash, so a part whose crashes came over more than 500 ms is saved at once.

--- a/crates/gateway/src/quarantine/records.rs
+++ b/crates/gateway/src/quarantine/records.rs
@@ -5,8 +5,8 @@
 //! more targets each time. So blamed requests are saved, and a starting host loads them. Saving
 //! every suspect was rejected: a crash leaves eight, of which seven are never sent again.
 //!
-//! A part is saved some time after it is blamed: one in wide use may be blamed when many targets
-//! crash at once, and is cleared by the next answer.
+//! A part is not saved right after its first crash: one in wide use may be blamed when many
+//! targets crash at once, and is cleared by the next answer.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -39,7 +39,7 @@
 /// Prefix of the keys of parts.
 const PART_PREFIX: &str = "part-";
 
-/// Delay before a blamed part is saved.
+/// Time since its first crash before which a blamed part is not saved.
 const PART_SAVE_DELAY: Duration = Duration::from_millis(500);
 
 /// Least number of crashes from which a request may be blamed, and so have a record.
@@ -106,11 +106,15 @@
     tokio::spawn(write(Arc::clone(ctx), entry));
 }
 
-/// Saves a part in a task of its own, if it is still blamed after a delay.
+/// Saves a part in a task of its own, if it is still blamed [`PART_SAVE_DELAY`] after its first
+/// crash.
 pub(super) fn save_part(ctx: &Arc<Context>, part: PartId) {
     let ctx = Arc::clone(ctx);
+    let report = ctx.suspects.gate.part_report(part);
+    let ages = report.iter().flat_map(|report| &report.crashes);
+    let suspected_for = ages.map(|crash| crash.age).max().unwrap_or_default();
     tokio::spawn(async move {
-        tokio::time::sleep(PART_SAVE_DELAY).await;
+        tokio::time::sleep(PART_SAVE_DELAY.saturating_sub(suspected_for)).await;
         let gate = &ctx.suspects.gate;
         let report = gate.part_report(part).filter(|_| gate.is_part_blamed(part));
         let Some(report) = report else {
