Try a blamed part before it is blocked

All four targets crashed together within the first 100 ms, under two requests and one part that crash targets. The two parts that all requests share were in every crash, were blamed, and were then blocked for two hours: nothing was left to answer a request with them and so to clear them. A service whose targets all crash at once would have been refused as a whole.

Cause: crashes at one moment counted as independent evidence, and a block admits nothing that could refute it.

Now a blamed part is tried once no target has crashed under it for 500 ms: few hosts first, then all, each with one request in 150 ms, while other requests wait. An answer clears it; a crash confirms the blame, and only then is it blocked. Whether it is confirmed follows from the times of the crashes, which all hosts have.

Ruled out: counting crashes at one moment once, by which a part that many send at once would crash twenty targets before it is blamed.

--- a/crates/quarantine/src/gate.rs
+++ b/crates/quarantine/src/gate.rs
@@ -232,7 +232,7 @@
     ///
     /// Returns why the request must not be sent.
     pub fn try_admit_parts(&self, parts: &[PartId]) -> Result<(), Blocked> {
-        match self.parts().admit(parts, Instant::now()) {
+        match self.parts().admit(parts, &self.host, Instant::now()) {
             Decision::Admit => Ok(()),
             Decision::Wait => Err(Blocked::Waiting),
             Decision::Refuse {
--- a/crates/routing/src/quarantine/parts.rs
+++ b/crates/routing/src/quarantine/parts.rs
@@ -23,9 +23,15 @@
 //!     parts.record_crash(8, crash);
 //! }
 //! parts.record_success(&[8, 9], now);
-//! let later = now + Duration::from_secs(1);
-//! assert!(matches!(parts.admit(&[8, 7], later), Decision::Refuse { crashes: 4, .. }));
-//! assert_eq!(parts.admit(&[8, 9], later), Decision::Admit);
+//! let later = now + Duration::from_secs(2);
+//! assert_eq!(parts.admit(&[8, 9], "a1", later), Decision::Admit);
+//! // The part to blame is tried once.
+//! assert_eq!(parts.admit(&[8, 7], "a1", later), Decision::Admit);
+//! assert_eq!(parts.admit(&[8, 7], "a1", later), Decision::Wait);
+//! let run_time = Duration::from_millis(50);
+//! let crash = Crash { incarnation: 4, request: 4, run_time, has_begun: true, detected_at: later };
+//! parts.record_crash(7, crash);
+//! assert!(matches!(parts.admit(&[8, 7], "a1", later), Decision::Refuse { crashes: 5, .. }));
 //! ```
 //!
 //! # Parts that occur together
@@ -46,9 +52,12 @@
 //! blamed: a part may be shared by half of a route. Requests with the part that run when the
 //! fourth crash is detected therefore crash more targets.
 //!
-//! Many targets that crash at once may make a part suspicious that is in use at all of them.
-//! Such a part is answered elsewhere within moments, so requests wait for a short time after a
-//! crash before they are refused.
+//! Many targets that crash at once may make a part suspicious that is in use at all of them, and
+//! if all crash, none is left to answer it. So a blamed part is tried before it is blocked: once
+//! no target has crashed under it for half a second, with one request at a time, while the
+//! others wait. An answer clears it; a crash confirms the blame, and costs one more target.
+//! Blocking without a trial was rejected: in a soak with four targets that crashed together, the
+//! parts that all requests had were blocked for hours, as nothing was left to clear them.
 //!
 //! Clearances are points in time and not counted as those of requests are: hosts clear a part
 //! in wide use independently of one another, and a crash after one clearance must not be
@@ -60,6 +69,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use super::Change;
 use super::Decision;
 use super::IncarnationId;
@@ -78,19 +89,23 @@
 /// Probability that a healthy part meets the same crashes, below which a part is blamed.
 const BLAME_PROBABILITY: f64 = 1e-5;
 
-/// Time after a crash for which requests with a blamed part wait instead of being refused. Longer
-/// than most answers take at targets that run on.
+/// Time after a crash before a blamed part is tried. Longer than most answers take at targets
+/// that run on, and longer than the other hosts take to learn of a crash.
 const SETTLE_TIME: Duration = Duration::from_millis(500);
 
-/// Time for which a part is blocked after the last crash, if there were [`CRASHES_MIN`]; each
-/// further one doubles it, up to [`BLOCK_TIME_MAX`].
+/// Interval at which a host tries a part, with one request each. Exceeds the time from the start
+/// of a run that crashes its target until the other hosts learn of it.
+const TRIAL_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Number of trial intervals after which all hosts may try a part. In each before, half as many
+/// may as in the next, so that a large fleet does not lose many targets to one trial.
+const TRIAL_INTERVALS_SHARED: u32 = 6;
+
+/// Time for which a part that is confirmed to be to blame is blocked after its last crash, if
+/// there were [`CRASHES_MIN`]; each further one doubles it, up to [`BLOCK_TIME_MAX`].
 const BLOCK_TIME: Duration = Duration::from_secs(3_600);
 const BLOCK_TIME_MAX: Duration = Duration::from_secs(24 * 3_600);
 
-/// Interval at which a host tries a part whose block has ended, with one request each. Exceeds
-/// the time in which the other hosts learn of a crash.
-const TRIAL_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Time for which a change is resent to hosts that may have missed it.
 const RESEND_PERIOD: Duration = Duration::from_secs(3);
 
@@ -163,7 +178,7 @@
     crashes: Vec<Crash>,
     cleared_at: Option<Instant>,
     blamed_since: Option<Instant>,
-    /// When this host last tried the part after its block had ended.
+    /// When this host last tried the part.
     tried_at: Option<Instant>,
     changed_at: Instant,
 }
@@ -221,7 +236,8 @@
     }
 
     /// Decides whether a request whose prompt has these shared parts may be sent now.
-    pub fn admit(&mut self, parts: &[PartId], now: Instant) -> Decision {
+    /// Requests with a part that is not confirmed to be to blame wait, and are tried one by one.
+    pub fn admit(&mut self, parts: &[PartId], host: &str, now: Instant) -> Decision {
         if self.blamed.is_empty() {
             return Decision::Admit;
         }
@@ -230,7 +246,7 @@
                 continue;
             }
             let suspect = self.suspects.get_mut(part);
-            let decision = suspect.map_or(Decision::Admit, |suspect| suspect.admit(now));
+            let decision = suspect.map_or(Decision::Admit, |s| s.admit(*part, host, now));
             if decision != Decision::Admit {
                 return decision;
             }
@@ -394,34 +410,49 @@
     }
 
     /// Decides for a request with this part, which is blamed.
-    fn admit(&mut self, now: Instant) -> Decision {
+    fn admit(&mut self, part: PartId, host: &str, now: Instant) -> Decision {
         let elapsed = now.saturating_duration_since(self.last_crash_at());
         let remaining = self.block_time().saturating_sub(elapsed);
-        if remaining.is_zero() {
-            let is_tried = self
-                .tried_at
-                .is_some_and(|at| is_within(at, TRIAL_INTERVAL, now));
-            if is_tried {
-                return Decision::Wait;
-            }
-            self.tried_at = Some(now);
-            return Decision::Admit;
+        if !remaining.is_zero() {
+            return Decision::Refuse {
+                crashes: self.crash_count(),
+                retry_after: remaining,
+            };
         }
-        if elapsed < SETTLE_TIME {
+        let is_tried = |at| is_within(at, TRIAL_INTERVAL, now);
+        let waited = elapsed.saturating_sub(SETTLE_TIME);
+        if elapsed < SETTLE_TIME
+            || self.tried_at.is_some_and(is_tried)
+            || !may_try(part, host, waited)
+        {
             return Decision::Wait;
         }
-        Decision::Refuse {
-            crashes: self.crash_count(),
-            retry_after: remaining,
-        }
+        self.tried_at = Some(now);
+        Decision::Admit
     }
 
+    /// Returns the time for which the part is blocked after its last crash. Crashes that come
+    /// together, as when all targets crash, are confirmed by a trial before it is.
     fn block_time(&self) -> Duration {
+        if !self.is_confirmed() {
+            return Duration::ZERO;
+        }
         let beyond = self.crashes.len().saturating_sub(CRASHES_MIN);
         let factor = 2u32.saturating_pow(u32::try_from(beyond).unwrap_or(u32::MAX));
         BLOCK_TIME.saturating_mul(factor).min(BLOCK_TIME_MAX)
     }
 
+    /// Returns whether a target crashed under the part when it was already to blame for the
+    /// crashes before, and no other had crashed for [`SETTLE_TIME`].
+    fn is_confirmed(&self) -> bool {
+        let mut crashes: Vec<&Crash> = self.crashes.iter().collect();
+        crashes.sort_unstable_by_key(|crash| crash.detected_at);
+        (CRASHES_MIN..crashes.len()).any(|index| {
+            let gap = crashes[index].detected_at - crashes[index - 1].detected_at;
+            gap + AGE_ERROR >= SETTLE_TIME && are_to_blame(crashes[..index].iter().copied())
+        })
+    }
+
     /// Adds a crash; returns whether that changed anything.
     fn add(&mut self, crash: Crash) -> bool {
         let is_cleared = |cleared_at| crash.detected_at <= cleared_at;
@@ -515,7 +546,7 @@
     fn is_expired(&self, now: Instant) -> bool {
         let retention = match self.blamed_since {
             // Must still be known when it is tried again.
-            Some(_) => self.block_time() * 2,
+            Some(_) => (self.block_time() * 2).max(SUSPECT_RETENTION),
             None => SUSPECT_RETENTION,
         };
         !is_within(self.last_crash_at(), retention, now)
@@ -550,6 +581,15 @@
         && probability_if_healthy(remaining.into_iter()) < BLAME_PROBABILITY
 }
 
+/// Returns whether a host may try a part this long after it could be tried first.
+fn may_try(part: PartId, host: &str, waited: Duration) -> bool {
+    let interval = waited.as_millis() / TRIAL_INTERVAL.as_millis();
+    let interval = u32::try_from(interval).unwrap_or(u32::MAX);
+    let shift = TRIAL_INTERVALS_SHARED.saturating_sub(interval);
+    let draw = xxh3_64_with_seed(host.as_bytes(), part as u64 ^ u64::from(interval));
+    draw.is_multiple_of(1 << shift)
+}
+
 fn is_within(at: Instant, time: Duration, now: Instant) -> bool {
     now.saturating_duration_since(at) < time
 }
