Confirm a blame only by a run that began after the other crashes

What callers would see: sound requests with a part that many items or streams use are refused for an hour or more, after many targets crash at once and, half a second or more later, one of the others crashes too.

Cause: any crash under a blamed part after a pause confirmed the blame, also one under a run that had begun long before the pause. Such a run says nothing that the first crashes did not: it is no trial. Found in a last reading of the change.

The run has to be shorter than the pause. The new test's second case failed before (refused after a run of 3 s, 2 s after the other crashes) and passes; a trial's run passes in both.

--- a/crates/routing/src/quarantine/parts.rs
+++ b/crates/routing/src/quarantine/parts.rs
@@ -443,13 +443,17 @@
     }
 
     /// Returns whether a target crashed under the part when it was already to blame for the
-    /// crashes before, and no other had crashed for [`SETTLE_TIME`].
+    /// crashes before, in a run that began after them, and no other had crashed for
+    /// [`SETTLE_TIME`]. A run from before them may be one of a sound part.
     fn is_confirmed(&self) -> bool {
         let mut crashes: Vec<&Crash> = self.crashes.iter().collect();
         crashes.sort_unstable_by_key(|crash| crash.detected_at);
         (CRASHES_MIN..crashes.len()).any(|index| {
-            let gap = crashes[index].detected_at - crashes[index - 1].detected_at;
-            gap + AGE_ERROR >= SETTLE_TIME && are_to_blame(crashes[..index].iter().copied())
+            let (last, crash) = (crashes[index - 1], crashes[index]);
+            let gap = crash.detected_at - last.detected_at;
+            gap + AGE_ERROR >= SETTLE_TIME
+                && crash.run_time < gap
+                && are_to_blame(crashes[..index].iter().copied())
         })
     }
 
--- a/crates/routing/tests/parts.rs
+++ b/crates/routing/tests/parts.rs
@@ -161,6 +161,20 @@
     assert!(is_refused(parts.admit(&[A], "a1", later)));
 }
 
+#[rstest]
+#[case::began_after_the_last_crash(80, true)]
+#[case::had_run_since_before_it(3_000, false)]
+fn only_a_run_that_began_after_the_other_crashes_confirms_a_blame(
+    #[case] ran_ms: u64,
+    #[case] is_confirmed: bool,
+) {
+    let now = Instant::now();
+    let mut parts = parts_after(&[&[A][..]; 4], now);
+    let later = now + LATER * 2;
+    parts.record_crash(A, crash(9, Duration::from_millis(ran_ms), later));
+    assert_eq!(is_refused(parts.admit(&[A], "a1", later)), is_confirmed);
+}
+
 #[test]
 fn few_hosts_try_a_part_first_and_all_in_the_end() {
     let now = Instant::now();
