Count the survival of an item from the start of its answer

What callers would see: a request or item that crashes targets is sent to more of them than it may, since its suspicion is lifted while it waits.

Cause: a preempted item that had sent an event was cleared if it had run for long enough, counted from when it was sent. An item that waits in a target's queue and is preempted just after it began had nothing to survive.

The time now counts from the head of the response, which a target sends when it begins.

--- a/crates/gateway/src/items/run.rs
+++ b/crates/gateway/src/items/run.rs
@@ -136,8 +136,9 @@
             }
         }
         RunOutcome::Cancelled => {
-            if events > 0 {
-                quarantine::record_survival(&ctx, &item, took);
+            // While it waited for the target to begin, the target had nothing to survive.
+            if let Some(head) = head.filter(|_| events > 0) {
+                quarantine::record_survival(&ctx, &item, head.at.elapsed());
             }
             lock(&ctx.items.backlog).requeue(item);
         }
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -188,17 +188,18 @@
     assert!(is_crashing(&result), "{result:?}");
 }
 
+/// A response without an event comes, for example, from a stream that is resumed at its end.
+#[rstest]
+#[case::cut_at_an_events_end(Action::CrashAtEventEnd)]
 #[tokio::test]
-async fn answers_cut_at_an_events_end_by_a_crash_clear_no_prompt_part() {
+async fn answers_that_prove_no_health_clear_no_prompt_part(#[case] action: Action) {
     let harness = Harness::new(&["t1", "t2", "t3", "t4", "t5", "t6"]);
     harness.targets.crash_on_part("bad");
     let host = harness.start_ready("a1").await;
     for number in 0..PART_ATTEMPTS {
         let id = format!("b{number}");
         if number % 3 == 2 {
-            harness
-                .targets
-                .script_request(&id, &[Action::CrashAtEventEnd]);
+            harness.targets.script_request(&id, &[action]);
         }
         let parts = format!("shared,bad,own{number}");
         // The outcome doesn't matter here.
@@ -447,6 +448,39 @@
     }
 }
 
+#[tokio::test]
+async fn an_item_that_waited_long_before_it_began_is_not_cleared() {
+    let harness = Harness::new(&["t1", "t2"]);
+    let long_stall_timeout = |s: &mut Settings| s.batch.stall_ms = 10_000;
+    let host = harness.start_with("a1", long_stall_timeout).await;
+    host.wait_ready().await;
+    harness.targets.script_request("j1-0", &[Action::Crash]);
+    harness.targets.hold();
+    host.submit("j1", 1, 1).await.unwrap();
+    let metrics = &host.ctx().metrics;
+    let is_suspect = || metrics.counted(Counted::Changes, "target crashed") == 1;
+    wait_until("a target crashes", is_suspect).await;
+    harness.targets.hold_heads(true);
+    harness.targets.restart_all();
+    let runs = || harness.targets.active_runs("j1-0") == 1;
+    wait_until("the item waits at a target", runs).await;
+    let started = Instant::now();
+    let is_long = || started.elapsed() > LONG_RUN;
+    wait_until("it has waited for long", is_long).await;
+    harness.targets.hold_heads(false);
+    let has_begun = || harness.targets.events_sent("j1-0") > 0;
+    wait_until("it has begun", has_begun).await;
+    let send = |id: &'static str| host.send(RESUMABLE, id);
+    let release = async {
+        let is_preempted = || metrics.counted(Counted::Items, "cut") > 0;
+        wait_until("it was preempted", is_preempted).await;
+        // Once released, it completes and is cleared.
+        assert_eq!(metrics.counted(Counted::Changes, "request cleared"), 0);
+        harness.targets.release();
+    };
+    let _ = tokio::join!(send("a"), send("b"), send("c"), send("d"), release);
+}
+
 /// Guards against blaming a healthy item. An item that is preempted repeatedly by online requests
 /// completes late; one was present at three crashes within twenty seconds.
 #[tokio::test]
--- a/crates/gateway/tests/harness/targets.rs
+++ b/crates/gateway/tests/harness/targets.rs
@@ -71,6 +71,9 @@
     /// Current runs by target and request.
     active: HashMap<(String, String), usize>,
     is_held: bool,
+    are_heads_held: bool,
+    /// Number of events sent by request.
+    events_sent: HashMap<String, u64>,
     /// Bodies of requests that crash a target once its response has started.
     crashing_bodies: HashSet<Bytes>,
     /// Parts of prompts that do the same.
@@ -126,6 +129,17 @@
         self.state.lock().unwrap().is_held = true;
     }
 
+    /// Sets whether the heads of responses are held, as by a target that queues requests.
+    pub fn hold_heads(&self, are_held: bool) {
+        self.state.lock().unwrap().are_heads_held = are_held;
+    }
+
+    /// Returns the number of events sent in all responses to a request.
+    pub fn events_sent(&self, request: &str) -> u64 {
+        let state = self.state.lock().unwrap();
+        state.events_sent.get(request).copied().unwrap_or(0)
+    }
+
     /// Lets held responses continue.
     pub fn release(&self) {
         self.state.lock().unwrap().is_held = false;
@@ -241,6 +255,9 @@
             return Err(reason);
         }
         let active = self.record_run(&call);
+        while self.state.lock().unwrap().are_heads_held {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
         match action {
             Action::Hang => {
                 std::future::pending::<()>().await;
@@ -326,6 +343,9 @@
                     _ => {}
                 }
                 let bytes = Bytes::from(self::event(&id, event));
+                let mut state = targets.state.lock().unwrap();
+                *state.events_sent.entry(id).or_default() += 1;
+                drop(state);
                 Some((Ok(Frame::data(bytes)), Some((event + 1, active))))
             }
         });
