Take no empty answer as proof of health

What callers would see: requests with a part that crashes targets reach further targets, since an answer without a byte of body lifted the suspicion. A stream that is resumed after its last event gets one.

Cause: any successful end of a body counted as a run that the target survived, although nothing was written. Found in a last reading of the change.

A byte of the body, or for an item an event of this run, has to have arrived. The new case of the test sends 24 requests with such a part, every third answered empty: 16 targets crashed before where 8 may, and at most 8 now.

--- a/crates/gateway/src/items/run.rs
+++ b/crates/gateway/src/items/run.rs
@@ -120,7 +120,9 @@
             lock(&ctx.items.estimators)
                 .kind_mut(&item.route)
                 .record_completion(item.size, item.event_count());
-            record_success(&ctx, &item, &target, head, started);
+            if events > 0 {
+                record_success(&ctx, &item, &target, head, started);
+            }
             completion::stop_tracking(&ctx, &item);
             drop(in_progress);
             completion::complete(Arc::clone(&ctx), item).await;
--- a/crates/gateway/src/online/body.rs
+++ b/crates/gateway/src/online/body.rs
@@ -183,6 +183,7 @@
         let Ok(bytes) = frame.into_data() else {
             return Ok(Some(Bytes::new()));
         };
+        response.has_begun |= !bytes.is_empty();
         if self.dispatch.trace.first_event().is_none() && !bytes.is_empty() {
             let took = response.sent_at.elapsed();
             self.dispatch.trace.record_first_event(took);
--- a/crates/gateway/src/online/dispatch.rs
+++ b/crates/gateway/src/online/dispatch.rs
@@ -98,6 +98,8 @@
     pub(super) sent_at: Instant,
     /// When the response's headers arrived.
     pub(super) headers_at: Instant,
+    /// Whether a byte of its body has arrived.
+    pub(super) has_begun: bool,
     /// Its run in the quarantine, if the request is suspected.
     pub(super) run_guard: Option<RunGuard>,
 }
@@ -329,8 +331,12 @@
         quarantine::check_crash(&self.ctx, run).await;
     }
 
-    /// Records that a target answered the request with success.
+    /// Records that a target answered the request with success. An empty answer, as to a stream
+    /// that is resumed at its end, shows nothing.
     pub(super) fn record_success(&mut self, response: &StartedResponse) {
+        if !response.has_begun {
+            return;
+        }
         let ctx = Arc::clone(&self.ctx);
         if response.reply.is_end_marked {
             quarantine::record_success(&ctx, || self.fingerprint());
@@ -399,6 +405,7 @@
             version: choice.version.clone(),
             sent_at,
             headers_at: Instant::now(),
+            has_begun: false,
             run_guard: None,
         })
     }
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -191,6 +191,7 @@
 /// A response without an event comes, for example, from a stream that is resumed at its end.
 #[rstest]
 #[case::cut_at_an_events_end(Action::CrashAtEventEnd)]
+#[case::without_an_event(Action::Status(200))]
 #[tokio::test]
 async fn answers_that_prove_no_health_clear_no_prompt_part(#[case] action: Action) {
     let harness = Harness::new(&["t1", "t2", "t3", "t4", "t5", "t6"]);
