Keep records of blamed parts in a topic of their own

What operators would see while hosts of the build before serve beside new ones: errors about unreadable records of blamed requests, and blamed parts that are forgotten when all hosts restart.

Cause: parts were saved in the topic of blamed requests, under keys that the earlier build cannot read; it logs those as errors and its clean-up deletes them.

They have a topic that the earlier build does not read; a starting host lists both. The test of a restart of all hosts also checks that the topic of requests stays empty (two records before). Processes of both builds were not run.

--- a/crates/gateway/src/peers/suspects.rs
+++ b/crates/gateway/src/peers/suspects.rs
@@ -17,15 +17,15 @@
 use notchwharf_listen::Phase;
 use notchwharf_proto::messages;
 use notchwharf_proto::messages::PeerMessage;
-use notchwharf_proto::messages::Suspect;
-use notchwharf_proto::messages::SuspectPart;
 use notchwharf_quarantine::reports::Batch;
 use notchwharf_quarantine::reports::REPORT_FANOUT;
 use notchwharf_quarantine::reports::REPORT_INTERVAL;
 use notchwharf_quarantine::reports::decode;
 use notchwharf_quarantine::reports::decode_part;
+use notchwharf_quarantine::reports::decode_snapshot;
 use notchwharf_quarantine::reports::encode;
 use notchwharf_quarantine::reports::encode_parts;
+use notchwharf_quarantine::reports::encode_snapshot;
 use notchwharf_quarantine::reports::send_changes;
 use notchwharf_routing::balancer::HostId;
 use notchwharf_startup::Dependency;
@@ -126,12 +126,7 @@
     if !ctx.startup.is_ready(Dependency::Suspects) {
         return None;
     }
-    let reports = periodic_reports(ctx);
-    let suspects: Vec<Suspect> = encode(&reports.requests).into_iter().flatten().collect();
-    let parts: Vec<SuspectPart> = encode_parts(&reports.parts).into_iter().flatten().collect();
-    // Hosts of earlier versions read the first list and ignore the rest.
-    let bytes = postcard::to_stdvec(&suspects).expect("Suspects are representable.");
-    Some(postcard::to_extend(&parts, bytes).expect("Parts are representable."))
+    Some(encode_snapshot(&periodic_reports(ctx)))
 }
 
 /// Requests reports from peers until those from before this host's start are known, from a peer or
@@ -163,12 +158,12 @@
             .count(Counted::Changes, "suspects not handed over");
     };
     match decode_snapshot(&bytes) {
-        Ok((suspects, parts)) => {
-            for suspect in &suspects {
-                quarantine::merge_report(ctx, host, &decode(suspect));
+        Ok(batch) => {
+            for report in &batch.requests {
+                quarantine::merge_report(ctx, host, report);
             }
-            for part in &parts {
-                quarantine::merge_part_report(ctx, host, &decode_part(part));
+            for report in &batch.parts {
+                quarantine::merge_part_report(ctx, host, report);
             }
             ctx.startup.mark_ready(Dependency::Suspects, host);
         }
@@ -177,15 +172,6 @@
     }
 }
 
-/// Decodes the reports of a running host. One of an earlier version sends none on parts.
-fn decode_snapshot(bytes: &[u8]) -> Result<(Vec<Suspect>, Vec<SuspectPart>), postcard::Error> {
-    let (suspects, rest) = postcard::take_from_bytes(bytes)?;
-    if rest.is_empty() {
-        return Ok((suspects, Vec::new()));
-    }
-    Ok((suspects, postcard::from_bytes(rest)?))
-}
-
 /// Applies reports on parts received from a host.
 pub(super) fn apply_part_reports(ctx: &Arc<Context>, reports: &messages::SuspectParts) {
     for part in &reports.parts {
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -161,6 +161,8 @@
     Progress,
     /// Requests that are blamed for crashes of targets.
     Blamed,
+    /// Parts of prompts that are blamed for crashes of targets.
+    BlamedParts,
     /// When holders of rate limits last requested the initial allowance.
     Limits,
 }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -18,6 +18,7 @@
 //!
 //! [`quarantine`]: notchwharf_routing::quarantine
 
+mod part_records;
 mod probe;
 mod records;
 
@@ -39,13 +40,13 @@
 use self::probe::Probes;
 pub(crate) use self::probe::check_crash;
 pub(crate) use self::probe::check_unmarked_end;
-pub(crate) use self::records::delete_expired;
 use crate::backlog::Item;
 use crate::context::Context;
 use crate::fingerprint;
 use crate::metrics::Counted;
 use crate::peers;
 use crate::peers::suspects;
+use crate::ports::StoreError;
 use crate::time::millis;
 
 /// Number of hosts that save a blame beside the one that detected the last crash. A host that
@@ -75,6 +76,16 @@
     tokio::spawn(suspects::catch_up(Arc::clone(ctx)));
 }
 
+/// Deletes the records of requests and parts whose last crash is long ago.
+///
+/// # Errors
+///
+/// Returns the store's failure.
+pub(crate) async fn delete_expired(ctx: &Context) -> Result<(), StoreError> {
+    records::delete_expired(ctx).await?;
+    part_records::delete_expired(ctx).await
+}
+
 /// Decides whether an item may be sent to a target now. Its fingerprint is computed only if
 /// there are suspects.
 ///
@@ -119,7 +130,7 @@
         };
         slog::info!(ctx.logger, "prompt part cleared"; "crashes" => cleared.crashes,
             "part" => prompt::to_hex(cleared.part), "blamed_for_ms" => millis(blamed_for));
-        records::delete_part_record(ctx, &cleared);
+        part_records::delete(ctx, &cleared);
     }
 }
 
@@ -163,7 +174,7 @@
     };
     log_blamed_part(ctx, report.part, crashes, host);
     if host != records::STORE_REPORTER && is_saver(ctx, &prompt::to_hex(report.part)) {
-        records::save_part(ctx, report.part);
+        part_records::save(ctx, report.part);
     }
 }
 
--- a/crates/gateway/src/quarantine/probe.rs
+++ b/crates/gateway/src/quarantine/probe.rs
@@ -21,6 +21,7 @@
 
 use super::log_blamed;
 use super::log_blamed_part;
+use super::part_records;
 use super::record_parts_success;
 use super::record_success;
 use super::records;
@@ -189,7 +190,7 @@
         };
         if let Change::Blamed { crashes } = gate.record_part_crash(part, crash) {
             log_blamed_part(ctx, part, crashes, ctx.host());
-            records::save_part(ctx, part);
+            part_records::save(ctx, part);
         }
     }
 }
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -152,8 +152,10 @@
     let harness = Harness::new(&["t1", "t2", "t3", "t4", "t5", "t6"]);
     let first = harness.start_ready("a1").await;
     blame_parts(&harness, &first).await;
-    let is_saved = || harness.store.key_count(Topic::Blamed) == 2;
+    let is_saved = || harness.store.key_count(Topic::BlamedParts) == 2;
     wait_until("both parts are saved", is_saved).await;
+    // Hosts of earlier versions would delete what they cannot read there.
+    assert_eq!(harness.store.key_count(Topic::Blamed), 0);
     first.kill();
     let second = harness.start_ready("a1").await;
     wait_until_parts_blamed(&second).await;
@@ -169,7 +171,7 @@
     assert!(harness.targets.crash_count() <= crashes + 1);
     let sound = second.send_with_parts(NON_RESUMABLE, "sound", "shared,other,own");
     assert!(sound.await.unwrap().body.is_some());
-    let is_deleted = || harness.store.key_count(Topic::Blamed) == 1;
+    let is_deleted = || harness.store.key_count(Topic::BlamedParts) == 1;
     wait_until("the sound part's record is deleted", is_deleted).await;
 }
 
@@ -178,7 +180,7 @@
     let harness = Harness::new(&["t1", "t2", "t3", "t4", "t5", "t6"]);
     harness
         .store
-        .script(Topic::Blamed, &[AppendOutcome::Refused; 100]);
+        .script(Topic::BlamedParts, &[AppendOutcome::Refused; 100]);
     let first = harness.start_ready("a1").await;
     blame_parts(&harness, &first).await;
     let second = harness.start_ready("b1").await;
--- a/crates/quarantine/src/reports.rs
+++ b/crates/quarantine/src/reports.rs
@@ -148,6 +148,36 @@
     }
 }
 
+/// Encodes reports for a starting host. Hosts of earlier versions read the reports on requests
+/// and ignore the rest.
+///
+/// # Panics
+///
+/// Never: postcard can represent every report.
+pub fn encode_snapshot(batch: &Batch) -> Vec<u8> {
+    let requests: Vec<Suspect> = batch.requests.iter().map(encode_one).collect();
+    let parts: Vec<SuspectPart> = batch.parts.iter().map(encode_part).collect();
+    let bytes = postcard::to_stdvec(&requests).expect("Reports are always representable.");
+    postcard::to_extend(&parts, bytes).expect("Reports are always representable.")
+}
+
+/// Decodes the reports of a running host. One of an earlier version sends none on parts.
+///
+/// # Errors
+///
+/// Returns an error if the bytes are not reports.
+pub fn decode_snapshot(bytes: &[u8]) -> Result<Batch, postcard::Error> {
+    let (requests, rest): (Vec<Suspect>, _) = postcard::take_from_bytes(bytes)?;
+    let parts: Vec<SuspectPart> = match rest.is_empty() {
+        true => Vec::new(),
+        false => postcard::from_bytes(rest)?,
+    };
+    Ok(Batch {
+        requests: requests.iter().map(decode).collect(),
+        parts: parts.iter().map(decode_part).collect(),
+    })
+}
+
 fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
