--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -116,7 +116,7 @@
             .send_with_parts(path, &format!("b{number}"), &parts)
             .await;
         harness.targets.restart_all();
-        let parts = format!("shared,sound{},own{number}", number % 4);
+        let parts = format!("shared,healthy{},own{number}", number % 4);
         let id = format!("s{number}");
         let served = host.send_with_parts(path, &id, &parts).await.unwrap();
         assert!(served.body.is_some(), "{id} shares only the first part");
@@ -169,10 +169,10 @@
         harness.targets.restart_all();
     }
     assert!(harness.targets.crash_count() <= crashes + 1);
-    let sound = second.send_with_parts(NON_RESUMABLE, "sound", "shared,other,own");
-    assert!(sound.await.unwrap().body.is_some());
+    let healthy = second.send_with_parts(NON_RESUMABLE, "healthy", "shared,other,own");
+    assert!(healthy.await.unwrap().body.is_some());
     let is_deleted = || harness.store.key_count(Topic::BlamedParts) == 1;
-    wait_until("the sound part's record is deleted", is_deleted).await;
+    wait_until("the healthy part's record is deleted", is_deleted).await;
 }
 
 #[tokio::test]
@@ -226,7 +226,7 @@
     let host = harness.start_ready("a1").await;
     let mut submission = harness::submission("j1", 20, 1);
     for (number, (_, item)) in submission.items.iter_mut().enumerate() {
-        let part = if number < 10 { "bad" } else { "sound" };
+        let part = if number < 10 { "bad" } else { "healthy" };
         let parts = format!("shared,{part},own{number}");
         item.headers.push((harness::PARTS_HEADER.into(), parts));
     }
--- a/crates/routing/src/quarantine/parts.rs
+++ b/crates/routing/src/quarantine/parts.rs
@@ -40,7 +40,7 @@
 //! explains the crash. So a blamed part blocks a request only for crashes that no other
 //! part explains, unless the request has that part too: a request with one of several parts that
 //! share their crashes runs, and its outcome tells which of them is to blame. Withholding all
-//! requests with any of them was rejected: a sound part that is rarely used without the one to
+//! requests with any of them was rejected: a healthy part that is rarely used without the one to
 //! blame would never be answered again, and so never be cleared. The price is up to three more
 //! crashes where that happens. A part of another request that ran at the target explains nothing:
 //! while many targets crash, so many parts are in use at them that together they would explain
@@ -56,8 +56,8 @@
 //! if all crash, none is left to answer it. So a blamed part is tried before it is blocked: once
 //! no target has crashed under it for half a second, with one request at a time, while the
 //! others wait. An answer clears it; a crash confirms the blame, and costs one more target.
-//! Blocking without a trial was rejected: in a soak with four targets that crashed together, the
-//! parts that all requests had were blocked for hours, as nothing was left to clear them.
+//! Blocking without a trial was rejected: if all targets crash together, the parts of all requests
+//! would stay blocked, as nothing is left to clear them.
 //!
 //! Clearances are points in time and not counted as those of requests are: hosts clear a part
 //! in wide use independently of one another, and a crash after one clearance must not be
@@ -444,7 +444,7 @@
 
     /// Returns whether a target crashed under the part when it was already to blame for the
     /// crashes before, in a run that began after them, and no other had crashed for
-    /// [`SETTLE_TIME`]. A run from before them may be one of a sound part.
+    /// [`SETTLE_TIME`]. A run from before them may be one of a healthy part.
     fn is_confirmed(&self) -> bool {
         let mut crashes: Vec<&Crash> = self.crashes.iter().collect();
         crashes.sort_unstable_by_key(|crash| crash.detected_at);
--- a/crates/routing/tests/parts.rs
+++ b/crates/routing/tests/parts.rs
@@ -64,7 +64,7 @@
 #[case::four_long_after_it(&[900, 2_000, 3_000, 900], false)]
 #[case::six_long_after_it(&[1_000; 6], false)]
 #[case::five_of_which_one_long_after_it(&[80, 5_000, 80, 80, 80], true)]
-fn a_part_is_blamed_if_a_sound_one_would_hardly_meet_its_crashes(
+fn a_part_is_blamed_if_a_healthy_one_would_hardly_meet_its_crashes(
     #[case] ran_ms: &[u64],
     #[case] is_blamed: bool,
 ) {
@@ -286,7 +286,7 @@
 };
 
 /// Checks the users' bounds, summed over simulations: three sends of each part later than
-/// `contactMs` after its fifth crash, and half of the sound requests with the same first part.
+/// `contactMs` after its fifth crash, and half of the healthy requests with the same first part.
 #[rstest]
 #[case::calm(SETTING, 20)]
 #[case::first_part(Setting { is_first: true, ..SETTING }, 20)]
@@ -305,23 +305,20 @@
     #[case] setting: Setting,
     #[case] seeds: u64,
 ) {
-    let (mut siblings, mut siblings_sent, mut worst) = (0, 0, 0);
-    let (mut sound, mut refused) = (0, 0);
+    let (mut sharing, mut sharing_sent, mut worst) = (0, 0, 0);
+    let (mut healthy, mut refused) = (0, 0);
     for seed in 0..seeds {
         let outcome = Fleet::new(setting, seed).run();
         assert!(outcome.late_sends <= 3, "seed {seed}: {outcome:?}");
-        siblings += outcome.siblings;
-        siblings_sent += outcome.siblings_sent;
+        sharing += outcome.sharing;
+        sharing_sent += outcome.sharing_sent;
         worst = worst.max(outcome.crashes.values().copied().max().unwrap_or(0));
-        sound += outcome.sound;
-        refused += outcome.sound_refused;
+        healthy += outcome.healthy;
+        refused += outcome.healthy_refused;
     }
-    assert!(refused * 100 <= sound, "{refused} of {sound} refused");
+    assert!(refused * 100 <= healthy, "{refused} of {healthy} refused");
     println!(
-        "{siblings_sent} of {siblings} siblings; {refused} of {sound} refused; {worst} crashes"
-    );
-    assert!(
-        siblings_sent * 2 >= siblings,
-        "{siblings_sent} of {siblings}"
+        "{sharing_sent} of {sharing} sharing; {refused} of {healthy} refused; {worst} crashes"
     );
+    assert!(sharing_sent * 2 >= sharing, "{sharing_sent} of {sharing}");
 }
--- a/crates/routing/tests/parts_simulation/mod.rs
+++ b/crates/routing/tests/parts_simulation/mod.rs
@@ -1,5 +1,5 @@
 //! Simulates in virtual time a fleet of hosts that exchange suspected parts of prompts, in front
-//! of targets that crash on some parts and for no request's sake.
+//! of targets that crash on some parts and independently of requests.
 #![allow(unreachable_pub, reason = "Private to the tests.")]
 
 use std::cmp::Reverse;
@@ -32,7 +32,7 @@
 const DELAY_MS: std::ops::Range<u64> = 1..16;
 /// Time until a crashed target is back.
 const DOWNTIME: Duration = Duration::from_secs(3);
-/// Interval of the periodic reports and of health crashes.
+/// Interval of the periodic reports and of crashes that no request causes.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 const CRASH_INTERVAL: Duration = Duration::from_secs(3);
 /// Delay after which a crash is reported once more.
@@ -55,7 +55,7 @@
     pub bad_rate: f64,
     /// Number of first parts, the first of which 43 in 100 of the requests have.
     pub first_parts: u128,
-    /// Share of the targets that crash at once for no request's sake.
+    /// Share of the targets that crash at once independently of requests.
     pub crash_share: f64,
     /// Share of messages that are lost.
     pub loss: f64,
@@ -72,11 +72,11 @@
     /// Sends of a bad part after the time that the rule allows.
     pub late_sends: u32,
     /// Sound requests that share the first part with a bad one, after twice that time.
-    pub siblings: u32,
-    pub siblings_sent: u32,
-    /// All sound requests, and those that were refused.
-    pub sound: u32,
-    pub sound_refused: u32,
+    pub sharing: u32,
+    pub sharing_sent: u32,
+    /// All healthy requests, and those that were refused.
+    pub healthy: u32,
+    pub healthy_refused: u32,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -161,8 +161,8 @@
     }
 
     pub fn run(mut self) -> Outcome {
-        let sound_rate = REQUEST_RATE * self.setting.hosts as f64;
-        self.schedule_arrivals(sound_rate, Self::sound_parts);
+        let healthy_rate = REQUEST_RATE * self.setting.hosts as f64;
+        self.schedule_arrivals(healthy_rate, Self::healthy_parts);
         if self.setting.bad_parts > 0 {
             self.schedule_arrivals(self.setting.bad_rate, Self::bad_parts);
         }
@@ -208,7 +208,7 @@
         1_000 + self.rng.random_range(0..self.setting.first_parts)
     }
 
-    fn sound_parts(&mut self) -> [PartId; 2] {
+    fn healthy_parts(&mut self) -> [PartId; 2] {
         [self.first_part(), 100_000 + self.rng.random_range(0..423)]
     }
 
@@ -217,7 +217,7 @@
         if self.setting.is_first {
             return [bad, 100_000 + self.rng.random_range(0..423)];
         }
-        // A rare first part, which few sound requests have.
+        // A rare first part, which few healthy requests have.
         let first = 1_000 + self.setting.first_parts - 1;
         self.bad_firsts.insert(first);
         [first, bad]
@@ -273,10 +273,10 @@
             .fifth_crash_at
             .values()
             .any(|at| self.now > *at + CONTACT * 2);
-        let is_sibling = bad.is_none() && is_late && self.bad_firsts.contains(&request.parts[0]);
+        let is_sharing = bad.is_none() && is_late && self.bad_firsts.contains(&request.parts[0]);
         if is_first_attempt && bad.is_none() {
-            self.outcome.sound += 1;
-            self.outcome.siblings += u32::from(is_sibling);
+            self.outcome.healthy += 1;
+            self.outcome.sharing += u32::from(is_sharing);
         }
         match self.hosts[request.host].admit(&request.parts, &request.host.to_string(), now) {
             Decision::Admit => {}
@@ -284,11 +284,11 @@
                 return self.schedule(self.now + RECHECK, Event::Arrive(request));
             }
             Decision::Wait | Decision::Refuse { .. } => {
-                self.outcome.sound_refused += u32::from(bad.is_none());
+                self.outcome.healthy_refused += u32::from(bad.is_none());
                 return;
             }
         }
-        self.outcome.siblings_sent += u32::from(is_sibling);
+        self.outcome.sharing_sent += u32::from(is_sharing);
         let up: Vec<usize> = (0..self.targets.len())
             .filter(|target| self.targets[*target].up_at <= self.now)
             .collect();
--- a/crates/server/tests/crashes.rs
+++ b/crates/server/tests/crashes.rs
@@ -83,8 +83,8 @@
     }
     let crashes: u64 = fleet.engines.values().map(|engine| engine.crashes()).sum();
     assert!(crashes <= PART_CRASHES_MAX, "{crashes} targets crashed");
-    let sound = fleet
+    let healthy = fleet
         .chat(fleet.any_host(), SCHOOL_KEY, &request("Be brief.", 0))
         .await;
-    assert_eq!(sound.unwrap().status, 200);
+    assert_eq!(healthy.unwrap().status, 200);
 }
