Notice every crash under a part while a request waits for a slot

What callers would see: a request with a part that crashes targets is sent although its hosts know better, where eight targets or more have crashed under the part.

Cause: a request that has got a slot asks the quarantine again if the number of crashes has grown, and no more than eight are kept, so that the number stays at eight.

The time of the newest crash is compared, which grows with each. The new test records twenty crashes and fails with the number by construction; it was not run against it.

--- a/crates/gateway/src/online/dispatch.rs
+++ b/crates/gateway/src/online/dispatch.rs
@@ -182,9 +182,9 @@
             .await;
         loop {
             let run_guard = self.admit().await?;
-            let crashes = self.crash_counts();
+            let crashes = self.known_crashes();
             let (choice, running) = self.reserve_slot(offers).await?;
-            let newest = self.crash_counts();
+            let newest = self.known_crashes();
             if newest.0 > crashes.0 || newest.1 > crashes.1 {
                 // While it waited for a slot, others with its content or a part of its prompt
                 // crashed targets.
@@ -257,17 +257,17 @@
         Arc::clone(parts)
     }
 
-    /// Returns the number of crashes that are attributed to the request, and to blamed parts of
-    /// its prompt.
-    fn crash_counts(&mut self) -> (u32, u32) {
+    /// Returns the number of crashes that are attributed to the request, and the time of the
+    /// newest one under a blamed part of its prompt.
+    fn known_crashes(&mut self) -> (u32, Option<Instant>) {
         let gate = Arc::clone(&self.ctx.suspects.gate);
         let of_request = match gate.is_empty() {
             true => 0,
             false => gate.crash_count(self.fingerprint()),
         };
         let of_parts = match gate.has_parts() {
-            true => gate.blamed_crash_count(&self.parts()),
-            false => 0,
+            true => gate.newest_blamed_crash(&self.parts()),
+            false => None,
         };
         (of_request, of_parts)
     }
--- a/crates/quarantine/src/gate.rs
+++ b/crates/quarantine/src/gate.rs
@@ -282,14 +282,12 @@
         (parts.len(), parts.blamed_count())
     }
 
-    /// Returns the number of crashes that count against parts of a prompt, of all that are blamed.
-    pub fn blamed_crash_count(&self, parts: &[PartId]) -> u32 {
+    /// Returns when the newest crash under any blamed part of a prompt was detected. A number of
+    /// crashes would not do, as only the newest ones are kept.
+    pub fn newest_blamed_crash(&self, parts: &[PartId]) -> Option<Instant> {
         let table = self.parts();
-        if table.blamed_count() == 0 {
-            return 0;
-        }
-        let blamed = parts.iter().filter(|part| table.is_blamed(**part));
-        blamed.map(|part| table.crash_count(*part)).sum()
+        let crashes = parts.iter().map(|part| table.newest_blamed_crash(*part));
+        crashes.max().flatten()
     }
 
     /// Returns whether a part of prompts is blamed.
--- a/crates/quarantine/tests/reports.rs
+++ b/crates/quarantine/tests/reports.rs
@@ -119,3 +119,17 @@
     let read = decode_snapshot(&bytes).unwrap();
     assert_eq!((read.requests.len(), read.parts.len()), (1, 0));
 }
+
+#[tokio::test]
+async fn each_crash_under_a_blamed_part_is_noticed_by_requests_that_wait_for_a_slot() {
+    let gate = Gate::new("a1".into());
+    assert_eq!(gate.newest_blamed_crash(&[9]), None);
+    let mut newest = None;
+    for request in 0..20 {
+        gate.record_part_crash(9, part_crash(request));
+        let crash = gate.newest_blamed_crash(&[7, 9]);
+        let is_blamed = gate.is_part_blamed(9);
+        assert_eq!(crash > newest, is_blamed, "crash {request}");
+        newest = crash;
+    }
+}
--- a/crates/routing/src/quarantine/parts.rs
+++ b/crates/routing/src/quarantine/parts.rs
@@ -218,6 +218,12 @@
         self.suspects.get(&part).map_or(0, Suspect::crash_count)
     }
 
+    /// Returns when the newest crash under a part was detected; `None` if the part is not blamed.
+    pub fn newest_blamed_crash(&self, part: PartId) -> Option<Instant> {
+        let suspect = self.suspects.get(&part).filter(|_| self.is_blamed(part));
+        suspect.map(Suspect::last_crash_at)
+    }
+
     /// Returns the incarnation of a target that answered a request with the part; see
     /// [`Quarantine::incarnation_of_run`](super::Quarantine::incarnation_of_run).
     pub fn incarnation_of_run(
