--- a/review/standin/refused.rs
+++ b/review/standin/refused.rs
@@ -25,6 +25,7 @@
 use runner::Runner;
 use store::Store;
 
+const USAGE: &str = "usage: refused PROGRAM RECORD DIR with-trouble|without-trouble";
 const HOST: &str = "permits.example";
 const PREFIX: &str = "/lots/";
 /// Tokens that may wait on the route.
@@ -132,9 +133,13 @@
     let mut args = env::args().skip(1).map(PathBuf::from);
     let (Some(program), Some(record_file), Some(dir)) = (args.next(), args.next(), args.next())
     else {
-        return Err("usage: refused PROGRAM RECORD DIR".into());
+        return Err(USAGE.into());
+    };
+    let has_trouble = match env::args().nth(4).as_deref() {
+        Some("with-trouble") => true,
+        Some("without-trouble") => false,
+        _ => return Err(USAGE.into()),
     };
-    let has_trouble = env::var("TROUBLE").as_deref() != Ok("0");
     let status_s = env::var("STATUS_S").ok().and_then(|text| text.parse().ok());
     let status = Duration::from_secs(status_s.unwrap_or(STATUS_S));
     let record = Record::create(&record_file).map_err(|err| err.to_string())?;
