--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Exits with 1 if an item of an ended job reaches a runner too late, 0 if none does, 2 if the case
 # could not run.
+# With TROUBLE=0 it does the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 program=target/release/notchwharfd
 if [ ! -x "$program" ]; then
@@ -11,4 +12,10 @@
 fi
 dir=$(mktemp -d) || exit 2
 trap 'rm -rf "$dir"' EXIT
-target/review/unasked "$program" review/3/record.txt "$dir"
+# Unset means with the disruption.
+if [ "${TROUBLE:-1}" = 0 ]; then
+    trouble=without-trouble
+else
+    trouble=with-trouble
+fi
+target/review/unasked "$program" review/3/record.txt "$dir" "$trouble"
--- a/review/standin/unasked.rs
+++ b/review/standin/unasked.rs
@@ -21,6 +21,7 @@
 use runner::Runner;
 use store::Store;
 
+const USAGE: &str = "usage: unasked PROGRAM RECORD DIR with-trouble|without-trouble";
 const HOST: &str = "permits.example";
 const PREFIX: &str = "/lots/";
 const JOB: &str = "job1";
@@ -66,9 +67,13 @@
     let mut args = env::args().skip(1).map(PathBuf::from);
     let (Some(program), Some(record_file), Some(dir)) = (args.next(), args.next(), args.next())
     else {
-        return Err("usage: unasked PROGRAM RECORD DIR".into());
+        return Err(USAGE.into());
+    };
+    let has_trouble = match env::args().nth(4).as_deref() {
+        Some("with-trouble") => true,
+        Some("without-trouble") => false,
+        _ => return Err(USAGE.into()),
     };
-    let has_trouble = env::var("TROUBLE").as_deref() != Ok("0");
     let record = Record::create(&record_file).map_err(|err| err.to_string())?;
     let store = Store::start().map_err(|err| err.to_string())?;
     store.put("keyed.op", "config", &config());
