Log which job records a run of an item is based on

The line `item run` now has the end of the records read and of those applied when the run started, and the age of the last read. No logic changes.

--- a/crates/gateway/src/backlog.rs
+++ b/crates/gateway/src/backlog.rs
@@ -166,12 +166,15 @@
 pub(crate) struct Backlog {
     queue: Queue<ItemKey, Item>,
     owned: HashMap<JobId, OwnedJob>,
+    /// The end of the job records that were applied.
+    applied_end: Offset,
 }
 
 impl Backlog {
     /// Applies the job records. Returns the jobs whose items are to be read and passed to
     /// [`Self::add_items`].
     pub(crate) fn update(&mut self, jobs: &Jobs, host: &str) -> Vec<(Offset, Arc<Accepted>)> {
+        self.applied_end = jobs.end();
         self.owned.retain(|job, owned_job| {
             let state = jobs.get(job);
             state.is_some_and(|j| j.is_open() && j.owner == host && j.epoch == owned_job.epoch)
@@ -223,6 +226,11 @@
         self.owned.remove(job);
     }
 
+    /// Returns the end of the job records that were applied.
+    pub(crate) fn applied_end(&self) -> Offset {
+        self.applied_end
+    }
+
     /// Moves items that cannot meet their objective behind all others.
     pub(crate) fn demote_late(&mut self, is_late: impl Fn(&Item) -> bool) {
         self.queue.demote_late(is_late);
--- a/crates/gateway/src/items/run.rs
+++ b/crates/gateway/src/items/run.rs
@@ -83,6 +83,9 @@
 ) {
     let in_progress = ctx.items.runs.enter();
     let started = Instant::now();
+    let records_age = ctx.journal.staleness();
+    let records_end = ctx.journal.jobs().end();
+    let applied_end = lock(&ctx.items.backlog).applied_end();
     let resumed_after = item.last_event;
     let RunHandle {
         run: number,
@@ -108,7 +111,8 @@
         "id" => item.request.id.as_str(), "target" => target.as_str(),
         "version" => origin.map(|origin| origin.version), "ended" => label(outcome),
         "from_event" => resumed_after, "last_event" => item.last_event, "failures" => item.failures,
-        "took_ms" => millis(took),
+        "took_ms" => millis(took), "records_end" => records_end, "applied_end" => applied_end,
+        "records_age_ms" => records_age.map(millis),
         "fingerprint" => fingerprint.map(fingerprint::to_hex));
     update_balancer(&ctx, &target, outcome);
     let events = item.event_count().saturating_sub(count(resumed_after));
