Start an item only if the job records let it at that moment

Cause: the task that starts items also applied the job records to the backlog, and did so only between two rounds of starts. A round ends when there is no item or no free slot. While more than half of the targets are down, none counts as ejected, so there are always free slots at targets that refuse connections, and an item that was refused is queued again after 50 ms, before the others have had their turn. The round did not end, and items were started from a backlog that lagged behind the records.

Change: the records are applied by a task of their own, which also cancels runs. An item starts under the lock of the records: it is checked against them, and its run is registered before the lock is released, so a later record finds the run and cancels it. A run that is cancelled before it began sends nothing. An item that may not run any more makes the backlog catch up and is not failed on outdated grounds either.

Why it works: between the check and the registration no record can be applied, and after it each record is followed by a cancellation, which no other work delays. Neither depends on targets, queue or loop.

Ruled out: reads of the log are late (the last one was at most 1.06 s old); runs that wait for a connection since before the end (they took 0 ms). Rejected: fewer or slower starts, or ejecting more targets, which make it rarer; a task of its own alone, which leaves a window between the check and the registration.

--- a/crates/gateway/src/backlog.rs
+++ b/crates/gateway/src/backlog.rs
@@ -177,7 +177,7 @@
         self.applied_end = jobs.end();
         self.owned.retain(|job, owned_job| {
             let state = jobs.get(job);
-            state.is_some_and(|j| j.is_open() && j.owner == host && j.epoch == owned_job.epoch)
+            state.is_some_and(|j| j.is_run_by(host, owned_job.epoch))
         });
         let owned = &self.owned;
         self.queue.retain(|(job, item)| {
@@ -268,6 +268,15 @@
         }
     }
 
+    /// Returns whether the job records let this host run an item, including those that have
+    /// not been applied.
+    pub(crate) fn may_run(&self, key: &ItemKey, jobs: &Jobs, host: &str) -> bool {
+        let (Some(owned_job), Some(job)) = (self.owned.get(&key.0), jobs.get(&key.0)) else {
+            return false;
+        };
+        job.is_run_by(host, owned_job.epoch) && !job.is_listed(key.1)
+    }
+
     /// Returns whether this host owns an item's job and the item has not ended.
     pub(crate) fn is_item_open(&self, key: &ItemKey) -> bool {
         self.owned
--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -2,6 +2,12 @@
 //!
 //! An item is preempted as soon as an online request needs its slot. The text that it has
 //! generated is kept, and it continues at the next target that has a free slot.
+//!
+//! An item starts only if the job records let it at that moment: the records are locked from the
+//! check until the run is registered, and a record that is applied later cancels a registered
+//! run. The backlog alone does not give that right, as it may lag behind the records. Applying
+//! the records between the starts was rejected: while most targets are down, items return to the
+//! queue faster than they start, and items of ended jobs ran for seconds.
 
 mod completion;
 mod load;
@@ -25,11 +31,9 @@
 use notchwharf_quarantine::gate::RunGuard;
 use notchwharf_routing::balancer::Balancer;
 use notchwharf_routing::balancer::Criteria;
-use notchwharf_routing::balancer::TargetId;
 use notchwharf_routing::items::estimate::Estimators;
 use notchwharf_routing::items::peer_queues::PeerQueues;
 use notchwharf_routing::items::peer_queues::QueuedItems;
-use notchwharf_routing::items::queue;
 use notchwharf_startup::Dependency;
 use notchwharf_telemetry::gauge::Gauge;
 use tokio::sync::Notify;
@@ -49,6 +53,7 @@
 use crate::time::unix_ms;
 
 use self::registry::Registry;
+use self::registry::RunHandle;
 
 /// Interval of scheduling without notifications, and of checks for overcommitted targets.
 const TICK: Duration = Duration::from_millis(50);
@@ -144,6 +149,7 @@
 /// Starts the tasks that run items.
 pub(crate) fn start(ctx: &Arc<Context>) {
     tokio::spawn(schedule(Arc::clone(ctx)));
+    tokio::spawn(follow_records(Arc::clone(ctx)));
     tokio::spawn(takeover::run(Arc::clone(ctx)));
     let saves = ctx.timer.subscribe(ms(ctx.settings.batch.save_ms));
     let phase = ctx.phase.subscribe();
@@ -151,15 +157,25 @@
     tokio::spawn(async move { shared.progress.run(saves, phase).await });
 }
 
-async fn schedule(ctx: Arc<Context>) {
+/// Applies the job records whenever they change, until the host shuts down.
+async fn follow_records(ctx: Arc<Context>) {
     let mut changed = ctx.journal.subscribe();
+    let mut phase = ctx.phase.subscribe();
+    loop {
+        // The records may have been loaded before the subscription.
+        apply_records(&ctx);
+        tokio::select! {
+            _ = changed.changed() => ctx.items.wake(),
+            _ = phase.wait_for(|phase| *phase >= Phase::Leaving) => return,
+        }
+    }
+}
+
+async fn schedule(ctx: Arc<Context>) {
     let mut ticks = ctx.timer.subscribe(TICK);
     let mut gauge_ticks = ctx.timer.subscribe(GAUGE_INTERVAL);
-    // The records may have been loaded before the subscription.
-    apply_records(&ctx);
     while ctx.phase() < Phase::Leaving {
         tokio::select! {
-            _ = changed.changed() => apply_records(&ctx),
             () = ctx.items.wake.notified() => {}
             tick = ticks.recv() => {
                 if tick.is_none() {
@@ -206,14 +222,13 @@
 
 /// Applies the job records to the backlog and cancels items that are no longer this host's.
 fn apply_records(ctx: &Arc<Context>) {
-    let missing = {
-        let jobs = ctx.journal.jobs();
-        lock(&ctx.items.backlog).update(&jobs, ctx.host())
-    };
+    let jobs = ctx.journal.jobs();
+    let mut backlog = lock(&ctx.items.backlog);
+    let missing = backlog.update(&jobs, ctx.host());
+    drop(jobs);
     for (epoch, accepted) in missing {
         tokio::spawn(load::load(Arc::clone(ctx), epoch, accepted));
     }
-    let backlog = lock(&ctx.items.backlog);
     ctx.items.retain_running(|key| backlog.is_item_open(key));
     ctx.metrics.set("items_waiting", backlog.len());
 }
@@ -250,15 +265,11 @@
             Next::Start(start) => {
                 let ItemStart {
                     item,
-                    deadline,
                     route,
-                    target,
-                    origin,
+                    destination,
+                    handle,
                     guard,
                 } = *start;
-                let running = Running::start(ctx, &target, Class::Batch);
-                let handle = lock(&ctx.items.running).add(&target, &item, deadline, running);
-                let destination = run::Destination { target, origin };
                 let run = run::run(Arc::clone(ctx), item, route, destination, handle, guard);
                 tokio::spawn(run);
                 tokio::time::sleep(interval).await;
@@ -267,6 +278,7 @@
                 tokio::spawn(postpone(Arc::clone(ctx), item));
             }
             Next::Fail(item, reason) => completion::fail(ctx, &item, reason),
+            Next::Outdated => apply_records(ctx),
         }
     }
 }
@@ -285,29 +297,35 @@
     /// only targets that may not continue its text have free slots.
     Postpone(Item),
     Fail(Item, Reason),
+    /// The job records no longer let this host run the item, and the backlog does not show it yet.
+    Outdated,
 }
 
-/// An item that is about to run.
+/// An item that is registered as running.
 struct ItemStart {
     item: Item,
-    deadline: queue::Deadline,
     route: Arc<Route>,
-    target: TargetId,
-    /// The origin of the text that the target would begin, if its version is known.
-    origin: Option<Origin>,
+    destination: run::Destination,
+    handle: RunHandle,
     /// The quarantine's guard of this run, if the item is a suspect.
     guard: Option<RunGuard>,
 }
 
-/// Removes the next item that can start or fail from the backlog; `None` if there is no item
-/// or no target with a free slot for it.
-fn next(ctx: &Context) -> Option<Next> {
+/// Removes the next item that can start or fail from the backlog, and registers it as running
+/// if it starts; `None` if there is no item or no target with a free slot for it.
+fn next(ctx: &Arc<Context>) -> Option<Next> {
     let table = ctx.table()?;
+    // No record is applied while this exists.
+    let jobs = ctx.journal.jobs();
     let mut backlog = lock(&ctx.items.backlog);
     let estimators = lock(&ctx.items.estimators);
     backlog.demote_late(|item| is_late(&table, item, &estimators));
     drop(estimators);
     let (deadline, item) = backlog.peek()?;
+    if !backlog.may_run(&item.key, &jobs, ctx.host()) {
+        ctx.metrics.count(Counted::Items, "outdated");
+        return Some(Next::Outdated);
+    }
     let path = item.request.path.split('?').next().unwrap_or_default();
     let Some(route) = table.find(&item.host, path).cloned() else {
         let item = backlog.pop()?;
@@ -371,12 +389,13 @@
     let Ok(guard) = admitted else {
         return Some(Next::Postpone(item));
     };
+    let running = Running::start(ctx, &target, Class::Batch);
+    let handle = lock(&ctx.items.running).add(&target, &item, deadline, running);
     let start = ItemStart {
         item,
-        deadline,
         route,
-        target,
-        origin,
+        destination: run::Destination { target, origin },
+        handle,
         guard,
     };
     Some(Next::Start(Box::new(start)))
--- a/crates/gateway/src/items/run.rs
+++ b/crates/gateway/src/items/run.rs
@@ -11,6 +11,7 @@
 use notchwharf_origins::Origin;
 use notchwharf_quarantine::gate::RunGuard;
 use notchwharf_routing::balancer::TargetId;
+use tokio::sync::oneshot::error::TryRecvError;
 
 use super::completion;
 use super::registry::RunHandle;
@@ -89,12 +90,16 @@
     let resumed_after = item.last_event;
     let RunHandle {
         run: number,
-        cancelled,
+        mut cancelled,
     } = handle;
     let mut head = None;
-    let outcome = tokio::select! {
-        outcome = exchange(&ctx, &mut item, &destination, &mut head) => outcome,
-        _ = cancelled => RunOutcome::Cancelled,
+    let outcome = match cancelled.try_recv() {
+        Err(TryRecvError::Empty) => tokio::select! {
+            outcome = exchange(&ctx, &mut item, &destination, &mut head) => outcome,
+            _ = cancelled => RunOutcome::Cancelled,
+        },
+        // A run that was cancelled before it began sends nothing.
+        _ => RunOutcome::Cancelled,
     };
     let Destination { target, origin } = destination;
     let entry = lock(&ctx.items.running).take(&target, number);
--- a/crates/gateway/tests/harness/targets.rs
+++ b/crates/gateway/tests/harness/targets.rs
@@ -82,6 +82,8 @@
     down: HashSet<String>,
     /// Number of crashes by target.
     crashes: HashMap<String, u32>,
+    /// Number of calls by request, including those to targets that are down.
+    calls: HashMap<String, u32>,
 }
 
 /// All targets.
@@ -208,6 +210,14 @@
             .collect()
     }
 
+    /// Returns the number of calls with requests whose ids have a prefix, including those to
+    /// targets that are down.
+    pub fn call_count(&self, prefix: &str) -> u32 {
+        let state = self.state.lock().unwrap();
+        let calls = state.calls.iter().filter(|(id, _)| id.starts_with(prefix));
+        calls.map(|(_, count)| count).sum()
+    }
+
     /// Returns the number of runs in progress.
     pub fn active(&self) -> usize {
         self.state.lock().unwrap().active.values().sum()
@@ -238,6 +248,7 @@
     async fn call(&self, call: Call) -> Result<Reply, NoReply> {
         let action = {
             let mut state = self.state.lock().unwrap();
+            *state.calls.entry(call.request.id.clone()).or_default() += 1;
             if state.down.contains(&call.target) {
                 return Err(NoReply::NotSent("connection refused"));
             }
--- a/crates/ledger/src/jobs.rs
+++ b/crates/ledger/src/jobs.rs
@@ -133,6 +133,11 @@
         !self.is_ended && self.listed.len() < self.accepted.items.len()
     }
 
+    /// Returns whether a host runs the job's items since an epoch.
+    pub fn is_run_by(&self, host: &str, epoch: Offset) -> bool {
+        self.is_open() && self.owner == host && self.epoch == epoch
+    }
+
     /// Returns whether an item has a final outcome; true for an index outside of the job's
     /// items.
     pub fn is_listed(&self, item: u32) -> bool {
