Queue an item again only in the epoch for which it was read

An item that waits for a retry or is withheld is in no queue. If its job was taken over by another host and came back meanwhile, the host had read its items again, and the old copy was queued beside the new one: the item ran twice at once, and went on from an outdated text.

An item now has the epoch of its job, and is discarded if the job has a later one. Discarded items count as `outdated`.

--- a/crates/gateway/src/backlog.rs
+++ b/crates/gateway/src/backlog.rs
@@ -43,6 +43,8 @@
 pub(crate) struct Item {
     /// Its identity.
     pub(crate) key: ItemKey,
+    /// The epoch of its job for which this host read the item.
+    pub(crate) epoch: Offset,
     /// The name of its job's route.
     pub(crate) route: String,
     /// The `Host` of its request.
@@ -251,13 +253,16 @@
         self.queue.pop()
     }
 
-    /// Queues an item again that is to run or continue later, unless it is no longer open.
-    pub(crate) fn requeue(&mut self, item: Item) {
+    /// Queues an item again that is to run or continue later; returns whether it is still open
+    /// in the epoch for which it was read. Items of a later epoch have been read again.
+    pub(crate) fn requeue(&mut self, item: Item) -> bool {
         let owned_job = self.owned.get(&item.key.0);
-        let is_open = owned_job.is_some_and(|owned_job| owned_job.is_item_open(item.key.1));
+        let is_open =
+            owned_job.is_some_and(|o| o.epoch == item.epoch && o.is_item_open(item.key.1));
         if is_open {
             self.queue.push(item.due_unix_ms(), item.key.clone(), item);
         }
+        is_open
     }
 
     /// Removes an item whose outcome is about to be recorded.
--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -286,10 +286,17 @@
 /// Queues a blocked item again after a delay, so that it does not delay those behind it.
 async fn postpone(ctx: Arc<Context>, item: Item) {
     tokio::time::sleep(BLOCKED_DELAY).await;
-    lock(&ctx.items.backlog).requeue(item);
+    requeue(&ctx, item);
     ctx.items.wake();
 }
 
+/// Queues an item again, unless the backlog shows that this host no longer runs it.
+fn requeue(ctx: &Context, item: Item) {
+    if !lock(&ctx.items.backlog).requeue(item) {
+        ctx.metrics.count(Counted::Items, "outdated");
+    }
+}
+
 /// What to do with the next item.
 enum Next {
     Start(Box<ItemStart>),
--- a/crates/gateway/src/items/load.rs
+++ b/crates/gateway/src/items/load.rs
@@ -30,7 +30,7 @@
     let job = &accepted.job;
     match Payload::read(&ctx, &accepted).await {
         Ok(payload) => {
-            let mut items = to_items(&ctx, &accepted, payload);
+            let mut items = to_items(&ctx, epoch, &accepted, payload);
             resume(&ctx, &accepted, epoch, &mut items).await;
             let jobs = ctx.journal.jobs();
             lock(&ctx.items.backlog).add_items(epoch, job, items, &jobs);
@@ -87,7 +87,7 @@
     configured.unwrap_or(DEFAULT_DUE_AFTER)
 }
 
-fn to_items(ctx: &Context, accepted: &Accepted, payload: Payload) -> Vec<Item> {
+fn to_items(ctx: &Context, epoch: Offset, accepted: &Accepted, payload: Payload) -> Vec<Item> {
     let host = payload.host;
     let table = ctx.table();
     let route = table.as_ref().and_then(|t| t.by_name(&accepted.route));
@@ -104,6 +104,7 @@
         Item {
             size: (ctx.decode.size)(&headers),
             key: (accepted.job.clone(), number),
+            epoch,
             route: accepted.route.clone(),
             host: host.clone(),
             request: Arc::new(ForwardedRequest {
--- a/crates/gateway/src/items/run.rs
+++ b/crates/gateway/src/items/run.rs
@@ -15,6 +15,7 @@
 
 use super::completion;
 use super::registry::RunHandle;
+use super::requeue;
 use crate::backlog::Item;
 use crate::backlog::count;
 use crate::context::Context;
@@ -151,7 +152,7 @@
             if let Some(head) = head.filter(|_| events > 0) {
                 quarantine::record_survival(&ctx, &item, head.at.elapsed());
             }
-            lock(&ctx.items.backlog).requeue(item);
+            requeue(&ctx, item);
         }
         RunOutcome::Interrupted(_) => {
             if let Some(run) = broken_run(&ctx, &item, &target, head, started) {
@@ -208,7 +209,7 @@
 
 async fn requeue_after_delay(ctx: &Context, item: Item) {
     tokio::time::sleep(RETRY_DELAY).await;
-    lock(&ctx.items.backlog).requeue(item);
+    requeue(ctx, item);
 }
 
 /// Returns the name of an outcome in metrics and logs.
--- a/crates/gateway/tests/ended_jobs.rs
+++ b/crates/gateway/tests/job_ownership.rs
@@ -1,4 +1,4 @@
-//! Items of jobs that a host may no longer run, whatever its targets and its queue do.
+//! Which jobs a host runs while they end, and while other hosts take them over.
 #![allow(clippy::unwrap_used, reason = "Tests fail by panicking.")]
 
 mod harness;
@@ -8,8 +8,11 @@
 use harness::Harness;
 use harness::RunningHost;
 use harness::WAIT_MAX;
+use harness::targets::Action;
 use harness::wait_until;
 use notchwharf_gateway::jobs;
+use notchwharf_gateway::metrics::Counted;
+use notchwharf_gateway::ports::NoReply;
 use notchwharf_ledger::jobs::Applied;
 use notchwharf_ledger::jobs::Record;
 use rstest::rstest;
@@ -31,18 +34,27 @@
         if let Self::Ended = self {
             return jobs::end(host.ctx(), job).await.unwrap();
         }
-        let epoch = host.ctx().journal.jobs().get(job).unwrap().epoch;
-        let record = Record::Taken {
-            job: job.to_owned(),
-            epoch,
-            host: "a9".into(),
-        };
-        let deadline = Instant::now() + WAIT_MAX;
-        let applied = host.ctx().journal.append(record, deadline).await;
-        assert_eq!(applied.unwrap(), Applied::Taken);
+        take_over(host, job, "a9").await;
     }
 }
 
+/// Records at a host that another one, or itself, takes a job over.
+async fn take_over(host: &RunningHost, job: &str, by: &str) {
+    let epoch = host.ctx().journal.jobs().get(job).unwrap().epoch;
+    let record = Record::Taken {
+        job: job.to_owned(),
+        epoch,
+        host: by.to_owned(),
+    };
+    let deadline = Instant::now() + WAIT_MAX;
+    let applied = host.ctx().journal.append(record, deadline).await;
+    assert_eq!(applied.unwrap(), Applied::Taken);
+}
+
+fn outdated_items(host: &RunningHost) -> u64 {
+    host.ctx().metrics.counted(Counted::Items, "outdated")
+}
+
 /// Guards against items of an ended job that reach targets while most targets are down.
 #[rstest]
 #[case::ended(Loss::Ended)]
@@ -68,3 +80,28 @@
     a1.results("j2", 1).await;
     assert_eq!(harness.targets.call_count("j1-"), calls);
 }
+
+/// Guards against a second run of an item whose job left this host and came back during a retry.
+#[tokio::test]
+async fn an_item_that_waits_for_a_retry_does_not_return_to_a_later_epoch() {
+    let harness = Harness::new(&["t1", "t2"]);
+    let a1 = harness.start_ready("a1").await;
+    harness.targets.hold();
+    let refused = Action::NoReply(NoReply::NotSent("scripted"));
+    harness.targets.script_request("j1-0", &[refused]);
+    a1.submit("j1", 1, 10).await.unwrap();
+    wait_until("the item was refused", || {
+        harness.targets.call_count("j1-0") == 1
+    })
+    .await;
+    for host in ["a9", "a1"] {
+        take_over(&a1, "j1", host).await;
+    }
+    wait_until("the retry has ended", || {
+        outdated_items(&a1) == 1 || harness.targets.active_runs("j1-0") > 1
+    })
+    .await;
+    harness.targets.release();
+    a1.results("j1", 1).await;
+    assert_eq!(harness.targets.runs("j1-0").len(), 1);
+}
