Give up a read of items only for the epoch that it was for

A host that could not read the items of a job removed the job from its backlog after 200 ms, to read it again. If the job had been taken over by another host and had come back meanwhile, and its items had been read, they were cancelled and started over. The step now names its epoch. New event `items read again` of `notchwharf_jobs_total`.

The test failed with the check taken out (2 runs of the item, 1 expected) and passes with it.

The tests of this file start a host that does not take jobs over by itself: before, the case of a job that is taken over failed once, since the host took the job back from a9, which does not run.

--- a/crates/gateway/src/backlog.rs
+++ b/crates/gateway/src/backlog.rs
@@ -223,9 +223,11 @@
         owned_job.open_items = Some(open_items);
     }
 
-    /// Removes a job whose items were not read; [`Self::update`] returns it again.
-    pub(crate) fn remove_unloaded(&mut self, job: &str) {
-        self.owned.remove(job);
+    /// Removes a job whose items were not read for an epoch; [`Self::update`] returns it again.
+    pub(crate) fn remove_unloaded(&mut self, epoch: Offset, job: &str) {
+        if self.owned.get(job).is_some_and(|o| o.epoch == epoch) {
+            self.owned.remove(job);
+        }
     }
 
     /// Returns the end of the job records that were applied.
--- a/crates/gateway/src/items/load.rs
+++ b/crates/gateway/src/items/load.rs
@@ -15,6 +15,7 @@
 use crate::backlog::Item;
 use crate::context::Context;
 use crate::jobs::Payload;
+use crate::metrics::Counted;
 use crate::ports::ForwardedRequest;
 use crate::sync::lock;
 
@@ -39,7 +40,8 @@
             slog::warn!(ctx.logger, "job's items not read"; "job" => job.as_str(),
                 "error" => err.to_string());
             tokio::time::sleep(RETRY_DELAY).await;
-            lock(&ctx.items.backlog).remove_unloaded(job);
+            lock(&ctx.items.backlog).remove_unloaded(epoch, job);
+            ctx.metrics.count(Counted::Jobs, "items read again");
             apply_records(&ctx);
         }
     }
--- a/crates/gateway/tests/job_ownership.rs
+++ b/crates/gateway/tests/job_ownership.rs
@@ -10,9 +10,11 @@
 use harness::WAIT_MAX;
 use harness::targets::Action;
 use harness::wait_until;
+use notchwharf_config::gateway::Settings;
 use notchwharf_gateway::jobs;
 use notchwharf_gateway::metrics::Counted;
 use notchwharf_gateway::ports::NoReply;
+use notchwharf_gateway::ports::Topic;
 use notchwharf_ledger::jobs::Applied;
 use notchwharf_ledger::jobs::Record;
 use rstest::rstest;
@@ -20,6 +22,9 @@
 /// Calls to targets that are down after which items return faster than they are started.
 const CALLS_BEFORE_END: u32 = 100;
 
+/// Size of items that a host reads from the store, although it has written them.
+const UNCACHED_BYTES: usize = 300 << 10;
+
 /// How a host loses the right to run a job's items.
 #[derive(Clone, Copy, Debug)]
 enum Loss {
@@ -38,6 +43,14 @@
     }
 }
 
+/// Starts a host that does not take jobs over by itself: it waits until it knows its peers.
+async fn start_owner(harness: &Harness) -> RunningHost {
+    let slow_detection = |s: &mut Settings| s.peers.down_ms = 10_000;
+    let host = harness.start_with("a1", slow_detection).await;
+    host.wait_ready().await;
+    host
+}
+
 /// Records at a host that another one, or itself, takes a job over.
 async fn take_over(host: &RunningHost, job: &str, by: &str) {
     let epoch = host.ctx().journal.jobs().get(job).unwrap().epoch;
@@ -62,7 +75,7 @@
 #[tokio::test]
 async fn no_item_starts_after_the_right_to_run_its_job_is_lost(#[case] loss: Loss) {
     let harness = Harness::new(&["t1", "t2", "t3", "t4", "t5", "t6"]);
-    let a1 = harness.start_ready("a1").await;
+    let a1 = start_owner(&harness).await;
     harness.targets.hold();
     for target in ["t1", "t2", "t3", "t4"] {
         harness.targets.crash(target);
@@ -85,7 +98,7 @@
 #[tokio::test]
 async fn an_item_that_waits_for_a_retry_does_not_return_to_a_later_epoch() {
     let harness = Harness::new(&["t1", "t2"]);
-    let a1 = harness.start_ready("a1").await;
+    let a1 = start_owner(&harness).await;
     harness.targets.hold();
     let refused = Action::NoReply(NoReply::NotSent("scripted"));
     harness.targets.script_request("j1-0", &[refused]);
@@ -105,3 +118,27 @@
     a1.results("j1", 1).await;
     assert_eq!(harness.targets.runs("j1-0").len(), 1);
 }
+
+/// Guards against cancelled items after a failed read of an earlier epoch of their job.
+#[tokio::test]
+async fn a_failed_read_of_items_does_not_cancel_those_of_a_later_epoch() {
+    let harness = Harness::new(&["t1", "t2"]);
+    let a1 = start_owner(&harness).await;
+    harness.targets.hold();
+    harness.store.fail_next_read(Topic::Payloads);
+    let mut submission = harness::submission("j1", 1, 10);
+    submission.items[0].1.body = vec![b'x'; UNCACHED_BYTES];
+    jobs::submit(a1.ctx(), submission).await.unwrap();
+    for host in ["a9", "a1"] {
+        take_over(&a1, "j1", host).await;
+    }
+    wait_until("the item runs", || harness.targets.active() == 1).await;
+    wait_until("the first read has been given up", || {
+        let metrics = &a1.ctx().metrics;
+        metrics.counted(Counted::Jobs, "items read again") == 1
+    })
+    .await;
+    harness.targets.release();
+    a1.results("j1", 1).await;
+    assert_eq!(harness.targets.runs("j1-0").len(), 1);
+}
