Check each takeover again before its record is appended

A host that takes over the jobs of one that is down listed them once, and appended a record for each, which may take 250 ms while the store is slow. Jobs at the end of the list were taken from an owner that had returned seconds ago, whose items then ran again, and a host that had begun to shut down went on taking jobs.

Each job is now checked again right before its record: same epoch, still open, its owner still does not run it, and this host is not shutting down. The record in flight when the owner returns may still be appended.

--- a/crates/gateway/src/items/takeover.rs
+++ b/crates/gateway/src/items/takeover.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use notchwharf_ledger::jobs::Job;
 use notchwharf_ledger::jobs::JobId;
 use notchwharf_ledger::jobs::Offset;
 use notchwharf_ledger::jobs::Record;
@@ -41,6 +42,9 @@
             continue;
         }
         for (job, epoch, owner) in jobs_to_take_over(&ctx) {
+            if !is_still_to_take_over(&ctx, &job, epoch) {
+                continue;
+            }
             slog::info!(ctx.logger, "taking over job"; "job" => job.as_str(),
                 "owner" => owner, "epoch" => epoch);
             let record = Record::Taken {
@@ -59,12 +63,23 @@
 /// Returns the open jobs that this host is to take over, with their epochs and owners.
 fn jobs_to_take_over(ctx: &Context) -> Vec<(JobId, Offset, String)> {
     let jobs = ctx.journal.jobs();
-    let orphaned = jobs.open().filter(|job| {
-        job.owner != ctx.host()
-            && peers::is_responsible_for(ctx, &job.owner)
-            && !ctx.peers.retains_jobs(&job.owner)
-            && ctx.peers.is_successor(ctx.host(), &job.accepted.job)
-    });
+    let orphaned = jobs.open().filter(|job| is_to_take_over(ctx, job));
     let orphaned = orphaned.map(|job| (job.accepted.job.clone(), job.epoch, job.owner.clone()));
     orphaned.collect()
 }
+
+/// Returns whether this host is to take a job over, whose owner does not run it.
+fn is_to_take_over(ctx: &Context, job: &Job) -> bool {
+    job.owner != ctx.host()
+        && peers::is_responsible_for(ctx, &job.owner)
+        && !ctx.peers.retains_jobs(&job.owner)
+        && ctx.peers.is_successor(ctx.host(), &job.accepted.job)
+}
+
+/// Returns whether a job that was to be taken over still is. The records of those before it may
+/// have taken seconds, in which its owner may have returned, or this host begun to shut down.
+fn is_still_to_take_over(ctx: &Context, job: &str, epoch: Offset) -> bool {
+    let jobs = ctx.journal.jobs();
+    let job = jobs.get(job).filter(|j| j.is_open() && j.epoch == epoch);
+    ctx.phase() < Phase::Leaving && job.is_some_and(|job| is_to_take_over(ctx, job))
+}
--- a/crates/gateway/tests/harness/store.rs
+++ b/crates/gateway/tests/harness/store.rs
@@ -127,6 +127,12 @@
             .insert(topic, outcomes.iter().copied().collect());
     }
 
+    /// Returns the number of appends to a topic whose outcomes were set and that have not come.
+    pub fn scripted_count(&self, topic: Topic) -> usize {
+        let state = self.state.lock().unwrap();
+        state.append_outcomes.get(&topic).map_or(0, VecDeque::len)
+    }
+
     /// Removes the whole history, so that offsets written so far cannot be read; the newest
     /// record of each key can still be listed.
     pub fn expire_history(&self) {
--- a/crates/gateway/tests/job_ownership.rs
+++ b/crates/gateway/tests/job_ownership.rs
@@ -8,6 +8,7 @@
 use harness::Harness;
 use harness::RunningHost;
 use harness::WAIT_MAX;
+use harness::store::AppendOutcome;
 use harness::targets::Action;
 use harness::wait_until;
 use notchwharf_config::gateway::Settings;
@@ -25,6 +26,9 @@
 /// Size of items that a host reads from the store, although it has written them.
 const UNCACHED_BYTES: usize = 300 << 10;
 
+/// Number of jobs whose takeover takes many times as long as a start of their owner.
+const JOBS: usize = 12;
+
 /// How a host loses the right to run a job's items.
 #[derive(Clone, Copy, Debug)]
 enum Loss {
@@ -142,3 +146,42 @@
     a1.results("j1", 1).await;
     assert_eq!(harness.targets.runs("j1-0").len(), 1);
 }
+
+/// Guards against a host that takes jobs over from an owner that has returned meanwhile.
+#[tokio::test]
+async fn a_host_that_is_back_keeps_the_jobs_that_are_not_yet_taken_over() {
+    let harness = Harness::new(&["t1", "t2", "t3", "t4", "t5", "t6"]);
+    harness.targets.hold();
+    let a1 = harness.start_ready("a1").await;
+    let a2 = harness.start_ready("a2").await;
+    wait_until("the hosts have discovered each other", || {
+        a1.ctx().peers_alive() == 1 && a2.ctx().peers_alive() == 1
+    })
+    .await;
+    let names: Vec<String> = (1..=JOBS).map(|number| format!("j{number}")).collect();
+    for job in &names {
+        a1.submit(job, 1, 10).await.unwrap();
+    }
+    a2.ctx().journal.sync().await.unwrap();
+    let appends = [AppendOutcome::RequestLost; 1_000];
+    harness.store.script(Topic::Jobs, &appends);
+    a1.kill();
+    wait_until("the host is down", || a2.ctx().peers_alive() == 0).await;
+    wait_until("the takeover has begun", || {
+        harness.store.scripted_count(Topic::Jobs) < appends.len()
+    })
+    .await;
+    let a1 = harness.start_ready("a1").await;
+    wait_until("the host is back", || a2.ctx().peers_alive() == 1).await;
+    harness.store.script(Topic::Jobs, &[]);
+    harness.targets.release();
+    for job in &names {
+        a1.results(job, 1).await;
+    }
+    let jobs = a1.ctx().journal.jobs();
+    let taken = names
+        .iter()
+        .filter(|job| jobs.get(job).unwrap().owner == "a2");
+    // One takeover was being recorded when the host returned.
+    assert!(taken.count() <= 1);
+}
