Check targets while items start without end

The task that starts items also preempted items at overcommitted targets and updated the gauges, between two rounds of starts only. Both are now done by a task of their own.

--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -150,6 +150,7 @@
 pub(crate) fn start(ctx: &Arc<Context>) {
     tokio::spawn(schedule(Arc::clone(ctx)));
     tokio::spawn(follow_records(Arc::clone(ctx)));
+    tokio::spawn(check_targets(Arc::clone(ctx)));
     tokio::spawn(takeover::run(Arc::clone(ctx)));
     let saves = ctx.timer.subscribe(ms(ctx.settings.batch.save_ms));
     let phase = ctx.phase.subscribe();
@@ -171,9 +172,22 @@
     }
 }
 
-async fn schedule(ctx: Arc<Context>) {
+/// Preempts items at overcommitted targets and updates the gauges, until the host shuts down. It
+/// does not wait for the scheduler, which may be starting items for as long as there are some.
+async fn check_targets(ctx: Arc<Context>) {
     let mut ticks = ctx.timer.subscribe(TICK);
     let mut gauge_ticks = ctx.timer.subscribe(GAUGE_INTERVAL);
+    while ticks.recv().await.is_some() && ctx.phase() < Phase::Leaving {
+        preempt_overcommitted(&ctx);
+        if gauge_ticks.try_recv().is_ok() {
+            update_gauges(&ctx);
+        }
+    }
+}
+
+/// Starts items until the host shuts down.
+async fn schedule(ctx: Arc<Context>) {
+    let mut ticks = ctx.timer.subscribe(TICK);
     while ctx.phase() < Phase::Leaving {
         tokio::select! {
             () = ctx.items.wake.notified() => {}
@@ -181,10 +195,6 @@
                 if tick.is_none() {
                     return;
                 }
-                preempt_overcommitted(&ctx);
-                if gauge_ticks.try_recv().is_ok() {
-                    update_gauges(&ctx);
-                }
             }
         }
         // Suspects must be known first: the first item that a host reads after its start may
--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -110,6 +110,11 @@
         self.store.put_config(&format!("{version} {with_jobs}"));
     }
 
+    /// Writes a configuration whose jobs are not abandoned within a test.
+    pub fn configure_lasting_jobs(&self, version: u64) {
+        self.store.put_config(&format!("{version} lasting"));
+    }
+
     /// Writes a configuration in which requests are identified by the keys of workspaces.
     pub fn configure_keys(&self, version: u64, keys: &[(&str, &str)]) {
         let keys = keys
@@ -441,8 +446,10 @@
         routes[1].timeout = NON_RESUMABLE_TIMEOUT;
         routes[2].objective = OBJECTIVE;
         routes[3].attempts_max = 1;
-        if with_jobs == "true" {
-            routes.push(jobs());
+        match with_jobs {
+            "true" => routes.push(jobs(ABANDON_AFTER)),
+            "lasting" => routes.push(jobs(2 * WAIT_MAX)),
+            _ => {}
         }
         let version = version.parse().unwrap();
         let services = vec![Service {
@@ -485,13 +492,13 @@
     }
 }
 
-fn jobs() -> Route {
+fn jobs(abandon_after: Duration) -> Route {
     Route {
         kind: Kind::Batch,
         attempts_max: 3,
         jobs: JobPolicy {
             tokens_max: Some(TOKENS_MAX),
-            abandon_after: ABANDON_AFTER,
+            abandon_after,
             ..JobPolicy::default()
         },
         ..stream(JOBS, true)
--- a/crates/gateway/tests/job_ownership.rs
+++ b/crates/gateway/tests/job_ownership.rs
@@ -79,6 +79,7 @@
 #[tokio::test]
 async fn no_item_starts_after_the_right_to_run_its_job_is_lost(#[case] loss: Loss) {
     let harness = Harness::new(&["t1", "t2", "t3", "t4", "t5", "t6"]);
+    harness.configure_lasting_jobs(2);
     let a1 = start_owner(&harness).await;
     harness.targets.hold();
     for target in ["t1", "t2", "t3", "t4"] {
@@ -185,3 +186,20 @@
     // One takeover was being recorded when the host returned.
     assert!(taken.count() <= 1);
 }
+
+/// Guards against targets that are not checked while items start without end.
+#[tokio::test]
+async fn targets_are_checked_while_most_of_them_are_down() {
+    let harness = Harness::new(&["t1", "t2", "t3", "t4", "t5", "t6"]);
+    harness.configure_lasting_jobs(2);
+    let a1 = start_owner(&harness).await;
+    harness.targets.hold();
+    for target in ["t1", "t2", "t3", "t4"] {
+        harness.targets.crash(target);
+    }
+    a1.submit("j1", 40, 10).await.unwrap();
+    wait_until("the slots in use are counted", || {
+        a1.ctx().metrics.text().contains("places_taken")
+    })
+    .await;
+}
