Ask the owner of an item before each start on the Batches API

What callers see: items of a batch that they cancelled run later. A host pulls items for a target from their owner and keeps them until the target has a slot; an item that the target rejects, or that is preempted, goes back to the front of those kept and starts again. A cancel changes the record at the owner only, and nothing told the hosts.

An item now starts only after the owner has confirmed that it is still to be run. Without an answer the item does not start and is kept, so none starts while the owner of its shard cannot be reached. Cost: one call to the owner for each start.

An item that was confirmed just before the cancel still starts, and an owner that has lost its lease without knowing confirms from what it has read: both remain.

--- a/crates/ledger/src/owner/command.rs
+++ b/crates/ledger/src/owner/command.rs
@@ -72,7 +72,8 @@
         /// That host's incarnation.
         incarnation: Incarnation,
     },
-    /// Report the items that a host runs.
+    /// Report the items that a host runs. The reply is an error if one of them is not to be run
+    /// any more; the others are recorded.
     Running {
         /// The items.
         items: Vec<(JobId, ItemIndex)>,
--- a/crates/ledger/src/owner/execute.rs
+++ b/crates/ledger/src/owner/execute.rs
@@ -13,6 +13,7 @@
 use crate::error::CommandError;
 use crate::error::Ignored;
 use crate::job::Job;
+use crate::job::Phase;
 use crate::job::State;
 use crate::record::Entry;
 use crate::record::HostId;
@@ -82,10 +83,14 @@
                 host,
                 incarnation,
             } => {
+                let mut res = Ok(Reply::Done);
                 for key in items {
-                    self.queue.mark_running(key, (&host, incarnation), now.at);
+                    match self.check_runnable(&key.0, key.1) {
+                        Ok(()) => self.queue.mark_running(key, (&host, incarnation), now.at),
+                        Err(ignored) => res = Err(CommandError::Invalid(ignored)),
+                    }
                 }
-                Decision::Reply(Ok(Reply::Done))
+                Decision::Reply(res)
             }
             Command::Settle { job, item, verdict } => self.record_outcome(job, item, verdict),
             Command::Return { items } => {
@@ -180,6 +185,18 @@
         Ok(Reply::Work(works))
     }
 
+    fn check_runnable(&self, job: &str, item: ItemIndex) -> Result<(), Ignored> {
+        let job = self.shard.jobs().get(job).ok_or(Ignored::Unknown)?;
+        if job.cancelled {
+            return Err(Ignored::Cancelled);
+        }
+        let item = job.items.get(item as usize).ok_or(Ignored::Unknown)?;
+        if item.phase != Phase::Pending {
+            return Err(Ignored::Settled);
+        }
+        Ok(())
+    }
+
     fn record_outcome(&self, job: JobId, item: ItemIndex, verdict: Verdict) -> Decision {
         let job_state = match self.job(&job, None) {
             Err(err) => return Decision::Reply(Err(err)),
--- a/crates/server/src/item.rs
+++ b/crates/server/src/item.rs
@@ -49,7 +49,7 @@
 /// How a run of an item ended.
 #[derive(Debug)]
 pub(crate) enum RunOutcome {
-    /// The outcome is being reported.
+    /// The outcome is being reported, or the item is not to be run any more.
     Finished,
     /// The run was interrupted and can be resumed on any target.
     Interrupted(Box<Item>),
@@ -93,6 +93,15 @@
     let Some(payload) = item.payload.clone() else {
         return RunOutcome::Returned(Box::new(item));
     };
+    match confirm(&ctx, &item.assigned).await {
+        Ok(()) => {}
+        Err(CommandError::Invalid(_)) => {
+            ctx.metrics.count(Counted::Items, "outdated");
+            return RunOutcome::Finished;
+        }
+        // Without the owner it is not known whether the item is still to be run.
+        Err(_) => return RunOutcome::Interrupted(Box::new(item)),
+    }
     let target_request = TargetRequest {
         request_id: item.request_id(),
         fingerprint,
@@ -138,6 +147,23 @@
     }
 }
 
+/// Confirms with the owner of an item that it is still to be run, right before it starts: its job
+/// may have been cancelled while the item waited here.
+///
+/// # Errors
+///
+/// Returns [`CommandError::Invalid`] if it is not, and another error if the owner did not answer.
+async fn confirm(ctx: &Arc<Context>, assigned: &AssignedItem) -> Result<(), CommandError> {
+    let work = &assigned.work;
+    let running = Command::Running {
+        items: vec![(work.job.clone(), work.item)],
+        host: ctx.host().clone(),
+        incarnation: ctx.incarnation,
+    };
+    let confirmed = crate::ledger::execute(ctx, assigned.shard, running).await;
+    confirmed.map(|_| ())
+}
+
 async fn load_payload(ctx: &Context, item: &Item) -> Option<Payload> {
     let line = ctx.blobs.read_part(item.assigned.work.place).await.ok()?;
     let line: Value = serde_json::from_slice(&line).ok()?;
--- a/crates/server/tests/batch.rs
+++ b/crates/server/tests/batch.rs
@@ -2,6 +2,7 @@
 //! readable from every host.
 #![allow(clippy::unwrap_used, reason = "Tests fail by panicking.")]
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 
 use hyper::Method;
@@ -12,6 +13,7 @@
 use notchwharf_standins::fleet::Config;
 use notchwharf_standins::fleet::Fleet;
 use notchwharf_standins::fleet::PERMITS_KEY;
+use notchwharf_standins::fleet::Response;
 use notchwharf_standins::fleet::SCHOOL_KEY;
 use notchwharf_standins::platform::Faults;
 use rstest::rstest;
@@ -19,6 +21,8 @@
 use serde_json::json;
 
 const TOKENS: u32 = 6;
+/// Number of rejections after which all targets have rejected items.
+const REJECTIONS: u32 = 40;
 
 fn counts(job: &Value) -> (u64, u64, u64) {
     let at = |name: &str| job["request_counts"][name].as_u64().unwrap();
@@ -162,6 +166,20 @@
     );
 }
 
+/// Cancels a job, and returns the response.
+async fn cancel(fleet: &Fleet, job: &str) -> Response {
+    let url = format!("{}/v1/batches/{job}/cancel", fleet.url("a3"));
+    let auth = format!("Bearer {SCHOOL_KEY}");
+    let headers = [("authorization", auth.as_str())];
+    // On a busy machine the owner's lease may expire briefly. It then rejects the request
+    // as "not run", and the caller retries.
+    fleet::retry_until_final(|| async {
+        let response = fleet.send(Method::POST, &url, &headers, "").await;
+        response.unwrap()
+    })
+    .await
+}
+
 #[tokio::test]
 async fn cancelled_job_stops() {
     let fleet = Fleet::ready(Config::default()).await;
@@ -171,16 +189,7 @@
     fleet
         .wait_until(|fleet| async { fleet.engines.values().any(|e| e.streams() > 0) })
         .await;
-    let url = format!("{}/v1/batches/{job}/cancel", fleet.url("a3"));
-    let auth = format!("Bearer {SCHOOL_KEY}");
-    let headers = [("authorization", auth.as_str())];
-    // On a busy machine the owner's lease may expire briefly. It then rejects the request
-    // as "not run", and the caller retries.
-    let response = fleet::retry_until_final(|| async {
-        let response = fleet.send(Method::POST, &url, &headers, "").await;
-        response.unwrap()
-    })
-    .await;
+    let response = cancel(&fleet, &job).await;
     assert_eq!(response.json()["status"], "cancelled", "{}", response.body);
     let counts_at_cancel = counts(&fleet.job(SCHOOL_KEY, &job).await);
     fleet
@@ -195,6 +204,53 @@
     assert!(counts_at_cancel.1 < 2_000);
 }
 
+/// Guards against items of a cancelled job that run once their targets accept requests again.
+#[tokio::test]
+async fn items_kept_by_hosts_do_not_run_after_their_job_is_cancelled() {
+    let fleet = Fleet::ready(Config::default()).await;
+    let set_busy = |busy| {
+        for engine in fleet.engines.values() {
+            let faults = engine::Faults {
+                busy,
+                ..engine::Faults::default()
+            };
+            engine.set_faults(faults);
+        }
+    };
+    set_busy(u32::MAX);
+    let job = fleet
+        .submit("a1", SCHOOL_KEY, &fleet::input_file("n", 200, TOKENS))
+        .await;
+    let rejections = || -> u32 {
+        let engines = fleet.engines.values();
+        engines.map(engine::Engine::rejections).sum()
+    };
+    fleet
+        .wait_until(|_| async { rejections() >= REJECTIONS })
+        .await;
+    let response = cancel(&fleet, &job).await;
+    assert_eq!(response.json()["status"], "cancelled", "{}", response.body);
+    // Requests that were sent before the end may still be on their way.
+    let last = Cell::new(0);
+    fleet
+        .wait_until(|_| async {
+            let count = rejections();
+            last.replace(count) == count
+        })
+        .await;
+    set_busy(0);
+    let other = fleet
+        .submit("a1", SCHOOL_KEY, &fleet::input_file("m", 60, TOKENS))
+        .await;
+    fleet.wait_job_end(SCHOOL_KEY, &other).await;
+    let runs = fleet.engines.values().flat_map(engine::Engine::runs);
+    let late: Vec<String> = runs
+        .map(|(prompt, _)| prompt)
+        .filter(|prompt| prompt.starts_with("n "))
+        .collect();
+    assert_eq!(late, [""; 0]);
+}
+
 #[tokio::test]
 async fn permanently_failed_item_is_listed_with_reason() {
     let fleet = Fleet::ready(Config::default()).await;
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -144,6 +144,8 @@
     loading: Vec<ModelVersion>,
     fence: u64,
     faults: Faults,
+    /// Number of requests rejected as in [`Faults::busy`].
+    rejections: u32,
     /// Number of starts of each prompt.
     runs: HashMap<String, u32>,
     orders: Vec<Order>,
@@ -183,6 +185,7 @@
             loading: Vec::new(),
             fence: 0,
             faults: Faults::default(),
+            rejections: 0,
             runs: HashMap::new(),
             orders: Vec::new(),
             reported_load: (0, 0),
@@ -224,6 +227,11 @@
         self.shared.lock().runs.clone()
     }
 
+    /// Returns the number of requests that were rejected as in [`Faults::busy`].
+    pub fn rejections(&self) -> u32 {
+        self.shared.lock().rejections
+    }
+
     /// Returns the accepted orders.
     pub fn orders(&self) -> Vec<Order> {
         self.shared.lock().orders.clone()
@@ -354,6 +362,7 @@
         }
         if state.faults.busy > 0 {
             state.faults.busy -= 1;
+            state.rejections += 1;
             return http::empty(StatusCode::SERVICE_UNAVAILABLE);
         }
         let model_version = state
