Let other tasks run between items that do not start

Items that fail at once or are withheld were worked off without a pause: a host has one thread, so records, the configuration and callers waited until all items of a job, up to hundreds of thousands, were done. The scheduler now yields after each of them, as it does after each start.

The new test, 20,000 items of a route that is removed: before, all had failed when the first was seen to fail; now fewer than half have, and the job can be ended meanwhile.

--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -283,6 +283,7 @@
                 let run = run::run(Arc::clone(ctx), item, route, destination, handle, guard);
                 tokio::spawn(run);
                 tokio::time::sleep(interval).await;
+                continue;
             }
             Next::Postpone(item) => {
                 tokio::spawn(postpone(Arc::clone(ctx), item));
@@ -290,6 +291,8 @@
             Next::Fail(item, reason) => completion::fail(ctx, &item, reason),
             Next::Outdated => apply_records(ctx),
         }
+        // A job may have hundreds of thousands of items that do not start.
+        tokio::task::yield_now().await;
     }
 }
 
--- a/crates/gateway/tests/job_ownership.rs
+++ b/crates/gateway/tests/job_ownership.rs
@@ -23,6 +23,9 @@
 /// Calls to targets that are down after which items return faster than they are started.
 const CALLS_BEFORE_END: u32 = 100;
 
+/// Number of items that take many times as long as a call.
+const MANY_ITEMS: u32 = 20_000;
+
 /// Size of items that a host reads from the store, although it has written them.
 const UNCACHED_BYTES: usize = 300 << 10;
 
@@ -203,3 +206,19 @@
     })
     .await;
 }
+
+/// Guards against records that wait until all items of a large job have been worked off.
+#[tokio::test]
+async fn other_work_goes_on_while_the_items_of_a_large_job_fail() {
+    let harness = Harness::new(&["t1"]);
+    let a1 = harness.start_ready("a1").await;
+    harness.targets.hold();
+    a1.submit("j1", MANY_ITEMS, 0).await.unwrap();
+    wait_until("an item runs", || harness.targets.active() > 0).await;
+    harness.configure(2, false);
+    let failed = || a1.ctx().metrics.counted(Counted::Items, "given up");
+    wait_until("the first items fail", || failed() > 0).await;
+    assert!(failed() < u64::from(MANY_ITEMS) / 2, "{}", failed());
+    jobs::end(a1.ctx(), "j1").await.unwrap();
+    assert!(failed() < u64::from(MANY_ITEMS), "{}", failed());
+}
