--- a/crates/gateway/src/cleanup.rs
+++ b/crates/gateway/src/cleanup.rs
@@ -3,9 +3,9 @@
 //! The store keeps the newest record of each key forever, so the records of closed jobs would
 //! accumulate. One host, selected by hashing, periodically lists the job records and deletes
 //! those of closed jobs whose retention time is over, the payloads and results of these jobs, and
-//! the records of refused submissions. It also deletes outdated quarantine records
-//! and the progress of items whose jobs are closed. If two hosts do so at once, the second
-//! deletes keys that are already deleted, which has no effect.
+//! the records of refused submissions. It also deletes outdated quarantine records and the progress
+//! of items whose jobs are closed. If two hosts do so at once, the second deletes keys that are
+//! already deleted, which has no effect.
 //!
 //! Whether a submission is refused follows from the records before it. So the records of a job
 //! that was open when a submission was refused are deleted only in a later round than that of the
--- a/crates/gateway/tests/job_ownership.rs
+++ b/crates/gateway/tests/job_ownership.rs
@@ -20,6 +20,10 @@
 use notchwharf_ledger::jobs::Record;
 use rstest::rstest;
 
+const TARGETS: [&str; 6] = ["t1", "t2", "t3", "t4", "t5", "t6"];
+/// More than half of the targets, so that none counts as ejected.
+const TARGETS_DOWN: usize = 4;
+
 /// Calls to targets that are down after which items return faster than they are started.
 const CALLS_BEFORE_END: u32 = 100;
 
@@ -58,6 +62,19 @@
     host
 }
 
+/// Starts a host and a job of more items than it can run, while most targets are down and the others
+/// hold their responses.
+async fn start_job_with_most_targets_down(harness: &Harness) -> RunningHost {
+    harness.configure_lasting_jobs(2);
+    let host = start_owner(harness).await;
+    harness.targets.hold();
+    for target in &TARGETS[..TARGETS_DOWN] {
+        harness.targets.crash(target);
+    }
+    host.submit("j1", 40, 10).await.unwrap();
+    host
+}
+
 /// Records at a host that another one, or itself, takes a job over.
 async fn take_over(host: &RunningHost, job: &str, by: &str) {
     let epoch = host.ctx().journal.jobs().get(job).unwrap().epoch;
@@ -81,14 +98,8 @@
 #[case::taken_over(Loss::TakenOver)]
 #[tokio::test]
 async fn no_item_starts_after_the_right_to_run_its_job_is_lost(#[case] loss: Loss) {
-    let harness = Harness::new(&["t1", "t2", "t3", "t4", "t5", "t6"]);
-    harness.configure_lasting_jobs(2);
-    let a1 = start_owner(&harness).await;
-    harness.targets.hold();
-    for target in ["t1", "t2", "t3", "t4"] {
-        harness.targets.crash(target);
-    }
-    a1.submit("j1", 40, 10).await.unwrap();
+    let harness = Harness::new(&TARGETS);
+    let a1 = start_job_with_most_targets_down(&harness).await;
     wait_until("items run, and others are refused connections", || {
         harness.targets.active() > 0 && harness.targets.call_count("j1-") >= CALLS_BEFORE_END
     })
@@ -154,7 +165,7 @@
 /// Guards against a host that takes jobs over from an owner that has returned meanwhile.
 #[tokio::test]
 async fn a_host_that_is_back_keeps_the_jobs_that_are_not_yet_taken_over() {
-    let harness = Harness::new(&["t1", "t2", "t3", "t4", "t5", "t6"]);
+    let harness = Harness::new(&TARGETS);
     harness.targets.hold();
     let a1 = harness.start_ready("a1").await;
     let a2 = harness.start_ready("a2").await;
@@ -193,14 +204,8 @@
 /// Guards against targets that are not checked while items start without end.
 #[tokio::test]
 async fn targets_are_checked_while_most_of_them_are_down() {
-    let harness = Harness::new(&["t1", "t2", "t3", "t4", "t5", "t6"]);
-    harness.configure_lasting_jobs(2);
-    let a1 = start_owner(&harness).await;
-    harness.targets.hold();
-    for target in ["t1", "t2", "t3", "t4"] {
-        harness.targets.crash(target);
-    }
-    a1.submit("j1", 40, 10).await.unwrap();
+    let harness = Harness::new(&TARGETS);
+    let a1 = start_job_with_most_targets_down(&harness).await;
     wait_until("the slots in use are counted", || {
         a1.ctx().metrics.text().contains("places_taken")
     })
--- a/crates/gateway/tests/jobs.rs
+++ b/crates/gateway/tests/jobs.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use harness::Harness;
+use harness::RunningHost;
 use harness::TOKENS_MAX;
 use harness::start_two_hosts;
 use harness::store::AppendOutcome;
@@ -409,38 +410,40 @@
     assert!(started.elapsed() >= harness::ABANDON_AFTER);
 }
 
-/// Returns the record of a submission of one item.
-fn acceptance(job: &str, tokens: u32, submitted_unix_ms: u64) -> Record {
-    Record::Accepted(Accepted {
-        job: job.into(),
+/// Starts a host with a short retention, where a job is done and another one was refused beside it,
+/// at a time by the clock of its host.
+async fn start_with_refused_job(harness: &Harness, submitted_unix_ms: u64) -> RunningHost {
+    let short_retention = |s: &mut Settings| s.batch.readable_ms = 1_000;
+    let host = harness.start_with("a1", short_retention).await;
+    host.wait_ready().await;
+    let tokens = u32::try_from(TOKENS_MAX).unwrap();
+    harness.targets.hold();
+    host.submit("j1", 1, tokens).await.unwrap();
+    let refused = Record::Accepted(Accepted {
+        job: "j2".into(),
         attempt: 7,
         host: "a1".into(),
         route: harness::JOBS.into(),
         tokens_max: Some(TOKENS_MAX),
         submitted_unix_ms,
         items: vec![ItemSpec {
-            id: format!("{job}-0"),
+            id: "j2-0".into(),
             tokens,
         }],
         payload: vec![],
-    })
+    });
+    let deadline = Instant::now() + harness::WAIT_MAX;
+    let applied = host.ctx().journal.append(refused, deadline).await.unwrap();
+    assert!(matches!(applied, Applied::OverQuota { .. }), "{applied:?}");
+    harness.targets.release();
+    host.results("j1", 1).await;
+    host
 }
 
 #[tokio::test]
 async fn expired_jobs_are_deleted_from_the_store() {
     let harness = Harness::new(&["t1"]);
-    let short_retention = |s: &mut Settings| s.batch.readable_ms = 1_000;
-    let a1 = harness.start_with("a1", short_retention).await;
-    a1.wait_ready().await;
-    let tokens = u32::try_from(TOKENS_MAX).unwrap();
-    harness.targets.hold();
-    a1.submit("j1", 1, tokens).await.unwrap();
-    let refused = acceptance("j2", tokens, 0);
-    let deadline = Instant::now() + harness::WAIT_MAX;
-    let applied = a1.ctx().journal.append(refused, deadline).await.unwrap();
-    assert!(matches!(applied, Applied::OverQuota { .. }), "{applied:?}");
-    harness.targets.release();
-    a1.results("j1", 1).await;
+    let _a1 = start_with_refused_job(&harness, 0).await;
     wait_until("the records are deleted", || {
         let topics = [Topic::Jobs, Topic::Payloads, Topic::Results];
         topics
@@ -460,19 +463,8 @@
 #[tokio::test]
 async fn a_job_stays_refused_after_a_cleanup_and_a_restart() {
     let harness = Harness::new(&["t1"]);
-    let short_retention = |s: &mut Settings| s.batch.readable_ms = 1_000;
-    let a1 = harness.start_with("a1", short_retention).await;
-    a1.wait_ready().await;
-    let tokens = u32::try_from(TOKENS_MAX).unwrap();
-    harness.targets.hold();
-    a1.submit("j1", 1, tokens).await.unwrap();
     // It is younger than the limit in each round of the cleanup.
-    let refused = acceptance("j2", tokens, u64::MAX);
-    let deadline = Instant::now() + harness::WAIT_MAX;
-    let applied = a1.ctx().journal.append(refused, deadline).await.unwrap();
-    assert!(matches!(applied, Applied::OverQuota { .. }), "{applied:?}");
-    harness.targets.release();
-    a1.results("j1", 1).await;
+    let _a1 = start_with_refused_job(&harness, u64::MAX).await;
     // The first job expires after three rounds.
     let pages = harness.store.pages_read(Topic::Jobs);
     wait_until("the log has been cleaned", || {
