--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -291,7 +291,7 @@
             Next::Fail(item, reason) => completion::fail(ctx, &item, reason),
             Next::Outdated => apply_records(ctx),
         }
-        // A job may have hundreds of thousands of items that do not start.
+        // Many items may fail or be withheld, one after the other.
         tokio::task::yield_now().await;
     }
 }
