Log whether a run of an item was sent and answered

'item run' did not tell a run that its target may have answered from one that was never sent, so the hypotheses on answers that no host receives could not be told apart from lost connections. No logic changes.

--- a/crates/gateway/src/items/run.rs
+++ b/crates/gateway/src/items/run.rs
@@ -59,6 +59,15 @@
     Unusable(&'static str),
 }
 
+/// How far a run has come.
+#[derive(Clone, Copy, Debug, Default)]
+struct Exchange {
+    /// Whether the target may have received the item.
+    is_sent: bool,
+    /// The start of the response, once it has arrived.
+    head: Option<Head>,
+}
+
 /// The start of a response.
 #[derive(Clone, Copy, Debug)]
 struct Head {
@@ -96,14 +105,14 @@
         run: number,
         mut cancelled,
     } = handle;
-    let mut head = None;
+    let mut progress = Exchange::default();
     let outcome = match cancelled.try_recv() {
         Err(TryRecvError::Empty) => tokio::select! {
             // An answer that has arrived counts, although the run is cancelled.
             biased;
             outcome = async {
                 match admission.wait_in_slot(&mut item, route.attempts_max).await {
-                    true => exchange(&ctx, &mut item, &destination, &mut head).await,
+                    true => exchange(&ctx, &mut item, &destination, &mut progress).await,
                     false => RunOutcome::NotAdmitted,
                 }
             } => outcome,
@@ -113,6 +122,7 @@
         _ => RunOutcome::Cancelled,
     };
     let Destination { target, origin } = destination;
+    let Exchange { is_sent, head } = progress;
     let entry = lock(&ctx.items.running).take(&target, number);
     // Dropped after the registry is unlocked: freeing the slot wakes tasks that lock it.
     drop(entry);
@@ -128,7 +138,8 @@
         "id" => item.request.id.as_str(), "target" => target.as_str(),
         "version" => origin.map(|origin| origin.version), "ended" => label(outcome),
         "from_event" => resumed_after, "last_event" => item.last_event, "epoch" => item.epoch,
-        "begun" => runs.begun, "failures" => runs.failed, "took_ms" => millis(took),
+        "begun" => runs.begun, "failures" => runs.failed, "is_sent" => is_sent,
+        "is_answered" => head.is_some(), "took_ms" => millis(took),
         "records_end" => records_end, "applied_end" => applied_end,
         "records_age_ms" => records_age.map(millis),
         "fingerprint" => fingerprint.map(fingerprint::to_hex));
@@ -261,12 +272,12 @@
     }
 }
 
-/// Sends an item to a target and reads the response. Sets `head` when the target starts to respond.
+/// Sends an item to a target and reads the response.
 async fn exchange(
     ctx: &Arc<Context>,
     item: &mut Item,
     destination: &Destination,
-    head: &mut Option<Head>,
+    progress: &mut Exchange,
 ) -> RunOutcome {
     let target = &destination.target;
     let Some(addr) = lock(&ctx.balancer).spec(target).map(|spec| spec.addr) else {
@@ -280,15 +291,19 @@
         resume_after: item.last_event,
     };
     let stall_timeout = ms(ctx.settings.batch.stall_ms);
+    progress.is_sent = true;
     let response = tokio::time::timeout(stall_timeout, (ctx.targets.call)(call)).await;
     let reply = match response {
         Err(_) => return RunOutcome::Unusable("silent"),
         Ok(Err(err @ NoReply::Broken)) => return RunOutcome::Interrupted(err.reason()),
         Ok(Err(NoReply::Unknown(reason))) => return RunOutcome::Unusable(reason),
-        Ok(Err(err)) => return RunOutcome::NotRun(err),
+        Ok(Err(err)) => {
+            progress.is_sent = false;
+            return RunOutcome::NotRun(err);
+        }
         Ok(Ok(reply)) => reply,
     };
-    *head = Some(Head {
+    progress.head = Some(Head {
         at: Instant::now(),
         is_end_marked: reply.is_end_marked,
     });
