Test items whose answers no host receives, and healthy items after lost hosts

In the gateway's tests an item whose answers are lost runs 30 times in 1.5 s; a healthy item that three lost hosts may have run is not placed again.

--- a/crates/gateway/tests/attempts.rs
+++ b/crates/gateway/tests/attempts.rs
@@ -10,6 +10,7 @@
 use harness::targets::EVENTS;
 use harness::targets::item_text;
 use harness::wait_until;
+use notchwharf_gateway::ports::NoReply;
 use rstest::rstest;
 
 /// Answers of 500 after which an item must not run again: three for each of three attempts.
@@ -143,6 +144,41 @@
     assert!(runs <= runs_max, "{runs}");
 }
 
+// A host that is lost in the middle of a run does not know whether the target answered.
+#[tokio::test]
+async fn an_item_that_lost_hosts_may_have_run_is_placed_again_in_calm() {
+    let harness = Harness::new(&["t1", "t2"]);
+    harness.configure_lasting_jobs(2);
+    harness.targets.hold_heads(true);
+    let mut owner = Connected::start(&harness, "a0").await;
+    owner.host.submit("j1", 1, 10).await.unwrap();
+    for lost_hosts in 1..=IMPOSSIBLE_MAX {
+        wait_until("the item runs", || run_count(&harness) == lost_hosts).await;
+        owner.kill();
+        owner = Connected::start(&harness, "a0").await;
+    }
+    harness.targets.hold_heads(false);
+    let results = owner.host.results("j1", 1).await;
+    assert_eq!(results[0].text.as_ref().unwrap(), &item_text(ITEM));
+}
+
+#[rstest]
+#[case::the_connection_breaks(Action::NoReply(NoReply::Broken))]
+#[case::it_belongs_to_another_request(Action::NoReply(NoReply::Unknown(
+    "answer to another request"
+)))]
+#[tokio::test]
+async fn an_item_whose_answers_are_lost_is_not_sent_endlessly(#[case] lost: Action) {
+    let harness = Harness::new(&["t1", "t2"]);
+    harness.targets.script_request(ITEM, &[lost; 1_000]);
+    let owner = harness.start_ready("a0").await;
+    owner.submit("j1", 1, 10).await.unwrap();
+    // It is listed once it may be abandoned.
+    owner.results("j1", 1).await;
+    let runs = run_count(&harness);
+    assert!(runs <= FAILURES_MAX, "{runs}");
+}
+
 #[tokio::test]
 async fn a_job_whose_items_do_not_fail_costs_no_records_of_their_runs() {
     let harness = Harness::new(&["t1", "t2"]);
