Place items in doubt again in calm, and count answers that no host receives

Callers saw accepted items that never got a result, while items that fail were answered more often than allowed. Both have one cause: what the bound counts is not what targets answer.

- A host lost between the admission of a run and the record of its outcome leaves a doubt.
The doubt stayed for ever, and after three the item was withheld until it could be abandoned, healthy or not.
- A run whose answer its living owner did not receive (a connection that broke, an answer that names no or another request, a stalled run, a preemption before the head) was not counted at all, and the item sent again without end.

Now a run that may have been answered with a failure uses up its admission, whoever ran it. Beyond the limits an item is not withheld, but begins once its owner has been undisturbed for 2^n periods (batch.calm_ms). Owners that did not use an admission withdraw it when they lose the job or shut down, and what a replaced owner knows of its earlier runs still counts. Records only for items that fail or are in doubt: none in calm.

The sums are in ledger/src/jobs/runs.rs. A property test draws kills, restarts, takeovers, lost, late and repeated writes, lost answers and withdrawals, and checks both promises; the test of the bound alone is unchanged. The test that a report of an earlier owner has no effect now asks that it admits no run, which it asked before, and that the failure it names counts: ignoring it was a doubt that a record resolves.

Ruled out: counting each preemption (runs that have begun to answer do not fail); asking targets for the outcome of a run (they do not keep it).

--- a/crates/config/src/gateway.rs
+++ b/crates/config/src/gateway.rs
@@ -263,6 +263,10 @@
     pub save_ms: u64,
     /// Maximum number of items that one host runs concurrently. From 1 to 100_000; 128 by default.
     pub running_max: u32,
+    /// Time for which a host must have been undisturbed before the last run that an item may have
+    /// unless its outcome is learnt; twice as long before the next one, and so on. From 10 to
+    /// 600_000; 5_000 by default: hosts that are lost in series often live for less.
+    pub calm_ms: u64,
     /// Time for which a finished job remains readable. From 1_000 to 86_400_000; 120_000 by
     /// default.
     pub readable_ms: u64,
@@ -277,6 +281,7 @@
             save_events: 48,
             save_ms: 1_000,
             running_max: 128,
+            calm_ms: 5_000,
             readable_ms: 120_000,
         }
     }
@@ -426,6 +431,7 @@
     check_range("batch.save_events", s.batch.save_events, 1, 1_000_000)?;
     check_range("batch.save_ms", s.batch.save_ms, 10, MINUTE_MS)?;
     check_range("batch.running_max", s.batch.running_max, 1, 100_000)?;
+    check_range("batch.calm_ms", s.batch.calm_ms, 10, TEN_MINUTES_MS)?;
     check_range("batch.readable_ms", s.batch.readable_ms, 1_000, 86_400_000)?;
     check_range("peers.news_ms", s.peers.news_ms, 1, 10_000)?;
     check_range("peers.beat_ms", s.peers.beat_ms, 10, MINUTE_MS)?;
--- a/crates/gateway/src/backlog.rs
+++ b/crates/gateway/src/backlog.rs
@@ -60,8 +60,10 @@
     pub(crate) waiting_since: Option<Instant>,
     /// Its runs so far, and whether another one may begin.
     pub(crate) attempts: Attempts,
-    /// Whether it is known to run no more until it may be abandoned.
-    pub(crate) is_withheld: bool,
+    /// Since when no run of it ended in doubt at this host.
+    pub(crate) undisturbed_since: Instant,
+    /// Whether it was logged that its next run waits for calm.
+    pub(crate) waits_for_calm: bool,
     /// The targets where it failed; it runs at others as long as there are any.
     pub(crate) failed_at: Vec<TargetId>,
     /// The last event of the progress that was last scheduled to be saved.
@@ -146,6 +148,15 @@
     open_items: Option<HashSet<u32>>,
 }
 
+/// The effect of job records on the backlog.
+#[derive(Debug, Default)]
+pub(crate) struct Updated {
+    /// Jobs whose items are to be read and passed to [`Backlog::add_items`], with their epochs.
+    pub(crate) missing: Vec<(Offset, Arc<Accepted>)>,
+    /// Queued items that this host runs no more.
+    pub(crate) removed: Vec<Item>,
+}
+
 /// Items of the jobs that this host owns.
 #[derive(Debug, Default)]
 pub(crate) struct Backlog {
@@ -156,16 +167,15 @@
 }
 
 impl Backlog {
-    /// Applies the job records. Returns the jobs whose items are to be read and passed to
-    /// [`Self::add_items`].
-    pub(crate) fn update(&mut self, jobs: &Jobs, host: &str) -> Vec<(Offset, Arc<Accepted>)> {
+    /// Applies the job records.
+    pub(crate) fn update(&mut self, jobs: &Jobs, host: &str) -> Updated {
         self.applied_end = jobs.end();
         self.owned.retain(|job, owned_job| {
             let state = jobs.get(job);
             state.is_some_and(|j| j.is_run_by(host, owned_job.epoch))
         });
         let owned = &self.owned;
-        self.queue.retain(|(job, item)| {
+        let removed = self.queue.retain(|(job, item)| {
             owned.contains_key(job) && !jobs.get(job).is_none_or(|j| j.is_listed(*item))
         });
         let mut missing = Vec::new();
@@ -181,7 +191,7 @@
             self.owned.insert(id.clone(), owned_job);
             missing.push((job.epoch, Arc::clone(&job.accepted)));
         }
-        missing
+        Updated { missing, removed }
     }
 
     /// Adds the items of an owned job, without those that have ended.
@@ -238,16 +248,17 @@
         self.queue.pop()
     }
 
-    /// Queues an item again that is to run or continue later; returns whether it is still open
+    /// Queues an item again that is to run or continue later; returns it if it is no longer open
     /// in the epoch for which it was read. Items of a later epoch have been read again.
-    pub(crate) fn requeue(&mut self, item: Item) -> bool {
+    pub(crate) fn requeue(&mut self, item: Item) -> Option<Item> {
         let owned_job = self.owned.get(&item.key.0);
         let is_open =
             owned_job.is_some_and(|o| o.epoch == item.epoch && o.is_item_open(item.key.1));
-        if is_open {
-            self.queue.push(item.due_unix_ms(), item.key.clone(), item);
+        if !is_open {
+            return Some(item);
         }
-        is_open
+        self.queue.push(item.due_unix_ms(), item.key.clone(), item);
+        None
     }
 
     /// Removes an item whose outcome is about to be recorded.
--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -47,6 +47,7 @@
 use crate::backlog::Backlog;
 use crate::backlog::Item;
 use crate::backlog::ItemKey;
+use crate::backlog::Updated;
 use crate::context::Context;
 use crate::cpu_time;
 use crate::cpu_time::Activity;
@@ -86,10 +87,6 @@
 /// The same before the last run that the item may have unless its outcome is recorded.
 const ROUND_TRIPS_BEFORE_LAST_RUN: u32 = 20;
 
-/// Time for which a host must have had an item, and reached the store, before that last run. Hosts
-/// that are lost in series often live for less.
-const CALM: Duration = Duration::from_secs(5);
-
 /// Time for which an item waits for a target that may continue its text while others have free
 /// slots: about the time in which a text is generated that is half done.
 const VERSION_WAIT_MAX: Duration = Duration::from_secs(1);
@@ -226,7 +223,7 @@
 
 /// Stops all items, saves their progress, and then notifies peers that they may take over the
 /// jobs.
-async fn release_jobs(ctx: &Context) {
+async fn release_jobs(ctx: &Arc<Context>) {
     ctx.items.retain_running(|_| false);
     let saved = async {
         let mut ticks = ctx.timer.subscribe(RELEASE_TICK);
@@ -235,6 +232,7 @@
             if item.is_unsaved() {
                 ctx.progress.record(item);
             }
+            admission::withdraw(ctx, item);
         }
         ctx.progress.flush().await
     };
@@ -252,11 +250,20 @@
 fn apply_records(ctx: &Arc<Context>) {
     let jobs = ctx.journal.jobs();
     let mut backlog = lock(&ctx.items.backlog);
-    let missing = backlog.update(&jobs, ctx.host());
+    let Updated { missing, removed } = backlog.update(&jobs, ctx.host());
+    // Items that another owner runs from now on.
+    let replaced = removed.into_iter().filter(|item| {
+        let job = jobs.get(&item.key.0);
+        job.is_some_and(|job| job.is_open() && !job.is_listed(item.key.1))
+    });
+    let replaced: Vec<Item> = replaced.collect();
     drop(jobs);
     for (epoch, accepted) in missing {
         tokio::spawn(load::load(Arc::clone(ctx), epoch, accepted));
     }
+    for item in &replaced {
+        admission::withdraw(ctx, item);
+    }
     ctx.items.retain_running(|key| backlog.is_item_open(key));
     ctx.metrics.set("items_waiting", backlog.len());
 }
@@ -314,9 +321,11 @@
 }
 
 /// Queues an item again, unless the backlog shows that this host no longer runs it.
-fn requeue(ctx: &Context, item: Item) {
-    if !lock(&ctx.items.backlog).requeue(item) {
+fn requeue(ctx: &Arc<Context>, item: Item) {
+    let rejected = lock(&ctx.items.backlog).requeue(item);
+    if let Some(item) = rejected {
         ctx.metrics.count(Counted::Items, "outdated");
+        admission::withdraw(ctx, &item);
     }
 }
 
@@ -371,11 +380,11 @@
     match step {
         Step::Run => {}
         Step::Admit if has_had(ctx, item, ROUND_TRIPS_BEFORE_RUN) && ctx.store.is_up() => {}
-        Step::AdmitLast if is_calm(ctx, item) => {}
-        Step::Admit | Step::AdmitLast => return backlog.pop().map(Next::Postpone),
-        Step::Withhold => {
+        Step::AdmitInCalm { periods } if is_calm(ctx, item, periods) => {}
+        Step::Admit => return backlog.pop().map(Next::Postpone),
+        Step::AdmitInCalm { periods } => {
             let item = backlog.pop()?;
-            return Some(Next::Postpone(withhold(ctx, item)));
+            return Some(Next::Postpone(wait_for_calm(ctx, item, periods)));
         }
         Step::Fail => {
             let item = backlog.pop()?;
@@ -436,8 +445,8 @@
         return Some(Next::Postpone(item));
     };
     let admission = match step {
-        Step::Admit | Step::AdmitLast => Admission::request(ctx, &mut item),
-        _ => Admission::Granted,
+        Step::Run => Admission::Granted,
+        _ => Admission::request(ctx, &mut item, route.attempts_max),
     };
     let running = Running::start(ctx, &target, Class::Batch);
     let handle = lock(&ctx.items.running).add(&target, &item, deadline, running);
@@ -453,10 +462,11 @@
 }
 
 /// Returns whether this host is likely to live and to reach the store until it has recorded the
-/// outcome of an item's run.
-fn is_calm(ctx: &Context, item: &Item) -> bool {
-    ctx.store.has_been_up_for(CALM)
-        && item.loaded_at.elapsed() >= CALM
+/// outcome of an item's run: it has been undisturbed for a number of periods.
+fn is_calm(ctx: &Context, item: &Item, periods: u32) -> bool {
+    let calm = ms(ctx.settings.batch.calm_ms) * periods;
+    ctx.store.has_been_up_for(calm)
+        && item.undisturbed_since.elapsed() >= calm
         && has_had(ctx, item, ROUND_TRIPS_BEFORE_LAST_RUN)
 }
 
@@ -465,14 +475,14 @@
     item.loaded_at.elapsed() >= ctx.store.round_trip() * round_trips
 }
 
-/// Logs and counts an item that is not run until it may be abandoned, the first time.
-fn withhold(ctx: &Context, mut item: Item) -> Item {
-    if !std::mem::replace(&mut item.is_withheld, true) {
+/// Logs and counts an item whose next run waits for calm, the first time.
+fn wait_for_calm(ctx: &Context, mut item: Item, periods: u32) -> Item {
+    if !std::mem::replace(&mut item.waits_for_calm, true) {
         let runs = item.attempts.runs();
-        slog::warn!(ctx.logger, "item withheld, it may have failed as often as allowed";
-            "job" => item.key.0.as_str(), "id" => item.request.id.as_str(),
+        slog::info!(ctx.logger, "item waits for calm, it may have failed as often as allowed";
+            "job" => item.key.0.as_str(), "id" => item.request.id.as_str(), "periods" => periods,
             "begun" => runs.begun, "failures" => runs.failed);
-        ctx.metrics.count(Counted::Items, "withheld");
+        ctx.metrics.count(Counted::Items, "waits for calm");
     }
     item
 }
--- a/crates/gateway/src/items/admission.rs
+++ b/crates/gateway/src/items/admission.rs
@@ -37,9 +37,9 @@
 
 impl Admission {
     /// Asks the log to admit a run of an item.
-    pub(super) fn request(ctx: &Arc<Context>, item: &mut Item) -> Self {
+    pub(super) fn request(ctx: &Arc<Context>, item: &mut Item, attempts_max: u32) -> Self {
         let (done, admitted) = oneshot::channel();
-        let report = item.attempts.request(rand::random);
+        let report = item.attempts.request(attempts_max, rand::random);
         let record = record(item, report);
         let ctx = Arc::clone(ctx);
         tokio::spawn(async move {
@@ -82,7 +82,28 @@
 /// Reports what this host knows of an item's runs. It is not awaited: the next admission reports
 /// the same, so this only matters if this host ends before.
 pub(super) fn report(ctx: &Arc<Context>, item: &Item, report: Report) {
-    let record = record(item, report);
+    append(ctx, record(item, report));
+}
+
+/// Withdraws the admission of an item that this host runs no more, if it has one that is not used.
+pub(super) fn withdraw(ctx: &Arc<Context>, item: &Item) {
+    let Some(run) = item.attempts.unused_admission() else {
+        return;
+    };
+    ctx.metrics.count(Counted::Items, "admission withdrawn");
+    let (job, number) = item.key.clone();
+    append(
+        ctx,
+        Record::Withdrawn {
+            job,
+            item: number,
+            run,
+        },
+    );
+}
+
+/// Appends a record without waiting for it.
+fn append(ctx: &Arc<Context>, record: Record) {
     let ctx = Arc::clone(ctx);
     tokio::spawn(async move {
         let deadline = Instant::now() + RECORD_TIMEOUT;
--- a/crates/gateway/src/items/run.rs
+++ b/crates/gateway/src/items/run.rs
@@ -143,6 +143,11 @@
         "records_end" => records_end, "applied_end" => applied_end,
         "records_age_ms" => records_age.map(millis),
         "fingerprint" => fingerprint.map(fingerprint::to_hex));
+    if is_sent && head.is_none() {
+        // The target may have answered that the item failed.
+        item.attempts.record_doubt();
+        item.undisturbed_since = Instant::now();
+    }
     update_balancer(&ctx, &target, outcome);
     let events = item.event_count().saturating_sub(count(resumed_after));
     lock(&ctx.items.estimators)
@@ -237,7 +242,7 @@
     })
 }
 
-async fn requeue_after_delay(ctx: &Context, item: Item) {
+async fn requeue_after_delay(ctx: &Arc<Context>, item: Item) {
     tokio::time::sleep(RETRY_DELAY).await;
     requeue(ctx, item);
 }
--- a/crates/gateway/tests/attempts.rs
+++ b/crates/gateway/tests/attempts.rs
@@ -10,6 +10,7 @@
 use harness::targets::EVENTS;
 use harness::targets::item_text;
 use harness::wait_until;
+use notchwharf_config::gateway::Settings;
 use notchwharf_gateway::ports::NoReply;
 use rstest::rstest;
 
@@ -19,6 +20,8 @@
 const IMPOSSIBLE_MAX: usize = 3;
 /// Hosts that are lost in each test.
 const LOST_HOSTS: usize = 4;
+/// Time for which a host must be undisturbed before it runs an item in doubt, in milliseconds.
+const CALM_MS: u64 = 100;
 /// The only item of the job.
 const ITEM: &str = "j1-0";
 
@@ -42,9 +45,14 @@
 
 impl Connected {
     async fn start(harness: &Harness, name: &str) -> Self {
+        Self::start_with(harness, name, |_| {}).await
+    }
+
+    async fn start_with(harness: &Harness, name: &str, change: impl FnOnce(&mut Settings)) -> Self {
         let store = harness.store.connection();
         let host = harness.start_with_store(name, store.clone(), |settings| {
             settings.batch.stall_ms = 60_000;
+            change(settings);
         });
         let host = host.await;
         host.wait_ready().await;
@@ -150,12 +158,13 @@
     let harness = Harness::new(&["t1", "t2"]);
     harness.configure_lasting_jobs(2);
     harness.targets.hold_heads(true);
-    let mut owner = Connected::start(&harness, "a0").await;
+    let short_calm = |settings: &mut Settings| settings.batch.calm_ms = CALM_MS;
+    let mut owner = Connected::start_with(&harness, "a0", short_calm).await;
     owner.host.submit("j1", 1, 10).await.unwrap();
     for lost_hosts in 1..=IMPOSSIBLE_MAX {
         wait_until("the item runs", || run_count(&harness) == lost_hosts).await;
         owner.kill();
-        owner = Connected::start(&harness, "a0").await;
+        owner = Connected::start_with(&harness, "a0", short_calm).await;
     }
     harness.targets.hold_heads(false);
     let results = owner.host.results("j1", 1).await;
--- a/crates/ledger/src/jobs.rs
+++ b/crates/ledger/src/jobs.rs
@@ -137,6 +137,36 @@
     waiting_tokens: u64,
     /// The runs of the items that an owner has reported.
     runs: BTreeMap<u32, Runs>,
+    admissions: Admissions,
+}
+
+/// The admissions of a job's items by record. Copies of their records may follow in the stream.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct Admissions {
+    counted: BTreeSet<(u32, RunId)>,
+    withdrawn: BTreeSet<(u32, RunId)>,
+}
+
+impl Admissions {
+    fn is_empty(&self) -> bool {
+        self.counted.is_empty() && self.withdrawn.is_empty()
+    }
+
+    /// Counts an admission; returns whether it is new.
+    fn count(&mut self, item: u32, run: RunId) -> bool {
+        !self.withdrawn.contains(&(item, run)) && self.counted.insert((item, run))
+    }
+
+    /// Withdraws an admission; returns whether it had been counted.
+    fn withdraw(&mut self, item: u32, run: RunId) -> bool {
+        self.withdrawn.insert((item, run)) && self.counted.remove(&(item, run))
+    }
+
+    /// Removes those of an item that has a final outcome.
+    fn remove(&mut self, item: u32) {
+        self.counted.retain(|(number, _)| *number != item);
+        self.withdrawn.retain(|(number, _)| *number != item);
+    }
 }
 
 impl Job {
@@ -262,6 +292,7 @@
                 epoch,
                 report,
             } => self.report_runs(&job, item, epoch, &report),
+            Record::Withdrawn { job, item, run } => self.withdraw_run(&job, item, run),
         }
     }
 
@@ -298,6 +329,7 @@
             is_listed: vec![false; accepted.items.len()],
             waiting_tokens: tokens,
             runs: BTreeMap::new(),
+            admissions: Admissions::default(),
             accepted: Arc::new(accepted),
         };
         let id = job.accepted.job.clone();
@@ -333,6 +365,7 @@
         }
         job.listed.push(Listed { item, outcome });
         job.runs.remove(&item);
+        job.admissions.remove(item);
         let tokens = u64::from(job.accepted.items[index].tokens);
         let tokens = tokens.min(job.waiting_tokens);
         job.waiting_tokens -= tokens;
@@ -359,23 +392,54 @@
     }
 
     fn report_runs(&mut self, job: &str, item: u32, epoch: Offset, report: &Report) -> Applied {
-        let Some(job) = self.jobs.get_mut(job) else {
-            return Applied::Ignored(Ignored::NoJob);
+        let job = match self.job_with_open_item(job, item) {
+            Ok(job) => job,
+            Err(reason) => return Applied::Ignored(reason),
         };
-        if job.epoch != epoch {
+        let is_stale = job.epoch != epoch;
+        // A host that was replaced is admitted to no run, but knows what its earlier ones came to.
+        let is_empty = report.failed == 0 && !report.is_answered;
+        if is_stale && is_empty {
             return Applied::Ignored(Ignored::StaleEpoch);
         }
-        if item as usize >= job.accepted.items.len() {
-            return Applied::Ignored(Ignored::NoItem);
+        let runs = job.runs.entry(item).or_default();
+        runs.learn(report);
+        if is_stale {
+            return Applied::Ignored(Ignored::StaleEpoch);
         }
-        if job.is_listed(item) {
-            return Applied::Ignored(Ignored::AlreadyListed);
+        if let Some(run) = report.begins
+            && job.admissions.count(item, run)
+        {
+            runs.admit(run);
         }
+        Applied::Reported(*runs)
+    }
+
+    fn withdraw_run(&mut self, job: &str, item: u32, run: RunId) -> Applied {
+        let job = match self.job_with_open_item(job, item) {
+            Ok(job) => job,
+            Err(reason) => return Applied::Ignored(reason),
+        };
+        let is_counted = job.admissions.withdraw(item, run);
         let runs = job.runs.entry(item).or_default();
-        runs.apply(report);
+        if is_counted {
+            runs.withdraw();
+        }
         Applied::Reported(*runs)
     }
 
+    /// Returns the job of an item that has no final outcome.
+    fn job_with_open_item(&mut self, job: &str, item: u32) -> Result<&mut Job, Ignored> {
+        let job = self.jobs.get_mut(job).ok_or(Ignored::NoJob)?;
+        if item as usize >= job.accepted.items.len() {
+            return Err(Ignored::NoItem);
+        }
+        match job.is_listed(item) {
+            true => Err(Ignored::AlreadyListed),
+            false => Ok(job),
+        }
+    }
+
     /// Subtracts tokens that no longer wait.
     fn release(&mut self, scope: &QuotaScope, tokens: u64) {
         if let Some(waiting) = self.waiting.get_mut(scope) {
--- a/crates/ledger/src/jobs/record.rs
+++ b/crates/ledger/src/jobs/record.rs
@@ -10,6 +10,7 @@
 use super::JobId;
 use super::Offset;
 use super::Report;
+use super::RunId;
 
 /// The location of data that is too large for the stream.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -131,6 +132,15 @@
         /// What it knows.
         report: Report,
     },
+    /// A host that was admitted to a run of an item, or may still be, does not begin it.
+    Withdrawn {
+        /// The job.
+        job: JobId,
+        /// The item's index in the caller's order.
+        item: u32,
+        /// The admission.
+        run: RunId,
+    },
 }
 
 impl Record {
@@ -155,7 +165,8 @@
             Self::Taken { job, .. }
             | Self::Listed { job, .. }
             | Self::Ended { job }
-            | Self::Reported { job, .. } => job,
+            | Self::Reported { job, .. }
+            | Self::Withdrawn { job, .. } => job,
         }
     }
 }
--- a/crates/ledger/src/jobs/runs.rs
+++ b/crates/ledger/src/jobs/runs.rs
@@ -9,30 +9,41 @@
 //!
 //! # Bound
 //!
-//! Let `begun` be the number of admissions, `failed` the number of answers of 500 that the log has,
-//! and `a` the attempts of the route. Each admission lets an item fail once, so targets have
-//! given at most `begun` failing answers, whatever a process that has ended knew of them. A run is
-//! admitted only while
+//! Let `begun` be the number of admissions that were not withdrawn, `failed` the number of answers of
+//! 500 that the log has, and `a` the attempts of the route. Each admission covers runs until one of
+//! them fails or is in doubt: a run is in doubt if the target may have answered it with a failure, and
+//! its owner received no answer, or was lost. So targets have given at most `begun` failing answers,
+//! whatever a process that has ended knew of them, and `begun - failed` runs are in doubt or in
+//! progress. A run is admitted at once while
 //!
 //! - `begun <= 3 * a`, so targets give at most `3 * a` answers of 500, and
-//! - `begun - 1 - failed < 3`: the runs whose outcome the log does not have, including the new one,
-//!   are at most three, so targets give at most three answers of 422.
+//! - `begun - failed <= 3`, including the new one, so targets give at most three answers of 422.
 //!
-//! Records that are lost, late or appended twice do not weaken this. A run begins after its record
-//! was read back from the log, and a copy of a record with the same [`RunId`] counts once. A host
-//! that no longer owns the job has its record ignored, so it begins no further run.
+//! # Liveness
 //!
-//! Only answers that an owner received, or that an ended process may have received, are counted. One
-//! that a living owner misses, as its connection broke or the run was cancelled at that moment, does
-//! not use up the admission.
+//! An item that is not known to have failed is owed a result, so beyond these limits it is not withheld
+//! but placed again in calm: a run that is `n` above a limit begins once its owner has been undisturbed
+//! for `2^n` periods. In calm the outcome of a run is learnt, which ends the doubt: an item that a
+//! target begins to answer is free of the limits, and one that fails is known to have. Failing answers
+//! beyond the limits are therefore at most one, and one more for each owner that is lost during such a
+//! run, or answer that is lost, although it was calm for `2^n` periods before; in a time `t` there are
+//! at most `log2(t / period)` of these.
+//!
+//! An owner that did not use its admission withdraws it when it loses the job or shuts down, so waiting
+//! for a slow store or for a slot leaves no doubt.
+//!
+//! Records that are lost, late or appended twice do not weaken the bound. A run begins after its
+//! record was read back from the log, and a copy of a record with the same [`RunId`] counts once, also
+//! after its withdrawal. A host that no longer owns the job is admitted to no run; what it knows of its
+//! earlier ones still counts.
 //!
 //! An item that a target has begun to answer does not fail at each run. Its known failures still
-//! count, but it runs on at its next owner without a record, and is not limited by what ended
-//! processes may have lost: a long item would otherwise be withheld after a few lost hosts.
+//! count, but it runs on at its next owner without a record.
 //!
 //! Rejected alternatives: a record after each failure alone loses the last failure of each process;
-//! a record before each run costs a write for every item; and charging all items of a job for each
-//! change of its owner withholds items that only waited.
+//! a record before each run costs a write for every item; charging all items of a job for each
+//! change of its owner delays items that only waited; and withholding an item in doubt until it may be
+//! abandoned loses healthy ones.
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -47,6 +58,8 @@
 const ADMISSIONS_PER_ATTEMPT: u32 = 3;
 /// Greatest number of runs with an unknown outcome. Each of them may have been answered with 422.
 const UNRESOLVED_MAX: u32 = 3;
+/// Greatest exponent of the number of calm periods before a run.
+const CALM_EXPONENT_MAX: u32 = 7;
 
 /// The runs of an item according to the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -76,37 +89,49 @@
 }
 
 impl Runs {
-    /// Applies what an owner knows of an item's runs, and the admission of another one.
-    pub(super) fn apply(&mut self, report: &Report) {
+    /// Applies what a host knows of the runs of an item.
+    pub(super) fn learn(&mut self, report: &Report) {
         self.failed = self.failed.max(report.failed);
         self.blamed = self.blamed.max(report.blamed);
         self.is_answered |= report.is_answered;
-        if report.begins.is_some() && report.begins != self.last {
+    }
+
+    /// Counts an admission.
+    pub(super) fn admit(&mut self, id: RunId) {
+        if self.last != Some(id) {
             self.begun = self.begun.saturating_add(1);
-            self.last = report.begins;
+            self.last = Some(id);
         }
     }
 
-    /// Returns whether the newest admission is within the bound.
-    fn is_within_bound(&self, attempts_max: u32) -> bool {
+    /// Removes an admission that was counted.
+    pub(super) fn withdraw(&mut self) {
+        self.begun = self.begun.saturating_sub(1);
+    }
+
+    /// Returns by how much the admissions exceed a limit.
+    fn excess(&self, attempts_max: u32) -> u32 {
+        if self.is_answered {
+            return 0;
+        }
         let admissions_max = attempts_max.max(1).saturating_mul(ADMISSIONS_PER_ATTEMPT);
         let unresolved = self.begun.saturating_sub(self.failed);
-        self.is_answered || (self.begun <= admissions_max && unresolved <= UNRESOLVED_MAX)
+        let of_failures = self.begun.saturating_sub(admissions_max);
+        of_failures.max(unresolved.saturating_sub(UNRESOLVED_MAX))
     }
 
-    /// Returns whether a number of further admissions would be within the bound.
-    fn admits(&self, count: u32, attempts_max: u32) -> bool {
-        let next = Self {
+    /// Returns the runs after a number of further admissions.
+    fn after(&self, count: u32) -> Self {
+        Self {
             begun: self.begun.saturating_add(count),
             ..*self
-        };
-        next.is_within_bound(attempts_max)
+        }
     }
 
     /// Returns whether the item has failed as often as its route allows.
     fn has_failed_finally(&self, attempts_max: u32) -> bool {
         let max = attempts_max.max(1);
-        let is_exhausted = self.failed >= max && !self.admits(1, attempts_max);
+        let is_exhausted = self.failed >= max && self.after(1).excess(attempts_max) > 0;
         is_exhausted
             || self.blamed >= max
             || self.failed >= max.saturating_mul(FAILURES_PER_ATTEMPT)
@@ -133,14 +158,14 @@
     Run,
     /// Appends what [`Attempts::request`] returns, and passes its effect to [`Attempts::confirm`].
     Admit,
-    /// The same, once little speaks for the loss of this host or of the record of the outcome. If
-    /// the outcome is lost, the item is withheld.
-    AdmitLast,
+    /// The same, once this host has been undisturbed for a number of periods. Unless the outcome
+    /// of the run is learnt, the next one has to wait for longer.
+    AdmitInCalm {
+        /// The number of periods.
+        periods: u32,
+    },
     /// Records it as failed: it has failed as often as its route allows.
     Fail,
-    /// Does not run it until it may be abandoned. It may have failed as often as it is allowed
-    /// to, but fewer failures are known than a route allows.
-    Withhold,
 }
 
 /// Whether a run may begin.
@@ -148,10 +173,10 @@
 enum Admission {
     /// Only after a record.
     Needed,
-    /// A record with this id may have been appended.
-    Requested(RunId),
-    /// At any time, until a run fails.
-    Granted,
+    /// A record with this id may have been appended, for a run that exceeds a limit by `excess`.
+    Requested { id: RunId, excess: u32 },
+    /// At any time, until a run fails or is in doubt; by the record with this id, if it needed one.
+    Granted(Option<RunId>),
 }
 
 /// The runs of an item as its owner counts them.
@@ -184,7 +209,7 @@
     pub fn of_accepted() -> Self {
         Self {
             runs: Runs::default(),
-            admission: Admission::Granted,
+            admission: Admission::Granted(None),
             is_in_log: false,
         }
     }
@@ -192,7 +217,7 @@
     /// Returns the attempts of an item that another process may have run.
     pub fn of_owned(runs: Runs) -> Self {
         let admission = match runs.is_answered {
-            true => Admission::Granted,
+            true => Admission::Granted(None),
             false => Admission::Needed,
         };
         Self {
@@ -215,13 +240,13 @@
         self.runs.begun = self.runs.begun.max(failed.saturating_add(1));
         if is_answered {
             self.runs.is_answered = true;
-            self.admission = Admission::Granted;
+            self.admission = Admission::Granted(None);
         }
     }
 
     /// Returns whether a run may begin without a record.
     pub fn is_admitted(&self) -> bool {
-        self.admission == Admission::Granted
+        matches!(self.admission, Admission::Granted(_))
     }
 
     /// Returns what to do with the item.
@@ -232,40 +257,66 @@
         if self.runs.has_failed_finally(attempts_max) {
             return Step::Fail;
         }
-        match () {
-            () if self.runs.admits(2, attempts_max) => Step::Admit,
-            () if self.runs.admits(1, attempts_max) => Step::AdmitLast,
-            () => Step::Withhold,
+        if self.runs.after(2).excess(attempts_max) == 0 {
+            return Step::Admit;
+        }
+        // The last run within the limits waits too: its outcome settles whether another is needed.
+        let exponent = self.runs.after(1).excess(attempts_max);
+        Step::AdmitInCalm {
+            periods: 1 << exponent.min(CALM_EXPONENT_MAX),
         }
     }
 
     /// Requests the admission of a run: returns what is to be appended. `new_id` returns a new id;
     /// a request whose effect is not known is repeated with the same one.
-    pub fn request(&mut self, new_id: impl FnOnce() -> RunId) -> Report {
+    pub fn request(&mut self, attempts_max: u32, new_id: impl FnOnce() -> RunId) -> Report {
         let id = match self.admission {
-            Admission::Requested(id) => id,
+            Admission::Requested { id, .. } => id,
             _ => new_id(),
         };
-        self.admission = Admission::Requested(id);
+        let excess = self.runs.after(1).excess(attempts_max);
+        self.admission = Admission::Requested { id, excess };
         self.is_in_log = true;
         self.report(Some(id))
     }
 
-    /// Records that the log has an admission, with the runs as of then.
+    /// Records that the log has the requested admission, with the runs as of then. It is granted
+    /// unless the limits are exceeded by more than was known when it was requested.
     pub fn confirm(&mut self, runs: Runs, attempts_max: u32) {
-        let is_within_bound = runs.is_within_bound(attempts_max);
+        let Admission::Requested { id, excess } = self.admission else {
+            return;
+        };
+        let is_within = runs.excess(attempts_max) <= excess;
         self.runs = Runs {
             failed: runs.failed.max(self.runs.failed),
             blamed: runs.blamed.max(self.runs.blamed),
             is_answered: runs.is_answered || self.runs.is_answered,
             ..runs
         };
-        self.admission = match is_within_bound {
-            true => Admission::Granted,
+        self.admission = match is_within {
+            true => Admission::Granted(Some(id)),
             false => Admission::Needed,
         };
     }
 
+    /// Returns the admission that is not used up, or that may still be granted; the owner withdraws
+    /// it if it runs the item no more.
+    pub fn unused_admission(&self) -> Option<RunId> {
+        match self.admission {
+            Admission::Needed => None,
+            Admission::Requested { id, .. } => Some(id),
+            Admission::Granted(id) => id,
+        }
+    }
+
+    /// Records that a run ended, and the target may have answered with a failure that was not
+    /// received.
+    pub fn record_doubt(&mut self) {
+        if !self.runs.is_answered {
+            self.admission = Admission::Needed;
+        }
+    }
+
     /// Records a failure, which is attributed either to the target or to the item. Returns what
     /// the log is to be told.
     pub fn record_failure(&mut self, is_target_failing: bool) -> Report {
--- a/crates/ledger/src/jobs/snapshot.rs
+++ b/crates/ledger/src/jobs/snapshot.rs
@@ -2,8 +2,8 @@
 //!
 //! Hundreds of hosts that start at the same time cannot all read the whole stream; a host
 //! that has already applied it sends its state to the others. Derived state is omitted and
-//! recomputed by the receiver. The runs of items follow the rest, which hosts of earlier builds
-//! read without them.
+//! recomputed by the receiver. The runs of items follow the rest, and their admissions follow the
+//! runs: hosts of earlier builds read a snapshot without them.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -14,6 +14,7 @@
 use serde::Serialize;
 
 use super::Accepted;
+use super::Admissions;
 use super::AttemptId;
 use super::HostId;
 use super::Job;
@@ -40,6 +41,8 @@
     end: Offset,
     #[serde(skip)]
     runs: RunsByJob,
+    #[serde(skip)]
+    admissions: BTreeMap<JobId, Admissions>,
 }
 
 /// The runs of items that owners have reported.
@@ -74,7 +77,8 @@
     /// Never: the codec can represent every value of this type.
     pub fn encode(&self) -> Vec<u8> {
         let bytes = postcard::to_stdvec(self).expect("Snapshots can always be encoded.");
-        postcard::to_extend(&self.runs, bytes).expect("Runs can always be encoded.")
+        let bytes = postcard::to_extend(&self.runs, bytes).expect("Runs can always be encoded.");
+        postcard::to_extend(&self.admissions, bytes).expect("Admissions can always be encoded.")
     }
 
     /// Decodes a snapshot.
@@ -88,8 +92,17 @@
         if rest.is_empty() {
             return Err(SnapshotError::WithoutRuns);
         }
-        let runs = postcard::from_bytes(rest).map_err(|_| SnapshotError::Malformed)?;
-        Ok(Self { runs, ..snapshot })
+        let (runs, rest) = postcard::take_from_bytes(rest).map_err(|_| SnapshotError::Malformed)?;
+        // Without them copies of earlier admissions count again, which is safe.
+        let admissions = match rest.is_empty() {
+            true => BTreeMap::new(),
+            false => postcard::from_bytes(rest).map_err(|_| SnapshotError::Malformed)?,
+        };
+        Ok(Self {
+            runs,
+            admissions,
+            ..snapshot
+        })
     }
 }
 
@@ -110,11 +123,17 @@
         jobs.sort_by(|a, b| a.accepted.job.cmp(&b.accepted.job));
         let reported = self.jobs.iter().filter(|(_, job)| !job.runs.is_empty());
         let runs = reported.map(|(id, job)| (id.clone(), job.runs.clone()));
+        let admitted = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| !job.admissions.is_empty());
+        let admissions = admitted.map(|(id, job)| (id.clone(), job.admissions.clone()));
         Snapshot {
             jobs,
             refused: self.refused_attempts.iter().copied().collect(),
             end: self.end,
             runs: runs.collect(),
+            admissions: admissions.collect(),
         }
     }
 
@@ -125,7 +144,11 @@
         let mut jobs = HashMap::new();
         for state in snapshot.jobs {
             let runs = snapshot.runs.remove(&state.accepted.job);
-            let job = state.restore(runs.unwrap_or_default());
+            let admissions = snapshot.admissions.remove(&state.accepted.job);
+            let job = Job {
+                admissions: admissions.unwrap_or_default(),
+                ..state.restore(runs.unwrap_or_default())
+            };
             *waiting.entry(QuotaScope::of(&job.accepted)).or_default() += job.waiting_tokens;
             if job.is_open() {
                 open.insert(job.accepted.job.clone());
@@ -175,6 +198,7 @@
             is_listed,
             waiting_tokens,
             runs,
+            admissions: Admissions::default(),
             accepted: Arc::new(self.accepted),
         }
     }
--- a/crates/ledger/tests/attempts.rs
+++ b/crates/ledger/tests/attempts.rs
@@ -27,6 +27,8 @@
 /// Answers of 500 for each attempt of the route, and answers of 422, that targets may give.
 const FAILURES_PER_ATTEMPT_MAX: u32 = 3;
 const IMPOSSIBLE_MAX: u32 = 3;
+/// Failing answers beyond these limits of runs that begin in calm and whose answers are received.
+const LEARNT_IN_CALM_MAX: u32 = 1;
 
 fn accepted() -> Record {
     Record::Accepted(Accepted {
@@ -81,6 +83,13 @@
     Answer(usize, bool, Fate),
     /// A host cancels its run before the target answers.
     Preempt(usize),
+    /// The target answers the run of a host that lives on and does not receive the answer.
+    Miss(usize),
+    /// A host that was replaced appends the withdrawal of its admission.
+    Withdraw(usize, Fate),
+    /// All hosts are undisturbed until an item in doubt may run once more. The host that runs it, if
+    /// any, is lost in its middle, or not.
+    Calm(usize, bool),
     /// A host ends. The target answers its run, and nobody reads that.
     Kill(usize),
     /// A host starts from the log, or from what another host has read.
@@ -106,6 +115,9 @@
         8 => (host.clone(), fate.clone()).prop_map(|(h, f)| Op::Proceed(h, f)),
         5 => (host.clone(), any::<bool>(), fate.clone()).prop_map(|(h, b, f)| Op::Answer(h, b, f)),
         1 => host.clone().prop_map(Op::Preempt),
+        1 => host.clone().prop_map(Op::Miss),
+        2 => (host.clone(), fate.clone()).prop_map(|(h, f)| Op::Withdraw(h, f)),
+        1 => (host.clone(), prop::bool::weighted(0.2)).prop_map(|(h, lost)| Op::Calm(h, lost)),
         2 => host.clone().prop_map(Op::Kill),
         3 => (host.clone(), proptest::option::of(host.clone())).prop_map(|(h, p)| Op::Start(h, p)),
         1 => (host.clone(), host.clone()).prop_map(|(h, p)| Op::Restore(h, p)),
@@ -124,6 +136,8 @@
     /// The epoch of its ownership, and the item until it has ended.
     owned: Option<(Offset, Option<Attempts>)>,
     is_running: bool,
+    /// Admissions of earlier epochs that it did not use.
+    unused: Vec<u64>,
 }
 
 struct Fleet {
@@ -136,6 +150,11 @@
     next_id: u64,
     failed: u32,
     impossible: u32,
+    /// Whether the item does not fail.
+    is_healthy: bool,
+    is_completed: bool,
+    /// Runs that began in calm beyond the limits, and whose answer was lost.
+    lost_in_calm: u32,
 }
 
 impl Fleet {
@@ -149,6 +168,9 @@
             next_id: 0,
             failed: 0,
             impossible: 0,
+            is_healthy: false,
+            is_completed: false,
+            lost_in_calm: 0,
         };
         for host in 0..HOSTS {
             fleet.start(host, None);
@@ -174,6 +196,7 @@
             jobs,
             owned: None,
             is_running: false,
+            unused: Vec::new(),
         });
         self.update_ownership(host);
     }
@@ -209,6 +232,12 @@
         }
         // A run of an earlier epoch is cancelled. Its target may have answered.
         let was_running = std::mem::take(&mut process.is_running);
+        if let Some((_, Some(attempts))) = process.owned.as_mut() {
+            if was_running {
+                attempts.record_doubt();
+            }
+            process.unused.extend(attempts.unused_admission());
+        }
         process.owned = job.map(|job| {
             let is_first_load = std::mem::take(&mut process.is_first_load);
             let is_own = job.owner_before.is_none() && is_first_load;
@@ -224,6 +253,9 @@
     }
 
     fn count_answer(&mut self) -> bool {
+        if self.is_healthy {
+            return true;
+        }
         let is_failure = self.failed < self.failures_first;
         match is_failure {
             true => self.failed += 1,
@@ -251,7 +283,9 @@
         effect.map(|(_, applied)| applied)
     }
 
-    fn proceed(&mut self, host: usize, fate: Fate) {
+    /// Does what the item needs next. The last run within the limits counts as one in the middle of
+    /// disturbances, so that these alone keep the bound; those beyond begin in calm only.
+    fn proceed(&mut self, host: usize, fate: Fate, is_calm: bool) {
         let Some(process) = &mut self.processes[host] else {
             return;
         };
@@ -264,11 +298,11 @@
                 process.is_running = true;
                 return;
             }
-            Step::Withhold => return,
-            Step::Admit | Step::AdmitLast => {
+            Step::AdmitInCalm { periods } if periods > 1 && !is_calm => return,
+            Step::Admit | Step::AdmitInCalm { .. } => {
                 self.next_id += 1;
                 let id = self.next_id;
-                reported(*epoch, attempts.request(|| id))
+                reported(*epoch, attempts.request(self.attempts_max, || id))
             }
             Step::Fail => listed(Reason::Attempts),
         };
@@ -290,6 +324,12 @@
         let process = self.processes[host].as_mut().unwrap();
         process.is_running = false;
         let (epoch, item) = process.owned.as_mut().unwrap();
+        if self.is_healthy {
+            self.is_completed = true;
+            *item = None;
+            self.append(host, completed(), fate);
+            return;
+        }
         let record = match is_failure {
             true => {
                 let attempts = item.as_mut().unwrap();
@@ -304,16 +344,92 @@
         self.append(host, record, fate);
     }
 
+    /// A run of a host ends without an answer that it receives.
+    fn miss(&mut self, host: usize) {
+        let Some(process) = &mut self.processes[host] else {
+            return;
+        };
+        if std::mem::take(&mut process.is_running) {
+            if let Some((_, Some(attempts))) = process.owned.as_mut() {
+                attempts.record_doubt();
+            }
+            self.count_answer();
+        }
+    }
+
+    /// Lets a host that owns the item run it once in calm.
+    fn calm(&mut self, host: usize, is_lost: bool) {
+        let is_running = |fleet: &Self| {
+            let process = fleet.processes[host].as_ref();
+            process.is_some_and(|process| process.is_running)
+        };
+        self.read(host);
+        let was_running = is_running(self);
+        // The first step asks for an admission, if one is needed, and the second one begins the run.
+        self.proceed(host, Fate::Done, true);
+        self.proceed(host, Fate::Done, true);
+        if was_running || !is_running(self) {
+            return;
+        }
+        if is_lost {
+            self.lost_in_calm += 1;
+            self.apply(Op::Kill(host));
+        } else {
+            self.answer(host, true, Fate::Done);
+        }
+    }
+
+    fn is_listed(&self) -> bool {
+        let jobs = jobs_with(&self.log);
+        jobs.get(JOB).is_some_and(|job| job.is_listed(ITEM))
+    }
+
+    /// Ends all disturbances; the item then runs in calm until it has an outcome.
+    fn settle(&mut self) {
+        while !self.late.is_empty() {
+            self.apply(Op::Deliver);
+        }
+        self.start(0, None);
+        self.read(0);
+        let is_owner = self.processes[0].as_ref().unwrap().owned.is_some();
+        if !is_owner && !self.is_listed() {
+            self.apply(Op::Take(0, Fate::Done));
+        }
+        // Its own run may still be in progress.
+        self.answer(0, true, Fate::Done);
+        for _ in 0..=self.attempts_max * FAILURES_PER_ATTEMPT_MAX {
+            self.calm(0, false);
+        }
+        // An outcome that did not reach the log is recorded again until it does.
+        let process = self.processes[0].as_ref().unwrap();
+        if let Some((_, None)) = process.owned {
+            let outcome = match self.is_healthy {
+                true => completed(),
+                false => listed(Reason::Impossible),
+            };
+            self.log.push(outcome);
+        }
+        self.proceed(0, Fate::Done, true);
+    }
+
     fn apply(&mut self, op: Op) {
         match op {
             Op::Read(host) => drop(self.read(host)),
-            Op::Proceed(host, fate) => self.proceed(host, fate),
+            Op::Proceed(host, fate) => self.proceed(host, fate, false),
             Op::Answer(host, is_target_failing, fate) => self.answer(host, is_target_failing, fate),
             Op::Preempt(host) => {
                 if let Some(process) = &mut self.processes[host] {
                     process.is_running = false;
                 }
             }
+            Op::Miss(host) => self.miss(host),
+            Op::Withdraw(host, fate) => {
+                let unused = self.processes[host].as_mut().and_then(|p| p.unused.pop());
+                if let Some(run) = unused {
+                    self.append(host, withdrawn(run), fate);
+                }
+            }
+            Op::Calm(host, is_lost) => self.calm(host, is_lost),
             Op::Kill(host) => {
                 let process = self.processes[host].take();
                 if process.is_some_and(|process| process.is_running) {
@@ -351,6 +467,22 @@
     }
 }
 
+fn completed() -> Record {
+    Record::Listed {
+        job: JOB.into(),
+        item: ITEM,
+        outcome: Outcome::Completed(vec![]),
+    }
+}
+
+fn withdrawn(run: u64) -> Record {
+    Record::Withdrawn {
+        job: JOB.into(),
+        item: ITEM,
+        run,
+    }
+}
+
 fn listed(reason: Reason) -> Record {
     Record::Listed {
         job: JOB.into(),
@@ -369,12 +501,34 @@
         ops in ops(),
     ) {
         let mut fleet = Fleet::new(attempts_max, failures_first);
-        for op in ops {
+        for op in ops.into_iter().filter(|op| !matches!(op, Op::Calm(..))) {
             fleet.apply(op);
             prop_assert!(fleet.failed <= attempts_max * FAILURES_PER_ATTEMPT_MAX, "{}", fleet.failed);
             prop_assert!(fleet.impossible <= IMPOSSIBLE_MAX, "{}", fleet.impossible);
         }
     }
+
+    /// Both promises together: an item is answered with failures a limited number of times, and has
+    /// an outcome once it is calm, whether it fails or not.
+    #[test]
+    fn an_item_has_an_outcome_in_calm_after_a_limited_number_of_failing_answers(
+        attempts_max in 1..=3_u32,
+        failures_first in prop_oneof![2 => Just(0), 1 => 1..3_u32, 3 => Just(u32::MAX)],
+        is_healthy in any::<bool>(),
+        ops in ops(),
+    ) {
+        let mut fleet = Fleet::new(attempts_max, failures_first);
+        fleet.is_healthy = is_healthy;
+        for op in ops {
+            fleet.apply(op);
+        }
+        fleet.settle();
+        prop_assert!(fleet.is_listed());
+        // A run in calm beyond the limits whose answer is learnt, and those that were lost.
+        let beyond = LEARNT_IN_CALM_MAX + fleet.lost_in_calm;
+        prop_assert!(fleet.failed <= attempts_max * FAILURES_PER_ATTEMPT_MAX + beyond, "{}", fleet.failed);
+        prop_assert!(fleet.impossible <= IMPOSSIBLE_MAX + beyond, "{}", fleet.impossible);
+    }
 }
 
 #[test]
@@ -395,7 +549,7 @@
 fn run_undisturbed(attempts_max: u32, is_target_failing: bool) -> u32 {
     let mut fleet = Fleet::new(attempts_max, u32::MAX);
     while fleet.processes[0].as_ref().unwrap().owned.is_some() {
-        fleet.proceed(0, Fate::Done);
+        fleet.proceed(0, Fate::Done, false);
         fleet.answer(0, is_target_failing, Fate::Done);
     }
     fleet.failed
@@ -436,7 +590,7 @@
 }
 
 #[test]
-fn a_report_of_an_earlier_owner_is_ignored() {
+fn an_earlier_owner_is_admitted_to_no_run_and_its_failures_count() {
     let taken = Record::Taken {
         job: JOB.into(),
         epoch: 0,
@@ -445,14 +599,32 @@
     let mut jobs = jobs_with(&[accepted(), taken]);
     let applied = jobs.apply(2, reported(0, report(Some(7), 1)));
     assert_eq!(applied, Applied::Ignored(Ignored::StaleEpoch));
-    assert_eq!(jobs.get(JOB).unwrap().runs(ITEM), Runs::default());
+    let runs = jobs.get(JOB).unwrap().runs(ITEM);
+    assert_eq!((runs.begun, runs.failed), (1, 1));
+    let applied = jobs.apply(3, reported(0, report(Some(8), 0)));
+    assert_eq!(applied, Applied::Ignored(Ignored::StaleEpoch));
+    assert_eq!(jobs.get(JOB).unwrap().runs(ITEM), runs);
+}
+
+#[rstest]
+#[case::after_it(vec![reported(0, report(Some(7), 0)), withdrawn(7)], 1)]
+#[case::before_it(vec![withdrawn(7), reported(0, report(Some(7), 0))], 1)]
+#[case::twice(vec![reported(0, report(Some(7), 0)), withdrawn(7), withdrawn(7)], 1)]
+#[case::copied_later(vec![reported(0, report(Some(7), 0)), withdrawn(7), reported(0, report(Some(7), 0))], 1)]
+#[case::of_another(vec![reported(0, report(Some(7), 0)), withdrawn(8)], 2)]
+fn a_withdrawn_admission_does_not_count(#[case] records: Vec<Record>, #[case] begun: u32) {
+    let jobs = jobs_with(&[vec![accepted()], records].concat());
+    let restored = Jobs::restore(Snapshot::decode(&jobs.snapshot().encode()).unwrap());
+    for jobs in [jobs, restored] {
+        assert_eq!(jobs.get(JOB).unwrap().runs(ITEM).begun, begun);
+    }
 }
 
 #[test]
 fn a_repeated_request_for_an_admission_keeps_its_id() {
     let mut attempts = Attempts::of_owned(Runs::default());
-    let first = attempts.request(|| 7);
-    assert_eq!(attempts.request(|| 8), first);
+    let first = attempts.request(3, || 7);
+    assert_eq!(attempts.request(3, || 8), first);
 }
 
 #[test]
--- a/crates/routing/src/items/queue.rs
+++ b/crates/routing/src/items/queue.rs
@@ -108,17 +108,18 @@
         self.late.pop_first().map(|(_, item)| item)
     }
 
-    /// Removes the items whose key does not satisfy the predicate.
-    pub fn retain(&mut self, is_retained: impl Fn(&K) -> bool) {
+    /// Removes the items whose key does not satisfy the predicate, and returns them.
+    pub fn retain(&mut self, is_retained: impl Fn(&K) -> bool) -> Vec<T> {
         let due = &mut self.due;
-        self.in_time.retain(|(due_unix_ms, key), _| {
-            let is_retained = is_retained(key);
-            if !is_retained {
-                decrement(due, *due_unix_ms);
-            }
-            is_retained
+        let in_time = self.in_time.extract_if(.., |(_, key), _| !is_retained(key));
+        let in_time = in_time.map(|((due_unix_ms, _), item)| {
+            decrement(due, due_unix_ms);
+            item
         });
-        self.late.retain(|(_, key), _| is_retained(key));
+        let mut removed: Vec<T> = in_time.collect();
+        let late = self.late.extract_if(.., |(_, key), _| !is_retained(key));
+        removed.extend(late.map(|(_, item)| item));
+        removed
     }
 
     /// Returns the number of queued items that can meet their deadline, by due time. Items beyond
