Run items under which targets crashed again in calm

Callers saw accepted items that were never run again after a burst of crashes, though all targets were back. The quarantine withheld them for longer than a job lives: an item after six crashes for over an hour, an item with a part of its prompt that was confirmed to be to blame, also by a crash under online requests, for an hour or more.

An item is owed a result. It now runs once no target has crashed for 5 s, doubled for each crash under it that itself followed such calm, and at latest a minute after the last crash under it, as targets of a large fleet may crash all the time. Its answer clears it and the parts of its prompt. Online requests are blocked as before. A request that waits for one blamed part uses up no trial of another one any more: two of them could wait for each other.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -95,7 +95,7 @@
 pub(crate) fn try_admit(ctx: &Context, item: &Item) -> Result<Option<RunGuard>, Blocked> {
     let gate = &ctx.suspects.gate;
     if gate.has_parts() {
-        gate.try_admit_parts(item.parts(&ctx.decode))?;
+        gate.try_admit_item_parts(item.parts(&ctx.decode))?;
     }
     if gate.is_empty() {
         return Ok(None);
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -244,6 +244,24 @@
     assert_eq!(completed.count(), 10, "{results:?}");
 }
 
+// The blame of online requests with the part must not keep an item from its caller.
+#[tokio::test]
+async fn an_item_whose_prompt_part_is_refused_runs_again_in_calm() {
+    let harness = Harness::new(&["t1", "t2", "t3", "t4", "t5", "t6"]);
+    harness.configure_lasting_jobs(2);
+    let host = harness.start_ready("a1").await;
+    blame_parts(&harness, &host).await;
+    harness.targets.recover_part("bad");
+    let mut submission = harness::submission("j1", 1, 1);
+    let parts = (harness::PARTS_HEADER.into(), "shared,bad,own".into());
+    submission.items[0].1.headers.push(parts);
+    jobs::submit(host.ctx(), submission).await.unwrap();
+    let results = host.results("j1", 1).await;
+    assert!(results[0].text.is_some());
+    let served = host.send_with_parts(NON_RESUMABLE, "again", "shared,bad,own");
+    assert!(served.await.unwrap().body.is_some());
+}
+
 /// Lets a request crash as many targets as are needed to blame it.
 async fn blame(harness: &Harness, host: &RunningHost) {
     for attempt in 0..CRASHES_BEFORE_BLAME {
--- a/crates/gateway/tests/harness/targets.rs
+++ b/crates/gateway/tests/harness/targets.rs
@@ -159,6 +159,11 @@
         state.crashing_parts.insert(part.to_owned());
     }
 
+    /// Makes requests with a part in their prompts crash targets no more.
+    pub fn recover_part(&self, part: &str) {
+        self.state.lock().unwrap().crashing_parts.remove(part);
+    }
+
     fn is_crashing(&self, call: &Call) -> bool {
         let state = self.state.lock().unwrap();
         let prompt = call.request.headers.get(PARTS_HEADER);
--- a/crates/quarantine/src/gate.rs
+++ b/crates/quarantine/src/gate.rs
@@ -96,6 +96,20 @@
     }
 }
 
+fn to_result(decision: Decision) -> Result<(), Blocked> {
+    match decision {
+        Decision::Admit => Ok(()),
+        Decision::Wait => Err(Blocked::Waiting),
+        Decision::Refuse {
+            crashes,
+            retry_after,
+        } => Err(Blocked::Refused {
+            crashes,
+            retry_after,
+        }),
+    }
+}
+
 impl Gate {
     /// Returns the gate of a host.
     pub fn new(host: HostId) -> Arc<Self> {
@@ -162,8 +176,8 @@
         self.begin_run(fingerprint, decision)
     }
 
-    /// Decides whether an item of a job may be sent to a target now. Items are retried
-    /// sooner, since each accepted item must get a result; see [`Quarantine::admit_item`].
+    /// Decides whether an item of a job may be sent to a target now. It runs again in calm,
+    /// since each accepted item must get a result; see [`Quarantine::admit_item`].
     ///
     /// # Errors
     ///
@@ -232,17 +246,16 @@
     ///
     /// Returns why the request must not be sent.
     pub fn try_admit_parts(&self, parts: &[PartId]) -> Result<(), Blocked> {
-        match self.parts().admit(parts, &self.host, Instant::now()) {
-            Decision::Admit => Ok(()),
-            Decision::Wait => Err(Blocked::Waiting),
-            Decision::Refuse {
-                crashes,
-                retry_after,
-            } => Err(Blocked::Refused {
-                crashes,
-                retry_after,
-            }),
-        }
+        to_result(self.parts().admit(parts, &self.host, Instant::now()))
+    }
+
+    /// Decides the same for an item of a job; see [`Parts::admit_item`].
+    ///
+    /// # Errors
+    ///
+    /// Returns why the item must not be sent.
+    pub fn try_admit_item_parts(&self, parts: &[PartId]) -> Result<(), Blocked> {
+        to_result(self.parts().admit_item(parts, &self.host, Instant::now()))
     }
 
     async fn wait_while_blocked<T>(
--- a/crates/routing/src/quarantine.rs
+++ b/crates/routing/src/quarantine.rs
@@ -56,6 +56,7 @@
 //! Ages are measured on the given clock. If it stops, as on a suspended machine, suspects
 //! are remembered and blocked for longer, never for shorter.
 
+mod calm;
 pub mod parts;
 mod suspect;
 
@@ -69,6 +70,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use self::calm::CrashTimes;
 use self::suspect::Suspect;
 
 /// Identifies one incarnation of a target, from a start of its process to its end.
@@ -162,6 +164,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
     suspects: HashMap<Fingerprint, Suspect>,
+    crash_times: CrashTimes,
 }
 
 impl Quarantine {
@@ -202,17 +205,19 @@
     /// Decides whether a host may send a request now, and records the run of a suspect.
     pub fn admit(&mut self, fingerprint: Fingerprint, host: &str, now: Instant) -> Decision {
         match self.suspects.get_mut(&fingerprint) {
-            Some(suspect) => suspect.admit(host, false, now),
+            Some(suspect) => suspect.admit(host, suspect.remaining_block(now), now),
             None => Decision::Admit,
         }
     }
 
     /// Decides the same for an item of a job. Each accepted item must get a result, and no
-    /// caller retries it, so an item that is blamed by mistake would be lost; it is retried
-    /// sooner than an online request.
+    /// caller retries it, so it runs again in calm, however many targets crashed under it.
     pub fn admit_item(&mut self, fingerprint: Fingerprint, host: &str, now: Instant) -> Decision {
         match self.suspects.get_mut(&fingerprint) {
-            Some(suspect) => suspect.admit(host, true, now),
+            Some(suspect) => {
+                let block = suspect.item_block(&self.crash_times, now);
+                suspect.admit(host, block, now)
+            }
             None => Decision::Admit,
         }
     }
@@ -227,6 +232,7 @@
     /// Records that a target crashed under a request.
     pub fn record_crash(&mut self, fingerprint: Fingerprint, crash: Crash) -> Change {
         let now = crash.detected_at;
+        self.crash_times.add(crash.incarnation, now);
         self.evict_if_full(now);
         let suspect = self.suspects.entry(fingerprint);
         let suspect = suspect.or_insert_with(|| Suspect::new(now));
@@ -254,6 +260,10 @@
     /// Merges another host's report on a suspect.
     pub fn merge_report(&mut self, host: &HostId, report: &Report, now: Instant) -> Change {
         self.evict_if_full(now);
+        for crash in &report.crashes {
+            let detected_at = now.checked_sub(crash.age).unwrap_or(now);
+            self.crash_times.add(crash.incarnation, detected_at);
+        }
         let suspect = match self.suspects.entry(report.fingerprint) {
             Entry::Occupied(known) => known.into_mut(),
             // The clearance of a request that is no suspect here has no effect.
--- a/crates/routing/src/quarantine/parts.rs
+++ b/crates/routing/src/quarantine/parts.rs
@@ -76,6 +76,7 @@
 use super::IncarnationId;
 use super::SUSPECT_RETENTION;
 use super::SUSPECTS_MAX;
+use super::calm::CrashTimes;
 use super::probability_if_healthy;
 use crate::prompt::PartId;
 
@@ -190,6 +191,7 @@
     blamed: HashSet<PartId>,
     /// Parts that explain crashes of others: those with [`EXPLAINING_CRASHES_MIN`] or more.
     explaining: HashSet<PartId>,
+    crash_times: CrashTimes,
 }
 
 impl Parts {
@@ -244,17 +246,51 @@
     /// Decides whether a request whose prompt has these shared parts may be sent now.
     /// Requests with a part that is not confirmed to be to blame wait, and are tried one by one.
     pub fn admit(&mut self, parts: &[PartId], host: &str, now: Instant) -> Decision {
+        self.admit_with(parts, host, now, |_, suspect| suspect.remaining_block(now))
+    }
+
+    /// Decides the same for an item of a job, which is owed a result: in calm it is tried, however
+    /// many targets crashed under a part of its prompt.
+    pub fn admit_item(&mut self, parts: &[PartId], host: &str, now: Instant) -> Decision {
+        self.admit_with(parts, host, now, |crash_times, suspect| {
+            let block = suspect.remaining_block(now)?;
+            let crashes = suspect.crashes.iter();
+            let crashes = crashes.map(|c| (c.incarnation, c.detected_at));
+            Some(crash_times.item_block(crashes, now)?.min(block))
+        })
+    }
+
+    fn admit_with(
+        &mut self,
+        parts: &[PartId],
+        host: &str,
+        now: Instant,
+        remaining_block: impl Fn(&CrashTimes, &Suspect) -> Option<Duration>,
+    ) -> Decision {
         if self.blamed.is_empty() {
             return Decision::Admit;
         }
-        for part in parts {
-            if !self.is_blamed(*part) || !self.blocks(*part, parts) {
+        let blocking = parts.iter().copied();
+        let blocking = blocking.filter(|part| self.is_blamed(*part) && self.blocks(*part, parts));
+        let blocking: Vec<PartId> = blocking.collect();
+        for part in &blocking {
+            let Some(suspect) = self.suspects.get(part) else {
                 continue;
+            };
+            if let Some(retry_after) = remaining_block(&self.crash_times, suspect) {
+                return Decision::Refuse {
+                    crashes: suspect.crash_count(),
+                    retry_after,
+                };
+            }
+            if !suspect.may_be_tried(*part, host, now) {
+                return Decision::Wait;
             }
-            let suspect = self.suspects.get_mut(part);
-            let decision = suspect.map_or(Decision::Admit, |s| s.admit(*part, host, now));
-            if decision != Decision::Admit {
-                return decision;
+        }
+        // A trial is used up only by a request that is sent.
+        for part in &blocking {
+            if let Some(suspect) = self.suspects.get_mut(part) {
+                suspect.tried_at = Some(now);
             }
         }
         Decision::Admit
@@ -284,6 +320,7 @@
     /// Records that a target crashed under a part.
     pub fn record_crash(&mut self, part: PartId, crash: Crash) -> Change {
         let now = crash.detected_at;
+        self.crash_times.add(crash.incarnation, now);
         self.update(part, now, |suspect| suspect.add(crash))
     }
 
@@ -320,6 +357,10 @@
         if report.crashes.is_empty() && !self.suspects.contains_key(&report.part) {
             return Change::None;
         }
+        for crash in &report.crashes {
+            let detected_at = now.checked_sub(crash.age).unwrap_or(now);
+            self.crash_times.add(crash.incarnation, detected_at);
+        }
         self.update(report.part, now, |suspect| suspect.merge(report, now))
     }
 
@@ -415,26 +456,20 @@
         u32::try_from(self.crashes.len()).unwrap_or(u32::MAX)
     }
 
-    /// Decides for a request with this part, which is blamed.
-    fn admit(&mut self, part: PartId, host: &str, now: Instant) -> Decision {
+    /// Returns the time for which the part remains blocked; `None` if it is not.
+    fn remaining_block(&self, now: Instant) -> Option<Duration> {
         let elapsed = now.saturating_duration_since(self.last_crash_at());
         let remaining = self.block_time().saturating_sub(elapsed);
-        if !remaining.is_zero() {
-            return Decision::Refuse {
-                crashes: self.crash_count(),
-                retry_after: remaining,
-            };
-        }
+        (!remaining.is_zero()).then_some(remaining)
+    }
+
+    /// Returns whether a host may try the part, which is blamed and not blocked.
+    fn may_be_tried(&self, part: PartId, host: &str, now: Instant) -> bool {
+        let elapsed = now.saturating_duration_since(self.last_crash_at());
         let is_tried = |at| is_within(at, TRIAL_INTERVAL, now);
-        let waited = elapsed.saturating_sub(SETTLE_TIME);
-        if elapsed < SETTLE_TIME
-            || self.tried_at.is_some_and(is_tried)
-            || !may_try(part, host, waited)
-        {
-            return Decision::Wait;
-        }
-        self.tried_at = Some(now);
-        Decision::Admit
+        elapsed >= SETTLE_TIME
+            && !self.tried_at.is_some_and(is_tried)
+            && may_try(part, host, elapsed - SETTLE_TIME)
     }
 
     /// Returns the time for which the part is blocked after its last crash. Crashes that come
--- a/crates/routing/src/quarantine/suspect.rs
+++ b/crates/routing/src/quarantine/suspect.rs
@@ -16,6 +16,7 @@
 use super::IncarnationId;
 use super::Report;
 use super::SUSPECT_RETENTION;
+use super::calm::CrashTimes;
 use super::probability_if_healthy;
 use crate::balancer::HostId;
 use crate::fingerprint::Fingerprint;
@@ -45,14 +46,6 @@
 /// in twenty, as long as its caller retries.
 const BLOCK_TIME: Duration = Duration::from_secs(600);
 
-/// The same for an item of a job, until it reaches [`ITEM_CRASHES_MAX`]. An item that is
-/// blamed by mistake then completes and is only late; one that is to blame crashes three
-/// more targets within two minutes.
-const ITEM_BLOCK_TIME: Duration = Duration::from_secs(15);
-
-/// Number of crashes from which an item is blocked as long as an online request.
-const ITEM_CRASHES_MAX: u32 = CRASHES_ALLOWED + 3;
-
 /// Time after which a run no longer blocks others. Targets crash some 100 ms after they
 /// start a request that crashes them. Also ends the runs of hosts that failed.
 const RUN_EXPIRY: Duration = Duration::from_secs(1);
@@ -89,8 +82,9 @@
         u32::try_from(self.crashes.len()).unwrap_or(u32::MAX)
     }
 
-    pub(super) fn admit(&mut self, host: &str, is_item: bool, now: Instant) -> Decision {
-        if let Some(retry_after) = self.remaining_block(is_item, now) {
+    /// Decides for a request or an item that is still blocked for a time, if for any.
+    pub(super) fn admit(&mut self, host: &str, block: Option<Duration>, now: Instant) -> Decision {
+        if let Some(retry_after) = block {
             return Decision::Refuse {
                 crashes: self.crash_count(),
                 retry_after,
@@ -250,7 +244,7 @@
     pub(super) fn is_expired(&self, now: Instant) -> bool {
         let retention = match self.is_blamed() {
             // Must still be known when it is tried again.
-            true => self.block_time(false) * 2,
+            true => self.block_time() * 2,
             false => SUSPECT_RETENTION,
         };
         !is_within(self.last_crash_at(), retention, now)
@@ -269,22 +263,26 @@
     }
 
     /// Returns the time for which the request remains blocked; `None` if it is not.
-    fn remaining_block(&self, is_item: bool, now: Instant) -> Option<Duration> {
+    pub(super) fn remaining_block(&self, now: Instant) -> Option<Duration> {
         if !self.is_blamed() {
             return None;
         }
         let elapsed = now.saturating_duration_since(self.last_crash_at());
-        let remaining = self.block_time(is_item).checked_sub(elapsed)?;
+        let remaining = self.block_time().checked_sub(elapsed)?;
         (!remaining.is_zero()).then_some(remaining)
     }
 
-    fn block_time(&self, is_item: bool) -> Duration {
-        let crashes = self.crash_count();
-        let base = match is_item && crashes < ITEM_CRASHES_MAX {
-            true => ITEM_BLOCK_TIME,
-            false => BLOCK_TIME,
-        };
-        base * 2u32.pow(crashes.saturating_sub(CRASHES_ALLOWED))
+    /// Returns the same for an item of a job.
+    pub(super) fn item_block(&self, crash_times: &CrashTimes, now: Instant) -> Option<Duration> {
+        if !self.is_blamed() {
+            return None;
+        }
+        let crashes = self.crashes.iter();
+        crash_times.item_block(crashes.map(|c| (c.incarnation, c.detected_at)), now)
+    }
+
+    fn block_time(&self) -> Duration {
+        BLOCK_TIME * 2u32.pow(self.crash_count().saturating_sub(CRASHES_ALLOWED))
     }
 
     fn is_blamed(&self) -> bool {
--- a/crates/routing/tests/parts.rs
+++ b/crates/routing/tests/parts.rs
@@ -25,6 +25,8 @@
 const SHORT_RUN: Duration = Duration::from_millis(80);
 /// Time after which a crash is no longer recent.
 const LATER: Duration = Duration::from_secs(1);
+/// Time without a crash after which an item is tried again.
+const CALM: Duration = Duration::from_secs(5);
 /// Time after which a blamed part may be tried again.
 const MUCH_LATER: Duration = Duration::from_secs(25 * 3_600);
 
@@ -161,6 +163,36 @@
     assert!(is_refused(parts.admit(&[A], "a1", later)));
 }
 
+#[test]
+fn an_item_with_a_refused_part_is_tried_in_calm_and_its_answer_clears_the_part() {
+    let now = Instant::now();
+    let mut parts = parts_after(&[&[A, B][..]; 4], now);
+    let trial = now + LATER * 2;
+    assert_eq!(parts.admit(&[A, B], "a1", trial), Decision::Admit);
+    for part in [A, B] {
+        parts.record_crash(part, crash(9, SHORT_RUN, trial));
+    }
+    assert!(is_refused(parts.admit_item(&[A, B], "a1", trial + LATER)));
+    let calm = trial + CALM;
+    assert!(is_refused(parts.admit(&[A, B], "a1", calm)));
+    assert_eq!(parts.admit_item(&[A, B], "a1", calm), Decision::Admit);
+    assert_eq!(parts.admit_item(&[A, B], "a1", calm), Decision::Wait);
+    parts.record_success(&[A, B], calm);
+    assert_eq!(parts.admit(&[A, B], "a1", calm), Decision::Admit);
+}
+
+// Otherwise requests with one of them use up the trials of the other.
+#[test]
+fn a_request_that_waits_for_one_part_uses_up_no_trial_of_another() {
+    let now = Instant::now();
+    let crashed = [[&[A][..]; 4], [&[B][..]; 4]].concat();
+    let mut parts = parts_after(&crashed, now);
+    let trial = now + LATER * 2;
+    assert_eq!(parts.admit(&[B], "a1", trial), Decision::Admit);
+    assert_eq!(parts.admit(&[A, B], "a1", trial), Decision::Wait);
+    assert_eq!(parts.admit(&[A], "a1", trial), Decision::Admit);
+}
+
 #[rstest]
 #[case::began_after_the_last_crash(80, true)]
 #[case::had_run_since_before_it(3_000, false)]
