Run an item at once after its own owner lost answers, within the limits

The wait guards against the loss of the owner; where none was lost there is nothing to guard against. The bound is unchanged.

--- a/crates/ledger/src/jobs/runs.rs
+++ b/crates/ledger/src/jobs/runs.rs
@@ -202,6 +202,8 @@
     admission: Admission,
     /// Whether another process may have run the item, or a record was appended for it.
     is_in_log: bool,
+    /// Runs in doubt of this owner, which has not been lost during them.
+    own_doubts: u32,
 }
 
 impl Attempts {
@@ -211,6 +213,7 @@
             runs: Runs::default(),
             admission: Admission::Granted(None),
             is_in_log: false,
+            own_doubts: 0,
         }
     }
 
@@ -224,6 +227,7 @@
             runs,
             admission,
             is_in_log: true,
+            own_doubts: 0,
         }
     }
 
@@ -257,10 +261,13 @@
         if self.runs.has_failed_finally(attempts_max) {
             return Step::Fail;
         }
-        if self.runs.after(2).excess(attempts_max) == 0 {
+        // If an owner was lost, the last run within the limits waits too, as this one may be.
+        let unresolved = self.runs.begun.saturating_sub(self.runs.failed);
+        let is_owner_lost = unresolved > self.own_doubts;
+        let count = if is_owner_lost { 2 } else { 1 };
+        if self.runs.after(count).excess(attempts_max) == 0 {
             return Step::Admit;
         }
-        // The last run within the limits waits too: its outcome settles whether another is needed.
         let exponent = self.runs.after(1).excess(attempts_max);
         Step::AdmitInCalm {
             periods: 1 << exponent.min(CALM_EXPONENT_MAX),
@@ -314,6 +321,7 @@
     pub fn record_doubt(&mut self) {
         if !self.runs.is_answered {
             self.admission = Admission::Needed;
+            self.own_doubts = self.own_doubts.saturating_add(1);
         }
     }
 
