Bound the bytes and the time of answers at every reader

Callers of items saw no result, and hosts buffered without a limit, when a target sent bytes without end. The stall timeout of an item, and of a stream that may be resumed, started again with each frame, not with each event as documented; an event without an end was buffered as long as it grew; an item's run had no time limit of its own.

Heads, garbage, chunk sizes and trailers were bounded by the HTTP library before. A whole body on a plain route may be legitimately long, so it is bounded by a setting (1 GiB) and its deadline, and forwarded as it arrives.

--- a/crates/cli/src/call.rs
+++ b/crates/cli/src/call.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt as _;
 use hyper::Method;
 use notchwharf_clients::error::CallError;
 use notchwharf_clients::http;
 use notchwharf_clients::http::Client;
+use notchwharf_clients::http::read_body;
 use notchwharf_config::error;
 use serde_json::Value;
 
@@ -64,8 +64,9 @@
         _ => CommandError::OutcomeUnknown,
     })?;
     let is_success = resp.status().is_success();
-    let body = resp.into_body().collect().await;
-    let body = body.map_err(|_| CommandError::OutcomeUnknown)?.to_bytes();
+    let body = tokio::time::timeout(TIMEOUT, read_body(resp.into_body())).await;
+    let body = body.map_err(|_| CommandError::OutcomeUnknown)?;
+    let body = body.map_err(|_| CommandError::OutcomeUnknown)?;
     let value: Value = serde_json::from_slice(&body).map_err(|_| CommandError::OutcomeUnknown)?;
     if is_success {
         return Ok(value);
--- a/crates/clients/src/error.rs
+++ b/crates/clients/src/error.rs
@@ -11,6 +11,8 @@
     Lost,
     /// The response was not complete within the timeout.
     TimedOut,
+    /// The response is longer than a response may be.
+    TooLong,
     /// The response has this status, which is not a success.
     Status(u16),
     /// The response does not have the expected format.
@@ -29,6 +31,7 @@
         match self {
             Self::NotSent => f.write_str("the request could not be sent"),
             Self::Lost => f.write_str("the connection failed; the outcome is unknown"),
+            Self::TooLong => f.write_str("the response is too long; the outcome is unknown"),
             Self::TimedOut => f.write_str("the call timed out; the outcome is unknown"),
             Self::Status(status) => write!(f, "the server responded with status {status}"),
             Self::Malformed => f.write_str("the response does not have the expected format"),
--- a/crates/clients/src/http.rs
+++ b/crates/clients/src/http.rs
@@ -16,6 +16,8 @@
 use error_stack::Report;
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
@@ -35,6 +37,9 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 const JSON_CONTENT_TYPE: &str = "application/json";
 
+/// Maximum size of a response in bytes.
+const RESPONSE_BYTES_MAX: usize = 64 << 20;
+
 /// The result of a call.
 pub type CallResult<T> = Result<T, Report<CallError>>;
 
@@ -45,6 +50,21 @@
     timeout: Duration,
 }
 
+/// Reads a complete body. The caller limits the time.
+///
+/// # Errors
+///
+/// Returns [`CallError::TooLong`] if the body is longer than a response may be, and
+/// [`CallError::Lost`] if the connection fails.
+pub async fn read_body(body: Incoming) -> CallResult<Bytes> {
+    let body = Limited::new(body, RESPONSE_BYTES_MAX).collect().await;
+    let body = body.map_err(|err| match err.downcast_ref::<LengthLimitError>() {
+        Some(_) => Report::new(CallError::TooLong),
+        None => Report::new(CallError::Lost),
+    })?;
+    Ok(body.to_bytes())
+}
+
 impl Client {
     /// Returns a client that limits each call to `timeout`.
     pub fn new(timeout: Duration) -> Self {
@@ -97,8 +117,7 @@
         let call = async {
             let resp = self.send(req).await?;
             let status = resp.status();
-            let body = resp.into_body().collect().await;
-            let body = body.map_err(|_| Report::new(CallError::Lost))?.to_bytes();
+            let body = read_body(resp.into_body()).await?;
             if status.is_success() {
                 return Ok(body);
             }
--- a/crates/clients/src/target.rs
+++ b/crates/clients/src/target.rs
@@ -5,9 +5,11 @@
 use bytes::Bytes;
 use error_stack::Report;
 use futures_util::StreamExt as _;
+use http_body_util::BodyExt as _;
+use http_body_util::Limited;
+use http_body_util::combinators::UnsyncBoxBody;
 use hyper::HeaderMap;
 use hyper::Method;
-use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
 use serde::Deserialize;
@@ -25,6 +27,8 @@
 pub const RUNNING_HEADER: &str = "x-running";
 /// The header in which a target reports the number of queued requests.
 pub const WAITING_HEADER: &str = "x-waiting";
+/// Maximum size of a streamed response in bytes: an event without an end is buffered.
+const STREAM_BYTES_MAX: usize = 64 << 20;
 /// The data of the event that ends a complete stream.
 pub const END_MARKER: &str = "[DONE]";
 
@@ -180,7 +184,7 @@
 
 /// A response that is being streamed by a target.
 pub struct Stream {
-    inner: SseStream<Incoming>,
+    inner: SseStream<UnsyncBoxBody<Bytes, std::io::Error>>,
     load: Option<Load>,
 }
 
@@ -227,7 +231,9 @@
             return Err(Report::new(CallError::Status(status.as_u16())));
         }
         let load = Load::from_headers(resp.headers());
-        let inner = SseStream::new(resp.into_body());
+        let body = Limited::new(resp.into_body(), STREAM_BYTES_MAX);
+        let body = body.map_err(std::io::Error::other).boxed_unsync();
+        let inner = SseStream::new(body);
         Ok(Stream { inner, load })
     }
 
--- a/crates/config/src/gateway.rs
+++ b/crates/config/src/gateway.rs
@@ -205,6 +205,10 @@
     /// Time between two events after which a resumable stream is moved to another target.
     /// From 10 to 600_000; 700 by default: four times the pause that callers accept.
     pub stall_ms: u64,
+    /// Maximum size of a target's answer in bytes. From 1_048_576 to 1_099_511_627_776;
+    /// 1_073_741_824 by default. It is forwarded as it arrives, so this bounds what a faulty target
+    /// may send within the deadline, not memory.
+    pub answer_bytes_max: u64,
     /// Maximum time for which a request waits for data that a newly started host does not have
     /// yet: routes, targets, or shares of a rate limit. From 0 to 60_000; 150 by default: half
     /// of the usual objective, so that the other half remains for the first event.
@@ -235,6 +239,7 @@
             unconfirmed_ms: 500,
             idle_ms: 4_000,
             stall_ms: 700,
+            answer_bytes_max: 1 << 30,
             start_wait_ms: 150,
             wait_at_hosts: WaitAtHosts::default(),
         }
@@ -263,6 +268,9 @@
     pub save_ms: u64,
     /// Maximum number of items that one host runs concurrently. From 1 to 100_000; 128 by default.
     pub running_max: u32,
+    /// Maximum size of an item's text in bytes. From 1_024 to 268_435_456; 16_777_216 by default. It
+    /// is kept in memory until the item ends.
+    pub text_bytes_max: u64,
     /// Time for which a host must have been undisturbed before the last run that an item may have
     /// unless its outcome is learnt; twice as long before the next one, and so on. From 10 to
     /// 600_000; 5_000 by default: hosts that are lost in series often live for less.
@@ -281,6 +289,7 @@
             save_events: 48,
             save_ms: 1_000,
             running_max: 128,
+            text_bytes_max: 16 << 20,
             calm_ms: 5_000,
             readable_ms: 120_000,
         }
@@ -424,6 +433,13 @@
     )?;
     check_range("online.idle_ms", s.online.idle_ms, 1, TEN_MINUTES_MS)?;
     check_range("online.stall_ms", s.online.stall_ms, 10, TEN_MINUTES_MS)?;
+    let answer_bytes_max = s.online.answer_bytes_max;
+    check_range(
+        "online.answer_bytes_max",
+        answer_bytes_max,
+        1 << 20,
+        1 << 40,
+    )?;
     check_range("online.start_wait_ms", s.online.start_wait_ms, 0, MINUTE_MS)?;
     check_range("batch.reserve", s.batch.reserve, 0, 64)?;
     check_range("batch.start_gap_ms", s.batch.start_gap_ms, 1, 1_000)?;
@@ -431,6 +447,8 @@
     check_range("batch.save_events", s.batch.save_events, 1, 1_000_000)?;
     check_range("batch.save_ms", s.batch.save_ms, 10, MINUTE_MS)?;
     check_range("batch.running_max", s.batch.running_max, 1, 100_000)?;
+    let text_bytes_max = s.batch.text_bytes_max;
+    check_range("batch.text_bytes_max", text_bytes_max, 1 << 10, 256 << 20)?;
     check_range("batch.calm_ms", s.batch.calm_ms, 10, TEN_MINUTES_MS)?;
     check_range("batch.readable_ms", s.batch.readable_ms, 1_000, 86_400_000)?;
     check_range("peers.news_ms", s.peers.news_ms, 1, 10_000)?;
--- a/crates/gateway/src/items/run.rs
+++ b/crates/gateway/src/items/run.rs
@@ -112,7 +112,11 @@
             biased;
             outcome = async {
                 match admission.wait_in_slot(&mut item, route.attempts_max).await {
-                    true => exchange(&ctx, &mut item, &destination, &mut progress).await,
+                    true => {
+                        let run = exchange(&ctx, &mut item, &destination, &mut progress);
+                        let run = tokio::time::timeout(RUN_TIMEOUT, run).await;
+                        run.unwrap_or(RunOutcome::Unusable("timed out"))
+                    }
                     false => RunOutcome::NotAdmitted,
                 }
             } => outcome,
@@ -330,8 +334,11 @@
     stall_timeout: Duration,
 ) -> RunOutcome {
     let mut events = Events::default();
+    let text_bytes_max = ctx.settings.batch.text_bytes_max;
+    let mut event_deadline = Instant::now() + stall_timeout;
     loop {
-        let Ok(frame) = tokio::time::timeout(stall_timeout, reply.body.frame()).await else {
+        let frame = tokio::time::timeout_at(event_deadline.into(), reply.body.frame()).await;
+        let Ok(frame) = frame else {
             return RunOutcome::Unusable("silent");
         };
         let frame = match frame {
@@ -345,6 +352,7 @@
         };
         events.push(&bytes);
         for event in events.by_ref() {
+            event_deadline = Instant::now() + stall_timeout;
             if !is_next(item.last_event, event.id) {
                 return RunOutcome::Unusable("event out of order");
             }
@@ -359,6 +367,13 @@
             item.text.extend_from_slice(&event.data());
             item.last_event = event.id;
         }
+        if events.check_partial().is_err() {
+            return RunOutcome::Unusable("event too long");
+        }
+        if item.text.len() as u64 > text_bytes_max {
+            item.start_over();
+            return RunOutcome::Unusable("answer too long");
+        }
         if item.unsaved_event_count() >= ctx.settings.batch.save_events {
             ctx.progress.record(item);
         }
--- a/crates/gateway/src/online/body.rs
+++ b/crates/gateway/src/online/body.rs
@@ -50,6 +50,10 @@
     first_event: Option<Bytes>,
     /// Whether an event was received.
     has_begun: bool,
+    /// Since when the next event is awaited from the target.
+    waiting_since: Option<Instant>,
+    /// Bytes received from all targets.
+    bytes_read: u64,
     /// Keeps the stream's origin available to starting hosts.
     running_stream: Option<RunningStream>,
     is_done: bool,
@@ -81,6 +85,8 @@
             event_end: EventEnd::default(),
             first_event: None,
             has_begun: false,
+            waiting_since: None,
+            bytes_read: 0,
             running_stream: None,
             is_done: false,
         }
@@ -161,9 +167,12 @@
             return Ok(None);
         };
         let deadline = self.dispatch.deadline;
-        let stall_timeout = ms(self.dispatch.ctx.settings.online.stall_ms);
+        let settings = &self.dispatch.ctx.settings.online;
+        let stall_timeout = ms(settings.stall_ms);
+        let bytes_max = settings.answer_bytes_max;
+        let waiting_since = *self.waiting_since.get_or_insert_with(Instant::now);
         let read_deadline = match self.events {
-            Some(_) => deadline.min(Instant::now() + stall_timeout),
+            Some(_) => deadline.min(waiting_since + stall_timeout),
             None => deadline,
         };
         let frame =
@@ -184,18 +193,26 @@
             return Ok(Some(Bytes::new()));
         };
         response.has_begun |= !bytes.is_empty();
+        self.bytes_read += bytes.len() as u64;
+        if self.bytes_read > bytes_max {
+            return Err(Interruption::Unusable("answer too long"));
+        }
         if self.dispatch.trace.first_event().is_none() && !bytes.is_empty() {
             let took = response.sent_at.elapsed();
             self.dispatch.trace.record_first_event(took);
             lock(&self.dispatch.ctx.balancer).record_success(response.running.target(), Some(took));
         }
         let Some(events) = &mut self.events else {
-            self.event_end.push(&bytes);
+            let pushed = self.event_end.push(&bytes);
+            if self.is_stream && pushed.is_err() {
+                return Err(Interruption::Unusable("event too long"));
+            }
             return Ok(Some(bytes));
         };
         events.push(&bytes);
         let mut complete = BytesMut::new();
-        for event in events {
+        for event in events.by_ref() {
+            self.waiting_since = None;
             if !is_next(self.last_event, event.id) {
                 self.is_out_of_order = true;
                 break;
@@ -203,6 +220,9 @@
             self.last_event = event.id;
             complete.extend_from_slice(&event.raw);
         }
+        if complete.is_empty() && events.check_partial().is_err() {
+            return Err(Interruption::Unusable("event too long"));
+        }
         if self.last_event.is_some() && !std::mem::replace(&mut self.has_begun, true) {
             self.begin_stream();
         }
@@ -329,6 +349,7 @@
             self.head = head;
         }
         self.response = Some(next);
+        self.waiting_since = None;
         Ok(())
     }
 }
--- a/crates/gateway/src/peers/rpc.rs
+++ b/crates/gateway/src/peers/rpc.rs
@@ -12,6 +12,8 @@
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
@@ -36,6 +38,13 @@
 use crate::spread::RESPONSE_TARGETS_MAX;
 use crate::sync::lock;
 
+/// Maximum size of a response in bytes: a host's memory bounds the job records that it has.
+const RESPONSE_BYTES_MAX: usize = 128 << 20;
+/// Maximum size of a request in bytes: several times the largest submission.
+const REQUEST_BYTES_MAX: usize = 32 << 20;
+/// Time within which a peer sends a whole request: more than any caller waits.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// The path of requests for changes of routes, targets and hosts.
 pub(super) const CHANGES: &str = "/changes";
 /// The path of requests for the job records.
@@ -103,7 +112,12 @@
     if resp.status() != StatusCode::OK {
         return Err(CallError::Lost("peer could not answer"));
     }
-    let body = resp.into_body().collect().await.map_err(|_| BROKEN)?;
+    let body = Limited::new(resp.into_body(), RESPONSE_BYTES_MAX);
+    let body = body.collect().await;
+    let body = body.map_err(|err| match err.downcast_ref::<LengthLimitError>() {
+        Some(_) => CallError::Lost("peer's answer too long"),
+        None => BROKEN,
+    })?;
     Ok(body.to_bytes())
 }
 
@@ -177,8 +191,11 @@
     in_progress: &Mutex<Option<Gauge>>,
 ) -> Response<Full<Bytes>> {
     let path = req.uri().path().to_owned();
-    // If the request is incomplete, the peer has closed the connection and needs no response.
-    let body = req.into_body().collect().await.ok();
+    // A request that is incomplete, too long or too slow needs no response: the peer has closed the
+    // connection or has given up.
+    let body = Limited::new(req.into_body(), REQUEST_BYTES_MAX).collect();
+    let body = tokio::time::timeout(REQUEST_TIMEOUT, body).await;
+    let body = body.ok().and_then(Result::ok);
     let body = body.map(http_body_util::Collected::to_bytes);
     let response_body = match (path.as_str(), body) {
         (CHANGES, Some(body)) => changes(ctx, &body, in_progress),
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -6,6 +6,13 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 
+/// Greatest size of an event in bytes: many times what a target generates at once.
+const EVENT_BYTES_MAX: usize = 1 << 20;
+
+/// An event without an end: the bytes are no answer, and would be buffered as long as they come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct EventTooLong;
+
 /// A complete event.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Event {
@@ -39,6 +46,18 @@
         self.buf.extend_from_slice(bytes);
     }
 
+    /// Checks the partial event that is left once all complete ones were taken.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it is longer than an event may be.
+    pub(crate) fn check_partial(&self) -> Result<(), EventTooLong> {
+        match self.buf.len() > EVENT_BYTES_MAX {
+            true => Err(EventTooLong),
+            false => Ok(()),
+        }
+    }
+
     /// Returns whether no partial event is left.
     pub(crate) fn is_empty(&self) -> bool {
         self.buf.is_empty()
@@ -57,14 +76,24 @@
     has_content: bool,
     /// Whether the current line has a byte other than a carriage return.
     has_line: bool,
+    /// Bytes of the current event.
+    len: usize,
 }
 
 impl EventEnd {
     /// Records bytes that are forwarded.
-    pub(crate) fn push(&mut self, bytes: &[u8]) {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the current event is longer than an event may be.
+    pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<(), EventTooLong> {
         for byte in bytes {
+            self.len += 1;
             match byte {
-                b'\n' if !std::mem::take(&mut self.has_line) => self.has_content = false,
+                b'\n' if !std::mem::take(&mut self.has_line) => {
+                    self.has_content = false;
+                    self.len = 0;
+                }
                 b'\n' | b'\r' => {}
                 _ => {
                     self.has_line = true;
@@ -72,6 +101,10 @@
                 }
             }
         }
+        match self.len > EVENT_BYTES_MAX {
+            true => Err(EventTooLong),
+            false => Ok(()),
+        }
     }
 
     /// Returns whether no event has begun since the last one ended.
--- a/crates/server/src/api/services.rs
+++ b/crates/server/src/api/services.rs
@@ -12,7 +12,6 @@
 use base64::Engine as _;
 use base64::prelude::BASE64_STANDARD;
 use bytes::Bytes;
-use http_body_util::BodyExt as _;
 use http_body_util::Full;
 use hyper::HeaderMap;
 use hyper::Method;
@@ -23,6 +22,7 @@
 use hyper::header::HeaderValue;
 use notchwharf_clients::error::CallError;
 use notchwharf_clients::http::Client;
+use notchwharf_clients::http::read_body;
 use notchwharf_config::bundle::Class;
 use notchwharf_ledger::error::CommandError;
 use notchwharf_proto::peer::Callee;
@@ -184,8 +184,8 @@
         let resp = resp.map_err(|report| report.current_context().clone())?;
         let status = resp.status();
         let headers = keyed::response_headers(resp.headers());
-        let body = resp.into_body().collect().await;
-        let body = body.map_err(|_| CallError::Lost)?.to_bytes();
+        let body = read_body(resp.into_body()).await;
+        let body = body.map_err(|report| report.current_context().clone())?;
         Ok(response(status, &headers, body))
     };
     let exchange = tokio::time::timeout_at(deadline, exchange).await;
--- a/crates/server/src/keyed.rs
+++ b/crates/server/src/keyed.rs
@@ -13,11 +13,11 @@
 use base64::Engine as _;
 use base64::prelude::BASE64_STANDARD;
 use bytes::Bytes;
-use http_body_util::BodyExt as _;
 use http_body_util::Full;
 use hyper::Request;
 use jsonrpsee::core::client::Error as RpcError;
 use notchwharf_clients::error::CallError;
+use notchwharf_clients::http::read_body;
 use notchwharf_ledger::error::CommandError;
 use notchwharf_ledger::error::Ignored;
 use notchwharf_ledger::owner::Command;
@@ -185,7 +185,7 @@
             Ok(Ok(resp)) => {
                 let status = resp.status().as_u16();
                 let headers = response_headers(resp.headers());
-                let body = resp.into_body().collect();
+                let body = read_body(resp.into_body());
                 let body = tokio::time::timeout(timeout, body).await;
                 let body = body
                     .map_err(|_| CallFailure::Unknown)?
@@ -193,7 +193,7 @@
                 return Ok(KeyedResponse {
                     status,
                     headers,
-                    body_base64: BASE64_STANDARD.encode(body.to_bytes()),
+                    body_base64: BASE64_STANDARD.encode(body),
                     replayed: false,
                 });
             }
