Save parts of prompts under which targets crashed before they are blamed

A part is now saved from its second crash that no answer has cleared. An answer deletes the record.

Saving from the first crash was ruled out: each crash makes suspects of all parts at its target.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -125,12 +125,12 @@
     }
     for cleared in gate.record_parts_success(&parts()) {
         ctx.metrics.count(Counted::Changes, "prompt part cleared");
+        part_records::delete(ctx, &cleared);
         let Some(blamed_for) = cleared.blamed_for else {
             continue;
         };
         slog::info!(ctx.logger, "prompt part cleared"; "crashes" => cleared.crashes,
             "part" => prompt::to_hex(cleared.part), "blamed_for_ms" => millis(blamed_for));
-        part_records::delete(ctx, &cleared);
     }
 }
 
--- a/crates/gateway/src/quarantine/part_records.rs
+++ b/crates/gateway/src/quarantine/part_records.rs
@@ -3,13 +3,16 @@
 //! They have a topic of their own, which hosts of earlier versions do not read. In the topic of
 //! blamed requests these would log them as unreadable, and delete them when they clean up.
 //!
-//! A part is not saved right after its first crash: one in wide use may be blamed when many
-//! targets crash at once, and is cleared by the next answer.
+//! A part is saved before it is blamed, once it was in two crashes that no answer has cleared: hosts
+//! that are killed one after the other may each see too few crashes for a blame. It is not saved
+//! after its first crash, as each crash makes suspects of all parts that ran at the target, and most
+//! of them are cleared by the next answer.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use notchwharf_ledger::jobs::HostId;
+use notchwharf_listen::Phase;
 use notchwharf_routing::prompt;
 use notchwharf_routing::prompt::PartId;
 use notchwharf_routing::quarantine::parts::Cleared;
@@ -18,6 +21,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::records::RETRY_DELAY;
 use super::records::STORE_REPORTER;
 use super::records::delete_if;
 use super::records::write;
@@ -29,13 +33,13 @@
 use crate::time::ms;
 use crate::time::unix_ms;
 
-/// Time since its first crash before which a blamed part is not saved.
-const SAVE_DELAY: Duration = Duration::from_millis(500);
+/// Crashes from which a part is saved.
+const CRASHES_SAVED_MIN: u32 = 2;
 
 /// Age of a record's newest crash from which it is deleted. Hosts block a part for a day at most.
 const RECORD_MAX_AGE: Duration = Duration::from_secs(48 * 3_600);
 
-/// A blamed part.
+/// A suspected part.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct Record {
     crashes: Vec<CrashRecord>,
@@ -50,16 +54,19 @@
     at_unix_ms: u64,
 }
 
-/// Saves a part in a task of its own, if it is still blamed [`SAVE_DELAY`] after its first crash.
+/// Saves a part in a task of its own, if it was in enough crashes.
 pub(super) fn save(ctx: &Arc<Context>, part: PartId) {
-    let ctx = Arc::clone(ctx);
-    let report = ctx.suspects.gate.part_report(part);
-    let ages = report.iter().flat_map(|report| &report.crashes);
-    let suspected_for = ages.map(|crash| crash.age).max().unwrap_or_default();
-    tokio::spawn(async move {
-        tokio::time::sleep(SAVE_DELAY.saturating_sub(suspected_for)).await;
-        let gate = &ctx.suspects.gate;
-        let report = gate.part_report(part).filter(|_| gate.is_part_blamed(part));
+    if ctx.suspects.gate.part_crash_count(part) >= CRASHES_SAVED_MIN {
+        tokio::spawn(write_newest(Arc::clone(ctx), part));
+    }
+}
+
+/// Appends what is known of a part, retrying until that is done, the part is cleared or the host
+/// stops.
+async fn write_newest(ctx: Arc<Context>, part: PartId) {
+    while ctx.phase() < Phase::Stopped {
+        let report = ctx.suspects.gate.part_report(part);
+        let report = report.filter(|r| r.crashes.len() >= CRASHES_SAVED_MIN as usize);
         let Some(report) = report else {
             return;
         };
@@ -67,13 +74,18 @@
             key: prompt::to_hex(part),
             value: Some(encode(&report).into()),
         };
-        write(ctx, Topic::BlamedParts, entry).await;
-    });
+        // The store's wrapper logs the failure.
+        let res = ctx.store.append(Topic::BlamedParts, 0, vec![entry]).await;
+        if res.is_ok() {
+            return;
+        }
+        tokio::time::sleep(RETRY_DELAY).await;
+    }
 }
 
 /// Deletes the record of a cleared part, if it may have one.
 pub(super) fn delete(ctx: &Arc<Context>, cleared: &Cleared) {
-    if cleared.blamed_for.is_some() && cleared.suspected_for >= SAVE_DELAY {
+    if cleared.crashes >= CRASHES_SAVED_MIN {
         let entry = Entry::tombstone(prompt::to_hex(cleared.part));
         tokio::spawn(write(Arc::clone(ctx), Topic::BlamedParts, entry));
     }
--- a/crates/gateway/src/quarantine/probe.rs
+++ b/crates/gateway/src/quarantine/probe.rs
@@ -188,8 +188,11 @@
             has_begun: run.sent_at.is_some(),
             detected_at,
         };
-        if let Change::Blamed { crashes } = gate.record_part_crash(part, crash) {
+        let change = gate.record_part_crash(part, crash);
+        if let Change::Blamed { crashes } = change {
             log_blamed_part(ctx, part, crashes, ctx.host());
+        }
+        if change != Change::None {
             part_records::save(ctx, part);
         }
     }
--- a/crates/quarantine/src/gate.rs
+++ b/crates/quarantine/src/gate.rs
@@ -352,6 +352,11 @@
         change
     }
 
+    /// Returns the number of crashes that count against a part of prompts.
+    pub fn part_crash_count(&self, part: PartId) -> u32 {
+        self.parts().crash_count(part)
+    }
+
     /// Returns this host's report on a part of prompts; `None` if it was in no crash.
     pub fn part_report(&self, part: PartId) -> Option<parts::Report> {
         self.parts().report(part, Instant::now())
