Keep runs that settle a doubt from preemption until their targets answer

Such runs are few, and now keep their slot until the head of the answer, for the stall timeout at most.

--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -449,7 +449,13 @@
         _ => Admission::request(ctx, &mut item, route.attempts_max),
     };
     let running = Running::start(ctx, &target, Class::Batch);
-    let handle = lock(&ctx.items.running).add(&target, &item, deadline, running);
+    let handle = lock(&ctx.items.running).add(
+        &target,
+        &item,
+        deadline,
+        running,
+        matches!(step, Step::AdmitInCalm { .. }),
+    );
     let start = ItemStart {
         item,
         route,
--- a/crates/gateway/src/items/registry.rs
+++ b/crates/gateway/src/items/registry.rs
@@ -1,6 +1,9 @@
 //! The running items by target.
 
 use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use notchwharf_routing::balancer::TargetId;
 use notchwharf_routing::items::preemption::Rank;
@@ -25,14 +28,18 @@
     run: u64,
     key: ItemKey,
     rank: Rank,
+    /// Whether it is not preempted: it settles a doubt once its target begins to answer.
+    is_kept: Arc<AtomicBool>,
     _running: Running,
     _cancel: oneshot::Sender<()>,
 }
 
-/// The number of a run, and the receiver that is notified when it is cancelled.
+/// The number of a run, the receiver that is notified when it is cancelled, and whether it is kept
+/// from preemption.
 pub(super) struct RunHandle {
     pub(super) run: u64,
     pub(super) cancelled: oneshot::Receiver<()>,
+    pub(super) is_kept: Arc<AtomicBool>,
 }
 
 impl Registry {
@@ -41,14 +48,16 @@
         self.by_target.values().map(Vec::len).sum()
     }
 
-    /// Adds an item that starts.
+    /// Adds an item that starts, and may be kept from preemption until its target answers.
     pub(super) fn add(
         &mut self,
         target: &TargetId,
         item: &Item,
         deadline: Deadline,
         running: Running,
+        is_kept: bool,
     ) -> RunHandle {
+        let is_kept = Arc::new(AtomicBool::new(is_kept));
         let (cancel, cancelled) = oneshot::channel();
         self.last_run += 1;
         let run = self.last_run;
@@ -60,12 +69,17 @@
                 due_unix_ms: deadline.due_unix_ms,
                 run,
             },
+            is_kept: Arc::clone(&is_kept),
             _running: running,
             _cancel: cancel,
         };
         let at_target = self.by_target.entry(target.clone()).or_default();
         at_target.push(entry);
-        RunHandle { run, cancelled }
+        RunHandle {
+            run,
+            cancelled,
+            is_kept,
+        }
     }
 
     /// Removes an item by the number of its run.
@@ -76,7 +90,9 @@
     /// Removes the item of the greatest preemption rank at a target.
     pub(super) fn take_to_preempt(&mut self, target: &str) -> Option<Entry> {
         self.take_at(target, |entries| {
-            let preempted = entries.iter().enumerate().max_by_key(|(_, e)| e.rank);
+            let preemptible = entries.iter().enumerate();
+            let preemptible = preemptible.filter(|(_, e)| !e.is_kept.load(Ordering::Relaxed));
+            let preempted = preemptible.max_by_key(|(_, e)| e.rank);
             preempted.map(|(index, _)| index)
         })
     }
--- a/crates/gateway/src/items/run.rs
+++ b/crates/gateway/src/items/run.rs
@@ -1,6 +1,8 @@
 //! One run of an item at a target.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -60,8 +62,10 @@
 }
 
 /// How far a run has come.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Exchange {
+    /// Whether it is kept from preemption.
+    is_kept: Arc<AtomicBool>,
     /// Whether the target may have received the item.
     is_sent: bool,
     /// The start of the response, once it has arrived.
@@ -104,8 +108,12 @@
     let RunHandle {
         run: number,
         mut cancelled,
+        is_kept,
     } = handle;
-    let mut progress = Exchange::default();
+    let mut progress = Exchange {
+        is_kept,
+        ..Exchange::default()
+    };
     let outcome = match cancelled.try_recv() {
         Err(TryRecvError::Empty) => tokio::select! {
             // An answer that has arrived counts, although the run is cancelled.
@@ -126,7 +134,7 @@
         _ => RunOutcome::Cancelled,
     };
     let Destination { target, origin } = destination;
-    let Exchange { is_sent, head } = progress;
+    let Exchange { is_sent, head, .. } = progress;
     let entry = lock(&ctx.items.running).take(&target, number);
     // Dropped after the registry is unlocked: freeing the slot wakes tasks that lock it.
     drop(entry);
@@ -312,6 +320,7 @@
         }
         Ok(Ok(reply)) => reply,
     };
+    progress.is_kept.store(false, Ordering::Relaxed);
     progress.head = Some(Head {
         at: Instant::now(),
         is_end_marked: reply.is_end_marked,
--- a/crates/gateway/tests/attempts.rs
+++ b/crates/gateway/tests/attempts.rs
@@ -4,6 +4,7 @@
 mod harness;
 
 use harness::Harness;
+use harness::RESUMABLE;
 use harness::RunningHost;
 use harness::store::ScriptedStore;
 use harness::targets::Action;
@@ -171,6 +172,38 @@
     assert_eq!(results[0].text.as_ref().unwrap(), &item_text(ITEM));
 }
 
+// Its next run would have to wait for twice as long.
+#[tokio::test]
+async fn an_item_in_doubt_is_not_preempted_before_its_target_answers() {
+    let harness = Harness::new(&["t1"]);
+    harness.configure_lasting_jobs(2);
+    harness.targets.hold_heads(true);
+    let short_calm = |settings: &mut Settings| settings.batch.calm_ms = CALM_MS;
+    let mut owner = Connected::start_with(&harness, "a0", short_calm).await;
+    owner.host.submit("j1", 1, 10).await.unwrap();
+    for lost_hosts in 1..=IMPOSSIBLE_MAX {
+        wait_until("the item runs", || run_count(&harness) == lost_hosts).await;
+        owner.kill();
+        owner = Connected::start_with(&harness, "a0", short_calm).await;
+    }
+    wait_until("the item runs in calm", || {
+        harness.targets.active_runs(ITEM) == 1 && run_count(&harness) > IMPOSSIBLE_MAX
+    })
+    .await;
+    let ids = ["a", "b", "c", "d", "e", "f"];
+    let requests = ids.map(|id| owner.host.send(RESUMABLE, id));
+    let release = async {
+        let targets = &harness.targets;
+        wait_until("online requests run", || targets.active() > ids.len() / 2).await;
+        assert_eq!(targets.active_runs(ITEM), 1);
+        targets.hold_heads(false);
+    };
+    let (_, ()) = tokio::join!(futures_util::future::join_all(requests), release);
+    let results = owner.host.results("j1", 1).await;
+    assert_eq!(results[0].text.as_ref().unwrap(), &item_text(ITEM));
+    assert_eq!(run_count(&harness), IMPOSSIBLE_MAX + 1);
+}
+
 #[rstest]
 #[case::the_connection_breaks(Action::NoReply(NoReply::Broken))]
 #[case::it_belongs_to_another_request(Action::NoReply(NoReply::Unknown(
