--- a/crates/routing/src/quarantine.rs
+++ b/crates/routing/src/quarantine.rs
@@ -12,6 +12,8 @@
 //! * run a suspect at no more targets at once, over all hosts, than it may still crash;
 //! * run a request that is blamed for its crashes nowhere until it has been blocked for a
 //!   long time;
+//! * run an item of a job again once no target has crashed for a time, since it is owed a result
+//!   ([`Quarantine::admit_item`]);
 //! * clear a request that completed, or that ran for far longer than it takes to crash a
 //!   target: it does not crash every target that runs it.
 //!
--- a/crates/routing/src/quarantine/parts.rs
+++ b/crates/routing/src/quarantine/parts.rs
@@ -59,6 +59,10 @@
 //! Blocking without a trial was rejected: if all targets crash together, the parts of all requests
 //! would stay blocked, as nothing is left to clear them.
 //!
+//! An item of a job is owed a result, so in calm it is tried although a part is blocked for online
+//! requests ([`Parts::admit_item`]). If the part is to blame, that costs a target for each trial; if
+//! not, the answer clears the part for all.
+//!
 //! Clearances are points in time and not counted as those of requests are: hosts clear a part
 //! in wide use independently of one another, and a crash after one clearance must not be
 //! discarded with those before another. Times are exchanged as ages, so a crash that is detected
