--- a/crates/ledger/src/jobs/runs.rs
+++ b/crates/ledger/src/jobs/runs.rs
@@ -26,8 +26,8 @@
 //! for `2^n` periods. In calm the outcome of a run is learnt, which ends the doubt: an item that a
 //! target begins to answer is free of the limits, and one that fails is known to have. Failing answers
 //! beyond the limits are therefore at most one, and one more for each owner that is lost during such a
-//! run, or answer that is lost, although it was calm for `2^n` periods before; in a time `t` there are
-//! at most `log2(t / period)` of these.
+//! run, or answer that is lost, although it was calm for `2^n` periods before: in a time `t` at most
+//! `log2(t / period)` of these, up to [`CALM_EXPONENT_MAX`].
 //!
 //! An owner that did not use its admission withdraws it when it loses the job or shuts down, so waiting
 //! for a slow store or for a slot leaves no doubt.
