--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -194,6 +194,10 @@
     /// targets that are no longer cold.
     fn sweep(&self, now: Instant) {
         lock(&self.deps.balancer).end_cold(now);
+        if let Some(age) = self.targets_age() {
+            let age_ms = usize::try_from(age.as_millis()).unwrap_or(usize::MAX);
+            self.deps.metrics.set("targets_age_ms", age_ms);
+        }
         let mut state = lock(&self.state);
         if !state.targets.has_missing_entries() {
             return;
--- a/crates/gateway/src/catalog/records.rs
+++ b/crates/gateway/src/catalog/records.rs
@@ -87,6 +87,13 @@
         lock(&self.state).targets.end()
     }
 
+    /// Returns the age of the view of the targets: the time since the newest complete read was
+    /// requested. `None` if there was none.
+    pub(crate) fn targets_age(&self) -> Option<Duration> {
+        let as_of = lock(&self.state).targets.complete_as_of();
+        as_of.map(|at| at.elapsed())
+    }
+
     /// Returns the offset and the checksum of the targets as of it, if they can be compared.
     pub(crate) fn targets_checksum(&self) -> Option<(u64, u64)> {
         let state = lock(&self.state);
--- a/crates/gateway/src/items/run.rs
+++ b/crates/gateway/src/items/run.rs
@@ -132,6 +132,8 @@
     records_age: Option<Duration>,
     records_end: u64,
     applied_end: u64,
+    /// The age of the host's view of the targets, if it is known.
+    targets_age: Option<Duration>,
 }
 
 impl Start {
@@ -142,6 +144,7 @@
             records_age: ctx.journal.staleness(),
             records_end: ctx.journal.jobs().end(),
             applied_end: lock(&ctx.items.backlog).applied_end(),
+            targets_age: ctx.catalog.targets_age(),
         }
     }
 }
@@ -237,6 +240,7 @@
         "is_answered" => head.is_some(), "proof" => proof(outcome), "took_ms" => millis(took),
         "records_end" => start.records_end, "applied_end" => start.applied_end,
         "records_age_ms" => start.records_age.map(millis),
+        "targets_age_ms" => start.targets_age.map(millis),
         "fingerprint" => fingerprint.map(fingerprint::to_hex));
     let events = item.event_count().saturating_sub(count(resumed_after));
     if is_sent && events == 0 && is_in_doubt(outcome, head) {
--- a/crates/gateway/src/online/trace.rs
+++ b/crates/gateway/src/online/trace.rs
@@ -46,6 +46,8 @@
     target: Option<TargetId>,
     /// The version of that target's software, if known.
     version: Option<TargetVersion>,
+    /// The age of the host's view of the targets at the choice, if it is known.
+    targets_age: Option<Duration>,
     resumption: Option<Resumption>,
     /// The version at which the stream began.
     began_at: Option<TargetVersion>,
@@ -87,6 +89,7 @@
             arrived,
             target: None,
             version: None,
+            targets_age: None,
             resumption: request.resumption.clone(),
             began_at: None,
             known_by: None,
@@ -128,6 +131,7 @@
         let spec = balancer.spec(&choice.target);
         record.version = spec.and_then(|spec| spec.version.clone());
         drop(balancer);
+        record.targets_age = record.ctx.catalog.targets_age();
         record.load = load.total().saturating_sub(1);
         record.target = Some(choice.target.clone());
         record.slot_source = match choice.slot_source {
@@ -151,6 +155,7 @@
         slog::info!(record.ctx.logger, "offer failed"; "id" => record.id.as_str(),
             "target" => target.as_str(), "reason" => err.reason(),
             "may_have_run" => err.may_have_run(), "proof" => err.proof(), "offers" => record.offers,
+            "targets_age_ms" => record.targets_age.map(millis),
             "fingerprint" => fingerprint.map(fingerprint::to_hex),
             "after_ms" => millis(record.arrived.elapsed()));
     }
@@ -247,6 +252,7 @@
             "began_at" => self.began_at.as_deref(), "known_by" => self.known_by.as_deref(),
             "record_age_ms" => self.record_age.map(millis), "known_after_ms" => self.known_after.map(millis),
             "target" => self.target.as_deref(), "version" => self.version.as_deref(), "room" => self.slot_source, "load" => self.load,
+            "targets_age_ms" => self.targets_age.map(millis),
             "offers" => self.offers, "status" => self.status.map(|s| s.as_u16()),
             "first_ms" => first.map(millis), "target_first_ms" => self.target_first_event.map(millis),
             "whole_ms" => millis(self.arrived.elapsed()));
