Start a task of a host again when it ends, and do not count as ready meanwhile

Callers saw: after one odd entry, a host went on sending by the targets that it knew when its reading task panicked, for good, and reported itself ready. Of some forty tasks of a host no handle was kept, so a panic or an early return ended one duty silently.

Sequence numbers of records and statuses outlive a restart of their task. Ending the process was ruled out: a record that makes every host panic would end the fleet. Not supervised: the timer service (its end ends its subscribers, which are), tasks of single requests, connections and calls.

--- a/crates/gateway/src/catalog/follow.rs
+++ b/crates/gateway/src/catalog/follow.rs
@@ -11,6 +11,7 @@
 use super::Updated;
 use super::config;
 use crate::context::Context;
+use crate::context::Until;
 use crate::follower::PollConfig;
 use crate::follower::Source;
 use crate::peers;
@@ -53,9 +54,10 @@
 
 /// Starts to follow the configuration and target topics.
 pub(crate) fn start(ctx: &Arc<Context>) {
-    tokio::spawn(follow_config(Arc::clone(ctx)));
-    tokio::spawn(follow_targets(Arc::clone(ctx)));
-    tokio::spawn(sweep(Arc::clone(ctx)));
+    let until = Until::Phase(Phase::Stopped);
+    ctx.spawn_duty("follow configuration", until, follow_config);
+    ctx.spawn_duty("follow targets", until, follow_targets);
+    ctx.spawn_duty("expire targets", until, sweep);
 }
 
 async fn follow_config(ctx: Arc<Context>) {
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -6,6 +6,7 @@
 
 use notchwharf_config::gateway::Settings;
 use notchwharf_config::routes::Table;
+use notchwharf_duties::Supervisor;
 use notchwharf_listen::Phase;
 use notchwharf_routing::balancer;
 use notchwharf_routing::balancer::Balancer;
@@ -23,6 +24,7 @@
 use crate::items::Items;
 use crate::journal::Journal;
 use crate::limits::Limits;
+use crate::metrics::Counted;
 use crate::metrics::Metrics;
 use crate::origins::StreamOrigins;
 use crate::peers::Peers;
@@ -58,6 +60,8 @@
     pub timer: Timer,
     /// The lifecycle phase of the process.
     pub phase: watch::Sender<Phase>,
+    /// Keeps the tasks of this host running.
+    duties: Supervisor,
     /// The current routes; `None` until they are known.
     pub routes: watch::Sender<Option<Arc<Table>>>,
     /// Requests and calls that have not been responded to yet.
@@ -155,6 +159,10 @@
         Self {
             timer: Timer::start(),
             phase: watch::Sender::new(Phase::Starting),
+            duties: Supervisor::new(
+                notchwharf_duties::Config::default(),
+                report_duty(&metrics, &logger),
+            ),
             routes,
             in_flight: Gauge::default(),
             connections: Gauge::default(),
@@ -185,6 +193,31 @@
         }
     }
 
+    /// Starts a task that ends no earlier than `until`: it is started again if it panics or returns
+    /// before. While it is down, the host does not count as healthy.
+    pub fn spawn_duty<F>(
+        self: &Arc<Self>,
+        duty: notchwharf_duties::Name,
+        until: Until,
+        run: impl Fn(Arc<Self>) -> F + Send + 'static,
+    ) where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let phase = self.phase.subscribe();
+        let may_end = move || match until {
+            Until::Phase(until) => *phase.borrow() >= until,
+            Until::Done => true,
+        };
+        let ctx = Arc::clone(self);
+        self.duties
+            .spawn(duty, may_end, move || run(Arc::clone(&ctx)));
+    }
+
+    /// Returns whether the host serves and all of its tasks are running.
+    pub fn is_healthy(&self) -> bool {
+        self.phase() == Phase::Ready && self.duties.are_all_up()
+    }
+
     /// Returns this host's name.
     pub fn host(&self) -> &str {
         &self.settings.host.name
@@ -289,3 +322,30 @@
         let _ = phase.wait_for(|p| *p == Phase::Stopped).await;
     }
 }
+
+/// When a task of a host may end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Until {
+    /// From a phase of the host on.
+    Phase(Phase),
+    /// Once it has done its work.
+    Done,
+}
+
+/// Returns a function that logs and counts the ends of tasks.
+fn report_duty(
+    metrics: &Arc<Metrics>,
+    logger: &slog::Logger,
+) -> impl Fn(&notchwharf_duties::Event) + Send + Sync + 'static {
+    let (metrics, logger) = (Arc::clone(metrics), logger.clone());
+    move |event| match event {
+        notchwharf_duties::Event::Ended { duty, end } => {
+            slog::error!(logger, "task ended; starting it again"; "task" => *duty,
+                "error" => end.to_string());
+            metrics.count(Counted::Changes, "task ended");
+        }
+        notchwharf_duties::Event::Recovered { duty } => {
+            slog::info!(logger, "task runs again"; "task" => *duty);
+        }
+    }
+}
--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -50,6 +50,7 @@
 use crate::backlog::ItemKey;
 use crate::backlog::Updated;
 use crate::context::Context;
+use crate::context::Until;
 use crate::cpu_time;
 use crate::cpu_time::Activity;
 use crate::metrics::Counted;
@@ -166,14 +167,15 @@
 
 /// Starts the tasks that run items.
 pub(crate) fn start(ctx: &Arc<Context>) {
-    tokio::spawn(schedule(Arc::clone(ctx)));
-    tokio::spawn(follow_records(Arc::clone(ctx)));
-    tokio::spawn(check_targets(Arc::clone(ctx)));
-    tokio::spawn(takeover::run(Arc::clone(ctx)));
-    let saves = ctx.timer.subscribe(ms(ctx.settings.batch.save_ms));
-    let phase = ctx.phase.subscribe();
-    let shared = Arc::clone(ctx);
-    tokio::spawn(async move { shared.progress.run(saves, phase).await });
+    let until = Until::Phase(Phase::Leaving);
+    ctx.spawn_duty("schedule items", until, schedule);
+    ctx.spawn_duty("apply job records", until, follow_records);
+    ctx.spawn_duty("preempt items", until, check_targets);
+    ctx.spawn_duty("take jobs over", until, takeover::run);
+    ctx.spawn_duty("save progress", until, |ctx| async move {
+        let saves = ctx.timer.subscribe(ms(ctx.settings.batch.save_ms));
+        ctx.progress.run(saves, ctx.phase.subscribe()).await;
+    });
 }
 
 /// Applies the job records whenever they change, until the host shuts down.
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -30,6 +30,7 @@
 use notchwharf_ledger::jobs::Offset;
 use notchwharf_ledger::jobs::Record;
 use notchwharf_ledger::jobs::Snapshot;
+use notchwharf_listen::Phase;
 use notchwharf_telemetry::gauge::Gauge;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -38,6 +39,7 @@
 use self::append::Append;
 use crate::cleanup;
 use crate::context::Context;
+use crate::context::Until;
 use crate::cpu_time;
 use crate::cpu_time::Activity;
 use crate::ports::StoreError;
@@ -310,6 +312,14 @@
     // The context is new, so neither was set before.
     let _ = ctx.journal.syncs.set(syncs);
     let _ = ctx.journal.appends.set(appends);
-    tokio::spawn(read::read_loop(Arc::clone(ctx), sync_requests));
-    tokio::spawn(append::append_loop(Arc::clone(ctx), append_requests));
+    let until = Until::Phase(Phase::Stopped);
+    let sync_requests = Arc::new(tokio::sync::Mutex::new(sync_requests));
+    ctx.spawn_duty("read job records", until, move |ctx| {
+        read::read_loop(ctx, Arc::clone(&sync_requests))
+    });
+    let append_requests = Arc::new(tokio::sync::Mutex::new(append_requests));
+    let number = Arc::new(AtomicU64::new(0));
+    ctx.spawn_duty("append job records", until, move |ctx| {
+        append::append_loop(ctx, Arc::clone(&append_requests), Arc::clone(&number))
+    });
 }
--- a/crates/gateway/src/journal/append.rs
+++ b/crates/gateway/src/journal/append.rs
@@ -2,6 +2,8 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -34,9 +36,16 @@
     pub(super) done: oneshot::Sender<Result<Applied, AppendError>>,
 }
 
-pub(super) async fn append_loop(ctx: Arc<Context>, mut requests: mpsc::UnboundedReceiver<Append>) {
+///
+/// `number` numbers the records of this process; no two of them have the same key, also if the loop is
+/// started again.
+pub(super) async fn append_loop(
+    ctx: Arc<Context>,
+    requests: Arc<tokio::sync::Mutex<mpsc::UnboundedReceiver<Append>>>,
+    number: Arc<AtomicU64>,
+) {
+    let mut requests = requests.lock().await;
     let mut queue: VecDeque<Append> = VecDeque::new();
-    let mut number = 0;
     loop {
         if queue.is_empty() {
             match requests.recv().await {
@@ -50,7 +59,7 @@
         let count = queue.len().min(APPEND_RECORDS_MAX);
         let batch: Vec<Append> = queue.drain(..count).collect();
         let entries = batch.iter().map(|append| {
-            number += 1;
+            let number = number.fetch_add(1, Ordering::Relaxed) + 1;
             let key = format!("{}.{number:x}", ctx.writer_id);
             let value = Some(append.record.encode().into());
             Entry { key, value }
--- a/crates/gateway/src/journal/read.rs
+++ b/crates/gateway/src/journal/read.rs
@@ -35,8 +35,9 @@
 
 pub(super) async fn read_loop(
     ctx: Arc<Context>,
-    mut requests: mpsc::UnboundedReceiver<SyncRequest>,
+    requests: Arc<tokio::sync::Mutex<mpsc::UnboundedReceiver<SyncRequest>>>,
 ) {
+    let mut requests = requests.lock().await;
     let mut ticks = ctx.timer.subscribe(ms(ctx.settings.store.poll_ms));
     while ctx.phase() != Phase::Stopped {
         let mut waiting = Vec::new();
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -13,6 +13,7 @@
 use crate::catalog;
 use crate::cleanup;
 use crate::context::Context;
+use crate::context::Until;
 use crate::cpu_time;
 use crate::error::StartError;
 use crate::items;
@@ -61,20 +62,26 @@
         journal::start(&ctx);
         peers::start(&ctx, socket, listeners);
         quarantine::start(&ctx);
-        tokio::spawn(limits::run(Arc::clone(&ctx)));
-        tokio::spawn(waiting::run(
-            Arc::clone(&ctx.request_queue),
-            ctx.phase.subscribe(),
-        ));
+        let until = Until::Phase(Phase::Stopped);
+        ctx.spawn_duty("share limits", until, limits::run);
+        ctx.spawn_duty("serve wait queue", until, |ctx| {
+            waiting::run(Arc::clone(&ctx.request_queue), ctx.phase.subscribe())
+        });
         items::start(&ctx);
-        tokio::spawn(cleanup::run(Arc::clone(&ctx)));
-        tokio::spawn(origins::run(Arc::clone(&ctx)));
-        tokio::spawn(cpu_time::report(
-            Arc::clone(&ctx.metrics),
-            ctx.logger.clone(),
-            ctx.timer.subscribe(cpu_time::REPORT_INTERVAL),
-            ctx.phase.subscribe(),
-        ));
+        ctx.spawn_duty(
+            "delete expired records",
+            Until::Phase(Phase::Leaving),
+            cleanup::run,
+        );
+        origins::start(&ctx);
+        ctx.spawn_duty("report processor time", until, |ctx| {
+            cpu_time::report(
+                Arc::clone(&ctx.metrics),
+                ctx.logger.clone(),
+                ctx.timer.subscribe(cpu_time::REPORT_INTERVAL),
+                ctx.phase.subscribe(),
+            )
+        });
         slog::info!(ctx.logger, "started"; "incarnation" => ctx.incarnation,
             "peer_listen" => addr.to_string(),
             "data_centre" => ctx.settings.host.data_centre.as_str());
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -26,6 +26,7 @@
 use notchwharf_startup::Dependency;
 
 use crate::context::Context;
+use crate::context::Until;
 use crate::error::Failure;
 use crate::metrics::Counted;
 use crate::online::Resumption;
@@ -297,9 +298,18 @@
     known.collect()
 }
 
-/// Records versions, removes expired records and updates gauges until the host stops.
-pub(crate) async fn run(ctx: Arc<Context>) {
-    tokio::spawn(records::run(Arc::clone(&ctx)));
+/// Starts to record versions, and to forget origins and versions.
+pub(crate) fn start(ctx: &Arc<Context>) {
+    ctx.spawn_duty(
+        "record versions",
+        Until::Phase(Phase::Leaving),
+        records::run,
+    );
+    ctx.spawn_duty("forget origins", Until::Phase(Phase::Stopped), run);
+}
+
+/// Removes expired records and updates gauges until the host stops.
+async fn run(ctx: Arc<Context>) {
     let mut ticks = ctx.timer.subscribe(UPDATE_INTERVAL);
     while ticks.recv().await.is_some() && ctx.phase() != Phase::Stopped {
         let now = Instant::now();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -29,6 +29,7 @@
 use std::sync::Mutex;
 use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -55,6 +56,7 @@
 use tokio::sync::Notify;
 
 use crate::context::Context;
+use crate::context::Until;
 use crate::follower::Source;
 use crate::metrics::Counted;
 use crate::ports::Topic;
@@ -364,36 +366,41 @@
 pub(crate) fn start(ctx: &Arc<Context>, socket: UdpSocket, listeners: Vec<TcpListener>) {
     // The context is new, so the socket was not set before.
     let _ = ctx.peers.socket.set(socket);
-    tokio::spawn(host_list::register(Arc::clone(ctx)));
-    let (shared, list_ctx) = (Arc::clone(ctx), Arc::clone(ctx));
+    let until = Until::Phase(Phase::Stopped);
+    ctx.spawn_duty("register host", Until::Done, host_list::register);
+    ctx.spawn_duty("follow hosts", until, follow_hosts);
+    spread::start(ctx, links::new(ctx));
+    ctx.spawn_duty("contact seeds", Until::Done, contact::run);
+    let number = Arc::new(AtomicU64::new(0));
+    ctx.spawn_duty("send status", until, move |ctx| {
+        status::run_sender(ctx, Arc::clone(&number))
+    });
+    ctx.spawn_duty("receive status", until, status::run_receiver);
+    ctx.spawn_duty("relay status", until, relay::run);
+    ctx.spawn_duty("send cell status", until, cell::run);
+    ctx.spawn_duty("decide role", Until::Done, bootstrap::run);
+    ctx.spawn_duty("report suspects", until, suspects::send_periodic_reports);
+    ctx.spawn_duty("request versions", until, versions::run);
+    ctx.spawn_duty("detect failed hosts", until, sweep);
+    for listener in listeners {
+        let listener = Arc::new(listener);
+        ctx.spawn_duty("serve hosts", until, move |ctx| {
+            rpc::serve(ctx, Arc::clone(&listener))
+        });
+    }
+}
+
+async fn follow_hosts(ctx: Arc<Context>) {
+    let list_ctx = Arc::clone(&ctx);
     let source = Source {
         from: Box::new(move || Some(host_list::end(&list_ctx)).filter(|end| *end > 0)),
         is_reader: ctx.distributor.is_reader(),
         reads_first: true,
     };
-    tokio::spawn(ctx.follower().follow(
-        Topic::Hosts,
-        host_list::POLL_CONFIG,
-        source,
-        move |attempt| {
-            host_list::apply_read(&shared, attempt);
-        },
-    ));
-    let ticks = ctx.timer.subscribe(spread::TICK);
-    let links = links::new(ctx);
-    spread::start(&ctx.distributor, links, ticks, ctx.phase.subscribe());
-    tokio::spawn(contact::run(Arc::clone(ctx)));
-    tokio::spawn(status::run_sender(Arc::clone(ctx)));
-    tokio::spawn(status::run_receiver(Arc::clone(ctx)));
-    tokio::spawn(relay::run(Arc::clone(ctx)));
-    tokio::spawn(cell::run(Arc::clone(ctx)));
-    tokio::spawn(bootstrap::run(Arc::clone(ctx)));
-    tokio::spawn(suspects::send_periodic_reports(Arc::clone(ctx)));
-    tokio::spawn(versions::run(Arc::clone(ctx)));
-    tokio::spawn(sweep(Arc::clone(ctx)));
-    for listener in listeners {
-        tokio::spawn(rpc::serve(Arc::clone(ctx), listener));
-    }
+    let sink = |attempt| host_list::apply_read(&ctx, attempt);
+    ctx.follower()
+        .follow(Topic::Hosts, host_list::POLL_CONFIG, source, sink)
+        .await;
 }
 
 /// Returns the number of hosts that notify one another of each change, including this one.
--- a/crates/gateway/src/peers/rpc.rs
+++ b/crates/gateway/src/peers/rpc.rs
@@ -122,7 +122,7 @@
 }
 
 /// Serves calls of peers until the host stops.
-pub(super) async fn serve(ctx: Arc<Context>, listener: TcpListener) {
+pub(super) async fn serve(ctx: Arc<Context>, listener: Arc<TcpListener>) {
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
--- a/crates/gateway/src/peers/status.rs
+++ b/crates/gateway/src/peers/status.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -77,12 +79,12 @@
     }
 }
 
-/// Sends this host's status to peers, when it changes and at each heartbeat.
-pub(super) async fn run_sender(ctx: Arc<Context>) {
+/// Sends this host's status to peers, when it changes and at each heartbeat. `number` numbers the
+/// statuses of this process; peers ignore one that is not newer, also if the task is started again.
+pub(super) async fn run_sender(ctx: Arc<Context>, number: Arc<AtomicU64>) {
     let settings = &ctx.settings.peers;
     let interval = ms(settings.news_ms);
     let mut schedule = Schedule::new(ms(settings.beat_ms), Instant::now());
-    let mut number = 0;
     if let Some(socket) = ctx.peers.socket.get() {
         // The runtime reports a new socket as writable only after a first poll; sends before that
         // fail, and a peer that misses the first status receives the next one a second later. An
@@ -93,7 +95,7 @@
         let wait = schedule.wait(Instant::now());
         let notified = tokio::time::timeout(wait, ctx.peers.changed.notified()).await;
         let due = schedule.due(notified.is_ok(), Instant::now());
-        number += 1;
+        let number = number.fetch_add(1, Ordering::Relaxed) + 1;
         let Some(socket) = ctx.peers.socket.get() else {
             return;
         };
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -25,6 +25,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use notchwharf_listen::Phase;
 use notchwharf_quarantine::gate::Blocked;
 use notchwharf_quarantine::gate::Gate;
 use notchwharf_quarantine::gate::RunGuard;
@@ -42,6 +43,7 @@
 pub(crate) use self::probe::check_unmarked_end;
 use crate::backlog::Item;
 use crate::context::Context;
+use crate::context::Until;
 use crate::fingerprint;
 use crate::metrics::Counted;
 use crate::peers;
@@ -71,9 +73,10 @@
 
 /// Starts to send reports to other hosts, and to load what was blamed before this host started.
 pub(crate) fn start(ctx: &Arc<Context>) {
-    tokio::spawn(suspects::broadcast_changes(Arc::clone(ctx)));
-    tokio::spawn(records::load(Arc::clone(ctx)));
-    tokio::spawn(suspects::catch_up(Arc::clone(ctx)));
+    let until = Until::Phase(Phase::Stopped);
+    ctx.spawn_duty("report crashes", until, suspects::broadcast_changes);
+    ctx.spawn_duty("load suspects", Until::Done, records::load);
+    ctx.spawn_duty("request suspects", Until::Done, suspects::catch_up);
 }
 
 /// Deletes the records of requests and parts whose last crash is long ago.
--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -39,6 +39,8 @@
 use crate::catalog::Catalog;
 use crate::catalog::PeerReading;
 use crate::catalog::Versions;
+use crate::context::Context;
+use crate::context::Until;
 use crate::metrics::Counted;
 use crate::metrics::Metrics;
 use crate::store::Store;
@@ -262,17 +264,18 @@
     }
 }
 
-/// Starts the distributor, which runs until the host stops.
-pub(crate) fn start(
-    distributor: &Arc<Distributor>,
-    links: Links,
-    ticks: mpsc::Receiver<Instant>,
-    phase: watch::Receiver<Phase>,
-) {
+/// Starts the distributor of a host, which runs until the host stops.
+pub(crate) fn start(ctx: &Arc<Context>, links: Links) {
     // Set only once, since the distributor is new.
-    let _ = distributor.links.set(links);
-    tokio::spawn(run_reader(Arc::clone(distributor), ticks, phase.clone()));
-    tokio::spawn(catch_up(Arc::clone(distributor), phase));
+    let _ = ctx.distributor.links.set(links);
+    let until = Until::Phase(Phase::Stopped);
+    ctx.spawn_duty("announce changes", until, |ctx| {
+        let ticks = ctx.timer.subscribe(TICK);
+        run_reader(Arc::clone(&ctx.distributor), ticks, ctx.phase.subscribe())
+    });
+    ctx.spawn_duty("catch up with changes", until, |ctx| {
+        catch_up(Arc::clone(&ctx.distributor), ctx.phase.subscribe())
+    });
 }
 
 /// Updates whether this host reads the log, and announces what it has read.
--- a/crates/listen/src/lib.rs
+++ b/crates/listen/src/lib.rs
@@ -87,7 +87,7 @@
 /// While the phase is [`Phase::Leaving`], connections are still accepted and requests served,
 /// with `connection: close` in each response. A load balancer in front of the host may notice
 /// the shutdown late, and each connection that is refused until then is a failed request.
-pub async fn serve<F, R, B>(mut cfg: Config, listener: TcpListener, handler: F)
+pub async fn serve<F, R, B>(mut cfg: Config, listener: &TcpListener, handler: F)
 where
     F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Response<B>> + Send + 'static,
--- a/crates/server/src/api/listen.rs
+++ b/crates/server/src/api/listen.rs
@@ -30,5 +30,5 @@
         limits: Arc::new(move || limits),
     };
     let handler = move |req| handler(Arc::clone(&ctx), req);
-    notchwharf_listen::serve(cfg, listener, handler).await;
+    notchwharf_listen::serve(cfg, &listener, handler).await;
 }
