Bound the numbers of a target's entry where it is decoded

Callers saw: requests reached targets that had left, for good. An entry with coldLeftMs of 1e22 fits a Duration and, added to the time, no Instant: the task that reads the targets' entries panicked at every host (odd_entry_does_not_end_the_reading_of_entries, case cold_for_ever, failed before: it waited 30 s for a later entry; passes now). A saturating sum at each use was ruled out: the next use forgets it.

--- a/crates/gateway/src/catalog/records.rs
+++ b/crates/gateway/src/catalog/records.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use notchwharf_proto::records;
+use notchwharf_routing::balancer;
 use notchwharf_routing::balancer::Spec;
 use notchwharf_routing::discovery::CallHistory;
 use notchwharf_routing::discovery::Difference;
@@ -257,10 +258,10 @@
         service: target.service,
         data_centre: target.data_centre,
         addr: target.addr,
-        slots: target.slots,
+        slots: target.slots.min(balancer::SLOTS_MAX),
         is_leaving: target.leaving,
         started_unix_ms: target.born_unix_ms,
-        cold_left: ms(target.cold_left_ms),
+        cold_left: ms(target.cold_left_ms).min(balancer::COLD_MAX),
         version: target.version,
     }
 }
--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -92,7 +92,13 @@
     }
 }
 
-/// The properties of a target.
+/// Maximum number of slots of a target. Slots of all targets are added up in 32 bits.
+pub const SLOTS_MAX: u32 = 1 << 16;
+/// Maximum time for which a target is cold.
+pub const COLD_MAX: Duration = Duration::from_secs(24 * 60 * 60);
+
+/// The properties of a target. Whoever decodes them keeps to [`SLOTS_MAX`] and [`COLD_MAX`], so that no
+/// sum exceeds its type.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Spec {
     /// The service that it provides.
