Keep a target that has said that it leaves out until it starts anew

Callers saw: requests reached a target seconds after the store had acknowledged that it leaves. A view remembers the starts that have said that they leave, also beyond the removal of the entry. The gauge late_target_entries counts entries that were overruled.

Not covered: a late heartbeat after a removal that no draining preceded, which looks like an entry that expired and is back, and a host that lists the entries after the late one.

--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -182,6 +182,8 @@
             Err(_) => return Updated::default(),
         };
         state.peer_evidence = None;
+        let late = usize::try_from(state.targets.late_entries()).unwrap_or(usize::MAX);
+        self.deps.metrics.set("late_target_entries", late);
         let targets = self.apply_changes(complete_as_of, &evidence, changes, now);
         self.deps.startup.mark_ready(Dependency::Targets, "store");
         Updated {
--- a/crates/routing/src/discovery.rs
+++ b/crates/routing/src/discovery.rs
@@ -31,6 +31,7 @@
 //! (one that is shutting down answers like any other).
 
 mod call_history;
+mod departed;
 mod difference;
 mod entries;
 mod record;
@@ -45,6 +46,7 @@
 pub use self::call_history::CallHistory;
 pub use self::call_history::Evidence;
 pub use self::call_history::Failure;
+use self::departed::Departed;
 pub use self::difference::Difference;
 pub use self::difference::Page;
 use self::difference::PartialListing;
@@ -125,6 +127,8 @@
     /// The targets whose newest entry cannot be decoded. A heartbeat that repeats such an entry
     /// is not a change.
     unreadable: HashSet<TargetId>,
+    /// The targets that have said that they leave.
+    departed: Departed,
     /// The offsets of removals that are not below `end`, by which the records before them are
     /// recognised as older.
     removed: HashMap<TargetId, u64>,
@@ -181,6 +185,7 @@
             known: Entries::default(),
             missing: HashMap::new(),
             unreadable: HashSet::new(),
+            departed: Departed::default(),
             removed: HashMap::new(),
             changes: Changes::new(changes_retained),
             end: 0,
@@ -199,6 +204,11 @@
         self.complete_as_of
     }
 
+    /// Returns the number of entries that said that a target is ready after it had said that it leaves.
+    pub fn late_entries(&self) -> u64 {
+        self.departed.late_entries()
+    }
+
     /// Returns the entries for another host. Missing entries are omitted, as the receiver
     /// must not retain them for longer than this host does.
     pub fn entries(&self) -> impl Iterator<Item = (&TargetId, u64, &Spec)> {
@@ -417,6 +427,7 @@
         offset: u64,
         spec: Spec,
     ) -> Option<Change<E>> {
+        let spec = self.departed.apply(&id, spec);
         let was_missing = self.missing.remove(&id).is_some();
         self.unreadable.remove(&id);
         self.removed.remove(&id);
