Let an unnamed stream go on only by a view of the targets that is complete as of its request

Callers saw: a stream that began at a new version through another host broke, was taken up at a host that stood still or was cut off, and went on at the version that this host knew.

Such a request now reads the newest entries first, one read for all that wait; if the store does not answer, it waits until all live peers have reported since the request, and none knows more of the targets. Otherwise it is refused as not run with a retry time of 0.1 s, as another host may be in step; 500 ms at most. Ruled out: refusing while the view is older than a time (it ages a second in calm), and asking peers first (those that knew may be the ones that are gone).

--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -9,6 +9,7 @@
 mod evacuation;
 mod follow;
 mod records;
+mod targets;
 
 use std::fmt;
 use std::sync::Arc;
@@ -54,6 +55,7 @@
 pub(crate) use self::records::Config;
 pub(crate) use self::records::PeerReading;
 pub(crate) use self::records::Versions;
+pub(crate) use self::targets::confirm as confirm_targets;
 
 /// Time after an outage of the store within which running targets write their entries again, as
 /// specified by the platform.
@@ -94,6 +96,8 @@
     state: Mutex<State>,
     /// When the store was last queried for a newer configuration.
     last_check: tokio::sync::Mutex<Option<Instant>>,
+    /// When the store was last asked whether the targets known here are the newest.
+    last_targets_check: tokio::sync::Mutex<Option<Instant>>,
     deps: Dependencies,
 }
 
@@ -142,6 +146,7 @@
         Self {
             state: Mutex::new(state),
             last_check: tokio::sync::Mutex::default(),
+            last_targets_check: tokio::sync::Mutex::default(),
             deps,
         }
     }
--- /dev/null
+++ b/crates/gateway/src/catalog/targets.rs
@@ -0,0 +1,81 @@
+//! Whether the targets that a host knows are those of the present.
+//!
+//! A view of the targets is used as long as nothing contradicts it, and a host that stood still or is cut
+//! off hears no contradiction. The version at which a stream began that its caller does not name is therefore
+//! decided only by a view that is complete as of the request.
+//!
+//! Asking the store for each request was rejected: it costs a call and a round trip for a view that is at most
+//! some hundred milliseconds old while reads succeed.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use super::Catalog;
+use super::follow::notify;
+use crate::context::Context;
+use crate::metrics::Counted;
+use crate::ports::Topic;
+use crate::sync::lock;
+
+/// Minimum time between two reads that confirm the view. Requests that arrive meanwhile share a read.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(50);
+/// Time between two checks of whether the peers have reported.
+const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Ensures that the targets known here are those of `since` or later; returns whether they are. Asks the
+/// store, and if it does not answer, waits for the reports of all peers: whatever one of them knows of
+/// the targets is known here then.
+pub(crate) async fn confirm(ctx: &Context, since: Instant, deadline: Instant) -> bool {
+    if ctx.catalog.are_targets_complete(since) {
+        return true;
+    }
+    let deadline = tokio::time::Instant::from_std(deadline);
+    let confirmed = tokio::time::timeout_at(deadline, async {
+        if ctx.store.is_up() {
+            read_newest(ctx, since).await;
+        }
+        if ctx.catalog.are_targets_complete(since) {
+            return true;
+        }
+        wait_for_peers(ctx, since).await;
+        ctx.metrics
+            .count(Counted::Changes, "targets confirmed by peers");
+        true
+    });
+    confirmed.await.unwrap_or(false)
+}
+
+/// Reads the newest entries, unless another request has done so since.
+async fn read_newest(ctx: &Context, since: Instant) {
+    let mut last = ctx.catalog.last_targets_check.lock().await;
+    if ctx.catalog.are_targets_complete(since) {
+        return;
+    }
+    if let Some(last) = *last {
+        tokio::time::sleep_until((last + CONFIRM_INTERVAL).into()).await;
+    }
+    *last = Some(Instant::now());
+    let from = Some(ctx.catalog.targets_end()).filter(|end| *end > 0);
+    let attempt = ctx.follower().read_once(Topic::Targets, from).await;
+    ctx.metrics.count(Counted::Changes, "targets looked for");
+    let updated = ctx.catalog.apply_targets(attempt, Instant::now());
+    notify(ctx, updated);
+}
+
+/// Waits until all peers that are alive have reported since, and none knows more of the targets.
+async fn wait_for_peers(ctx: &Context, since: Instant) {
+    loop {
+        let newest = ctx.peers.newest_targets_since(since);
+        if newest.is_some_and(|newest| newest <= ctx.catalog.targets_end()) {
+            return;
+        }
+        tokio::time::sleep(PEER_CHECK_INTERVAL).await;
+    }
+}
+
+impl Catalog {
+    /// Returns whether every change of targets that the store had acknowledged before is known.
+    fn are_targets_complete(&self, since: Instant) -> bool {
+        lock(&self.state).targets.complete_as_of() >= Some(since)
+    }
+}
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -25,6 +25,7 @@
 use notchwharf_origins::history::VersionHistory;
 use notchwharf_startup::Dependency;
 
+use crate::catalog;
 use crate::context::Context;
 use crate::context::Until;
 use crate::error::Failure;
@@ -44,8 +45,8 @@
 /// Time for which one version must have served alone before a stream that its caller doesn't
 /// name can have begun only there: callers wait less long for a whole response.
 const ALONE_MIN: Duration = Duration::from_secs(60);
-/// Maximum time for which peers are asked for an origin. Callers give a stream up after a gap
-/// of two seconds.
+/// Maximum time for which the store or peers are asked for an origin or the newest versions. Callers
+/// give a stream up after a gap of two seconds.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(500);
 /// Retry delay if a peer that may know the origin didn't answer.
 const UNANSWERED_RETRY: Duration = Duration::from_millis(100);
@@ -145,7 +146,17 @@
             startup
                 .wait_ready_until(Dependency::Versions, deadline)
                 .await;
-            only_version(ctx, service)
+            // The stream began before, at a version that another host may have heard of first.
+            let since = Instant::now();
+            let deadline = deadline.min(since + LOOKUP_TIMEOUT);
+            match catalog::confirm_targets(ctx, since, deadline).await {
+                true => only_version(ctx, service),
+                // Another host may be in step.
+                false => Err(Failure::NotResumable {
+                    reason: "unnamed stream, targets not confirmed",
+                    retry_after: Some(UNANSWERED_RETRY),
+                }),
+            }
         }
         Resumption::Named { stream, .. } => find_named(ctx, stream_key(stream), deadline).await,
     };
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -185,6 +185,18 @@
         known.values().filter(|peer| peer.is_alive).count()
     }
 
+    /// Returns up to which offset the other hosts of the cell know the targets; `None` unless all that are
+    /// alive, one at least, have reported since.
+    pub(crate) fn newest_targets_since(&self, since: Instant) -> Option<u64> {
+        let known = lock(&self.known);
+        let alive = known.values().filter(|peer| peer.is_alive);
+        let newest = alive.map(|peer| {
+            let has_reported = peer.last_received >= Some(since);
+            has_reported.then_some(peer.status.targets)
+        });
+        newest.collect::<Option<Vec<u64>>>()?.into_iter().max()
+    }
+
     /// Returns the number of other hosts whose data centre is known.
     pub(crate) fn listed_count(&self) -> usize {
         let known = lock(&self.known);
