Ask again whether a target may be sent a request right before the first byte

Between the choice of a target and the first byte lie a queue, an item's admission and a connection being made, and nothing looked again.

Each request and each run of an item, however its target was chosen, asks once its connection is ready whether the target is known and has not said that it leaves. A host that has not run for 500 ms first reads the newest entries, for 250 ms at most; that it has stood still follows from the interval between two checks of the targets, also before the next check has run.

--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -55,7 +55,9 @@
 pub(crate) use self::records::Config;
 pub(crate) use self::records::PeerReading;
 pub(crate) use self::records::Versions;
+use self::targets::Standstill;
 pub(crate) use self::targets::confirm as confirm_targets;
+pub(crate) use self::targets::wait_after_standstill;
 
 /// Time after an outage of the store within which running targets write their entries again, as
 /// specified by the platform.
@@ -89,6 +91,7 @@
     targets: TargetView,
     /// The evidence reported by the last reader followed, unless this host has read since.
     peer_evidence: Option<Evidence>,
+    standstill: Standstill,
 }
 
 /// Routes and targets known to a host, and the components that use them.
@@ -142,6 +145,7 @@
             evacuated: Evacuated::default(),
             targets: TargetView::new(timeouts(settings)),
             peer_evidence: None,
+            standstill: Standstill::new(Instant::now()),
         };
         Self {
             state: Mutex::new(state),
@@ -197,8 +201,8 @@
         }
     }
 
-    /// Removes targets whose entries have not reappeared in time, and lifts the limits of
-    /// targets that are no longer cold.
+    /// Removes targets whose entries have not reappeared in time, lifts the limits of targets that are
+    /// no longer cold, and records that the host runs.
     fn sweep(&self, now: Instant) {
         lock(&self.deps.balancer).end_cold(now);
         if let Some(age) = self.targets_age() {
@@ -206,6 +210,7 @@
             self.deps.metrics.set("targets_age_ms", age_ms);
         }
         let mut state = lock(&self.state);
+        state.standstill.record_run(now);
         if !state.targets.has_missing_entries() {
             return;
         }
--- a/crates/gateway/src/catalog/targets.rs
+++ b/crates/gateway/src/catalog/targets.rs
@@ -1,8 +1,9 @@
 //! Whether the targets that a host knows are those of the present.
 //!
 //! A view of the targets is used as long as nothing contradicts it, and a host that stood still or is cut
-//! off hears no contradiction. The version at which a stream began that its caller does not name is therefore
-//! decided only by a view that is complete as of the request.
+//! off hears no contradiction. Two decisions therefore ask for the time as of which the view is complete:
+//! which version a stream began at that its caller does not name, and where a host sends to that has just
+//! stood still.
 //!
 //! Asking the store for each request was rejected: it costs a call and a round trip for a view that is at most
 //! some hundred milliseconds old while reads succeed.
@@ -11,6 +12,7 @@
 use std::time::Instant;
 
 use super::Catalog;
+use super::State;
 use super::follow::notify;
 use crate::context::Context;
 use crate::metrics::Counted;
@@ -21,6 +23,57 @@
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(50);
 /// Time between two checks of whether the peers have reported.
 const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Time for which a host must have stood still to distrust its view. Shorter stalls are within what a
+/// leaving target is given beyond the delays of [`super::follow`].
+const STANDSTILL_MIN: Duration = Duration::from_millis(500);
+/// Maximum time for which a request waits for the first read after a standstill: many round trips to a
+/// store that works.
+const STANDSTILL_WAIT: Duration = Duration::from_millis(250);
+
+/// When the host last ran, and when it last began to run again.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Standstill {
+    ran_at: Instant,
+    resumed_at: Option<Instant>,
+}
+
+impl Standstill {
+    pub(super) fn new(now: Instant) -> Self {
+        Self {
+            ran_at: now,
+            resumed_at: None,
+        }
+    }
+
+    /// Records that the host runs; called in a shorter interval than a standstill lasts.
+    pub(super) fn record_run(&mut self, now: Instant) {
+        self.resumed_at = self.ended_at(now);
+        self.ran_at = now;
+    }
+
+    /// Returns when the last standstill ended, which is now if nothing has been recorded since.
+    fn ended_at(&self, now: Instant) -> Option<Instant> {
+        let gap = now.saturating_duration_since(self.ran_at);
+        match gap >= STANDSTILL_MIN {
+            true => Some(now),
+            false => self.resumed_at,
+        }
+    }
+}
+
+/// Waits, after the host stood still, until it knows the targets that left meanwhile, or for a short time if
+/// that is not to be learned.
+pub(crate) async fn wait_after_standstill(ctx: &Context) {
+    let now = Instant::now();
+    let Some(resumed_at) = ctx.catalog.outdated_since(now) else {
+        return;
+    };
+    ctx.metrics
+        .count(Counted::Changes, "targets confirmed after standstill");
+    let deadline = tokio::time::Instant::from_std(now + STANDSTILL_WAIT);
+    // A host that reaches nobody goes on with what it knows, as in an outage.
+    let _ = tokio::time::timeout_at(deadline, read_newest(ctx, resumed_at)).await;
+}
 
 /// Ensures that the targets known here are those of `since` or later; returns whether they are. Asks the
 /// store, and if it does not answer, waits for the reports of all peers: whatever one of them knows of
@@ -78,4 +131,16 @@
     fn are_targets_complete(&self, since: Instant) -> bool {
         lock(&self.state).targets.complete_as_of() >= Some(since)
     }
+
+    /// Returns when the host last began to run again, unless it has read the targets since.
+    fn outdated_since(&self, now: Instant) -> Option<Instant> {
+        let state = lock(&self.state);
+        let State {
+            standstill,
+            targets,
+            ..
+        } = &*state;
+        let resumed_at = standstill.ended_at(now)?;
+        (targets.complete_as_of() < Some(resumed_at)).then_some(resumed_at)
+    }
 }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -257,6 +257,16 @@
         lock(&self.balancer).load(target)
     }
 
+    /// Returns a function that tells whether a target may be sent a request: it is known, and has not said
+    /// that it leaves.
+    pub(crate) fn may_send_to(
+        self: &Arc<Self>,
+        target: &str,
+    ) -> Arc<dyn Fn() -> bool + Send + Sync> {
+        let (ctx, target) = (Arc::clone(self), target.to_owned());
+        Arc::new(move || ctx.is_target_known(&target) && !ctx.is_leaving(&target))
+    }
+
     /// Returns whether a target has announced that it shuts down.
     pub fn is_leaving(&self, target: &str) -> bool {
         lock(&self.balancer)
--- a/crates/gateway/src/items/run.rs
+++ b/crates/gateway/src/items/run.rs
@@ -22,6 +22,7 @@
 use super::requeue;
 use crate::backlog::Item;
 use crate::backlog::count;
+use crate::catalog;
 use crate::context::Context;
 use crate::fingerprint;
 use crate::metrics::Counted;
@@ -473,6 +474,7 @@
     destination: &Destination,
     progress: &mut Exchange,
 ) -> Result<Reply, RunOutcome> {
+    catalog::wait_after_standstill(ctx).await;
     let target = &destination.target;
     let Some(addr) = lock(&ctx.balancer).spec(target).map(|spec| spec.addr) else {
         return Err(RunOutcome::NotRun(NoReply::NotSent("target gone")));
@@ -483,6 +485,7 @@
         addr,
         remaining: RUN_TIMEOUT,
         resume_after: item.last_event,
+        may_send: ctx.may_send_to(target),
     };
     let stall_timeout = ms(ctx.settings.batch.stall_ms);
     progress.is_sent = true;
--- a/crates/gateway/src/online/dispatch.rs
+++ b/crates/gateway/src/online/dispatch.rs
@@ -24,6 +24,7 @@
 use super::Request;
 use super::body::ResponseBody;
 use super::trace::Trace;
+use crate::catalog;
 use crate::context::Context;
 use crate::error::Failure;
 use crate::fingerprint;
@@ -384,6 +385,7 @@
         running: Running,
         resume_after: Option<u64>,
     ) -> Result<StartedResponse, NoReply> {
+        catalog::wait_after_standstill(&self.ctx).await;
         let sent_at = Instant::now();
         let call = Call {
             request: Arc::clone(&self.request),
@@ -391,6 +393,7 @@
             addr: choice.addr,
             remaining: self.deadline.saturating_duration_since(sent_at),
             resume_after,
+            may_send: self.ctx.may_send_to(&choice.target),
         };
         let replied = (self.ctx.targets.call)(call);
         let deadline = tokio::time::Instant::from_std(self.deadline);
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -47,7 +47,7 @@
 }
 
 /// A request to one target.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Call {
     /// The request.
     pub request: Arc<ForwardedRequest>,
@@ -59,6 +59,19 @@
     pub remaining: Duration,
     /// The number of the last event that has been received already.
     pub resume_after: Option<u64>,
+    /// Returns whether the target may still be sent the request. Asked right before the first byte, as the
+    /// target may have left while a connection was made.
+    pub may_send: Arc<dyn Fn() -> bool + Send + Sync>,
+}
+
+impl fmt::Debug for Call {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Call")
+            .field("request", &self.request.id)
+            .field("target", &self.target)
+            .field("addr", &self.addr)
+            .finish_non_exhaustive()
+    }
 }
 
 /// A target's response.
