--- a/crates/gateway/src/origins/records.rs
+++ b/crates/gateway/src/origins/records.rs
@@ -56,9 +56,15 @@
     loop {
         if let Ok(listing) = ctx.store.all_newest(Topic::Versions, 0).await {
             let entries = listing.records.into_iter().map(|record| record.entry);
-            let recorded: HashSet<ServiceVersion> =
-                entries.filter_map(|entry| decode(ctx, &entry)).collect();
-            lock(&ctx.origins.history).add_past(recorded.iter().cloned(), Instant::now());
+            let entries: Vec<Entry> = entries.collect();
+            let recorded: HashSet<ServiceVersion> = entries
+                .iter()
+                .filter_map(|entry| decode(ctx, entry))
+                .collect();
+            // A record that cannot be read stands for a version that is not known.
+            if recorded.len() == entries.len() {
+                lock(&ctx.origins.history).add_past(recorded.iter().cloned(), Instant::now());
+            }
             ctx.startup.mark_ready(Dependency::Versions, SOURCE);
             return Some(recorded);
         }
--- a/crates/gateway/tests/versions.rs
+++ b/crates/gateway/tests/versions.rs
@@ -384,6 +384,21 @@
     assert!(first.send_request(unnamed("n2")).await.is_ok());
 }
 
+#[tokio::test]
+async fn an_unnamed_stream_is_refused_after_a_restart_if_a_recorded_version_cannot_be_read() {
+    let harness = Harness::new(&[]);
+    let change = |harness: &Harness| {
+        replace_target(harness);
+        harness
+            .store
+            .edit_values(Topic::Versions, |value| *value = vec![0xff]);
+    };
+    let restarted = restart_all_hosts(&harness, change, 1).await;
+    let resumed = restarted.send_request(unnamed("n1")).await;
+    assert!(resumed.is_err(), "{resumed:?}");
+    assert_eq!(harness.targets.runs("n1"), []);
+}
+
 #[tokio::test]
 async fn id_that_was_used_for_streams_of_two_versions_is_refused() {
     let harness = mixed(1);
