--- a/crates/gateway/src/quarantine/part_records.rs
+++ b/crates/gateway/src/quarantine/part_records.rs
@@ -15,6 +15,7 @@
 use notchwharf_listen::Phase;
 use notchwharf_routing::prompt;
 use notchwharf_routing::prompt::PartId;
+use notchwharf_routing::quarantine::RUN_TIME_MAX;
 use notchwharf_routing::quarantine::parts::Cleared;
 use notchwharf_routing::quarantine::parts::CrashReport;
 use notchwharf_routing::quarantine::parts::Report;
@@ -104,7 +105,7 @@
     let crashes = record.crashes.iter().map(|crash| CrashReport {
         incarnation: crash.incarnation,
         request: crash.request,
-        run_time: ms(crash.run_time_ms),
+        run_time: ms(crash.run_time_ms).min(RUN_TIME_MAX),
         has_begun: true,
         age: ms(now_unix_ms.saturating_sub(crash.at_unix_ms)),
     });
--- a/crates/gateway/src/quarantine/records.rs
+++ b/crates/gateway/src/quarantine/records.rs
@@ -12,6 +12,7 @@
 use notchwharf_listen::Phase;
 use notchwharf_routing::fingerprint::Fingerprint;
 use notchwharf_routing::quarantine::CrashReport;
+use notchwharf_routing::quarantine::RUN_TIME_MAX;
 use notchwharf_routing::quarantine::Report;
 use notchwharf_startup::Dependency;
 use serde::Deserialize;
@@ -131,7 +132,7 @@
     let now_unix_ms = unix_ms();
     let crashes = record.crashes.iter().map(|crash| CrashReport {
         incarnation: crash.incarnation,
-        run_time: ms(crash.ran_ms),
+        run_time: ms(crash.ran_ms).min(RUN_TIME_MAX),
         age: ms(now_unix_ms.saturating_sub(crash.at_unix_ms)),
     });
     let report = Report {
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -135,7 +135,8 @@
     match (last, id) {
         (_, None) => false,
         (None, Some(_)) => true,
-        (Some(last), Some(id)) => id == last + 1,
+        // The caller may name any event as its last one.
+        (Some(last), Some(id)) => last.checked_add(1) == Some(id),
     }
 }
 
--- a/crates/ledger/src/jobs/record.rs
+++ b/crates/ledger/src/jobs/record.rs
@@ -12,6 +12,13 @@
 use super::Report;
 use super::RunId;
 
+/// Maximum number of records of a blob: many times what the largest body takes.
+const BLOB_RECORDS_MAX: u32 = 1 << 16;
+/// Maximum offset of a blob, to which numbers of records are added.
+const OFFSET_MAX: Offset = 1 << 62;
+/// Maximum number of runs of an item that failed, to which further ones are added.
+const RUNS_MAX: u32 = 1 << 30;
+
 /// The location of data that is too large for the stream.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Blob {
@@ -28,6 +35,11 @@
 }
 
 impl Blob {
+    /// Returns whether the blob can be one that a host has written.
+    fn is_in_range(&self) -> bool {
+        self.records <= BLOB_RECORDS_MAX && self.offset <= OFFSET_MAX
+    }
+
     /// Returns the key of one of the blob's records.
     pub fn record_key(&self, number: u32) -> String {
         format!("{}/{number:04}", self.key)
@@ -153,9 +165,27 @@
         postcard::to_stdvec(self).expect("Records can always be encoded.")
     }
 
-    /// Decodes a record; returns `None` if the bytes are not a valid encoding.
+    /// Decodes a record; returns `None` if the bytes are not a valid encoding, or if a number in it is out
+    /// of range, which no host writes.
     pub fn decode(bytes: &[u8]) -> Option<Self> {
-        postcard::from_bytes(bytes).ok()
+        let record: Self = postcard::from_bytes(bytes).ok()?;
+        record.is_in_range().then_some(record)
+    }
+
+    /// Returns whether the numbers of the record can be added up and counted up to.
+    fn is_in_range(&self) -> bool {
+        match self {
+            Self::Accepted(accepted) => accepted.payload.iter().all(Blob::is_in_range),
+            Self::Listed {
+                outcome: Outcome::Completed(blobs),
+                ..
+            } => blobs.iter().all(Blob::is_in_range),
+            Self::Reported { report, .. } => report.failed.max(report.blamed) <= RUNS_MAX,
+            Self::Listed { .. }
+            | Self::Taken { .. }
+            | Self::Ended { .. }
+            | Self::Withdrawn { .. } => true,
+        }
     }
 
     /// Returns the job to which the record belongs.
--- a/crates/ledger/tests/jobs.rs
+++ b/crates/ledger/tests/jobs.rs
@@ -3,12 +3,14 @@
 
 use notchwharf_ledger::jobs::Accepted;
 use notchwharf_ledger::jobs::Applied;
+use notchwharf_ledger::jobs::Blob;
 use notchwharf_ledger::jobs::Ignored;
 use notchwharf_ledger::jobs::ItemSpec;
 use notchwharf_ledger::jobs::Jobs;
 use notchwharf_ledger::jobs::Outcome;
 use notchwharf_ledger::jobs::Reason;
 use notchwharf_ledger::jobs::Record;
+use notchwharf_ledger::jobs::Report;
 use notchwharf_ledger::jobs::job_id;
 use notchwharf_ledger::jobs::workspace_of;
 use proptest::collection::vec;
@@ -283,3 +285,30 @@
     assert_eq!(jobs.apply(0, Record::Accepted(decoded)), Applied::Accepted);
     assert_eq!(jobs.waiting_tokens("r"), 90);
 }
+
+#[rstest]
+#[case::blob_of_too_many_records(Blob { records: u32::MAX, ..Blob::default() }, 0)]
+#[case::blob_beyond_the_log(Blob { offset: u64::MAX, ..Blob::default() }, 0)]
+#[case::too_many_failures(Blob::default(), u32::MAX)]
+fn record_with_a_number_out_of_range_is_not_decoded(#[case] blob: Blob, #[case] failed: u32) {
+    let listed = Record::Listed {
+        job: "j1".into(),
+        item: 0,
+        outcome: Outcome::Completed(vec![blob.clone()]),
+    };
+    let report = Report {
+        begins: None,
+        failed,
+        blamed: failed,
+        is_answered: false,
+    };
+    let reported = Record::Reported {
+        job: "j1".into(),
+        item: 0,
+        epoch: 1,
+        report,
+    };
+    let is_decoded = |record: &Record| Record::decode(&record.encode()).is_some();
+    assert_eq!(is_decoded(&listed), blob == Blob::default());
+    assert_eq!(is_decoded(&reported), failed == 0);
+}
--- a/crates/quarantine/src/reports.rs
+++ b/crates/quarantine/src/reports.rs
@@ -8,6 +8,7 @@
 use notchwharf_proto::messages::Suspect;
 use notchwharf_proto::messages::SuspectPart;
 use notchwharf_routing::quarantine::CrashReport;
+use notchwharf_routing::quarantine::RUN_TIME_MAX;
 use notchwharf_routing::quarantine::Report;
 use notchwharf_routing::quarantine::parts;
 
@@ -101,7 +102,7 @@
 pub fn decode(suspect: &Suspect) -> Report {
     let crashes = suspect.crashes.iter().map(|crash| CrashReport {
         incarnation: crash.life,
-        run_time: Duration::from_millis(crash.ran_ms),
+        run_time: Duration::from_millis(crash.ran_ms).min(RUN_TIME_MAX),
         age: Duration::from_millis(crash.age_ms),
     });
     Report {
@@ -137,7 +138,7 @@
     let crashes = part.crashes.iter().map(|crash| parts::CrashReport {
         incarnation: crash.incarnation,
         request: crash.request,
-        run_time: Duration::from_millis(crash.run_time_ms),
+        run_time: Duration::from_millis(crash.run_time_ms).min(RUN_TIME_MAX),
         has_begun: crash.has_begun,
         age: Duration::from_millis(crash.age_ms),
     });
--- a/crates/routing/src/quarantine.rs
+++ b/crates/routing/src/quarantine.rs
@@ -96,6 +96,9 @@
 /// requests until the crash is detected, and those fail at once; a request that ran for 50 ms
 /// is also no more suspicious than one that ran for 100 ms.
 const RUN_TIME_MIN: Duration = Duration::from_millis(100);
+/// Maximum time that a run takes to crash a target, to which whoever decodes a report keeps: multiples of it
+/// are computed.
+pub const RUN_TIME_MAX: Duration = Duration::from_secs(24 * 60 * 60);
 
 /// A crash of a target under a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
