--- a/crates/routing/src/discovery/departed.rs
+++ b/crates/routing/src/discovery/departed.rs
@@ -9,24 +9,25 @@
 //! all writes of a target. Waiting for a second entry that says the same was rejected too: until a
 //! heartbeat has passed nobody could use a target that starts again under its name.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 
 use crate::balancer::Spec;
 use crate::balancer::TargetId;
 
-/// Maximum number of targets that are remembered: those that leave a large fleet in several releases.
+/// Maximum number of starts that are remembered: those that leave a large fleet in several releases.
 const DEPARTED_MAX: usize = 8_192;
 
 /// When a target started, in milliseconds of Unix time, if it says so.
 type StartedUnixMs = Option<u64>;
 
-/// The targets that have said that they leave, with the start that did.
+/// The starts of targets that have said that they leave.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Departed {
-    starts: HashMap<TargetId, StartedUnixMs>,
-    /// The targets in the order in which they were added.
-    order: VecDeque<TargetId>,
+    starts: HashMap<TargetId, BTreeSet<StartedUnixMs>>,
+    /// The same in the order in which they were added.
+    order: VecDeque<(TargetId, StartedUnixMs)>,
     /// Number of entries that said that a target which leaves is ready.
     late_entries: u64,
 }
@@ -38,27 +39,34 @@
 
     /// Returns the description of a target as it counts, and remembers that the target leaves.
     pub(super) fn apply(&mut self, id: &str, spec: Spec) -> Spec {
-        let has_left = self.starts.get(id) == Some(&spec.started_unix_ms);
-        if has_left {
+        let starts = self.starts.get(id);
+        if starts.is_some_and(|starts| starts.contains(&spec.started_unix_ms)) {
             self.late_entries += u64::from(!spec.is_leaving);
             return Spec {
                 is_leaving: true,
                 ..spec
             };
         }
-        if spec.is_leaving
-            && self
-                .starts
-                .insert(id.to_owned(), spec.started_unix_ms)
-                .is_none()
-        {
-            self.order.push_back(id.to_owned());
-            if self.order.len() > DEPARTED_MAX
-                && let Some(oldest) = self.order.pop_front()
-            {
-                self.starts.remove(&oldest);
-            }
+        if spec.is_leaving {
+            self.add(id, spec.started_unix_ms);
         }
         spec
     }
+
+    fn add(&mut self, id: &str, start: StartedUnixMs) {
+        self.starts.entry(id.to_owned()).or_default().insert(start);
+        self.order.push_back((id.to_owned(), start));
+        if self.order.len() <= DEPARTED_MAX {
+            return;
+        }
+        let Some((id, start)) = self.order.pop_front() else {
+            return;
+        };
+        if let Some(starts) = self.starts.get_mut(&id) {
+            starts.remove(&start);
+            if starts.is_empty() {
+                self.starts.remove(&id);
+            }
+        }
+    }
 }
