--- a/crates/gateway/src/catalog/targets.rs
+++ b/crates/gateway/src/catalog/targets.rs
@@ -13,6 +13,7 @@
 
 use super::Catalog;
 use super::State;
+use super::follow::SWEEP_INTERVAL;
 use super::follow::notify;
 use crate::context::Context;
 use crate::metrics::Counted;
@@ -45,6 +46,11 @@
         }
     }
 
+    /// Returns whether the host should have recorded since that it runs.
+    fn is_overdue(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.ran_at) > 2 * SWEEP_INTERVAL
+    }
+
     /// Records that the host runs; called in a shorter interval than a standstill lasts.
     pub(super) fn record_run(&mut self, now: Instant) {
         self.resumed_at = self.ended_at(now);
@@ -65,6 +71,9 @@
 /// that is not to be learned.
 pub(crate) async fn wait_after_standstill(ctx: &Context) {
     let now = Instant::now();
+    if ctx.catalog.is_sweep_overdue(now) {
+        ctx.catalog.sweep(now);
+    }
     let Some(resumed_at) = ctx.catalog.outdated_since(now) else {
         return;
     };
@@ -132,6 +141,12 @@
         lock(&self.state).targets.complete_as_of() >= Some(since)
     }
 
+    /// Returns whether targets whose entries have expired may still be in use, as the host was not
+    /// scheduled in time.
+    fn is_sweep_overdue(&self, now: Instant) -> bool {
+        lock(&self.state).standstill.is_overdue(now)
+    }
+
     /// Returns when the host last began to run again, unless it has read the targets since.
     fn outdated_since(&self, now: Instant) -> Option<Instant> {
         let state = lock(&self.state);
