--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -313,6 +313,7 @@
     let _ = ctx.journal.syncs.set(syncs);
     let _ = ctx.journal.appends.set(appends);
     let until = Until::Phase(Phase::Stopped);
+    // Each start of a task takes over the requests from the one before.
     let sync_requests = Arc::new(tokio::sync::Mutex::new(sync_requests));
     ctx.spawn_duty("read job records", until, move |ctx| {
         read::read_loop(ctx, Arc::clone(&sync_requests))
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -381,7 +381,14 @@
     let until = Until::Phase(Phase::Stopped);
     ctx.spawn_duty("register host", Until::Done, host_list::register);
     ctx.spawn_duty("follow hosts", until, follow_hosts);
-    spread::start(ctx, links::new(ctx));
+    ctx.distributor.set_links(links::new(ctx));
+    ctx.spawn_duty("announce changes", until, |ctx| {
+        let ticks = ctx.timer.subscribe(spread::TICK);
+        spread::run_reader(Arc::clone(&ctx.distributor), ticks, ctx.phase.subscribe())
+    });
+    ctx.spawn_duty("catch up with changes", until, |ctx| {
+        spread::catch_up(Arc::clone(&ctx.distributor), ctx.phase.subscribe())
+    });
     ctx.spawn_duty("contact seeds", Until::Done, contact::run);
     let number = Arc::new(AtomicU64::new(0));
     ctx.spawn_duty("send status", until, move |ctx| {
--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -34,13 +34,11 @@
 
 use self::announcing::Announced;
 use self::catching_up::Missing;
-use self::catching_up::catch_up;
+pub(crate) use self::catching_up::catch_up;
 use self::checking::Check;
 use crate::catalog::Catalog;
 use crate::catalog::PeerReading;
 use crate::catalog::Versions;
-use crate::context::Context;
-use crate::context::Until;
 use crate::metrics::Counted;
 use crate::metrics::Metrics;
 use crate::store::Store;
@@ -153,6 +151,11 @@
         }
     }
 
+    /// Sets how other hosts are reached; does nothing if that is set.
+    pub(crate) fn set_links(&self, links: Links) {
+        let _ = self.links.set(links);
+    }
+
     /// Returns a receiver of whether this host reads the log itself.
     pub(crate) fn is_reader(&self) -> watch::Receiver<bool> {
         self.is_reader.subscribe()
@@ -264,22 +267,8 @@
     }
 }
 
-/// Starts the distributor of a host, which runs until the host stops.
-pub(crate) fn start(ctx: &Arc<Context>, links: Links) {
-    // Set only once, since the distributor is new.
-    let _ = ctx.distributor.links.set(links);
-    let until = Until::Phase(Phase::Stopped);
-    ctx.spawn_duty("announce changes", until, |ctx| {
-        let ticks = ctx.timer.subscribe(TICK);
-        run_reader(Arc::clone(&ctx.distributor), ticks, ctx.phase.subscribe())
-    });
-    ctx.spawn_duty("catch up with changes", until, |ctx| {
-        catch_up(Arc::clone(&ctx.distributor), ctx.phase.subscribe())
-    });
-}
-
-/// Updates whether this host reads the log, and announces what it has read.
-async fn run_reader(
+/// Updates whether this host reads the log, and announces what it has read, until the host stops.
+pub(crate) async fn run_reader(
     distributor: Arc<Distributor>,
     mut ticks: mpsc::Receiver<Instant>,
     phase: watch::Receiver<Phase>,
--- a/crates/gateway/src/spread/catching_up.rs
+++ b/crates/gateway/src/spread/catching_up.rs
@@ -47,8 +47,8 @@
     }
 }
 
-/// Requests missing records from other hosts.
-pub(super) async fn catch_up(distributor: Arc<Distributor>, mut phase: watch::Receiver<Phase>) {
+/// Requests missing records from other hosts, until the host stops.
+pub(crate) async fn catch_up(distributor: Arc<Distributor>, mut phase: watch::Receiver<Phase>) {
     let Some(links) = distributor.links.get() else {
         return;
     };
