Log what a host knows of blame when a target crashes, and count crashes that are not seen

The logs of the incident could not tell a host that had not been told of a blame from one that had not read it, nor a reset from a crash that the probe did not show. No logic is changed.

--- a/crates/gateway/src/peers/suspects.rs
+++ b/crates/gateway/src/peers/suspects.rs
@@ -165,6 +165,7 @@
             for report in &batch.parts {
                 quarantine::merge_part_report(ctx, host, report);
             }
+            ctx.suspects.set_known(host);
             ctx.startup.mark_ready(Dependency::Suspects, host);
         }
         Err(err) => slog::error!(ctx.logger, "invalid response from peer";
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -23,7 +23,9 @@
 mod records;
 
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
+use std::time::Instant;
 
 use notchwharf_listen::Phase;
 use notchwharf_quarantine::gate::Blocked;
@@ -49,6 +51,7 @@
 use crate::peers;
 use crate::peers::suspects;
 use crate::ports::StoreError;
+use crate::sync::lock;
 use crate::time::millis;
 
 /// Number of hosts that save a blame beside the one that detected the last crash. A host that
@@ -60,6 +63,15 @@
 pub(crate) struct Suspects {
     pub(crate) gate: Arc<Gate>,
     probes: Probes,
+    known: Mutex<Option<Known>>,
+}
+
+/// Where a host learned what was blamed before, and when.
+#[derive(Clone, Debug)]
+pub(crate) struct Known {
+    /// The store, or the name of a host.
+    pub(crate) source: String,
+    pub(crate) since: Instant,
 }
 
 impl Suspects {
@@ -67,8 +79,22 @@
         Self {
             gate: Gate::new(host.to_owned()),
             probes: Probes::default(),
+            known: Mutex::default(),
         }
     }
+
+    /// Returns where and when this host last learned all that was blamed before; `None` if it never did.
+    pub(crate) fn known(&self) -> Option<Known> {
+        lock(&self.known).clone()
+    }
+
+    /// Records that this host has learned all that was blamed before.
+    pub(crate) fn set_known(&self, source: &str) {
+        *lock(&self.known) = Some(Known {
+            source: source.to_owned(),
+            since: Instant::now(),
+        });
+    }
 }
 
 /// Starts to send reports to other hosts, and to load what was blamed before this host started.
--- a/crates/gateway/src/quarantine/probe.rs
+++ b/crates/gateway/src/quarantine/probe.rs
@@ -120,6 +120,10 @@
     let pending_runs = ctx.suspects.probes.take(&target);
     slog::info!(ctx.logger, "target probed"; "target" => target.as_str(),
         "presence" => ?presence, "runs" => pending_runs.len());
+    if presence != Presence::Gone && pending_runs.iter().any(|pending| !pending.run.is_complete) {
+        // The run broke off, and nothing tells why.
+        ctx.metrics.count(Counted::Changes, "crash not seen");
+    }
     if presence == Presence::Listening {
         let complete = pending_runs
             .iter()
@@ -158,9 +162,12 @@
     };
     record_part_crashes(ctx, &pending.run, incarnation, pending.detected_at);
     let change = ctx.suspects.gate.record_crash(fingerprint, crash);
+    let known = ctx.suspects.known();
     slog::info!(ctx.logger, "target crashed under a request"; "id" => pending.run.id.as_str(),
         "target" => pending.run.target.as_str(), "ran_ms" => millis(run_time),
         "crashes" => ctx.suspects.gate.crash_count(fingerprint),
+        "records_from" => known.as_ref().map(|known| known.source.as_str()),
+        "records_age_ms" => known.as_ref().map(|known| millis(known.since.elapsed())),
         "fingerprint" => fingerprint::to_hex(fingerprint), "parts" => prompt::join(&pending.run.parts));
     if let Change::Blamed { crashes } = change {
         log_blamed(ctx, fingerprint, crashes, ctx.host());
--- a/crates/gateway/src/quarantine/records.rs
+++ b/crates/gateway/src/quarantine/records.rs
@@ -113,6 +113,7 @@
                 for record in parts.records {
                     part_records::load_record(&ctx, &record.entry);
                 }
+                ctx.suspects.set_known(STORE_REPORTER);
                 ctx.startup.mark_ready(Dependency::Suspects, STORE_REPORTER);
                 return;
             }
