--- a/crates/routing/tests/parts.rs
+++ b/crates/routing/tests/parts.rs
@@ -311,6 +311,10 @@
     is_first: false,
     bad_rate: 5.0,
     first_parts: 20,
+    bad_first_parts: 0,
+    seen_late: 0.0,
+    missed: 0.0,
+    is_apart: false,
     crash_share: 0.0,
     loss: 0.0,
     restarts: false,
@@ -330,6 +334,15 @@
 #[case::restarts(Setting { restarts: true, ..SETTING }, 20)]
 #[case::healthy_crashes(Setting { crash_share: 0.15, ..SETTING }, 20)]
 #[case::many_healthy_crashes(Setting { crash_share: 0.4, loss: 0.1, restarts: true, ..SETTING }, 20)]
+#[case::two_first_parts_that_nobody_answers(Setting { bad_first_parts: 2, bad_rate: 2.0, ..SETTING }, 20)]
+#[case::four_first_parts_that_nobody_answers(Setting { bad_first_parts: 4, bad_rate: 2.0, ..SETTING }, 20)]
+#[case::five_first_parts_that_nobody_answers(Setting { bad_first_parts: 5, bad_rate: 2.0, ..SETTING }, 20)]
+#[case::eight_first_parts_that_nobody_answers(Setting { bad_first_parts: 8, ..SETTING }, 20)]
+#[case::seen_late(Setting { seen_late: 0.6, ..SETTING }, 20)]
+#[case::seen_by_some(Setting { seen_late: 0.3, missed: 0.3, bad_rate: 2.0, ..SETTING }, 20)]
+#[case::hosts_apart(Setting { is_apart: true, ..SETTING }, 20)]
+#[case::hosts_apart_rarely_sent(Setting { is_apart: true, bad_rate: 0.5, seen_late: 0.3, ..SETTING }, 20)]
+#[case::seen_late_beside_healthy_crashes(Setting { seen_late: 0.6, missed: 0.1, crash_share: 0.15, ..SETTING }, 20)]
 #[case::sixty_hosts(Setting { hosts: 60, bad_rate: 20.0, ..SETTING }, 4)]
 #[case::three_hundred_hosts(
     Setting { hosts: 300, bad_rate: 50.0, duration: Duration::from_secs(12), ..SETTING }, 1)]
--- a/crates/routing/tests/parts_simulation/mod.rs
+++ b/crates/routing/tests/parts_simulation/mod.rs
@@ -28,6 +28,10 @@
 const ANSWER: Duration = Duration::from_millis(700);
 /// Time from a crash to its detection.
 const DETECTION: Duration = Duration::from_millis(3);
+/// Time until the detection of a crash that is detected late, in milliseconds.
+const LATE_DETECTION_MS: std::ops::Range<u64> = 10..800;
+/// Time from a crash's detection until all hosts that read the store know it.
+const RECORD_DELAY: Duration = Duration::from_millis(350);
 /// Range of message delays, in milliseconds.
 const DELAY_MS: std::ops::Range<u64> = 1..16;
 /// Time until a crashed target is back.
@@ -55,6 +59,13 @@
     pub bad_rate: f64,
     /// Number of first parts, the first of which 43 in 100 of the requests have.
     pub first_parts: u128,
+    /// Number of first parts that only requests with a bad part have; none if they share theirs.
+    pub bad_first_parts: u128,
+    /// Share of the crashes that a host detects late, and of those that it never detects.
+    pub seen_late: f64,
+    pub missed: f64,
+    /// Whether hosts hear the store and not one another.
+    pub is_apart: bool,
     /// Share of the targets that crash at once independently of requests.
     pub crash_share: f64,
     /// Share of messages that are lost.
@@ -94,7 +105,9 @@
     Detect {
         incarnation: u64,
         runs: Vec<(Request, Duration)>,
+        broke_at: Duration,
     },
+    Read(PartId),
     Answer {
         run: u64,
     },
@@ -217,6 +230,10 @@
         if self.setting.is_first {
             return [bad, 100_000 + self.rng.random_range(0..423)];
         }
+        if self.setting.bad_first_parts > 0 {
+            let number = self.rng.random_range(0..self.setting.bad_first_parts);
+            return [900_000 + number, bad];
+        }
         // A rare first part, which few healthy requests have.
         let first = 1_000 + self.setting.first_parts - 1;
         self.bad_firsts.insert(first);
@@ -237,11 +254,19 @@
         match event {
             Event::Arrive(request) => self.arrive(request),
             Event::Crash(target) => self.crash(target),
-            Event::Detect { incarnation, runs } => {
+            Event::Detect {
+                incarnation,
+                runs,
+                broke_at,
+            } => {
+                // What the run had to do with the crash is as uncertain as the time of the crash.
+                let uncertainty = self.now - broke_at;
                 for (request, run_time) in runs {
-                    self.record_crash(request, incarnation, run_time);
+                    let run_time = run_time + uncertainty;
+                    self.record_crash(request, incarnation, run_time, broke_at);
                 }
             }
+            Event::Read(part) => self.read(part),
             Event::Answer { run } => self.answer(run),
             Event::Receive { to, report } => {
                 let now = self.instant();
@@ -325,14 +350,56 @@
         let incarnation = std::mem::replace(&mut crashed.incarnation, next_incarnation);
         crashed.up_at = now + DOWNTIME;
         let runs = std::mem::take(&mut crashed.runs).into_values();
-        let runs = runs
-            .map(|(request, began_at)| (request, now - began_at))
-            .collect();
-        self.schedule(now + DETECTION, Event::Detect { incarnation, runs });
+        let mut by_host: BTreeMap<usize, Vec<(Request, Duration)>> = BTreeMap::new();
+        for (request, began_at) in runs {
+            let seen = by_host.entry(request.host).or_default();
+            seen.push((request, now - began_at));
+        }
+        for runs in by_host.into_values() {
+            let broke_at = now + DETECTION;
+            let Some(detected_at) = self.draw_detection(broke_at) else {
+                continue;
+            };
+            let event = Event::Detect {
+                incarnation,
+                runs,
+                broke_at,
+            };
+            self.schedule(detected_at, event);
+        }
+    }
+
+    /// Draws when a host detects a crash, if it does.
+    fn draw_detection(&mut self, broke_at: Duration) -> Option<Duration> {
+        if self.setting.missed > 0.0 && self.rng.random_bool(self.setting.missed) {
+            return None;
+        }
+        if self.setting.seen_late > 0.0 && self.rng.random_bool(self.setting.seen_late) {
+            let late = Duration::from_millis(self.rng.random_range(LATE_DETECTION_MS));
+            return Some(broke_at + late);
+        }
+        Some(broke_at)
     }
 
-    fn record_crash(&mut self, request: Request, incarnation: u64, run_time: Duration) {
-        let detected_at = self.instant();
+    /// Merges the record of a part at all hosts that hear the store and not one another.
+    fn read(&mut self, part: PartId) {
+        let now = self.instant();
+        if let Some(report) = self.saved.get(&part) {
+            for host in &mut self.hosts {
+                host.merge_report(report, now);
+            }
+        }
+    }
+
+    fn record_crash(
+        &mut self,
+        request: Request,
+        incarnation: u64,
+        run_time: Duration,
+        broke_at: Duration,
+    ) {
+        let detected_at = self.start + broke_at;
+        let now = self.instant();
         for part in request.parts {
             let crash = Crash {
                 incarnation,
@@ -342,11 +409,12 @@
                 detected_at,
             };
             let change = self.hosts[request.host].record_crash(part, crash);
-            if matches!(change, Change::Blamed { .. }) {
-                let report = self.hosts[request.host].report(part, detected_at).unwrap();
-                self.saved.insert(part, report);
-            }
             if change != Change::None {
+                let report = self.hosts[request.host].report(part, now).unwrap();
+                self.saved.insert(part, report);
+                if self.setting.is_apart {
+                    self.schedule(self.now + RECORD_DELAY, Event::Read(part));
+                }
                 self.broadcast(request.host, part);
                 let from = request.host;
                 self.schedule(self.now + RESEND_DELAY, Event::Resend { from, part });
@@ -379,7 +447,8 @@
     }
 
     fn send(&mut self, to: usize, report: Report) {
-        if self.setting.loss > 0.0 && self.rng.random_bool(self.setting.loss) {
+        let is_lost = self.setting.loss > 0.0 && self.rng.random_bool(self.setting.loss);
+        if is_lost || self.setting.is_apart {
             return;
         }
         let delay = Duration::from_millis(self.rng.random_range(DELAY_MS));
