Let at most two parts of prompts explain the crashes of a third

What callers saw: requests with one part reached targets until each of the first parts beside it had crashed five itself. Cause: a first part that nobody else uses, and that was in two crashes, explained these for requests without it, any number of them together, so the part that all crashes have in common blocked nothing. Now one other part explains, or two, and each crash beyond what two explain would need a third culprit at once. More crashes are retained, as two parts may explain eight.

--- a/crates/routing/src/quarantine/parts.rs
+++ b/crates/routing/src/quarantine/parts.rs
@@ -42,7 +42,9 @@
 //! share their crashes runs, and its outcome tells which of them is to blame. Withholding all
 //! requests with any of them was rejected: a healthy part that is rarely used without the one to
 //! blame would never be answered again, and so never be cleared. The price is up to three more
-//! crashes where that happens. A part of another request that ran at the target explains nothing:
+//! crashes where that happens. At most two parts explain the crashes of a third: letting any number
+//! do so was rejected, as first parts that nobody else uses then explained one another's crashes
+//! until each of them was blamed. A part of another request that ran at the target explains nothing:
 //! while many targets crash, so many parts are in use at them that together they would explain
 //! any crash.
 //!
@@ -91,6 +93,10 @@
 /// any part.
 const EXPLAINING_CRASHES_MIN: usize = 2;
 
+/// Probability that a healthy part meets the crashes that two others leave unexplained, below which
+/// it blocks requests: a run of 200 ms met one.
+const THIRD_PROBABILITY: f64 = 0.03;
+
 /// Probability that a healthy part meets the same crashes, below which a part is blamed.
 const BLAME_PROBABILITY: f64 = 1e-5;
 
@@ -118,7 +124,7 @@
 const AGE_ERROR: Duration = Duration::from_millis(100);
 
 /// Number of crashes retained for each part, the newest ones.
-const CRASHES_RETAINED: usize = 8;
+const CRASHES_RETAINED: usize = 12;
 
 /// Identifies a request among those that ran at a target when it crashed.
 pub type RequestKey = u64;
@@ -301,24 +307,49 @@
     }
 
     /// Returns whether a blamed part blocks a request: whether it would also be blamed for those
-    /// of its crashes that are not explained by parts which the prompt does not have.
+    /// of its crashes that no part which the prompt does not have explains. Where it takes two such
+    /// parts, a third one would have to be to blame for each crash that they leave, which is less
+    /// likely than that the one which all have in common is.
     fn blocks(&self, part: PartId, prompt: &[PartId]) -> bool {
         let Some(suspect) = self.suspects.get(&part) else {
             return false;
         };
-        let others = self
-            .explaining
+        let is_other = |other: &&PartId| **other != part && !prompt.contains(other);
+        let others: Vec<PartId> = self.explaining.iter().filter(is_other).copied().collect();
+        let (unexplained, _) = self.explain(&suspect.crashes, &others);
+        match self.explain(&unexplained, &others) {
+            (unexplained, None) => are_to_blame(unexplained.iter()),
+            (unexplained, Some(_)) => {
+                let run_times = unexplained.iter().map(|crash| crash.run_time);
+                probability_if_healthy(run_times) < THIRD_PROBABILITY
+            }
+        }
+    }
+
+    /// Returns those of some crashes that the likeliest of some other parts leaves unexplained, and
+    /// this part if it explains any.
+    fn explain(&self, crashes: &[Crash], others: &[PartId]) -> (Vec<Crash>, Option<PartId>) {
+        let left = others
             .iter()
-            .filter(|other| !prompt.contains(other));
-        let others: Vec<&Suspect> = others.filter_map(|p| self.suspects.get(p)).collect();
-        let is_explained = |crash: &Crash| {
-            let mut explaining = others.iter().flat_map(|other| &other.crashes);
-            explaining.any(|other| {
-                (other.incarnation, other.request) == (crash.incarnation, crash.request)
-            })
-        };
-        let unexplained = suspect.crashes.iter().filter(|crash| !is_explained(crash));
-        are_to_blame(unexplained)
+            .map(|other| (self.unexplained_by(*other, crashes), *other));
+        match left.min_by_key(|(left, _)| left.len()) {
+            Some((left, other)) if left.len() < crashes.len() => (left, Some(other)),
+            _ => (crashes.to_vec(), None),
+        }
+    }
+
+    /// Returns those of some crashes that another part does not explain.
+    fn unexplained_by(&self, other: PartId, crashes: &[Crash]) -> Vec<Crash> {
+        let explaining = self
+            .suspects
+            .get(&other)
+            .map_or(&[][..], |other| &other.crashes);
+        let is_same =
+            |a: &Crash, b: &Crash| (a.incarnation, a.request) == (b.incarnation, b.request);
+        let unexplained = crashes
+            .iter()
+            .filter(|crash| !explaining.iter().any(|other| is_same(other, crash)));
+        unexplained.copied().collect()
     }
 
     /// Records that a target crashed under a part.
