Try a blamed part at one host first, and slower where hosts learn from the store alone

What callers saw: hosts that hear the store and not one another tried a blamed part within the same interval, each at the cost of a target. Hosts drew in which interval they begin, so those of one interval began together; each draws a moment of its own now, and the intervals are six times as long while crashes are learned from records. A trial whose crash nobody sees is followed by longer pauses, as it shows nothing.

--- a/crates/routing/src/quarantine/parts.rs
+++ b/crates/routing/src/quarantine/parts.rs
@@ -58,6 +58,9 @@
 //! if all crash, none is left to answer it. So a blamed part is tried before it is blocked: once
 //! no target has crashed under it for half a second, with one request at a time, while the
 //! others wait. An answer clears it; a crash confirms the blame, and costs one more target.
+//! Hosts draw when they may begin, so that one of them tries first, and wait longer where they learn
+//! of one another's crashes from the store alone. A trial that shows nothing, as its crash was not
+//! seen, is followed by longer and longer pauses.
 //! Blocking without a trial was rejected: if all targets crash together, the parts of all requests
 //! would stay blocked, as nothing is left to clear them.
 //!
@@ -108,6 +111,13 @@
 /// of a run that crashes its target until the other hosts learn of it.
 const TRIAL_INTERVAL: Duration = Duration::from_millis(150);
 
+/// Most doublings of a host's trial interval, one for each trial that showed nothing.
+const TRIAL_DOUBLINGS_MAX: u32 = 4;
+
+/// How much slower a part is tried by hosts that learn of crashes from the store alone: from a crash
+/// until they know of it, a write and a read pass.
+const APART_FACTOR: u32 = 6;
+
 /// Number of trial intervals after which all hosts may try a part. In each before, half as many
 /// may as in the next, so that a large fleet does not lose many targets to one trial.
 const TRIAL_INTERVALS_SHARED: u32 = 6;
@@ -126,6 +136,34 @@
 /// Number of crashes retained for each part, the newest ones.
 const CRASHES_RETAINED: usize = 12;
 
+/// How soon hosts learn of one another's crashes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Pace {
+    /// By messages between hosts.
+    #[default]
+    Messages,
+    /// By records in the store.
+    Records,
+}
+
+impl Pace {
+    fn factor(self) -> u32 {
+        match self {
+            Self::Messages => 1,
+            Self::Records => APART_FACTOR,
+        }
+    }
+
+    fn trial_interval(self) -> Duration {
+        TRIAL_INTERVAL * self.factor()
+    }
+
+    /// Returns the time after a crash before a blamed part is tried.
+    fn settle_time(self) -> Duration {
+        SETTLE_TIME.max(self.trial_interval())
+    }
+}
+
 /// Identifies a request among those that ran at a target when it crashed.
 pub type RequestKey = u64;
 
@@ -191,6 +229,8 @@
     blamed_since: Option<Instant>,
     /// When this host last tried the part.
     tried_at: Option<Instant>,
+    /// How often it did since the last crash that it knows of.
+    trials: u32,
     changed_at: Instant,
 }
 
@@ -202,9 +242,15 @@
     /// Parts that explain crashes of others: those with [`EXPLAINING_CRASHES_MIN`] or more.
     explaining: HashSet<PartId>,
     crash_times: CrashTimes,
+    pace: Pace,
 }
 
 impl Parts {
+    /// Sets how soon this host learns of the crashes that others see.
+    pub fn set_pace(&mut self, pace: Pace) {
+        self.pace = pace;
+    }
+
     /// Returns whether no part is known to have been in a crash.
     pub fn is_empty(&self) -> bool {
         self.suspects.is_empty()
@@ -293,7 +339,7 @@
                     retry_after,
                 };
             }
-            if !suspect.may_be_tried(*part, host, now) {
+            if !suspect.may_be_tried(*part, host, self.pace, now) {
                 return Decision::Wait;
             }
         }
@@ -301,6 +347,7 @@
         for part in &blocking {
             if let Some(suspect) = self.suspects.get_mut(part) {
                 suspect.tried_at = Some(now);
+                suspect.trials = suspect.trials.saturating_add(1);
             }
         }
         Decision::Admit
@@ -332,7 +379,7 @@
         let left = others
             .iter()
             .map(|other| (self.unexplained_by(*other, crashes), *other));
-        match left.min_by_key(|(left, _)| left.len()) {
+        match left.min_by_key(|(left, other)| (left.len(), *other)) {
             Some((left, other)) if left.len() < crashes.len() => (left, Some(other)),
             _ => (crashes.to_vec(), None),
         }
@@ -414,6 +461,9 @@
             return Change::None;
         }
         suspect.changed_at = now;
+        if suspect.last_crash_at() > last_crash_at {
+            suspect.trials = 0;
+        }
         match suspect.crashes.len() >= EXPLAINING_CRASHES_MIN {
             true => self.explaining.insert(part),
             false => self.explaining.remove(&part),
@@ -438,6 +488,12 @@
         Some(suspect.report(part, now))
     }
 
+    /// Returns the reports on all parts that were in crashes.
+    pub fn reports(&self, now: Instant) -> Vec<Report> {
+        let crashed = self.suspects.iter().filter(|(_, s)| !s.crashes.is_empty());
+        crashed.map(|(part, s)| s.report(*part, now)).collect()
+    }
+
     /// Returns the reports that a host resends periodically, for hosts that missed them.
     pub fn periodic_reports(&self, now: Instant) -> Vec<Report> {
         let resent = self.suspects.iter().filter(|(_, s)| s.is_resent(now));
@@ -483,6 +539,7 @@
             cleared_at: None,
             blamed_since: None,
             tried_at: None,
+            trials: 0,
             changed_at: now,
         }
     }
@@ -498,13 +555,17 @@
         (!remaining.is_zero()).then_some(remaining)
     }
 
-    /// Returns whether a host may try the part, which is blamed and not blocked.
-    fn may_be_tried(&self, part: PartId, host: &str, now: Instant) -> bool {
+    /// Returns whether a host may try the part, which is blamed and not blocked. A trial that brought
+    /// neither an answer nor a crash that was seen is followed by a longer pause.
+    fn may_be_tried(&self, part: PartId, host: &str, pace: Pace, now: Instant) -> bool {
         let elapsed = now.saturating_duration_since(self.last_crash_at());
-        let is_tried = |at| is_within(at, TRIAL_INTERVAL, now);
-        elapsed >= SETTLE_TIME
+        let doublings = self.trials.saturating_sub(1).min(TRIAL_DOUBLINGS_MAX);
+        let interval = pace.trial_interval();
+        let is_tried = |at| is_within(at, interval * 2_u32.pow(doublings), now);
+        let settled = pace.settle_time();
+        elapsed >= settled
             && !self.tried_at.is_some_and(is_tried)
-            && may_try(part, host, elapsed - SETTLE_TIME)
+            && may_try(part, host, elapsed - settled, interval)
     }
 
     /// Returns the time for which the part is blocked after its last crash. Crashes that come
@@ -661,13 +722,12 @@
         && probability_if_healthy(remaining.into_iter()) < BLAME_PROBABILITY
 }
 
-/// Returns whether a host may try a part this long after it could be tried first.
-fn may_try(part: PartId, host: &str, waited: Duration) -> bool {
-    let interval = waited.as_millis() / TRIAL_INTERVAL.as_millis();
-    let interval = u32::try_from(interval).unwrap_or(u32::MAX);
-    let shift = TRIAL_INTERVALS_SHARED.saturating_sub(interval);
-    let draw = xxh3_64_with_seed(host.as_bytes(), part as u64 ^ u64::from(interval));
-    draw.is_multiple_of(1 << shift)
+/// Returns whether a host may try a part this long after it could be tried first. Each host draws a
+/// moment of its own, in each interval twice as many as in the one before.
+fn may_try(part: PartId, host: &str, waited: Duration, interval: Duration) -> bool {
+    let draw = xxh3_64_with_seed(host.as_bytes(), part as u64) as f64 / u64::MAX as f64;
+    let intervals = (f64::from(TRIAL_INTERVALS_SHARED) + draw.log2()).max(0.0);
+    waited >= interval.mul_f64(intervals)
 }
 
 fn is_within(at: Instant, time: Duration, now: Instant) -> bool {
--- a/crates/routing/tests/parts.rs
+++ b/crates/routing/tests/parts.rs
@@ -340,6 +340,7 @@
 #[case::eight_first_parts_that_nobody_answers(Setting { bad_first_parts: 8, ..SETTING }, 20)]
 #[case::seen_late(Setting { seen_late: 0.6, ..SETTING }, 20)]
 #[case::seen_by_some(Setting { seen_late: 0.3, missed: 0.3, bad_rate: 2.0, ..SETTING }, 20)]
+#[case::seen_by_most(Setting { seen_late: 0.3, missed: 0.15, bad_rate: 2.0, ..SETTING }, 20)]
 #[case::hosts_apart(Setting { is_apart: true, ..SETTING }, 20)]
 #[case::hosts_apart_rarely_sent(Setting { is_apart: true, bad_rate: 0.5, seen_late: 0.3, ..SETTING }, 20)]
 #[case::seen_late_beside_healthy_crashes(Setting { seen_late: 0.6, missed: 0.1, crash_share: 0.15, ..SETTING }, 20)]
