Save suspects from their first crash, and learn from the store what no peer tells

What callers saw: requests with a part that crashes targets went on at hosts that had not been told of its blame, after each start of hosts that were killed, and while the topic of blamed parts could not be read. Cause: what is not known here counted as not there. The first crash under a part was in one process only; the records were read once, at the start; a host that got none within a second told others that it knew. Now a host that sees a crash writes all that it makes suspects of, one call for each topic, before the request's caller is answered; clearances are collected and written together. Nothing is written before the records are known. A host that does not hear some of the listed hosts follows the records as long as that lasts, three hosts for one that is down, and tells the others. After a start requests wait for the records for the time in which a host has to be in touch; after that only what was in a crash since. No call of the store is made while nothing crashes and all hosts hear one another.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -185,15 +185,6 @@
         known.values().filter(|peer| peer.is_alive).count()
     }
 
-    /// Returns the number of other hosts of the list that this host does not hear.
-    pub(crate) fn silent_count(&self) -> usize {
-        let known = lock(&self.known);
-        let silent = known
-            .values()
-            .filter(|peer| !peer.is_alive && !peer.has_left);
-        silent.count()
-    }
-
     /// Returns up to which offset the other hosts of the cell know the targets; `None` unless all that are
     /// alive, one at least, have reported since.
     pub(crate) fn newest_targets_since(&self, since: Instant) -> Option<u64> {
@@ -468,7 +459,7 @@
             ctx.request_queue.remove_peer(&host);
             ctx.items.wake();
         }
-        ctx.metrics.set("silent_peers", ctx.peers.silent_count());
+        suspects::update_reach(&ctx);
         host_list::forget_left(&ctx);
         host_list::mark_silent(&ctx);
         ctx.request_queue.set_host_count(local_host_count(&ctx));
--- a/crates/gateway/src/peers/suspects.rs
+++ b/crates/gateway/src/peers/suspects.rs
@@ -31,22 +31,24 @@
 use notchwharf_startup::Dependency;
 use rand::seq::IteratorRandom as _;
 
+use super::Peer;
 use super::bootstrap;
+use super::cell;
 use super::rpc;
 use crate::context::Context;
 use crate::metrics::Counted;
 use crate::quarantine;
+use crate::quarantine::Reach;
 use crate::sync::lock;
+use crate::time::ms;
 
+/// Number of hosts that follow the records in the store for each host that is not heard.
+const FOLLOWERS: usize = 3;
 /// Delay before a starting host's first request to a peer and between further ones: if the store is
 /// available, it responds sooner.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(50);
 /// Timeout of a request: many times the latency between data centres.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(100);
-/// Maximum time after its start for which a host delays requests until it knows which ones are
-/// blamed: three heartbeats of a peer, the first of which may be lost.
-const CATCH_UP_MAX: Duration = Duration::from_millis(1_000);
-
 /// Sends changes to all hosts, until the host stops.
 pub(crate) async fn broadcast_changes(ctx: Arc<Context>) {
     let gate = Arc::clone(&ctx.suspects.gate);
@@ -121,25 +123,27 @@
 }
 
 /// Returns the reports known to this host, for a starting host; `None` if this host has not yet
-/// received them itself.
+/// received them itself, also if it has stopped waiting for them.
 pub(super) fn snapshot(ctx: &Context) -> Option<Vec<u8>> {
-    if !ctx.startup.is_ready(Dependency::Suspects) {
-        return None;
-    }
+    ctx.suspects.known()?;
     Some(encode_snapshot(&periodic_reports(ctx)))
 }
 
 /// Requests reports from peers until those from before this host's start are known, from a peer or
-/// from the store.
+/// from the store. Requests wait for them, but not for longer than the store may take to answer a host
+/// that is in touch with it; then only those wait that were in a crash since the start.
 pub(crate) async fn catch_up(ctx: Arc<Context>) {
-    while !ctx.startup.is_ready(Dependency::Suspects) && ctx.phase() < Phase::Leaving {
-        if ctx.startup.uptime() > CATCH_UP_MAX {
-            // No peer responds; delaying all requests further would be worse.
+    let wait_max = ms(ctx.settings.targets.settle_ms);
+    while ctx.suspects.known().is_none() && ctx.phase() < Phase::Leaving {
+        let is_waiting = !ctx.startup.is_ready(Dependency::Suspects);
+        if is_waiting && ctx.startup.uptime() > wait_max {
             slog::warn!(
                 ctx.logger,
-                "no peer provided the blamed requests; starting without them"
+                "neither the store nor a peer provided the blamed requests; starting without them"
             );
-            return ctx.startup.mark_ready(Dependency::Suspects, "nobody");
+            ctx.metrics
+                .count(Counted::Changes, "started without blamed requests");
+            ctx.startup.mark_ready(Dependency::Suspects, "nobody");
         }
         // A peer without routes has just started itself.
         if let Some((host, addr)) = bootstrap::random_peer(&ctx, |p| p.status.config > 0) {
@@ -173,6 +177,61 @@
     }
 }
 
+/// Decides anew whether this host follows the records of crashes.
+pub(crate) fn update_reach(ctx: &Context) {
+    let (silent, reach) = reach(ctx, ms(ctx.settings.peers.down_ms));
+    ctx.metrics.set("silent_peers", silent);
+    ctx.suspects.set_following(reach);
+}
+
+/// Returns how many of the other hosts this one does not hear, and whether it has to learn from the
+/// store what they see. Hosts of other cells send nothing to this one, so they count as heard. One that
+/// has not been heard yet counts as silent at once if anything is suspected, as does every host before
+/// the list has been read.
+fn reach(ctx: &Context, down: Duration) -> (usize, Reach) {
+    let cells = ctx.peers.cell_state.cells();
+    let gate = &ctx.suspects.gate;
+    let is_suspecting = gate.has_parts() || !gate.is_empty();
+    let patience = match is_suspecting {
+        true => Duration::ZERO,
+        false => down,
+    };
+    if !ctx.peers.bootstrap.is_list_read() && ctx.startup.uptime() >= patience {
+        return (0, Reach::Few);
+    }
+    let (silent, total) = {
+        let known = lock(&ctx.peers.known);
+        let own = known.iter().filter(|(host, peer)| {
+            !peer.has_left && (!cells.is_divided() || cell::is_in_own_cell(ctx, cells, host, peer))
+        });
+        let own: Vec<(&HostId, &Peer)> = own.collect();
+        let silent = own.iter().filter(|(_, peer)| {
+            let silence_min = match peer.last_received {
+                Some(_) => down,
+                None => patience,
+            };
+            !peer.is_alive && peer.silence() >= silence_min
+        });
+        let silent: Vec<HostId> = silent.map(|(host, _)| (*host).clone()).collect();
+        (silent, own.len())
+    };
+    if silent.is_empty() {
+        return (0, Reach::All);
+    }
+    if silent.len() * 2 >= total {
+        return (silent.len(), Reach::Few);
+    }
+    let follows = |host: &HostId| {
+        let task = format!("records of crashes at {host}");
+        ctx.peers.is_among_successors(ctx.host(), &task, FOLLOWERS)
+    };
+    let reach = match silent.iter().any(follows) {
+        true => Reach::Most,
+        false => Reach::All,
+    };
+    (silent.len(), reach)
+}
+
 /// Applies reports on parts received from a host.
 pub(super) fn apply_part_reports(ctx: &Arc<Context>, reports: &messages::SuspectParts) {
     for part in &reports.parts {
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -2,8 +2,8 @@
 //! may have caused them. The rules are in [`quarantine`].
 //!
 //! An interrupted run alone is weak evidence: the connection may have been reset, the response
-//! lost, or the target crashed. So the host probes the target's address at once. If the
-//! connection is refused, the target has crashed, and all requests that ran there become
+//! lost, or the target crashed. So the host looks at the target at once, and again until it is known
+//! to go on or to have ended. If it has ended, all requests that ran there become
 //! suspects. Waiting until another request is refused there was rejected: a target that failed
 //! is not used for 400 ms or more, and callers retry the suspects meanwhile.
 //!
@@ -13,15 +13,18 @@
 //! Fingerprints are computed only while there are suspects, or for an interrupted run. Without
 //! crashes all this costs one check of an empty table.
 //!
-//! Limitations: a crash is missed if the target restarts before the probe, or if its whole
-//! machine stops responding.
+//! Limitations: a crash is missed if the target ends more than three seconds after its connections
+//! broke, or if nothing that it leaves behind tells a shutdown from an end, as when its machine is lost
+//! for good.
 //!
 //! [`quarantine`]: notchwharf_routing::quarantine
 
 mod part_records;
 mod probe;
 mod records;
+mod saver;
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -38,11 +41,14 @@
 use notchwharf_routing::quarantine::Change;
 use notchwharf_routing::quarantine::Report;
 use notchwharf_routing::quarantine::parts;
+use notchwharf_routing::quarantine::parts::Pace;
+use tokio::sync::watch;
 
 pub(crate) use self::probe::BrokenRun;
 use self::probe::Probes;
 pub(crate) use self::probe::check_crash;
 pub(crate) use self::probe::check_unmarked_end;
+use self::saver::Saver;
 use crate::backlog::Item;
 use crate::context::Context;
 use crate::context::Until;
@@ -51,6 +57,7 @@
 use crate::peers;
 use crate::peers::suspects;
 use crate::ports::StoreError;
+use crate::ports::Topic;
 use crate::sync::lock;
 use crate::time::millis;
 
@@ -63,7 +70,12 @@
 pub(crate) struct Suspects {
     pub(crate) gate: Arc<Gate>,
     probes: Probes,
-    known: Mutex<Option<Known>>,
+    saver: Saver,
+    known: watch::Sender<Option<Known>>,
+    /// Whether this host follows the records, as it does not hear some of the others.
+    is_following: watch::Sender<bool>,
+    /// The offsets up to which the records of each topic were read.
+    read_ends: Mutex<HashMap<Topic, u64>>,
 }
 
 /// Where a host learned what was blamed before, and when.
@@ -76,25 +88,72 @@
 
 impl Suspects {
     pub(crate) fn new(host: &str) -> Self {
+        let gate = Gate::new(host.to_owned());
+        gate.set_incomplete(true);
         Self {
-            gate: Gate::new(host.to_owned()),
+            gate,
             probes: Probes::default(),
-            known: Mutex::default(),
+            saver: Saver::default(),
+            known: watch::Sender::new(None),
+            is_following: watch::Sender::new(false),
+            read_ends: Mutex::default(),
         }
     }
 
     /// Returns where and when this host last learned all that was blamed before; `None` if it never did.
     pub(crate) fn known(&self) -> Option<Known> {
-        lock(&self.known).clone()
+        self.known.borrow().clone()
     }
 
     /// Records that this host has learned all that was blamed before.
     pub(crate) fn set_known(&self, source: &str) {
-        *lock(&self.known) = Some(Known {
+        self.known.send_replace(Some(Known {
             source: source.to_owned(),
             since: Instant::now(),
+        }));
+        self.gate.set_incomplete(false);
+    }
+
+    /// Waits until this host has learned what was blamed before.
+    async fn wait_until_known(&self) {
+        let mut known = self.known.subscribe();
+        // Cannot fail: `self` owns the sender.
+        let _ = known.wait_for(Option::is_some).await;
+    }
+
+    /// Sets whether this host has to learn from the store what the others see.
+    pub(crate) fn set_following(&self, reach: Reach) {
+        let is_following = reach != Reach::All;
+        self.is_following
+            .send_if_modified(|present| std::mem::replace(present, is_following) != is_following);
+        self.gate.set_pace(match reach {
+            Reach::All | Reach::Most => Pace::Messages,
+            Reach::Few => Pace::Records,
         });
     }
+
+    fn is_following(&self) -> bool {
+        *self.is_following.borrow()
+    }
+
+    fn read_end(&self, topic: Topic) -> Option<u64> {
+        lock(&self.read_ends).get(&topic).copied()
+    }
+
+    fn set_read_end(&self, topic: Topic, end: u64) {
+        lock(&self.read_ends).insert(topic, end);
+    }
+}
+
+/// Which of the other hosts a host hears, as far as the quarantine needs to know.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Reach {
+    /// All, or others follow the records for those that are silent.
+    All,
+    /// Most; it follows the records for a silent one.
+    Most,
+    /// Half of them at most.
+    Few,
 }
 
 /// Starts to send reports to other hosts, and to load what was blamed before this host started.
@@ -102,6 +161,13 @@
     let until = Until::Phase(Phase::Stopped);
     ctx.spawn_duty("report crashes", until, suspects::broadcast_changes);
     ctx.spawn_duty("load suspects", Until::Done, records::load);
+    ctx.spawn_duty("save suspects", until, saver::run);
+    ctx.spawn_duty("follow blamed requests", until, |ctx| {
+        records::follow(ctx, Topic::Blamed)
+    });
+    ctx.spawn_duty("follow blamed parts", until, |ctx| {
+        records::follow(ctx, Topic::BlamedParts)
+    });
     ctx.spawn_duty("request suspects", Until::Done, suspects::catch_up);
 }
 
@@ -154,7 +220,7 @@
     }
     for cleared in gate.record_parts_success(&parts()) {
         ctx.metrics.count(Counted::Changes, "prompt part cleared");
-        part_records::delete(ctx, &cleared);
+        ctx.suspects.saver.clear_part(cleared.part);
         let Some(blamed_for) = cleared.blamed_for else {
             continue;
         };
@@ -181,29 +247,47 @@
     slog::info!(ctx.logger, "request cleared"; "crashes" => crashes,
         "fingerprint" => fingerprint::to_hex(fingerprint));
     ctx.metrics.count(Counted::Changes, "request cleared");
-    records::delete_record(ctx, fingerprint, crashes);
+    ctx.suspects.saver.clear_request(fingerprint);
 }
 
 /// Merges a host's report on a suspect.
 pub(crate) fn merge_report(ctx: &Arc<Context>, host: &HostId, report: &Report) {
-    let Change::Blamed { crashes } = ctx.suspects.gate.merge_report(host, report) else {
+    let change = ctx.suspects.gate.merge_report(host, report);
+    let is_from_store = host == records::STORE_REPORTER;
+    if is_from_store && ctx.suspects.is_following() && change != Change::None {
+        // Others may hear this host and not the one that wrote the record.
+        ctx.suspects.gate.report_request(report.fingerprint);
+    }
+    if ctx.suspects.gate.crash_count(report.fingerprint) == 0 {
+        ctx.suspects.saver.clear_request(report.fingerprint);
+    }
+    let Change::Blamed { crashes } = change else {
         return;
     };
     log_blamed(ctx, report.fingerprint, crashes, host);
     let task = fingerprint::to_hex(report.fingerprint);
-    if host != records::STORE_REPORTER && is_saver(ctx, &task) {
-        records::save(ctx, report.fingerprint);
+    if !is_from_store && is_saver(ctx, &task) {
+        ctx.suspects.saver.add_request(report.fingerprint);
     }
 }
 
 /// Merges a host's report on a part of prompts.
 pub(crate) fn merge_part_report(ctx: &Arc<Context>, host: &HostId, report: &parts::Report) {
-    let Change::Blamed { crashes } = ctx.suspects.gate.merge_part_report(report) else {
+    let change = ctx.suspects.gate.merge_part_report(report);
+    let is_from_store = host == records::STORE_REPORTER;
+    if is_from_store && ctx.suspects.is_following() && change != Change::None {
+        // Others may hear this host and not the one that wrote the record.
+        ctx.suspects.gate.report_part(report.part);
+    }
+    if ctx.suspects.gate.part_crash_count(report.part) == 0 {
+        ctx.suspects.saver.clear_part(report.part);
+    }
+    let Change::Blamed { crashes } = change else {
         return;
     };
     log_blamed_part(ctx, report.part, crashes, host);
-    if host != records::STORE_REPORTER && is_saver(ctx, &prompt::to_hex(report.part)) {
-        part_records::save(ctx, report.part);
+    if !is_from_store && is_saver(ctx, &prompt::to_hex(report.part)) {
+        ctx.suspects.saver.add_part(report.part);
     }
 }
 
--- a/crates/gateway/src/quarantine/part_records.rs
+++ b/crates/gateway/src/quarantine/part_records.rs
@@ -1,31 +1,26 @@
-//! Records of blamed parts of prompts in the store.
+//! Records of suspected parts of prompts in the store.
 //!
 //! They have a topic of their own, which hosts of earlier versions do not read. In the topic of
 //! blamed requests these would log them as unreadable, and delete them when they clean up.
 //!
-//! A part is saved before it is blamed, once it was in two crashes that no answer has cleared: hosts
-//! that are killed one after the other may each see too few crashes for a blame. It is not saved
-//! after its first crash, as each crash makes suspects of all parts that ran at the target, and most
-//! of them are cleared by the next answer.
+//! A part is saved from its first crash on: hosts that are killed one after the other may each see
+//! one.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use notchwharf_ledger::jobs::HostId;
-use notchwharf_listen::Phase;
 use notchwharf_routing::prompt;
 use notchwharf_routing::prompt::PartId;
 use notchwharf_routing::quarantine::RUN_TIME_MAX;
-use notchwharf_routing::quarantine::parts::Cleared;
+use notchwharf_routing::quarantine::parts::CRASHES_MIN;
 use notchwharf_routing::quarantine::parts::CrashReport;
 use notchwharf_routing::quarantine::parts::Report;
 use serde::Deserialize;
 use serde::Serialize;
 
-use super::records::RETRY_DELAY;
 use super::records::STORE_REPORTER;
 use super::records::delete_if;
-use super::records::write;
 use crate::context::Context;
 use crate::ports::Entry;
 use crate::ports::StoreError;
@@ -34,11 +29,10 @@
 use crate::time::ms;
 use crate::time::unix_ms;
 
-/// Crashes from which a part is saved.
-const CRASHES_SAVED_MIN: u32 = 2;
-
 /// Age of a record's newest crash from which it is deleted. Hosts block a part for a day at most.
 const RECORD_MAX_AGE: Duration = Duration::from_secs(48 * 3_600);
+/// The same if the part was in too few crashes for a blame: hosts forget it sooner.
+const UNBLAMED_RECORD_MAX_AGE: Duration = Duration::from_secs(1_200);
 
 /// A suspected part.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -55,46 +49,23 @@
     at_unix_ms: u64,
 }
 
-/// Saves a part in a task of its own, if it was in enough crashes.
-pub(super) fn save(ctx: &Arc<Context>, part: PartId) {
-    if ctx.suspects.gate.part_crash_count(part) >= CRASHES_SAVED_MIN {
-        tokio::spawn(write_newest(Arc::clone(ctx), part));
+/// Returns the record of a part, or one that deletes it if the part was cleared.
+pub(super) fn entry(ctx: &Context, part: PartId) -> Entry {
+    let report = ctx.suspects.gate.part_report(part);
+    let report = report.filter(|report| !report.crashes.is_empty());
+    Entry {
+        key: prompt::to_hex(part),
+        value: report.map(|report| encode(&report).into()),
     }
 }
 
-/// Appends what is known of a part, retrying until that is done, the part is cleared or the host
-/// stops.
-async fn write_newest(ctx: Arc<Context>, part: PartId) {
-    while ctx.phase() < Phase::Stopped {
-        let report = ctx.suspects.gate.part_report(part);
-        let report = report.filter(|r| r.crashes.len() >= CRASHES_SAVED_MIN as usize);
-        let Some(report) = report else {
-            return;
-        };
-        let entry = Entry {
-            key: prompt::to_hex(part),
-            value: Some(encode(&report).into()),
-        };
-        // The store's wrapper logs the failure.
-        let res = ctx.store.append(Topic::BlamedParts, 0, vec![entry]).await;
-        if res.is_ok() {
-            return;
-        }
-        tokio::time::sleep(RETRY_DELAY).await;
-    }
-}
-
-/// Deletes the record of a cleared part, if it may have one.
-pub(super) fn delete(ctx: &Arc<Context>, cleared: &Cleared) {
-    if cleared.crashes >= CRASHES_SAVED_MIN {
-        let entry = Entry::tombstone(prompt::to_hex(cleared.part));
-        tokio::spawn(write(Arc::clone(ctx), Topic::BlamedParts, entry));
-    }
-}
-
-/// Merges a record that was saved before this host started.
-pub(super) fn load_record(ctx: &Arc<Context>, entry: &Entry) {
+/// Merges a record. One that lacks crashes which this host knows of is written again.
+pub(super) fn merge_record(ctx: &Arc<Context>, entry: &Entry) {
+    let saver = &ctx.suspects.saver;
     let Some(value) = &entry.value else {
+        if let Some(part) = decode_key(&entry.key) {
+            saver.set_part_stored(part, false);
+        }
         return;
     };
     let Some((part, record)) = decode(&entry.key, value) else {
@@ -114,7 +85,17 @@
         cleared_age: None,
         crashes: crashes.collect(),
     };
+    saver.set_part_stored(part, true);
     super::merge_part_report(ctx, &HostId::from(STORE_REPORTER), &report);
+    let known = ctx.suspects.gate.part_report(part);
+    let is_in_record = |crash: &CrashReport| {
+        let mut recorded = report.crashes.iter();
+        recorded.any(|recorded| recorded.incarnation == crash.incarnation)
+    };
+    let is_record_whole = known.is_none_or(|known| known.crashes.iter().all(is_in_record));
+    if !is_record_whole || ctx.suspects.gate.part_crash_count(part) == 0 {
+        saver.add_part(part);
+    }
 }
 
 /// Deletes the records of parts whose last crash is long ago.
@@ -123,10 +104,15 @@
 ///
 /// Returns the store's failure.
 pub(super) async fn delete_expired(ctx: &Context) -> Result<(), StoreError> {
-    let expiry_unix_ms = unix_ms().saturating_sub(millis(RECORD_MAX_AGE));
+    let now_unix_ms = unix_ms();
     delete_if(ctx, Topic::BlamedParts, |entry| {
         let record = entry.value.as_deref().and_then(|v| decode(&entry.key, v));
         let crashes = record.map(|(_, record)| record.crashes).unwrap_or_default();
+        let max_age = match crashes.len() > CRASHES_MIN {
+            true => RECORD_MAX_AGE,
+            false => UNBLAMED_RECORD_MAX_AGE,
+        };
+        let expiry_unix_ms = now_unix_ms.saturating_sub(millis(max_age));
         crashes
             .iter()
             .all(|crash| crash.at_unix_ms < expiry_unix_ms)
@@ -149,6 +135,9 @@
 }
 
 fn decode(key: &str, value: &[u8]) -> Option<(PartId, Record)> {
-    let part = PartId::from_str_radix(key, 16).ok()?;
-    Some((part, postcard::from_bytes(value).ok()?))
+    Some((decode_key(key)?, postcard::from_bytes(value).ok()?))
+}
+
+fn decode_key(key: &str) -> Option<PartId> {
+    PartId::from_str_radix(key, 16).ok()
 }
--- a/crates/gateway/src/quarantine/probe.rs
+++ b/crates/gateway/src/quarantine/probe.rs
@@ -21,14 +21,14 @@
 
 use super::log_blamed;
 use super::log_blamed_part;
-use super::part_records;
 use super::record_parts_success;
 use super::record_success;
-use super::records;
+use super::saver;
 use crate::RequestId;
 use crate::context::Context;
 use crate::fingerprint;
 use crate::metrics::Counted;
+use crate::peers::suspects;
 use crate::ports::Presence;
 use crate::sync::lock;
 use crate::time::millis;
@@ -141,6 +141,11 @@
     for pending in &pending_runs {
         record_crash(&ctx, pending, incarnation);
     }
+    // Others may have seen crashes of which this host is not told.
+    suspects::update_reach(&ctx);
+    let requests = pending_runs.iter().map(|pending| pending.run.fingerprint);
+    let parts = pending_runs.iter().flat_map(|pending| &pending.run.parts);
+    saver::save(&ctx, requests.collect(), parts.copied().collect()).await;
 }
 
 fn record_crash(ctx: &Arc<Context>, pending: &PendingRun, incarnation: IncarnationId) {
@@ -171,7 +176,6 @@
         "fingerprint" => fingerprint::to_hex(fingerprint), "parts" => prompt::join(&pending.run.parts));
     if let Change::Blamed { crashes } = change {
         log_blamed(ctx, fingerprint, crashes, ctx.host());
-        records::save(ctx, fingerprint);
     }
 }
 
@@ -199,9 +203,6 @@
         if let Change::Blamed { crashes } = change {
             log_blamed_part(ctx, part, crashes, ctx.host());
         }
-        if change != Change::None {
-            part_records::save(ctx, part);
-        }
     }
 }
 
--- a/crates/quarantine/src/gate.rs
+++ b/crates/quarantine/src/gate.rs
@@ -22,6 +22,7 @@
 use notchwharf_routing::quarantine::Report;
 use notchwharf_routing::quarantine::parts;
 use notchwharf_routing::quarantine::parts::Cleared;
+use notchwharf_routing::quarantine::parts::Pace;
 use notchwharf_routing::quarantine::parts::Parts;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
@@ -275,6 +276,29 @@
         }
     }
 
+    /// Sets whether crashes from before this host's start may be unknown to it. What was in a crash
+    /// since then waits meanwhile: it may have been in many.
+    pub fn set_incomplete(&self, is_incomplete: bool) {
+        self.quarantine().set_incomplete(is_incomplete);
+        self.parts().set_incomplete(is_incomplete);
+        self.changed.send_replace(());
+    }
+
+    /// Sets how soon this host learns of the crashes that others see.
+    pub fn set_pace(&self, pace: Pace) {
+        self.parts().set_pace(pace);
+    }
+
+    /// Sends other hosts what is known of a request.
+    pub fn report_request(&self, fingerprint: Fingerprint) {
+        self.publish(Subject::Request(fingerprint), true);
+    }
+
+    /// Sends other hosts what is known of a part of prompts.
+    pub fn report_part(&self, part: PartId) {
+        self.publish(Subject::Part(part), true);
+    }
+
     /// Records that a target crashed under a request.
     pub fn record_crash(&self, fingerprint: Fingerprint, crash: Crash) -> Change {
         let change = self.quarantine().record_crash(fingerprint, crash);
--- a/crates/routing/src/quarantine.rs
+++ b/crates/routing/src/quarantine.rs
@@ -170,9 +170,15 @@
 pub struct Quarantine {
     suspects: HashMap<Fingerprint, Suspect>,
     crash_times: CrashTimes,
+    is_incomplete: bool,
 }
 
 impl Quarantine {
+    /// Sets whether crashes from before may be unknown. Meanwhile suspects wait.
+    pub fn set_incomplete(&mut self, is_incomplete: bool) {
+        self.is_incomplete = is_incomplete;
+    }
+
     /// Returns whether there are no suspects, so that no fingerprint has to be computed.
     pub fn is_empty(&self) -> bool {
         self.suspects.is_empty()
@@ -210,6 +216,7 @@
     /// Decides whether a host may send a request now, and records the run of a suspect.
     pub fn admit(&mut self, fingerprint: Fingerprint, host: &str, now: Instant) -> Decision {
         match self.suspects.get_mut(&fingerprint) {
+            Some(suspect) if self.is_incomplete && suspect.crash_count() > 0 => Decision::Wait,
             Some(suspect) => suspect.admit(host, suspect.remaining_block(now), now),
             None => Decision::Admit,
         }
@@ -219,6 +226,7 @@
     /// caller retries it, so it runs again in calm, however many targets crashed under it.
     pub fn admit_item(&mut self, fingerprint: Fingerprint, host: &str, now: Instant) -> Decision {
         match self.suspects.get_mut(&fingerprint) {
+            Some(suspect) if self.is_incomplete && suspect.crash_count() > 0 => Decision::Wait,
             Some(suspect) => {
                 let block = suspect.item_block(&self.crash_times, now);
                 suspect.admit(host, block, now)
--- a/crates/routing/src/quarantine/parts.rs
+++ b/crates/routing/src/quarantine/parts.rs
@@ -243,9 +243,15 @@
     explaining: HashSet<PartId>,
     crash_times: CrashTimes,
     pace: Pace,
+    is_incomplete: bool,
 }
 
 impl Parts {
+    /// Sets whether crashes from before may be unknown. Meanwhile requests with a suspected part wait.
+    pub fn set_incomplete(&mut self, is_incomplete: bool) {
+        self.is_incomplete = is_incomplete;
+    }
+
     /// Sets how soon this host learns of the crashes that others see.
     pub fn set_pace(&mut self, pace: Pace) {
         self.pace = pace;
@@ -323,6 +329,9 @@
         now: Instant,
         remaining_block: impl Fn(&CrashTimes, &Suspect) -> Option<Duration>,
     ) -> Decision {
+        if self.is_incomplete && parts.iter().any(|part| self.crash_count(*part) > 0) {
+            return Decision::Wait;
+        }
         if self.blamed.is_empty() {
             return Decision::Admit;
         }
