Look at a target again until it is known to go on or to have ended

What callers saw: where a target's listener outlives its connections for a few milliseconds, or its machine falls silent, requests crashed target after target without end, and no host blamed anything. Cause: one look right after a run broke off decided whether the target had crashed; a look that showed nothing counted as no crash. Now a target is looked at again, with pauses that double, for three seconds, until it answers a request that was sent since (then nothing ended), or is refused, or another start has taken its place, by its entry or by its own answer. A target that has said that it leaves, or whose entry was removed without a successor, tells nothing. Runs that fell silent, and answers that were not there in time, count as crashes if another start has taken the place. An answer that ends with its connection clears its request only once the target went on answering, or listening for 200 ms. Resets, stalls and closes stay no crashes.

--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -9,9 +9,11 @@
 mod evacuation;
 mod follow;
 mod records;
+mod starts;
 mod targets;
 
 use std::fmt;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -55,6 +57,7 @@
 pub(crate) use self::records::Config;
 pub(crate) use self::records::PeerReading;
 pub(crate) use self::records::Versions;
+use self::starts::Starts;
 use self::targets::Standstill;
 pub(crate) use self::targets::confirm as confirm_targets;
 pub(crate) use self::targets::wait_after_standstill;
@@ -101,6 +104,8 @@
     last_check: tokio::sync::Mutex<Option<Instant>>,
     /// When the store was last asked whether the targets known here are the newest.
     last_targets_check: tokio::sync::Mutex<Option<Instant>>,
+    /// The starts of targets, by address.
+    starts: Mutex<Starts>,
     deps: Dependencies,
 }
 
@@ -151,10 +156,17 @@
             state: Mutex::new(state),
             last_check: tokio::sync::Mutex::default(),
             last_targets_check: tokio::sync::Mutex::default(),
+            starts: Mutex::default(),
             deps,
         }
     }
 
+    /// Returns when it became known that another start has taken the place of one at an address, unless
+    /// that one had said that it leaves.
+    pub(crate) fn replaced_at(&self, addr: SocketAddr) -> Option<Instant> {
+        lock(&self.starts).replaced_at(addr)
+    }
+
     /// Applies the result of a read of targets.
     fn apply_targets(&self, attempt: ReadAttempt, now: Instant) -> Updated {
         let ReadAttempt {
@@ -317,6 +329,7 @@
             }
             self.deps.metrics.count(Counted::Changes, "target");
         }
+        lock(&self.starts).add(id, &spec, now);
         self.record_version(balancer.spec(id), Some(&spec), now);
         let cold_left = spec.cold_left;
         balancer.upsert(id, spec);
--- a/crates/gateway/src/items/run.rs
+++ b/crates/gateway/src/items/run.rs
@@ -1,5 +1,6 @@
 //! One run of an item at a target.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -80,6 +81,8 @@
 struct Exchange {
     /// Whether the target may have received the item.
     is_sent: bool,
+    /// The address that it was sent to.
+    addr: Option<SocketAddr>,
     /// The start of the response, once it has arrived.
     head: Option<Head>,
     /// The response that has not begun in time.
@@ -197,6 +200,7 @@
     } = run;
     let Exchange {
         is_sent,
+        addr,
         head,
         pending,
     } = progress;
@@ -250,6 +254,10 @@
     }
     if outcome == RunOutcome::Unusable(SILENT) {
         item.silences = item.silences.saturating_add(1);
+        if let Some(addr) = addr {
+            let run = broken_run(ctx, &item, &target, addr, head, started);
+            quarantine::check_silent(ctx, run);
+        }
     }
     update_balancer(ctx, &target, outcome);
     lock(&ctx.items.estimators)
@@ -271,7 +279,7 @@
                 .kind_mut(&item.route)
                 .record_completion(item.size, item.event_count());
             if events > 0 {
-                record_success(ctx, &item, &target, head, started);
+                record_success(ctx, &item, &target, addr, head, started);
             }
             completion::stop_tracking(ctx, &item);
             drop(in_progress);
@@ -301,7 +309,8 @@
             requeue_after_delay(ctx, item).await;
         }
         RunOutcome::Interrupted(_) => {
-            if let Some(run) = broken_run(ctx, &item, &target, head, started) {
+            if let Some(addr) = addr {
+                let run = broken_run(ctx, &item, &target, addr, head, started);
                 quarantine::check_crash(ctx, run).await;
             }
             requeue_after_delay(ctx, item).await;
@@ -314,7 +323,7 @@
         }
         RunOutcome::EndNotMarked => {
             if events > 0 {
-                record_success(ctx, &item, &target, head, started);
+                record_success(ctx, &item, &target, addr, head, started);
             }
             requeue(ctx, item);
         }
@@ -381,6 +390,7 @@
     ctx: &Arc<Context>,
     item: &Item,
     target: &TargetId,
+    addr: Option<SocketAddr>,
     head: Option<Head>,
     started: Instant,
 ) {
@@ -389,22 +399,24 @@
         quarantine::record_parts_success(ctx, || item.parts(&ctx.decode).into());
         return;
     }
-    if let Some(run) = broken_run(ctx, item, target, head, started) {
-        let is_complete = true;
-        quarantine::check_unmarked_end(ctx, || quarantine::BrokenRun { is_complete, ..run });
+    if let Some(addr) = addr {
+        quarantine::check_unmarked_end(ctx, || quarantine::BrokenRun {
+            is_complete: true,
+            ..broken_run(ctx, item, target, addr, head, started)
+        });
     }
 }
 
-/// Returns an interrupted run of an item; `None` if its target has been removed.
+/// Returns an interrupted run of an item.
 fn broken_run(
     ctx: &Context,
     item: &Item,
     target: &TargetId,
+    addr: SocketAddr,
     head: Option<Head>,
     started: Instant,
-) -> Option<quarantine::BrokenRun> {
-    let addr = lock(&ctx.balancer).spec(target).map(|spec| spec.addr)?;
-    Some(quarantine::BrokenRun {
+) -> quarantine::BrokenRun {
+    quarantine::BrokenRun {
         fingerprint: item.fingerprint(&ctx.decode),
         parts: item.parts(&ctx.decode).to_vec(),
         id: item.request.id.clone(),
@@ -413,7 +425,7 @@
         run_time: head.map_or(started, |head| head.at).elapsed(),
         sent_at: head.map(|_| started),
         is_complete: false,
-    })
+    }
 }
 
 async fn requeue_after_delay(ctx: &Arc<Context>, item: Item) {
@@ -489,6 +501,8 @@
     };
     let stall_timeout = ms(ctx.settings.batch.stall_ms);
     progress.is_sent = true;
+    progress.addr = Some(addr);
+    let sent_at = Instant::now();
     let mut reply = (ctx.targets.call)(call);
     match tokio::time::timeout(stall_timeout, &mut reply).await {
         Err(_) => {
@@ -498,10 +512,18 @@
         Ok(Err(err @ NoReply::Broken)) => Err(RunOutcome::Interrupted(err.reason())),
         Ok(Err(NoReply::Unknown(reason))) => Err(RunOutcome::Unusable(reason)),
         Ok(Err(err)) => {
+            match err {
+                NoReply::Full | NoReply::Rejected(_) => {
+                    quarantine::record_answer(ctx, target, sent_at);
+                }
+                NoReply::OtherTarget => quarantine::record_replaced(ctx, target),
+                NoReply::NotSent(_) | NoReply::Broken | NoReply::Unknown(_) => {}
+            }
             progress.is_sent = false;
             Err(RunOutcome::NotRun(err))
         }
         Ok(Ok(reply)) => {
+            quarantine::record_answer(ctx, target, sent_at);
             progress.head = Some(Head::of(&reply));
             Ok(reply)
         }
--- a/crates/gateway/src/online/body.rs
+++ b/crates/gateway/src/online/body.rs
@@ -38,6 +38,9 @@
 use crate::sync::lock;
 use crate::time::ms;
 
+/// Why a response cannot be used whose events stopped coming.
+const SILENT: &str = "silent";
+
 /// A response whose body is being forwarded.
 pub(super) struct ResponseBody {
     dispatch: Dispatch,
@@ -212,7 +215,7 @@
             if Instant::now() >= deadline {
                 return Err(Interruption::TimedOut);
             }
-            return Err(Interruption::Unusable("silent"));
+            return Err(Interruption::Unusable(SILENT));
         };
         let frame = match frame {
             Some(Ok(frame)) => frame,
@@ -337,11 +340,26 @@
         self.dispatch.trace.complete();
     }
 
+    /// Checks whether the target ended while its answer did not go on.
+    fn check_replaced(&mut self) {
+        let Some(response) = &self.response else {
+            return;
+        };
+        let target = response.running.target().clone();
+        let run_time = response.headers_at.elapsed();
+        let (addr, sent_at) = (response.addr, Some(response.sent_at));
+        self.dispatch
+            .check_replaced(&target, addr, run_time, sent_at);
+    }
+
     /// Resumes the stream at another target if it is resumable.
     async fn resume(&mut self, interruption: Interruption) -> Result<(), Failure> {
         let is_maybe_whole = matches!(interruption, Interruption::EndNotMarked);
         let (reason, may_have_crashed) = match interruption {
-            Interruption::TimedOut => return Err(Failure::TimedOut),
+            Interruption::TimedOut => {
+                self.check_replaced();
+                return Err(Failure::TimedOut);
+            }
             Interruption::ConnectionLost(reason) => (reason, true),
             Interruption::EndNotMarked => ("end not marked", false),
             Interruption::Unusable(reason) => (reason, false),
@@ -377,6 +395,9 @@
             self.dispatch
                 .check_crash(&target, addr, run_time, Some(sent_at))
                 .await;
+        } else if reason == SILENT {
+            let run_time = headers_at.elapsed();
+            self.dispatch.check_silent(&target, addr, run_time, sent_at);
         }
         // The next run of a suspected request starts once the outcome of this one is known.
         drop(run_guard);
--- a/crates/gateway/src/online/dispatch.rs
+++ b/crates/gateway/src/online/dispatch.rs
@@ -196,7 +196,9 @@
             let sent_at = Instant::now();
             // The caller may disconnect before it is known whether the request runs.
             self.set_used(true);
-            let err = match self.offer(&choice, running, resume_after).await {
+            let replied = self.offer(&choice, running, resume_after).await;
+            self.record_answer(&choice.target, &replied, sent_at);
+            let err = match replied {
                 Ok(response) => match self.check_reply(response) {
                     Ok(response) => {
                         return Ok(StartedResponse {
@@ -208,6 +210,10 @@
                 },
                 Err(err) => err,
             };
+            if err == NoReply::Unknown(TIMED_OUT) {
+                let run_time = sent_at.elapsed();
+                self.check_replaced(&choice.target, choice.addr, run_time, None);
+            }
             if err == NoReply::Broken {
                 let run_time = sent_at.elapsed();
                 self.check_crash(&choice.target, choice.addr, run_time, None)
@@ -225,6 +231,23 @@
         }
     }
 
+    /// Records what an answer tells of its target: that it goes on, or that another start has taken
+    /// its place.
+    fn record_answer(
+        &self,
+        target: &str,
+        replied: &Result<StartedResponse, NoReply>,
+        sent_at: Instant,
+    ) {
+        match replied {
+            Ok(_) | Err(NoReply::Full | NoReply::Rejected(_)) => {
+                quarantine::record_answer(&self.ctx, target, sent_at);
+            }
+            Err(NoReply::OtherTarget) => quarantine::record_replaced(&self.ctx, target),
+            Err(NoReply::NotSent(_) | NoReply::Broken | NoReply::Unknown(_)) => {}
+        }
+    }
+
     /// Returns the version of a target that has sent the first event. It is not known if the
     /// target's entry has changed since the choice: the process that answers may be another one.
     pub(super) fn confirmed_version(&self, response: &StartedResponse) -> Option<TargetVersion> {
@@ -319,7 +342,43 @@
         run_time: Duration,
         sent_at: Option<Instant>,
     ) {
-        let run = quarantine::BrokenRun {
+        let run = self.broken_run(target, addr, run_time, sent_at);
+        quarantine::check_crash(&self.ctx, run).await;
+    }
+
+    /// Checks, without waiting, whether the target ended while the request had no answer from it.
+    pub(super) fn check_silent(
+        &mut self,
+        target: &TargetId,
+        addr: SocketAddr,
+        run_time: Duration,
+        sent_at: Instant,
+    ) {
+        let run = self.broken_run(target, addr, run_time, Some(sent_at));
+        quarantine::check_silent(&self.ctx, run);
+    }
+
+    /// Checks, without waiting, whether another start took the target's place before the request was
+    /// answered in time.
+    pub(super) fn check_replaced(
+        &mut self,
+        target: &TargetId,
+        addr: SocketAddr,
+        run_time: Duration,
+        sent_at: Option<Instant>,
+    ) {
+        let run = self.broken_run(target, addr, run_time, sent_at);
+        quarantine::check_replaced(&self.ctx, run);
+    }
+
+    fn broken_run(
+        &mut self,
+        target: &TargetId,
+        addr: SocketAddr,
+        run_time: Duration,
+        sent_at: Option<Instant>,
+    ) -> quarantine::BrokenRun {
+        quarantine::BrokenRun {
             fingerprint: self.fingerprint(),
             parts: self.parts().to_vec(),
             id: self.request.id.clone(),
@@ -328,8 +387,7 @@
             run_time,
             sent_at,
             is_complete: false,
-        };
-        quarantine::check_crash(&self.ctx, run).await;
+        }
     }
 
     /// Records that a target answered the request with success. An empty answer, as to a stream
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -47,6 +47,8 @@
 pub(crate) use self::probe::BrokenRun;
 use self::probe::Probes;
 pub(crate) use self::probe::check_crash;
+pub(crate) use self::probe::check_replaced;
+pub(crate) use self::probe::check_silent;
 pub(crate) use self::probe::check_unmarked_end;
 use self::saver::Saver;
 use crate::backlog::Item;
@@ -229,6 +231,16 @@
     }
 }
 
+/// Records that a target answered a request that was sent at a time, whatever the answer is.
+pub(crate) fn record_answer(ctx: &Context, target: &str, sent_at: Instant) {
+    ctx.suspects.probes.record_answer(target, sent_at);
+}
+
+/// Records that another start answered at a target's address.
+pub(crate) fn record_replaced(ctx: &Context, target: &str) {
+    ctx.suspects.probes.record_replaced(target);
+}
+
 /// Records that an item ran for a time, made progress and was preempted. If it ran for long
 /// enough, it is cleared: targets evidently survive it.
 pub(crate) fn record_survival(ctx: &Arc<Context>, item: &Item, run_time: Duration) {
