Wait for the store once after a standstill, not before each send of an outage

Cause: a failed read left the view as doubtful as before. One read that fails, or takes too long, now ends the wait until the next standstill; the follower goes on reading.

--- a/crates/gateway/src/catalog/targets.rs
+++ b/crates/gateway/src/catalog/targets.rs
@@ -36,6 +36,8 @@
 pub(super) struct Standstill {
     ran_at: Instant,
     resumed_at: Option<Instant>,
+    /// The end of the standstill after which the entries could not be read.
+    failed_for: Option<Instant>,
 }
 
 impl Standstill {
@@ -43,9 +45,20 @@
         Self {
             ran_at: now,
             resumed_at: None,
+            failed_for: None,
         }
     }
 
+    /// Returns whether the entries could not be read after the last standstill.
+    fn has_read_failed(&self) -> bool {
+        self.failed_for.is_some() && self.failed_for == self.resumed_at
+    }
+
+    /// Records that the entries could not be read after a standstill.
+    fn record_failed_read(&mut self, resumed_at: Instant) {
+        self.failed_for = Some(resumed_at);
+    }
+
     /// Returns whether the host should have recorded since that it runs.
     fn is_overdue(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.ran_at) > 2 * SWEEP_INTERVAL
@@ -77,11 +90,19 @@
     let Some(resumed_at) = ctx.catalog.outdated_since(now) else {
         return;
     };
+    if lock(&ctx.catalog.state).standstill.has_read_failed() {
+        return;
+    }
     ctx.metrics
         .count(Counted::Changes, "targets confirmed after standstill");
     let deadline = tokio::time::Instant::from_std(now + STANDSTILL_WAIT);
-    // A host that reaches nobody goes on with what it knows, as in an outage.
     let _ = tokio::time::timeout_at(deadline, read_newest(ctx, resumed_at)).await;
+    if !ctx.catalog.are_targets_complete(resumed_at) {
+        // A host that reaches nobody goes on with what it knows, as in an outage.
+        lock(&ctx.catalog.state)
+            .standstill
+            .record_failed_read(resumed_at);
+    }
 }
 
 /// Ensures that the targets known here are those of `since` or later; returns whether they are. Asks the
--- a/crates/gateway/tests/catalog.rs
+++ b/crates/gateway/tests/catalog.rs
@@ -248,3 +248,23 @@
     })
     .await;
 }
+
+/// Guards against a wait before each send, for as long as an outage lasts, after the host stood still.
+#[tokio::test]
+async fn after_a_standstill_in_an_outage_only_the_first_send_waits_for_the_store() {
+    let harness = Harness::new(&["t1", "t2"]);
+    let host = harness.start_ready("a1").await;
+    wait_until("all are known", || host.ctx().targets_known() == 2).await;
+    harness.store.set_closed(true);
+    wait_until("the store is unavailable", || !host.ctx().is_store_up()).await;
+    // Nothing of the host runs meanwhile, as on a machine that was suspended.
+    std::thread::sleep(Duration::from_millis(700));
+    for number in 0..6 {
+        let id = format!("r{number}");
+        let sent = host.send(harness::NON_RESUMABLE, &id).await;
+        assert!(sent.is_ok(), "{sent:?}");
+    }
+    let metrics = &host.ctx().metrics;
+    let waits = metrics.counted(Counted::Changes, "targets confirmed after standstill");
+    assert_eq!(waits, 1);
+}
