Doubt a crash that is seen late if runs at several targets broke off together

A run that the network broke off, and whose target ends within the three seconds for which it is looked at, would count as one that met a crash after its short time. If runs at other targets broke off within 20 ms, the time until the end was seen counts as well, so that resets of many connections beside crashes blame nothing sooner than before. Tests: a run whose target has answered since, or has said that it leaves, is no crash; neither records of crashes are read nor written while nothing crashes and hosts hear one another.

--- a/crates/gateway/src/quarantine/probe.rs
+++ b/crates/gateway/src/quarantine/probe.rs
@@ -11,6 +11,7 @@
 //! them. Asking the target for its state was rejected: such a request waits for a slot like any other.
 
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -57,6 +58,11 @@
 const LOOK_TIME: Duration = Duration::from_secs(3);
 /// Time after which an answer that ended with its connection counts, if its target goes on listening.
 const LISTENING_TIME: Duration = Duration::from_millis(200);
+/// Runs at other targets that break off within so much time of one another break off for a common reason:
+/// the network reset their connections, or many targets ended.
+const COMMON_BREAK_TIME: Duration = Duration::from_millis(20);
+/// Number of breaks that are remembered for that.
+const BREAKS_REMEMBERED: usize = 256;
 /// Interval at which the known entries are searched for another start of a target.
 const ENTRY_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -114,12 +120,21 @@
 #[derive(Debug, Default)]
 pub(super) struct Probes {
     watched: Mutex<HashMap<TargetId, Watched>>,
+    /// The newest breaks, oldest first.
+    breaks: Mutex<VecDeque<(TargetId, Instant)>>,
     changed: Notify,
 }
 
 impl Probes {
     /// Adds a run; returns whether its target is not being looked at yet.
     fn add(&self, pending: PendingRun) -> bool {
+        {
+            let mut breaks = lock(&self.breaks);
+            if breaks.len() >= BREAKS_REMEMBERED {
+                breaks.pop_front();
+            }
+            breaks.push_back((pending.run.target.clone(), pending.detected_at));
+        }
         let mut watched = lock(&self.watched);
         let runs = &mut watched.entry(pending.run.target.clone()).or_default().runs;
         runs.push(pending);
@@ -157,6 +172,15 @@
         watched.get(target).is_some_and(|w| w.is_replaced)
     }
 
+    /// Returns whether a run at another target broke off at the same time as one at a target.
+    fn is_common_break(&self, target: &str, at: Instant) -> bool {
+        let is_common = |other: &(TargetId, Instant)| {
+            let apart = other.1.max(at) - other.1.min(at);
+            other.0 != target && apart <= COMMON_BREAK_TIME
+        };
+        lock(&self.breaks).iter().any(is_common)
+    }
+
     /// Removes the runs that match, and the target with the last one.
     fn take(
         &self,
@@ -306,7 +330,12 @@
         let has_listened = is_listening && pending.detected_at.elapsed() >= LISTENING_TIME;
         is_answered || (pending.run.is_complete && has_listened)
     });
-    for pending in survived.iter().filter(|pending| pending.run.is_complete) {
+    for pending in &survived {
+        if !pending.run.is_complete {
+            let change = "run broke off at a target that goes on";
+            ctx.metrics.count(Counted::Changes, change);
+            continue;
+        }
         record_success(ctx, || pending.run.fingerprint);
         record_parts_success(ctx, || pending.run.parts.as_slice().into());
     }
@@ -323,8 +352,13 @@
 /// Records that a target crashed under its runs, here and in the store.
 async fn record_end(ctx: &Arc<Context>, target: &str, is_replaced: bool) {
     ctx.metrics.count(Counted::Changes, "target crashed");
-    let runs = ctx.suspects.probes.take(target, |_, _| true);
-    for pending in &runs {
+    let probes = &ctx.suspects.probes;
+    let mut runs = probes.take(target, |_, _| true);
+    for pending in &mut runs {
+        // A run that broke off for a common reason may have met the end of its target at any time since.
+        if probes.is_common_break(target, pending.detected_at) {
+            pending.run.run_time += pending.detected_at.elapsed();
+        }
         record_crash(ctx, pending, is_replaced);
     }
     // Others may have seen crashes of which this host is not told.
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -534,3 +534,70 @@
     let _ = tokio::join!(send("a"), send("b"), send("c"), send("d"), release);
     assert_eq!(host.results("j1", 1).await.len(), 1);
 }
+
+/// What happens to a target after a run broke off there, before it ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Before {
+    Answer,
+    Leaving,
+}
+
+#[rstest]
+#[case::that_has_answered_since(Before::Answer, "run broke off at a target that goes on")]
+#[case::that_has_said_that_it_leaves(Before::Leaving, "crash not seen")]
+#[tokio::test]
+async fn a_run_that_breaks_off_before_the_end_of_a_target_is_no_crash(
+    #[case] before: Before,
+    #[case] change: &'static str,
+) {
+    let harness = Harness::new(&["t1"]);
+    let host = harness.start_ready("a1").await;
+    harness
+        .targets
+        .script_request("r1", &[Action::BreakAfter(1)]);
+    let broken = host.send_with_parts(NON_RESUMABLE, "r1", "shared,part,own");
+    assert!(broken.await.unwrap().body.is_none());
+    match before {
+        Before::Answer => {
+            let answered = host.send(NON_RESUMABLE, "r2").await.unwrap();
+            assert!(answered.body.is_some());
+        }
+        Before::Leaving => {
+            harness.store.put_target("t1", "leaving");
+            wait_until("it is leaving", || host.ctx().is_leaving("t1")).await;
+        }
+    }
+    let metrics = &host.ctx().metrics;
+    let is_decided = || metrics.counted(Counted::Changes, change) == 1;
+    if before == Before::Leaving {
+        harness.targets.crash("t1");
+    }
+    wait_until("it is decided what broke the run off", is_decided).await;
+    harness.targets.crash("t1");
+    assert_eq!(metrics.counted(Counted::Changes, "target crashed"), 0);
+    assert_eq!(harness.store.key_count(Topic::BlamedParts), 0);
+}
+
+#[tokio::test]
+async fn records_of_crashes_are_neither_read_nor_written_while_nothing_crashes() {
+    const TOPICS: [Topic; 2] = [Topic::Blamed, Topic::BlamedParts];
+    let harness = Harness::new(&["t1", "t2"]);
+    let hosts = hosts(&harness, &["a1", "b1"]).await;
+    let pages = || TOPICS.map(|topic| harness.store.pages_read(topic));
+    wait_until("the records are loaded", || pages() == [2, 2]).await;
+    let began = Instant::now();
+    let down = Duration::from_millis(2_500);
+    for number in 0.. {
+        for host in &hosts {
+            let id = format!("r{number}");
+            let sent = host.send_with_parts(NON_RESUMABLE, &id, "shared,part,own");
+            assert!(sent.await.unwrap().body.is_some());
+        }
+        if began.elapsed() > down {
+            break;
+        }
+    }
+    let reads = TOPICS.map(|topic| harness.store.read_count(topic));
+    let keys = TOPICS.map(|topic| harness.store.key_count(topic));
+    assert_eq!((pages(), reads, keys), ([2, 2], [0, 0], [0, 0]));
+}
