Follow the records of crashes from the first crash on until the fleet is known

What callers saw: for the first half second of a fleet, before the list of hosts is complete, hosts apart learned of no crash that others saw, as they knew of nobody whom they did not hear. A host that suspects anything now follows the records until the fleet is known.

--- a/crates/gateway/src/peers/suspects.rs
+++ b/crates/gateway/src/peers/suspects.rs
@@ -186,8 +186,8 @@
 
 /// Returns how many of the other hosts this one does not hear, and whether it has to learn from the
 /// store what they see. Hosts of other cells send nothing to this one, so they count as heard. One that
-/// has not been heard yet counts as silent at once if anything is suspected, as does every host before
-/// the list has been read.
+/// has not been heard yet counts as silent at once if anything is suspected, as do all before the list
+/// is known.
 fn reach(ctx: &Context, down: Duration) -> (usize, Reach) {
     let cells = ctx.peers.cell_state.cells();
     let gate = &ctx.suspects.gate;
@@ -196,7 +196,11 @@
         true => Duration::ZERO,
         false => down,
     };
-    if !ctx.peers.bootstrap.is_list_read() && ctx.startup.uptime() >= patience {
+    let is_fleet_known = match is_suspecting {
+        true => ctx.peers.is_fleet_known(),
+        false => ctx.peers.bootstrap.is_list_read(),
+    };
+    if !is_fleet_known && ctx.startup.uptime() >= patience {
         return (0, Reach::Few);
     }
     let (silent, total) = {
