--- a/crates/routing/tests/parts.rs
+++ b/crates/routing/tests/parts.rs
@@ -99,6 +99,34 @@
     assert_eq!(is_withheld(parts.admit(prompt, "a1", now)), is_blocked);
 }
 
+/// Guards against refusing sound requests with a part that two others share, for a run of another request
+/// at one of the targets that these crashed.
+#[test]
+fn a_part_whose_crashes_two_others_explain_blocks_no_request_for_a_bystander() {
+    let now = Instant::now();
+    let mut parts = parts_after(
+        &[
+            &[A, B][..],
+            &[A, B],
+            &[A, B],
+            &[A, B],
+            &[A, C],
+            &[A, C],
+            &[A, C],
+        ],
+        now,
+    );
+    let last = crash(7, SHORT_RUN, now);
+    parts.record_crash(C, last);
+    let bystander = Crash {
+        request: 99,
+        run_time: SHORT_RUN * 2,
+        ..last
+    };
+    parts.record_crash(A, bystander);
+    assert_eq!(parts.admit(&[A, D], "a1", now), Decision::Admit);
+}
+
 #[rstest]
 #[case::one_request(&[1, 1, 1, 1, 1], false)]
 #[case::two_requests_of_which_one_recurs(&[1, 1, 1, 1, 2], false)]
