--- a/crates/gateway/src/online/dispatch.rs
+++ b/crates/gateway/src/online/dispatch.rs
@@ -402,15 +402,11 @@
             quarantine::record_parts_success(&ctx, || self.parts());
             return;
         }
+        let target = response.running.target();
+        let run_time = response.headers_at.elapsed();
         quarantine::check_unmarked_end(&ctx, || quarantine::BrokenRun {
-            fingerprint: self.fingerprint(),
-            parts: self.parts().to_vec(),
-            id: self.request.id.clone(),
-            target: response.running.target().clone(),
-            addr: response.addr,
-            run_time: response.headers_at.elapsed(),
-            sent_at: Some(response.sent_at),
             is_complete: true,
+            ..self.broken_run(target, response.addr, run_time, Some(response.sent_at))
         });
     }
 
--- a/crates/gateway/src/quarantine/probe.rs
+++ b/crates/gateway/src/quarantine/probe.rs
@@ -49,8 +49,8 @@
 /// attempt; a target that doesn't respond at all is not worth a longer wait.
 const PROBE_WAIT: Duration = Duration::from_millis(30);
 
-/// Time from the first look to the second; each further pause is twice as long as the looks before
-/// took, up to [`LOOK_PAUSE_MAX`].
+/// Pause between the first two looks, and the longest between any two. A pause is twice as long as the
+/// newest run has been broken off.
 const LOOK_PAUSE_MIN: Duration = Duration::from_millis(10);
 const LOOK_PAUSE_MAX: Duration = Duration::from_millis(1_000);
 /// Time after a run broke off for which its target is looked at. The entry of a target that ended is
@@ -109,7 +109,7 @@
 #[derive(Debug, Default)]
 struct Watched {
     runs: Vec<PendingRun>,
-    /// When the newest request was sent that the target answered.
+    /// When the request was sent that is the newest one which the target answered.
     answered_since: Option<Instant>,
     /// Whether another start has answered at its address.
     is_replaced: bool,
