Return to following the records only for hosts that are listed and not heard

The slower pace of hosts apart and that of messages alternate while the fleet starts, and a trial was admitted at one host before it had heard of the one before; traced so far only.

--- a/crates/gateway/src/peers/suspects.rs
+++ b/crates/gateway/src/peers/suspects.rs
@@ -187,7 +187,7 @@
 /// Returns how many of the other hosts this one does not hear, and whether it has to learn from the
 /// store what they see. Hosts of other cells send nothing to this one, so they count as heard. One that
 /// has not been heard yet counts as silent at once if anything is suspected, as do all before the list
-/// is known.
+/// has been read.
 fn reach(ctx: &Context, down: Duration) -> (usize, Reach) {
     let cells = ctx.peers.cell_state.cells();
     let gate = &ctx.suspects.gate;
@@ -196,11 +196,7 @@
         true => Duration::ZERO,
         false => down,
     };
-    let is_fleet_known = match is_suspecting {
-        true => ctx.peers.is_fleet_known(),
-        false => ctx.peers.bootstrap.is_list_read(),
-    };
-    if !is_fleet_known && ctx.startup.uptime() >= patience {
+    if !ctx.peers.bootstrap.is_list_read() && ctx.startup.uptime() >= patience {
         return (0, Reach::Few);
     }
     let (silent, total) = {
