Take no late entry of an earlier start for another start of a target

Cause: each entry of a start other than the newest one known counted as newer. Change: one that started earlier is passed over. Entries that don't say when their targets started are still taken in the order in which they come. The test failed before (1 crash, 0 now).

--- a/crates/gateway/src/catalog/starts.rs
+++ b/crates/gateway/src/catalog/starts.rs
@@ -37,6 +37,9 @@
             known.is_leaving |= spec.is_leaving;
             return;
         }
+        if self.is_late(spec) {
+            return;
+        }
         if self.0.len() >= ADDRS_MAX {
             self.0.clear();
         }
@@ -51,6 +54,16 @@
         self.0.insert(spec.addr, start);
     }
 
+    /// Returns whether an entry is of a start before the newest one at its address, as one that the
+    /// store carries out late is.
+    fn is_late(&self, spec: &Spec) -> bool {
+        let newest = self
+            .0
+            .get(&spec.addr)
+            .and_then(|start| start.started_unix_ms);
+        newest > spec.started_unix_ms && spec.started_unix_ms.is_some()
+    }
+
     /// Returns when it became known that the newest start at an address took the place of another one.
     pub(super) fn replaced_at(&self, addr: SocketAddr) -> Option<Instant> {
         self.0.get(&addr)?.replaced_at
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -578,6 +578,29 @@
     assert_eq!(harness.store.key_count(Topic::BlamedParts), 0);
 }
 
+/// Guards against a heartbeat of an earlier start that counts as the end of the present one.
+#[tokio::test]
+async fn a_late_entry_of_an_earlier_start_is_no_crash() {
+    let harness = Harness::new(&[]);
+    harness.store.put_target("t1", "up*2");
+    let host = harness.start_ready("a1").await;
+    harness
+        .targets
+        .script_request("r1", &[Action::BreakAfter(1)]);
+    let broken = host.send_with_parts(NON_RESUMABLE, "r1", "shared,part,own");
+    assert!(broken.await.unwrap().body.is_none());
+    harness.store.put_target("t1", "up*1");
+    harness.store.put_target("t1", "up*2");
+    let metrics = &host.ctx().metrics;
+    let change = "crash not seen";
+    let is_decided = || {
+        let crashes = metrics.counted(Counted::Changes, "target crashed");
+        crashes + metrics.counted(Counted::Changes, change) == 1
+    };
+    wait_until("it is decided what broke the run off", is_decided).await;
+    assert_eq!(metrics.counted(Counted::Changes, "target crashed"), 0);
+}
+
 #[tokio::test]
 async fn records_of_crashes_are_neither_read_nor_written_while_nothing_crashes() {
     const TOPICS: [Topic; 2] = [Topic::Blamed, Topic::BlamedParts];
--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -510,6 +510,7 @@
     let (state, addr) = text.split_once(' ').unwrap_or((&text, ""));
     let (state, data_centre) = state.split_once('@').unwrap_or((state, "d"));
     let (state, version) = state.split_once('#').unwrap_or((state, "v1"));
+    let (state, started) = state.split_once('*').unwrap_or((state, ""));
     let cold_left = match state {
         "cold" => WAIT_MAX,
         _ => Duration::ZERO,
@@ -520,6 +521,7 @@
         slots: 2,
         cold_left,
         is_leaving: state == "leaving",
+        started_unix_ms: started.parse().ok(),
         version: (version != "unknown").then(|| version.to_owned()),
         ..Spec::default()
     };
