Write no record of crashes to a topic whose records have not been read

Cause: a host that knew from a peer wrote, though it had not read the store. Change: each topic has a saver of its own, which waits until the topic's records have been read once. Ruled out: writing if the peer has read the records, as no message says so. Price: while a topic can be written and not read, crashes stay with the hosts. The test failed before (no blame after the restart), and passes now.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -26,7 +26,6 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -60,7 +59,6 @@
 use crate::peers::suspects;
 use crate::ports::StoreError;
 use crate::ports::Topic;
-use crate::sync::lock;
 use crate::time::millis;
 
 /// Number of hosts that save a blame beside the one that detected the last crash. A host that
@@ -72,12 +70,13 @@
 pub(crate) struct Suspects {
     pub(crate) gate: Arc<Gate>,
     probes: Probes,
-    saver: Saver,
+    request_saver: Saver<Fingerprint>,
+    part_saver: Saver<PartId>,
     known: watch::Sender<Option<Known>>,
     /// Whether this host follows the records, as it does not hear some of the others.
     is_following: watch::Sender<bool>,
     /// The offsets up to which the records of each topic were read.
-    read_ends: Mutex<HashMap<Topic, u64>>,
+    read_ends: watch::Sender<HashMap<Topic, u64>>,
 }
 
 /// Where a host learned what was blamed before, and when.
@@ -95,10 +94,11 @@
         Self {
             gate,
             probes: Probes::default(),
-            saver: Saver::default(),
+            request_saver: Saver::default(),
+            part_saver: Saver::default(),
             known: watch::Sender::new(None),
             is_following: watch::Sender::new(false),
-            read_ends: Mutex::default(),
+            read_ends: watch::Sender::default(),
         }
     }
 
@@ -116,13 +116,6 @@
         self.gate.set_incomplete(false);
     }
 
-    /// Waits until this host has learned what was blamed before.
-    async fn wait_until_known(&self) {
-        let mut known = self.known.subscribe();
-        // Cannot fail: `self` owns the sender.
-        let _ = known.wait_for(Option::is_some).await;
-    }
-
     /// Sets whether this host has to learn from the store what the others see.
     pub(crate) fn set_following(&self, reach: Reach) {
         let is_following = reach != Reach::All;
@@ -139,11 +132,20 @@
     }
 
     fn read_end(&self, topic: Topic) -> Option<u64> {
-        lock(&self.read_ends).get(&topic).copied()
+        self.read_ends.borrow().get(&topic).copied()
     }
 
     fn set_read_end(&self, topic: Topic, end: u64) {
-        lock(&self.read_ends).insert(topic, end);
+        self.read_ends.send_modify(|ends| {
+            ends.insert(topic, end);
+        });
+    }
+
+    /// Waits until this host has read the records of a topic once.
+    async fn wait_until_read(&self, topic: Topic) {
+        let mut ends = self.read_ends.subscribe();
+        // Cannot fail: `self` owns the sender.
+        let _ = ends.wait_for(|ends| ends.contains_key(&topic)).await;
     }
 }
 
@@ -163,7 +165,8 @@
     let until = Until::Phase(Phase::Stopped);
     ctx.spawn_duty("report crashes", until, suspects::broadcast_changes);
     ctx.spawn_duty("load suspects", Until::Done, records::load);
-    ctx.spawn_duty("save suspects", until, saver::run);
+    ctx.spawn_duty("save blamed requests", until, saver::save_requests);
+    ctx.spawn_duty("save blamed parts", until, saver::save_parts);
     ctx.spawn_duty("follow blamed requests", until, |ctx| {
         records::follow(ctx, Topic::Blamed)
     });
@@ -222,7 +225,7 @@
     }
     for cleared in gate.record_parts_success(&parts()) {
         ctx.metrics.count(Counted::Changes, "prompt part cleared");
-        ctx.suspects.saver.clear_part(cleared.part);
+        ctx.suspects.part_saver.clear(cleared.part);
         let Some(blamed_for) = cleared.blamed_for else {
             continue;
         };
@@ -259,7 +262,7 @@
     slog::info!(ctx.logger, "request cleared"; "crashes" => crashes,
         "fingerprint" => fingerprint::to_hex(fingerprint));
     ctx.metrics.count(Counted::Changes, "request cleared");
-    ctx.suspects.saver.clear_request(fingerprint);
+    ctx.suspects.request_saver.clear(fingerprint);
 }
 
 /// Merges a host's report on a suspect.
@@ -271,7 +274,7 @@
         ctx.suspects.gate.report_request(report.fingerprint);
     }
     if ctx.suspects.gate.crash_count(report.fingerprint) == 0 {
-        ctx.suspects.saver.clear_request(report.fingerprint);
+        ctx.suspects.request_saver.clear(report.fingerprint);
     }
     let Change::Blamed { crashes } = change else {
         return;
@@ -279,7 +282,7 @@
     log_blamed(ctx, report.fingerprint, crashes, host);
     let task = fingerprint::to_hex(report.fingerprint);
     if !is_from_store && is_saver(ctx, &task) {
-        ctx.suspects.saver.add_request(report.fingerprint);
+        ctx.suspects.request_saver.add(report.fingerprint);
     }
 }
 
@@ -292,14 +295,14 @@
         ctx.suspects.gate.report_part(report.part);
     }
     if ctx.suspects.gate.part_crash_count(report.part) == 0 {
-        ctx.suspects.saver.clear_part(report.part);
+        ctx.suspects.part_saver.clear(report.part);
     }
     let Change::Blamed { crashes } = change else {
         return;
     };
     log_blamed_part(ctx, report.part, crashes, host);
     if !is_from_store && is_saver(ctx, &prompt::to_hex(report.part)) {
-        ctx.suspects.saver.add_part(report.part);
+        ctx.suspects.part_saver.add(report.part);
     }
 }
 
--- a/crates/gateway/src/quarantine/part_records.rs
+++ b/crates/gateway/src/quarantine/part_records.rs
@@ -61,10 +61,10 @@
 
 /// Merges a record. One that lacks crashes which this host knows of is written again.
 pub(super) fn merge_record(ctx: &Arc<Context>, entry: &Entry) {
-    let saver = &ctx.suspects.saver;
+    let saver = &ctx.suspects.part_saver;
     let Some(value) = &entry.value else {
         if let Some(part) = decode_key(&entry.key) {
-            saver.set_part_stored(part, false);
+            saver.set_stored(part, false);
         }
         return;
     };
@@ -85,7 +85,7 @@
         cleared_age: None,
         crashes: crashes.collect(),
     };
-    saver.set_part_stored(part, true);
+    saver.set_stored(part, true);
     super::merge_part_report(ctx, &HostId::from(STORE_REPORTER), &report);
     let known = ctx.suspects.gate.part_report(part);
     let is_in_record = |crash: &CrashReport| {
@@ -94,7 +94,7 @@
     };
     let is_record_whole = known.is_none_or(|known| known.crashes.iter().all(is_in_record));
     if !is_record_whole || ctx.suspects.gate.part_crash_count(part) == 0 {
-        saver.add_part(part);
+        saver.add(part);
     }
 }
 
--- a/crates/gateway/src/quarantine/records.rs
+++ b/crates/gateway/src/quarantine/records.rs
@@ -120,10 +120,10 @@
     let mut backoff = Backoff::new(READ_PAUSE_MIN, READ_PAUSE_MAX);
     while ctx.phase() < Phase::Leaving {
         if let Ok(listing) = ctx.store.all_newest(topic, 0).await {
-            ctx.suspects.set_read_end(topic, listing.end);
             for record in &listing.records {
                 merge(ctx, &record.entry);
             }
+            ctx.suspects.set_read_end(topic, listing.end);
             return true;
         }
         backoff.wait().await;
@@ -166,10 +166,10 @@
 
 /// Merges a record. One that lacks crashes which this host knows of is written again.
 fn merge_record(ctx: &Arc<Context>, entry: &Entry) {
-    let saver = &ctx.suspects.saver;
+    let saver = &ctx.suspects.request_saver;
     let Some(value) = &entry.value else {
         if let Some(fingerprint) = decode_key(&entry.key) {
-            saver.set_request_stored(fingerprint, false);
+            saver.set_stored(fingerprint, false);
         }
         return;
     };
@@ -189,7 +189,7 @@
         crashes: crashes.collect(),
         running_for: None,
     };
-    saver.set_request_stored(fingerprint, true);
+    saver.set_stored(fingerprint, true);
     super::merge_report(ctx, &HostId::from(STORE_REPORTER), &report);
     let known = ctx.suspects.gate.report(fingerprint);
     let is_in_record = |crash: &CrashReport| {
@@ -198,7 +198,7 @@
     };
     let is_record_whole = known.is_none_or(|known| known.crashes.iter().all(is_in_record));
     if !is_record_whole || ctx.suspects.gate.crash_count(fingerprint) == 0 {
-        saver.add_request(fingerprint);
+        saver.add(fingerprint);
     }
 }
 
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -177,6 +177,41 @@
     wait_until("the healthy part's record is deleted", is_deleted).await;
 }
 
+/// Guards against a record that is replaced by a host which has not read it.
+#[tokio::test]
+async fn crashes_recorded_before_outlive_those_of_a_host_that_cannot_read_them() {
+    let harness = Harness::new(&["t1", "t2", "t3", "t4", "t5", "t6"]);
+    let peer = harness.start_ready("p1").await;
+    // Another host sees crashes, and nobody hears of it.
+    let apart = harness.store.connection();
+    apart.refuse_listings(Topic::Hosts);
+    apart.refuse_appends(Topic::Hosts);
+    let first = harness.start_with_store("a1", apart, |_| {}).await;
+    first.wait_ready().await;
+    blame_parts(&harness, &first).await;
+    let is_saved = || harness.store.key_count(Topic::BlamedParts) == 2;
+    wait_until("both parts are saved", is_saved).await;
+    first.kill();
+    let unreadable = harness.store.connection();
+    unreadable.refuse_listings(Topic::BlamedParts);
+    let second = harness.start_with_store("b1", unreadable, |_| {}).await;
+    second.wait_ready().await;
+    wait_until("it knows its peer", || second.ctx().peers_alive() == 1).await;
+    let crashes = harness.targets.crash_count();
+    let _ = second
+        .send_with_parts(NON_RETRIED, "r1", "shared,bad,own")
+        .await;
+    assert_eq!(harness.targets.crash_count(), crashes + 1);
+    harness.targets.restart_all();
+    let metrics = &second.ctx().metrics;
+    let is_seen = || metrics.counted(Counted::Changes, "target crashed") == 1;
+    wait_until("the crash is seen", is_seen).await;
+    second.kill();
+    peer.kill();
+    let third = harness.start_ready("a1").await;
+    wait_until_parts_blamed(&third).await;
+}
+
 #[tokio::test]
 async fn a_starting_host_gets_reports_on_prompt_parts_from_running_hosts() {
     let harness = Harness::new(&["t1", "t2", "t3", "t4", "t5", "t6"]);
