Delete the record of a crash that is cleared while it is being written

The record stays, and counts again after a restart of all hosts. Cause: a clearance deletes only records that are known to be in the store, and this one was not yet. Change: after each write the saver looks whether the subject has been cleared. Tests for a request and for parts failed before and pass now. Gateway's tests: all pass.

--- a/crates/gateway/src/quarantine/saver.rs
+++ b/crates/gateway/src/quarantine/saver.rs
@@ -243,6 +243,11 @@
     }
     for (subject, entry) in subjects.iter().zip(&entries) {
         saver.set_stored(*subject, entry.value.is_some());
+        // It may have been cleared while it was written, when its record was not known yet.
+        let is_cleared = || (kind.entry)(ctx, *subject).value.is_none();
+        if entry.value.is_some() && is_cleared() {
+            saver.add(*subject);
+        }
     }
     Ok(())
 }
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -177,6 +177,37 @@
     wait_until("the healthy part's record is deleted", is_deleted).await;
 }
 
+/// Guards against a record that outlives its clearance, as it was being written then.
+#[rstest]
+#[case::a_request(Topic::Blamed, 1)]
+#[case::parts_of_prompts(Topic::BlamedParts, 2)]
+#[tokio::test]
+async fn what_is_cleared_while_its_record_is_written_keeps_no_record(
+    #[case] topic: Topic,
+    #[case] records: usize,
+) {
+    let harness = Harness::new(&["t1", "t2"]);
+    let host = harness.start_ready("a1").await;
+    let slow = AppendOutcome::Slow(Duration::from_millis(300));
+    harness.store.script(topic, &[slow]);
+    let send = async |id| match topic {
+        Topic::BlamedParts => {
+            host.send_with_parts(NON_RESUMABLE, id, "shared,part,own")
+                .await
+        }
+        _ => host.send_with_body(NON_RESUMABLE, id, "healthy").await,
+    };
+    harness.targets.script_request("r1", &[Action::Crash]);
+    // The outcome doesn't matter here.
+    let _ = send("r1").await;
+    let is_begun = || harness.store.scripted_count(topic) == 0;
+    wait_until("the records are being written", is_begun).await;
+    assert!(send("r2").await.unwrap().body.is_some());
+    let count = || harness.store.key_count(topic);
+    wait_until("the records are written", || count() == records).await;
+    wait_until("they are deleted", || count() == 0).await;
+}
+
 /// Guards against a record that is replaced by a host which has not read it.
 #[tokio::test]
 async fn crashes_recorded_before_outlive_those_of_a_host_that_cannot_read_them() {
--- a/crates/gateway/tests/harness/store.rs
+++ b/crates/gateway/tests/harness/store.rs
@@ -29,6 +29,8 @@
 pub enum AppendOutcome {
     /// The append takes effect and is acknowledged.
     Done,
+    /// The append takes effect and is acknowledged after a delay.
+    Slow(Duration),
     /// The append is refused.
     Refused,
     /// The request is lost: no effect and an unknown outcome.
@@ -288,6 +290,10 @@
         let unknown = Err(StoreError::Unknown("scripted"));
         match outcome {
             AppendOutcome::Done => Ok(self.append_now(topic, part, entries)),
+            AppendOutcome::Slow(delay) => {
+                tokio::time::sleep(delay).await;
+                Ok(self.append_now(topic, part, entries))
+            }
             AppendOutcome::Refused => Err(StoreError::Refused("scripted")),
             AppendOutcome::RequestLost => unknown,
             AppendOutcome::ResponseLost => {
