Try what was in a crash since the start though earlier crashes stay unknown

Cause: nothing but the records or a peer ended the wait. Change: what was in a crash since the start is tried after 10 s, by one host at a time, and after each further crash that isn't of the same moment four times as late: 10, 40, 160 s. An answer clears it as elsewhere. What is confirmed to be to blame is refused at once meanwhile instead of waiting. Tests: a sound part is served again (failed before: no admission in 60 s); a part that crashes targets does so three times in a minute and a half at most, at one host and at eight; a request waits, then runs at one target (failed before). New case of the simulation: all hosts are killed and read nothing for 20 s.

--- a/crates/routing/src/quarantine.rs
+++ b/crates/routing/src/quarantine.rs
@@ -61,6 +61,7 @@
 mod calm;
 pub mod parts;
 mod suspect;
+mod unknown;
 
 use std::collections::HashMap;
 use std::collections::hash_map::Entry;
@@ -174,7 +175,8 @@
 }
 
 impl Quarantine {
-    /// Sets whether crashes from before may be unknown. Meanwhile suspects wait.
+    /// Sets whether crashes from before may be unknown. Meanwhile a suspect waits for longer after each
+    /// crash.
     pub fn set_incomplete(&mut self, is_incomplete: bool) {
         self.is_incomplete = is_incomplete;
     }
@@ -216,8 +218,10 @@
     /// Decides whether a host may send a request now, and records the run of a suspect.
     pub fn admit(&mut self, fingerprint: Fingerprint, host: &str, now: Instant) -> Decision {
         match self.suspects.get_mut(&fingerprint) {
-            Some(suspect) if self.is_incomplete && suspect.crash_count() > 0 => Decision::Wait,
-            Some(suspect) => suspect.admit(host, suspect.remaining_block(now), now),
+            Some(suspect) => {
+                let block = suspect.remaining_block(now);
+                suspect.admit(host, block, self.is_incomplete, now)
+            }
             None => Decision::Admit,
         }
     }
@@ -226,10 +230,9 @@
     /// caller retries it, so it runs again in calm, however many targets crashed under it.
     pub fn admit_item(&mut self, fingerprint: Fingerprint, host: &str, now: Instant) -> Decision {
         match self.suspects.get_mut(&fingerprint) {
-            Some(suspect) if self.is_incomplete && suspect.crash_count() > 0 => Decision::Wait,
             Some(suspect) => {
                 let block = suspect.item_block(&self.crash_times, now);
-                suspect.admit(host, block, now)
+                suspect.admit(host, block, self.is_incomplete, now)
             }
             None => Decision::Admit,
         }
--- a/crates/routing/src/quarantine/parts.rs
+++ b/crates/routing/src/quarantine/parts.rs
@@ -87,6 +87,7 @@
 use super::SUSPECTS_MAX;
 use super::calm::CrashTimes;
 use super::probability_if_healthy;
+use super::unknown;
 use crate::prompt::PartId;
 
 /// Least number of crashes for which a part is blamed, beside those under one request.
@@ -247,7 +248,8 @@
 }
 
 impl Parts {
-    /// Sets whether crashes from before may be unknown. Meanwhile requests with a suspected part wait.
+    /// Sets whether crashes from before may be unknown. Meanwhile requests with a suspected part wait for
+    /// longer after each crash, and are tried one by one.
     pub fn set_incomplete(&mut self, is_incomplete: bool) {
         self.is_incomplete = is_incomplete;
     }
@@ -329,14 +331,14 @@
         now: Instant,
         remaining_block: impl Fn(&CrashTimes, &Suspect) -> Option<Duration>,
     ) -> Decision {
-        if self.is_incomplete && parts.iter().any(|part| self.crash_count(*part) > 0) {
-            return Decision::Wait;
-        }
-        if self.blamed.is_empty() {
+        if self.blamed.is_empty() && !self.is_incomplete {
             return Decision::Admit;
         }
         let blocking = parts.iter().copied();
-        let blocking = blocking.filter(|part| self.is_blamed(*part) && self.blocks(*part, parts));
+        let blocking = blocking.filter(|part| {
+            let is_unknown = self.is_incomplete && self.crash_count(*part) > 0;
+            is_unknown || (self.is_blamed(*part) && self.blocks(*part, parts))
+        });
         let blocking: Vec<PartId> = blocking.collect();
         for part in &blocking {
             let Some(suspect) = self.suspects.get(part) else {
@@ -348,7 +350,7 @@
                     retry_after,
                 };
             }
-            if !suspect.may_be_tried(*part, host, self.pace, now) {
+            if !suspect.may_be_tried(*part, host, self.trial_times(suspect), now) {
                 return Decision::Wait;
             }
         }
@@ -362,6 +364,18 @@
         Decision::Admit
     }
 
+    /// Returns how long after its last crash a part is tried first, and the interval of trials.
+    fn trial_times(&self, suspect: &Suspect) -> (Duration, Duration) {
+        if !self.is_incomplete {
+            return (self.pace.settle_time(), self.pace.trial_interval());
+        }
+        let detected_at = suspect.crashes.iter().map(|crash| crash.detected_at);
+        (
+            unknown::wait_after(detected_at),
+            Pace::Records.trial_interval(),
+        )
+    }
+
     /// Returns whether a blamed part blocks a request: whether it would also be blamed for those
     /// of its crashes that no part which the prompt does not have explains. Where it takes two such
     /// parts, a third one would have to be to blame for each crash that they leave, which is less
@@ -577,17 +591,22 @@
         (!remaining.is_zero()).then_some(remaining)
     }
 
-    /// Returns whether a host may try the part, which is blamed and not blocked. A trial that brought
-    /// neither an answer nor a crash that was seen is followed by a longer pause.
-    fn may_be_tried(&self, part: PartId, host: &str, pace: Pace, now: Instant) -> bool {
+    /// Returns whether a host may try the part, which is not blocked, after a settling time and in an
+    /// interval. A trial that brought neither an answer nor a crash that was seen is followed by a longer
+    /// pause.
+    fn may_be_tried(
+        &self,
+        part: PartId,
+        host: &str,
+        (settle_time, interval): (Duration, Duration),
+        now: Instant,
+    ) -> bool {
         let elapsed = now.saturating_duration_since(self.last_crash_at());
         let doublings = self.trials.saturating_sub(1).min(TRIAL_DOUBLINGS_MAX);
-        let interval = pace.trial_interval();
         let is_tried = |at| is_within(at, interval * 2_u32.pow(doublings), now);
-        let settled = pace.settle_time();
-        elapsed >= settled
+        elapsed >= settle_time
             && !self.tried_at.is_some_and(is_tried)
-            && may_try(part, host, elapsed - settled, interval)
+            && may_try(part, host, elapsed - settle_time, interval)
     }
 
     /// Returns the time for which the part is blocked after its last crash. Crashes that come
--- a/crates/routing/src/quarantine/suspect.rs
+++ b/crates/routing/src/quarantine/suspect.rs
@@ -18,6 +18,7 @@
 use super::SUSPECT_RETENTION;
 use super::calm::CrashTimes;
 use super::probability_if_healthy;
+use super::unknown;
 use crate::balancer::HostId;
 use crate::fingerprint::Fingerprint;
 
@@ -82,8 +83,15 @@
         u32::try_from(self.crashes.len()).unwrap_or(u32::MAX)
     }
 
-    /// Decides for a request or an item that is still blocked for a time, if for any.
-    pub(super) fn admit(&mut self, host: &str, block: Option<Duration>, now: Instant) -> Decision {
+    /// Decides for a request or an item that is still blocked for a time, if for any, at a host to
+    /// which crashes from before may be unknown.
+    pub(super) fn admit(
+        &mut self,
+        host: &str,
+        block: Option<Duration>,
+        is_incomplete: bool,
+        now: Instant,
+    ) -> Decision {
         if let Some(retry_after) = block {
             return Decision::Refuse {
                 crashes: self.crash_count(),
@@ -93,10 +101,18 @@
         if self.crashes.is_empty() {
             return Decision::Admit;
         }
+        let detected_at = self.crashes.iter().map(|crash| crash.detected_at);
+        let unknown_wait = unknown::wait_after(detected_at);
+        if is_incomplete && is_within(self.last_crash_at(), unknown_wait, now) {
+            return Decision::Wait;
+        }
         self.runs
             .retain(|_, started_at| is_within(*started_at, RUN_EXPIRY, now));
-        // One run for each target that it may still crash; a blamed request runs alone.
-        let runs_max = CRASHES_ALLOWED.saturating_sub(self.crash_count()).max(1);
+        // One run for each target that it may still crash; a blamed request, and one that may be, runs alone.
+        let runs_max = match is_incomplete {
+            true => 1,
+            false => CRASHES_ALLOWED.saturating_sub(self.crash_count()).max(1),
+        };
         if self.runs.len() >= runs_max as usize || self.runs.contains_key(host) {
             return Decision::Wait;
         }
--- a/crates/routing/tests/parts.rs
+++ b/crates/routing/tests/parts.rs
@@ -209,6 +209,52 @@
     assert_eq!(parts.admit(&[A, B], "a1", calm), Decision::Admit);
 }
 
+/// Guards against a route that is withheld for as long as the records of crashes cannot be read.
+#[test]
+fn while_earlier_crashes_are_unknown_a_sound_part_is_served_again_after_one_trial() {
+    let now = Instant::now();
+    let mut parts = parts_after(&[&[A][..]; 4], now);
+    parts.set_incomplete(true);
+    assert_eq!(parts.admit(&[A], "a1", now + LATER), Decision::Wait);
+    let times = (0..60).map(|step| now + step * LATER);
+    let mut tried = times.filter(|at| parts.admit(&[A], "a1", *at) == Decision::Admit);
+    let tried_at = tried.next().unwrap();
+    assert!(tried_at <= now + CALM * 4, "{:?}", tried_at - now);
+    assert_eq!(parts.admit(&[A], "a1", tried_at), Decision::Wait);
+    parts.record_success(&[A], tried_at);
+    assert_eq!(parts.admit(&[A], "a1", tried_at), Decision::Admit);
+    assert_eq!(parts.admit(&[A], "a1", tried_at), Decision::Admit);
+}
+
+#[rstest]
+#[case::at_one_host(1)]
+#[case::at_eight_hosts(8)]
+fn while_earlier_crashes_are_unknown_a_part_crashes_three_targets_in_a_minute_and_a_half(
+    #[case] hosts: usize,
+) {
+    let start = Instant::now();
+    let mut tables = vec![Parts::default(); hosts];
+    for table in &mut tables {
+        table.set_incomplete(true);
+    }
+    let mut crashes = 0;
+    for step in 0..900 {
+        let now = start + step * Duration::from_millis(100);
+        for host in 0..hosts {
+            if tables[host].admit(&[A], &format!("a{host}"), now) != Decision::Admit {
+                continue;
+            }
+            tables[host].record_crash(A, crash(crashes, SHORT_RUN, now));
+            crashes += 1;
+            let report = tables[host].report(A, now).unwrap();
+            for table in &mut tables {
+                table.merge_report(&report, now);
+            }
+        }
+    }
+    assert!(crashes <= 3, "{crashes} crashes");
+}
+
 // Otherwise requests with one of them use up the trials of the other.
 #[test]
 fn a_request_that_waits_for_one_part_uses_up_no_trial_of_another() {
@@ -346,6 +392,7 @@
     crash_share: 0.0,
     loss: 0.0,
     restarts: false,
+    unreadable: Duration::ZERO,
     duration: Duration::from_secs(40),
 };
 
@@ -360,6 +407,9 @@
 #[case::many_rare_first_parts(Setting { first_parts: 400, ..SETTING }, 20)]
 #[case::lost_messages(Setting { loss: 0.2, ..SETTING }, 20)]
 #[case::restarts(Setting { restarts: true, ..SETTING }, 20)]
+#[case::restarts_while_records_are_unreadable(
+    Setting { restarts: true, unreadable: Duration::from_secs(20), ..SETTING }, 20
+)]
 #[case::healthy_crashes(Setting { crash_share: 0.15, ..SETTING }, 20)]
 #[case::many_healthy_crashes(Setting { crash_share: 0.4, loss: 0.1, restarts: true, ..SETTING }, 20)]
 #[case::two_first_parts_that_nobody_answers(Setting { bad_first_parts: 2, bad_rate: 2.0, ..SETTING }, 20)]
--- a/crates/routing/tests/parts_simulation/mod.rs
+++ b/crates/routing/tests/parts_simulation/mod.rs
@@ -73,6 +73,8 @@
     pub loss: f64,
     /// Whether hosts restart one after the other, and all at once halfway through.
     pub restarts: bool,
+    /// Time for which the records cannot be read after that, by hosts that all know nothing.
+    pub unreadable: Duration,
     pub duration: Duration,
 }
 
@@ -125,6 +127,7 @@
     Restart {
         all: bool,
     },
+    Load,
 }
 
 struct Target {
@@ -147,6 +150,8 @@
     saved: Parts,
     fifth_crash_at: HashMap<PartId, Duration>,
     bad_firsts: HashSet<PartId>,
+    /// Whether no host knows the records.
+    is_unread: bool,
     outcome: Outcome,
 }
 
@@ -175,6 +180,7 @@
             saved: Parts::default(),
             fifth_crash_at: HashMap::new(),
             bad_firsts: HashSet::new(),
+            is_unread: false,
             outcome: Outcome::default(),
         }
     }
@@ -286,6 +292,7 @@
                 self.schedule(self.now + CRASH_INTERVAL, Event::HealthyCrashes);
             }
             Event::Restart { all } => self.restart(all),
+            Event::Load => self.load(),
         }
     }
 
@@ -473,22 +480,33 @@
     fn restart(&mut self, all: bool) {
         let now = self.instant();
         if all {
-            let saved = self.saved.reports(now);
             for host in &mut self.hosts {
                 *host = Parts::default();
-                for report in &saved {
-                    host.merge_report(report, now);
-                }
+                host.set_incomplete(true);
             }
-            return;
+            self.is_unread = true;
+            return self.schedule(self.now + self.setting.unreadable, Event::Load);
         }
         let restarted = self.rng.random_range(0..self.hosts.len());
         let other = (restarted + 1) % self.hosts.len();
         let reports = self.hosts[other].periodic_reports(now);
         self.hosts[restarted] = Parts::default();
+        self.hosts[restarted].set_incomplete(self.is_unread);
         for report in &reports {
             self.hosts[restarted].merge_report(report, now);
         }
         self.schedule(self.now + CRASH_INTERVAL / 3, Event::Restart { all: false });
     }
+
+    fn load(&mut self) {
+        self.is_unread = false;
+        let now = self.instant();
+        let saved = self.saved.reports(now);
+        for host in &mut self.hosts {
+            for report in &saved {
+                host.merge_report(report, now);
+            }
+            host.set_incomplete(false);
+        }
+    }
 }
--- a/crates/routing/tests/quarantine.rs
+++ b/crates/routing/tests/quarantine.rs
@@ -136,6 +136,27 @@
     assert_eq!(quarantine.admit(REQUEST, "e", later), Decision::Admit);
 }
 
+#[test]
+fn while_earlier_crashes_are_unknown_a_suspect_waits_and_then_runs_at_one_target() {
+    let now = Instant::now();
+    let mut quarantine = quarantine_after(&[80], now);
+    quarantine.set_incomplete(true);
+    let at_once = now + Duration::from_secs(1);
+    assert_eq!(quarantine.admit(REQUEST, "a1", at_once), Decision::Wait);
+    let later = now + CALM * 3;
+    assert_eq!(quarantine.admit(REQUEST, "a1", later), Decision::Admit);
+    let host = "a1".to_owned();
+    let report = quarantine.report(REQUEST, &host, later).unwrap();
+    quarantine.merge_report(&host, &report, later);
+    assert_eq!(quarantine.admit(REQUEST, "b1", later), Decision::Wait);
+    quarantine.end_run(REQUEST, "a1");
+    quarantine.record_crash(REQUEST, crash(1, SHORT_RUN, later));
+    let soon = later + CALM * 2;
+    assert_eq!(quarantine.admit_item(REQUEST, "a1", soon), Decision::Wait);
+    quarantine.record_success(REQUEST, soon);
+    assert_eq!(quarantine.admit(REQUEST, "a1", soon), Decision::Admit);
+}
+
 #[test]
 fn a_completed_run_clears_a_request_on_all_hosts() {
     let now = Instant::now();
