Let a host that starts ask running ones which targets have said that they leave

Cause, as listed: a late heartbeat replaced the entry that says that the target leaves. Hosts that had read both kept to the first, and a host that started after it listed the last entry only and used the target. Items wait too. Ruled out: a corrected entry in the store, as entries belong to their targets; a datagram to new hosts, which comes after their first requests. If all hosts restart at once, nobody knows; that remains.

--- a/crates/gateway/src/catalog/records.rs
+++ b/crates/gateway/src/catalog/records.rs
@@ -190,6 +190,32 @@
         }
     }
 
+    /// Returns the starts of targets that have said that they leave.
+    pub(crate) fn departures(&self) -> Vec<records::TargetStart> {
+        let state = lock(&self.state);
+        let starts = state
+            .targets
+            .departures()
+            .map(|(id, started_unix_ms)| records::TargetStart {
+                id: id.clone(),
+                born_unix_ms: *started_unix_ms,
+            });
+        starts.collect()
+    }
+
+    /// Records that starts of targets have said that they leave, as another host knows.
+    pub(crate) fn add_departures(&self, starts: Vec<records::TargetStart>, now: Instant) {
+        let mut state = lock(&self.state);
+        let mut counts = ChangeCounts::default();
+        for start in starts {
+            let changed = state.targets.add_departure(&start.id, start.born_unix_ms);
+            if let Some((offset, spec)) = changed {
+                let spec = spec.clone();
+                self.upsert_target((&start.id, offset, spec), true, &mut counts, now);
+            }
+        }
+    }
+
     /// Returns the state of reading the log, by this host or by the reader it follows.
     pub(crate) fn reading(&self, now: Instant) -> records::Reading {
         let state = lock(&self.state);
--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -218,8 +218,10 @@
             }
         }
         // Suspects must be known first: the first item that a host reads after its start may
-        // be one.
-        if ctx.startup.is_ready(Dependency::Suspects) {
+        // be one. So must targets that leave, as a late heartbeat may say otherwise.
+        if ctx.startup.is_ready(Dependency::Suspects)
+            && ctx.startup.is_ready(Dependency::Departures)
+        {
             start_items(&ctx).await;
         }
     }
--- a/crates/gateway/src/online/dispatch.rs
+++ b/crates/gateway/src/online/dispatch.rs
@@ -177,6 +177,10 @@
         resume_after: Option<u64>,
     ) -> Result<StartedResponse, Failure> {
         let mut offers = 0;
+        self.ctx
+            .startup
+            .wait_ready_until(Dependency::Departures, self.deadline)
+            .await;
         self.ctx
             .startup
             .wait_ready_until(Dependency::Targets, self.deadline)
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -11,6 +11,7 @@
 mod bootstrap;
 mod cell;
 mod contact;
+mod departures;
 mod host_list;
 mod links;
 pub(crate) mod origins;
@@ -399,6 +400,7 @@
     ctx.spawn_duty("send cell status", until, cell::run);
     ctx.spawn_duty("decide role", Until::Done, bootstrap::run);
     ctx.spawn_duty("report suspects", until, suspects::send_periodic_reports);
+    ctx.spawn_duty("request departures", Until::Done, departures::catch_up);
     ctx.spawn_duty("request versions", until, versions::run);
     ctx.spawn_duty("detect failed hosts", until, sweep);
     for listener in listeners {
--- a/crates/gateway/src/peers/rpc.rs
+++ b/crates/gateway/src/peers/rpc.rs
@@ -29,6 +29,7 @@
 use tokio::net::TcpStream;
 
 use super::contact;
+use super::departures;
 use super::host_list;
 use super::origins;
 use super::suspects;
@@ -57,6 +58,8 @@
 pub(super) const STREAM_ORIGINS: &str = "/stream-origins";
 /// The path of requests for the versions of targets.
 pub(super) const TARGET_VERSIONS: &str = "/target-versions";
+/// The path of requests for the targets that have said that they leave.
+pub(super) const DEPARTURES: &str = "/departures";
 /// The path of calls about jobs.
 pub(super) const JOBS: &str = "/jobs";
 
@@ -202,6 +205,7 @@
         (RECORDS, _) if ctx.journal.is_loaded() => transfer_records(ctx, in_progress, records),
         (CONTACTS, Some(body)) => contact::respond(ctx, &body),
         (SUSPECTS, _) => suspects::snapshot(ctx),
+        (DEPARTURES, _) => Some(departures::respond(ctx)),
         (STREAM_ORIGINS, Some(body)) => origins::respond(ctx, &body),
         (TARGET_VERSIONS, Some(body)) => versions::respond(ctx, &body),
         (JOBS, Some(body)) => jobs::handle_forwarded(ctx, &body).await,
--- a/crates/gateway/tests/catalog.rs
+++ b/crates/gateway/tests/catalog.rs
@@ -293,3 +293,43 @@
         assert!(targets.iter().all(|run| run.0 != leaving), "{targets:?}");
     }
 }
+
+/// Guards against a late heartbeat by which a host that starts uses a target that has said that it leaves.
+#[rstest]
+#[case::one_target("t1", "t2")]
+#[case::the_other("t2", "t1")]
+#[tokio::test]
+async fn a_starting_host_sends_nothing_to_a_target_that_running_ones_know_to_leave(
+    #[case] leaving: &str,
+    #[case] other: &str,
+) {
+    let harness = Harness::new(&[other]);
+    harness.store.put_target(leaving, "leaving*1");
+    let mut hosts = vec![
+        harness.start_ready("a1").await,
+        harness.start_ready("b1").await,
+    ];
+    for host in &hosts {
+        wait_until("it is leaving", || host.ctx().is_leaving(leaving)).await;
+        wait_until("they know each other", || host.ctx().peers_alive() == 1).await;
+    }
+    let end = hosts[0].ctx().targets_read_to();
+    harness.store.put_target(leaving, "up*1");
+    for host in &hosts {
+        wait_until("the late heartbeat is read", || {
+            host.ctx().targets_read_to() > end
+        })
+        .await;
+    }
+    let reader = usize::from(!hosts[0].ctx().reads_log());
+    let name = ["a1", "b1"][reader];
+    hosts.remove(reader).kill();
+    let starting = harness.start_ready(name).await;
+    for number in 0..8 {
+        let id = format!("r{number}");
+        let sent = starting.send(harness::NON_RESUMABLE, &id).await;
+        assert!(sent.is_ok(), "{sent:?}");
+        let runs = harness.targets.runs(&id);
+        assert!(runs.iter().all(|run| run.0 == other), "{runs:?}");
+    }
+}
--- a/crates/routing/src/discovery.rs
+++ b/crates/routing/src/discovery.rs
@@ -306,6 +306,23 @@
         Some((entry.offset, &entry.spec))
     }
 
+    /// Returns the starts of targets that have said that they leave, with their start times.
+    pub fn departures(&self) -> impl Iterator<Item = &(TargetId, Option<u64>)> {
+        self.departed.starts()
+    }
+
+    /// Records that a start of a target has said to another host that it leaves. Returns the offset of
+    /// its entry and the target if that changes it.
+    pub fn add_departure(
+        &mut self,
+        id: &str,
+        started_unix_ms: Option<u64>,
+    ) -> Option<(u64, &Spec)> {
+        self.departed.add(id, started_unix_ms);
+        let entry = self.known.set_leaving(id, started_unix_ms)?;
+        Some((entry.offset, &entry.spec))
+    }
+
     /// Returns whether any entry is missing that may only have expired.
     pub fn has_missing_entries(&self) -> bool {
         !self.missing.is_empty()
--- a/crates/routing/src/discovery/departed.rs
+++ b/crates/routing/src/discovery/departed.rs
@@ -53,8 +53,16 @@
         spec
     }
 
-    fn add(&mut self, id: &str, start: StartedUnixMs) {
-        self.starts.entry(id.to_owned()).or_default().insert(start);
+    /// Returns the starts that have said that they leave.
+    pub(super) fn starts(&self) -> impl Iterator<Item = &(TargetId, StartedUnixMs)> {
+        self.order.iter()
+    }
+
+    /// Remembers a start that has said that it leaves.
+    pub(super) fn add(&mut self, id: &str, start: StartedUnixMs) {
+        if !self.starts.entry(id.to_owned()).or_default().insert(start) {
+            return;
+        }
         self.order.push_back((id.to_owned(), start));
         if self.order.len() <= DEPARTED_MAX {
             return;
--- a/crates/routing/src/discovery/entries.rs
+++ b/crates/routing/src/discovery/entries.rs
@@ -65,6 +65,22 @@
         Some(entry)
     }
 
+    /// Records that a start of a target leaves. Returns the target's entry if that changes it.
+    pub(super) fn set_leaving(
+        &mut self,
+        id: &str,
+        started_unix_ms: Option<u64>,
+    ) -> Option<&TargetEntry> {
+        let entry = self.entries.get_mut(id)?;
+        if entry.spec.is_leaving || entry.spec.started_unix_ms != started_unix_ms {
+            return None;
+        }
+        self.checksum ^= hash(id, &entry.spec);
+        entry.spec.is_leaving = true;
+        self.checksum ^= hash(id, &entry.spec);
+        Some(entry)
+    }
+
     /// Removes an entry.
     pub(super) fn remove(&mut self, id: &str) {
         if let Some(entry) = self.entries.remove(id) {
--- a/crates/startup/src/lib.rs
+++ b/crates/startup/src/lib.rs
@@ -40,10 +40,12 @@
     Limits,
     /// The versions that services had before the start.
     Versions,
+    /// The targets that have said that they leave.
+    Departures,
 }
 
 impl Dependency {
-    const COUNT: usize = 5;
+    const COUNT: usize = 6;
 
     /// Returns the name used in logs.
     pub fn label(self) -> &'static str {
@@ -53,6 +55,7 @@
             Self::Suspects => "suspects",
             Self::Limits => "limits",
             Self::Versions => "versions",
+            Self::Departures => "departures",
         }
     }
 }
--- a/crates/startup/tests/startup.rs
+++ b/crates/startup/tests/startup.rs
@@ -19,6 +19,8 @@
 #[case(Dependency::Targets)]
 #[case(Dependency::Suspects)]
 #[case(Dependency::Limits)]
+#[case(Dependency::Versions)]
+#[case(Dependency::Departures)]
 #[tokio::test]
 async fn a_waiting_request_proceeds_once_the_dependency_is_ready(#[case] dependency: Dependency) {
     let startup = startup(LONG);
