Let a suspect run again only once it is known why its run broke off

Trace: after six crashes one request was sent to i-2, i-4 and i-3 within 100 ms; the ends of the last two were seen after 341 and 873 ms, so nothing held its retries back. Cause: an interrupted request waits 30 ms at most for the first look, whatever is known of it. Change: if its content or a part of its prompt has been in two crashes or more, it waits for up to a second until the end of its target is seen, or an answer shows that the target goes on. Others wait as before. A part in wide use is cleared by answers all the time, so it has two crashes only while nothing answers. The test failed before (a second run within 300 ms, at t3) and passes now.

--- a/crates/gateway/src/quarantine/probe.rs
+++ b/crates/gateway/src/quarantine/probe.rs
@@ -49,6 +49,13 @@
 /// attempt; a target that doesn't respond at all is not worth a longer wait.
 const PROBE_WAIT: Duration = Duration::from_millis(30);
 
+/// The same if its content or a part of its prompt has been in crashes before: it waits until the end of
+/// its target is seen, or an answer shows that the target goes on. Else it could crash several targets
+/// before any of these crashes is seen.
+const SUSPECT_WAIT: Duration = Duration::from_secs(1);
+/// Least number of crashes for that. One crash is met by any request.
+const SUSPECT_CRASHES_MIN: u32 = 2;
+
 /// Pause between the first two looks, and the longest between any two. A pause is twice as long as the
 /// newest run has been broken off.
 const LOOK_PAUSE_MIN: Duration = Duration::from_millis(10);
@@ -96,6 +103,8 @@
     detected_at: Instant,
     /// Dropped when the first look is done, and a crash that it showed is recorded.
     waiting: Option<oneshot::Sender<()>>,
+    /// Whether it is dropped only once it is known why the run broke off.
+    waits_for_end: bool,
 }
 
 impl PendingRun {
@@ -209,21 +218,36 @@
 
     fn end_waits(&self, target: &str) {
         if let Some(watched) = lock(&self.watched).get_mut(target) {
-            watched.runs.iter_mut().for_each(|run| run.waiting = None);
+            let runs = watched.runs.iter_mut().filter(|run| !run.waits_for_end);
+            runs.for_each(|run| run.waiting = None);
         }
     }
 }
 
-/// Checks whether a target crashed under an interrupted run. Waits a short time for the first look.
+/// Checks whether a target crashed under an interrupted run. Waits a short time for the first look, or for
+/// the result if it is a suspect's.
 pub(crate) async fn check_crash(ctx: &Arc<Context>, run: BrokenRun) {
-    let waiting = watch(ctx, run);
+    let is_suspect = is_suspect(ctx, &run);
+    let wait = match is_suspect {
+        true => SUSPECT_WAIT,
+        false => PROBE_WAIT,
+    };
+    let waiting = watch(ctx, run, is_suspect);
     // The request continues whether or not the look is done.
-    let _ = tokio::time::timeout(PROBE_WAIT, waiting).await;
+    let _ = tokio::time::timeout(wait, waiting).await;
+}
+
+/// Returns whether a run's content, or a part of its prompt, has been in crashes before.
+fn is_suspect(ctx: &Context, run: &BrokenRun) -> bool {
+    let gate = &ctx.suspects.gate;
+    let crashes = run.parts.iter().map(|part| gate.part_crash_count(*part));
+    let crashes = crashes.chain([gate.crash_count(run.fingerprint)]);
+    crashes.max() >= Some(SUSPECT_CRASHES_MIN)
 }
 
 /// Looks at the target of a run that fell silent, without a wait: it may have ended with its machine.
 pub(crate) fn check_silent(ctx: &Arc<Context>, run: BrokenRun) {
-    drop(watch(ctx, run));
+    drop(watch(ctx, run, false));
 }
 
 /// Checks whether another start has taken a target's place since a run there began that was not
@@ -231,7 +255,7 @@
 pub(crate) fn check_replaced(ctx: &Arc<Context>, run: BrokenRun) {
     let began_at = Instant::now().checked_sub(run.run_time);
     if ctx.catalog.replaced_at(run.addr) > began_at {
-        drop(watch(ctx, run));
+        drop(watch(ctx, run, false));
     }
 }
 
@@ -242,12 +266,12 @@
     if gate.is_empty() && !gate.has_parts() {
         return;
     }
-    drop(watch(ctx, run()));
+    drop(watch(ctx, run(), false));
 }
 
 /// Looks at the target of a run, in a task of its own: the result counts even if the caller
 /// disconnects now.
-fn watch(ctx: &Arc<Context>, run: BrokenRun) -> oneshot::Receiver<()> {
+fn watch(ctx: &Arc<Context>, run: BrokenRun, waits_for_end: bool) -> oneshot::Receiver<()> {
     let (waiting, done) = oneshot::channel();
     let (target, addr) = (run.target.clone(), run.addr);
     let mut pending = PendingRun {
@@ -255,6 +279,7 @@
         run,
         detected_at: Instant::now(),
         waiting: Some(waiting),
+        waits_for_end,
     };
     // It ended when its place was taken at latest.
     let replaced_at = ctx.catalog.replaced_at(addr);
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -644,6 +644,40 @@
     assert_eq!(harness.store.key_count(Topic::BlamedParts), 0);
 }
 
+/// Guards against a request that crashes several targets before the end of the first one is seen.
+#[tokio::test]
+async fn a_suspect_runs_again_only_once_it_is_known_why_its_run_broke_off() {
+    let harness = Harness::new(&["t1", "t2", "t3", "t4", "t5", "t6"]);
+    let host = harness.start_ready("a1").await;
+    for id in ["c1", "c2"] {
+        harness.targets.script_request(id, &[Action::Crash]);
+        // The outcome doesn't matter here.
+        let _ = host
+            .send_with_parts(NON_RETRIED, id, "shared,bad,own")
+            .await;
+    }
+    let metrics = &host.ctx().metrics;
+    let crashes = || metrics.counted(Counted::Changes, "target crashed");
+    wait_until("both crashes are seen", || crashes() == 2).await;
+    harness
+        .targets
+        .script_request("r1", &[Action::BreakAfter(1)]);
+    let sent = host.send_with_parts(RESUMABLE, "r1", "shared,bad,other");
+    let crash = async {
+        let runs = || harness.targets.runs("r1");
+        let has_broken = || runs().len() == 1 && harness.targets.active_runs("r1") == 0;
+        wait_until("its run has broken off", has_broken).await;
+        let retried = wait_until("it runs again", || runs().len() > 1);
+        let waited = tokio::time::timeout(Duration::from_millis(300), retried);
+        assert!(waited.await.is_err(), "{:?}", runs());
+        harness.targets.crash(&runs()[0].0);
+    };
+    let (sent, ()) = tokio::join!(sent, crash);
+    assert!(sent.unwrap().body.is_some());
+    assert_eq!(crashes(), 3);
+    assert_eq!(harness.targets.runs("r1").len(), 2);
+}
+
 /// Guards against a heartbeat of an earlier start that counts as the end of the present one.
 #[tokio::test]
 async fn a_late_entry_of_an_earlier_start_is_no_crash() {
