--- a/crates/routing/src/quarantine/parts.rs
+++ b/crates/routing/src/quarantine/parts.rs
@@ -98,7 +98,7 @@
 const EXPLAINING_CRASHES_MIN: usize = 2;
 
 /// Probability that a healthy part meets the crashes that two others leave unexplained, below which
-/// it blocks requests: a run of 200 ms met one.
+/// it blocks requests.
 const THIRD_PROBABILITY: f64 = 0.03;
 
 /// Probability that a healthy part meets the same crashes, below which a part is blamed.
