Refuse nothing for a part that another explains while earlier crashes are unknown

Cause: every suspected part of unknown past was asked for its block. Change: only a part that blocks the request is.

--- a/crates/routing/src/quarantine/parts.rs
+++ b/crates/routing/src/quarantine/parts.rs
@@ -334,17 +334,19 @@
         if self.blamed.is_empty() && !self.is_incomplete {
             return Decision::Admit;
         }
+        let blocks = |part: PartId| self.is_blamed(part) && self.blocks(part, parts);
         let blocking = parts.iter().copied();
         let blocking = blocking.filter(|part| {
             let is_unknown = self.is_incomplete && self.crash_count(*part) > 0;
-            is_unknown || (self.is_blamed(*part) && self.blocks(*part, parts))
+            is_unknown || blocks(*part)
         });
         let blocking: Vec<PartId> = blocking.collect();
         for part in &blocking {
             let Some(suspect) = self.suspects.get(part) else {
                 continue;
             };
-            if let Some(retry_after) = remaining_block(&self.crash_times, suspect) {
+            let remaining = remaining_block(&self.crash_times, suspect);
+            if let Some(retry_after) = remaining.filter(|_| blocks(*part)) {
                 return Decision::Refuse {
                     crashes: suspect.crash_count(),
                     retry_after,
--- a/crates/routing/src/quarantine/suspect.rs
+++ b/crates/routing/src/quarantine/suspect.rs
@@ -102,8 +102,7 @@
             return Decision::Admit;
         }
         let detected_at = self.crashes.iter().map(|crash| crash.detected_at);
-        let unknown_wait = unknown::wait_after(detected_at);
-        if is_incomplete && is_within(self.last_crash_at(), unknown_wait, now) {
+        if is_incomplete && is_within(self.last_crash_at(), unknown::wait_after(detected_at), now) {
             return Decision::Wait;
         }
         self.runs
--- a/crates/routing/tests/parts.rs
+++ b/crates/routing/tests/parts.rs
@@ -226,6 +226,19 @@
     assert_eq!(parts.admit(&[A], "a1", tried_at), Decision::Admit);
 }
 
+#[test]
+fn while_earlier_crashes_are_unknown_a_part_whose_crashes_another_explains_waits_and_is_not_refused()
+ {
+    let now = Instant::now();
+    let mut parts = parts_after(&[&[A, B][..]; 4], now);
+    for part in [A, B] {
+        parts.record_crash(part, crash(4, SHORT_RUN, now + LATER));
+    }
+    parts.set_incomplete(true);
+    assert!(is_refused(parts.admit(&[A, B], "a1", now + LATER)));
+    assert_eq!(parts.admit(&[A, C], "a1", now + LATER), Decision::Wait);
+}
+
 #[rstest]
 #[case::at_one_host(1)]
 #[case::at_eight_hosts(8)]
