Test hosts against crowds of callers that do not behave

Users: in a trial such callers ended a process, which ran out of memory. They announced or sent bodies far over the limit, and sent many chunked bodies at once, in large or very small chunks, most of which stopped short of their end and stayed open.

The tests start a host as a process with the resource limits of a small machine, set for that process only: 128 MiB and 256 descriptors for the platform's interface, 256 MiB and 512 descriptors for the product's own.

--- a/crates/server/tests/processes/mod.rs
+++ b/crates/server/tests/processes/mod.rs
@@ -39,6 +39,15 @@
     pub admin: String,
 }
 
+/// What a host process may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Machine {
+    /// Bytes of memory.
+    pub memory_bytes: u64,
+    /// Open descriptors.
+    pub descriptors: usize,
+}
+
 /// A fleet of host processes, with stand-ins in the test process.
 pub struct Fleet {
     pub platform: Platform,
@@ -46,10 +55,17 @@
     pub service: Service,
     pub hosts: Vec<Process>,
     pub client: Client,
+    machine: Option<Machine>,
+    limits: Value,
 }
 
 impl Fleet {
     pub async fn start(hosts: usize) -> Self {
+        Self::start_on(hosts, None, json!({})).await
+    }
+
+    /// Starts a fleet whose hosts may use no more than a machine has, with these limits on requests.
+    pub async fn start_on(hosts: usize, machine: Option<Machine>, limits: Value) -> Self {
         let platform = Platform::start(platform::Config {
             list_lag: Duration::from_millis(100),
             ..platform::Config::default()
@@ -60,6 +76,8 @@
             service: Service::start(([127, 0, 0, 1], 0).into()).await.unwrap(),
             hosts: Vec::new(),
             client: Client::new(WAIT_MAX),
+            machine,
+            limits,
         };
         fleet.platform.list(ListEntry {
             name: "s1".into(),
@@ -111,8 +129,9 @@
             "ledger": {"shards": 6, "commit_ms": 5},
             "membership": {"probe_ms": 200, "suspect_ms": 500},
             "shutdown": {"notice_ms": 100},
+            "limits": self.limits,
         });
-        let process = spawn(name, &settings).await;
+        let process = spawn_on(name, &settings, self.machine).await;
         self.platform.list(process.1);
         self.hosts.push(process.0);
     }
@@ -226,11 +245,15 @@
 }
 
 pub async fn spawn(name: &str, settings: &Value) -> (Process, ListEntry) {
+    spawn_on(name, settings, None).await
+}
+
+async fn spawn_on(name: &str, settings: &Value, machine: Option<Machine>) -> (Process, ListEntry) {
     let dir = std::path::PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
     let id: u64 = rand::random();
     let path = dir.join(format!("{name}-{id:x}.json"));
     std::fs::write(&path, settings.to_string()).unwrap();
-    let mut child = Command::new(env!("CARGO_BIN_EXE_notchwharfd"))
+    let mut child = command(env!("CARGO_BIN_EXE_notchwharfd"), machine)
         .arg("--settings")
         .arg(&path)
         .stdout(Stdio::piped())
@@ -253,6 +276,22 @@
     (process, listed)
 }
 
+/// Returns the command that starts a program with the limits of a machine. The shell sets them for
+/// the program only, which replaces it.
+fn command(program: &str, machine: Option<Machine>) -> Command {
+    let Some(machine) = machine else {
+        return Command::new(program);
+    };
+    let mut command = Command::new("sh");
+    let kib = machine.memory_bytes >> 10;
+    let limits = format!("ulimit -d {kib}; ulimit -n {}", machine.descriptors);
+    command
+        .arg("-c")
+        .arg(format!("{limits}; exec \"$0\" \"$@\""));
+    command.arg(program);
+    command
+}
+
 /// Returns a file next to the settings for the host's log, for the analysis of failures.
 fn log_file(settings: &std::path::Path) -> Stdio {
     let log = std::fs::File::create(settings.with_extension("log"));
