Bound the connections of callers, and what they hold unread

Callers saw: a host whose descriptors were all taken by silent or trickling callers answered nobody, and could not open a connection to its store or targets either; its accept loop occupied a core.

Cause: the listeners accepted without a bound, retried at once after an error, left the kernel's buffers to grow to megabytes a connection, and had no time limit for a caller that does not read. An unfinished head was held for the idle timeout.

The new package intake counts what each connection occupies: a budget of bytes (half of the memory that the process may use) and a number of connections (what is left of the descriptors if each request needs another one for its target). When one is short, the connection is closed that has kept the host waiting for longest: for a request, for the rest of a body, or until the caller reads. Bytes that trickle in or are read now and then do not renew that time, so a crowd displaces itself, and a caller that sends its request at once is served. Connections whose requests run are not closed; if all run, new ones are closed before a byte is read. Checks and metrics have entrances of their own. Sockets have buffers of 16 and 8 KiB, heads must be complete headerTimeoutMs after their first byte, and a caller that does not read for idleTimeoutMs is reset.

Ruled out: not reading as a bound (what is unread counts as memory of the process too); a fixed share of the budget for each connection (too small for the largest request, or too large for a crowd); refusing the newest connection (a crowd that came first would keep everybody out).

--- a/crates/config/src/gateway.rs
+++ b/crates/config/src/gateway.rs
@@ -25,6 +25,7 @@
 use crate::check::check_name;
 use crate::check::check_range;
 use crate::error;
+use crate::intake::Intake;
 use crate::json;
 
 /// Settings of one process.
@@ -51,6 +52,9 @@
     /// Messages between hosts.
     #[serde(default)]
     pub peers: Peers,
+    /// What callers may occupy.
+    #[serde(default)]
+    pub intake: Intake,
     /// Graceful shutdown.
     #[serde(default)]
     pub shutdown: Shutdown,
@@ -456,6 +460,7 @@
     check_range("peers.down_ms", s.peers.down_ms, 20, TEN_MINUTES_MS)?;
     let cell_hosts_max = s.peers.cell_hosts_max;
     check_range("peers.cell_hosts_max", cell_hosts_max, 2, 100_000)?;
+    s.intake.check()?;
     check_range("shutdown.notice_ms", s.shutdown.notice_ms, 0, MINUTE_MS)?;
     let drain_timeout_ms = s.shutdown.drain_timeout_ms;
     check_range("shutdown.drain_timeout_ms", drain_timeout_ms, 10, 3_600_000)?;
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -3,7 +3,7 @@
 //! [`settings`] defines what one process reads at start. [`bundle`] defines what the whole
 //! fleet serves and is signed off by operators; [`history`] is the fold that determines which
 //! bundle is in force. Where the users' platform stores the configuration, [`routes`] defines
-//! what the fleet serves and [`gateway`] what one process reads at start. [`access`]
+//! what the fleet serves and [`gateway`] what one process reads at start. [`intake`] is a part of the settings of both kinds of host. [`access`]
 //! identifies callers, and [`evacuation`] data centres without new requests. The crate performs
 //! no I/O.
 
@@ -14,6 +14,7 @@
 pub mod evacuation;
 pub mod gateway;
 pub mod history;
+pub mod intake;
 mod json;
 pub mod routes;
 pub mod settings;
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -25,6 +25,7 @@
 
 use crate::DataCentreId;
 use crate::error;
+use crate::intake::Intake;
 use crate::json;
 
 /// Settings of one process.
@@ -51,6 +52,9 @@
     /// Limits on requests of callers.
     #[serde(default)]
     pub limits: Limits,
+    /// What callers may occupy.
+    #[serde(default)]
+    pub intake: Intake,
     /// Gossip between hosts.
     #[serde(default)]
     pub membership: Membership,
--- a/crates/config/src/settings/check.rs
+++ b/crates/config/src/settings/check.rs
@@ -14,6 +14,7 @@
     check_name("host.name", &settings.host.name)?;
     check_name("host.data_centre", &settings.host.data_centre)?;
     check_ranges(settings)?;
+    settings.intake.check()?;
     check_combinations(settings)
 }
 
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -21,6 +21,7 @@
 use crate::catalog;
 use crate::catalog::Catalog;
 use crate::follower::Follower;
+use crate::intake::Callers;
 use crate::items::Items;
 use crate::journal::Journal;
 use crate::limits::Limits;
@@ -68,6 +69,8 @@
     pub in_flight: Gauge,
     /// Connections of callers.
     pub connections: Gauge,
+    /// What callers occupy.
+    pub callers: Callers,
     /// When the process started.
     pub started: Instant,
     /// The time of day at which the process started, in milliseconds, by which peers distinguish
@@ -166,6 +169,7 @@
             routes,
             in_flight: Gauge::default(),
             connections: Gauge::default(),
+            callers: Callers::new(&settings),
             started: Instant::now(),
             incarnation,
             submissions: Submissions::new(),
--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -297,7 +297,7 @@
 /// Starts items while there are free slots.
 async fn start_items(ctx: &Arc<Context>) {
     let interval = ms(ctx.settings.batch.start_gap_ms);
-    let running_max = ctx.settings.batch.running_max as usize;
+    let running_max = ctx.callers.items_max;
     while ctx.phase() == Phase::Ready && lock(&ctx.items.running).len() < running_max {
         let next = cpu_time::measure(&ctx.metrics, Activity::ScheduleItems, || next(ctx));
         let Some(next) = next else {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod error;
 mod fingerprint;
 mod follower;
+pub mod intake;
 mod items;
 pub mod jobs;
 pub mod journal;
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -16,6 +16,7 @@
 use crate::context::Until;
 use crate::cpu_time;
 use crate::error::StartError;
+use crate::intake;
 use crate::items;
 use crate::journal;
 use crate::limits;
@@ -74,6 +75,7 @@
             cleanup::run,
         );
         origins::start(&ctx);
+        ctx.spawn_duty("report callers", until, intake::run);
         ctx.spawn_duty("report processor time", until, |ctx| {
             cpu_time::report(
                 Arc::clone(&ctx.metrics),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -33,13 +33,15 @@
     Datagrams,
     /// Changes of the host's view of the fleet, by kind.
     Changes,
+    /// Callers that gave way or were refused, by event.
+    Callers,
     /// Units of work by activity of the host.
     Work,
     /// Time of units of work in microseconds, by activity of the host.
     WorkMicros,
 }
 
-const COUNTERS: [Counter; 14] = [
+const COUNTERS: [Counter; 15] = [
     counter("notchwharf_requests_total", "Online requests.", "outcome"),
     counter("notchwharf_offers_total", "Offers to targets.", "outcome"),
     counter(
@@ -76,6 +78,11 @@
     ),
     counter("notchwharf_datagrams_total", "Datagrams.", "direction"),
     counter("notchwharf_changes_total", "Changes of belief.", "kind"),
+    counter(
+        "notchwharf_callers_total",
+        "Callers that gave way or were refused.",
+        "event",
+    ),
     counter("notchwharf_work_total", "Pieces of work.", "part"),
     counter("notchwharf_work_us_total", "Their time.", "part"),
 ];
--- a/crates/listen/src/lib.rs
+++ b/crates/listen/src/lib.rs
@@ -3,10 +3,15 @@
 //! [`serve`] takes a listener, the phase of the host's lifecycle and a handler. Every interface
 //! of a host uses it, so all interfaces shut down in the same way.
 //!
+//! Connections are admitted by an [`Entrance`], which counts what their callers occupy: the handler
+//! finds the [`Connection`] in the extensions of its request, and reserves there what it keeps. A connection
+//! that has to give way to others is reset.
+//!
 //! A response of HTTP/1.0 without a length ends with its connection. If its body fails, the
 //! connection is reset, so that the response does not appear whole.
 
 mod socket;
+mod turn;
 
 use std::convert::Infallible;
 use std::error::Error;
@@ -27,16 +32,25 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use notchwharf_intake::Connection;
+use notchwharf_intake::Entrance;
+use notchwharf_intake::RECEIVE_BUFFER_BYTES;
+use notchwharf_intake::SEND_BUFFER_BYTES;
 use notchwharf_telemetry::gauge::Gauge;
+use socket2::SockRef;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
 use self::socket::Reset;
 use self::socket::Socket;
+use self::turn::TurnBody;
+use self::turn::Turns;
 
 /// The smallest buffer size that hyper accepts.
 const HEAD_BYTES_MIN: usize = 8_192;
+/// The pause after a connection could not be accepted. Without it, a lack of descriptors would occupy a core.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// A phase of a host's lifecycle.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -58,8 +72,13 @@
 pub struct Limits {
     /// The maximum size of a request's head, in bytes.
     pub head_bytes_max: usize,
-    /// The time limit for receiving a head, from the end of the previous request.
+    /// The time limit for receiving a head, from its first byte.
     pub head_timeout: Duration,
+    /// The time limit for the first byte and the rest of a head, from the end of the previous
+    /// request.
+    pub idle_timeout: Duration,
+    /// The time after which a connection is reset whose caller does not read.
+    pub write_timeout: Duration,
 }
 
 /// The configuration of [`serve`].
@@ -69,6 +88,8 @@
     pub phase: watch::Receiver<Phase>,
     /// Counts open connections.
     pub connections: Gauge,
+    /// Admits connections.
+    pub entrance: Entrance,
     /// Returns the limits for a new connection.
     pub limits: Arc<dyn Fn() -> Limits + Send + Sync>,
 }
@@ -91,8 +112,9 @@
 where
     F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Response<B>> + Send + 'static,
-    B: Body<Data: Send, Error: Into<Box<dyn Error + Send + Sync>>> + Send + 'static,
+    B: Body<Data: Send, Error: Into<Box<dyn Error + Send + Sync>>> + Send + Unpin + 'static,
 {
+    bound_buffers(listener);
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -101,18 +123,36 @@
         };
         // An error such as a lack of file descriptors must not stop the listener.
         let Ok((socket, _)) = accepted else {
-            tokio::task::yield_now().await;
+            cfg.entrance.record_failed_accept();
+            tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        tokio::spawn(serve_connection(cfg.clone(), socket, handler.clone()));
+        // A caller whose connection is closed before a byte was read knows that nothing ran.
+        if let Ok(connection) = cfg.entrance.admit().await {
+            let serving = serve_connection(cfg.clone(), connection, socket, handler.clone());
+            tokio::spawn(serving);
+        }
     }
 }
 
-async fn serve_connection<F, R, B>(cfg: Config, socket: TcpStream, handler: F)
-where
+/// Sets the sizes of the kernel's buffers for the connections of a listener. They count as memory of the
+/// process, and grow to megabytes for each connection otherwise.
+fn bound_buffers(listener: &TcpListener) {
+    let listener = SockRef::from(listener);
+    // These fail only where sockets have no such option, and then no such buffers.
+    let _ = listener.set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+    let _ = listener.set_send_buffer_size(SEND_BUFFER_BYTES);
+}
+
+async fn serve_connection<F, R, B>(
+    cfg: Config,
+    connection: Connection,
+    socket: TcpStream,
+    handler: F,
+) where
     F: Fn(Request<Incoming>) -> R + Send + Sync + 'static,
     R: Future<Output = Response<B>> + Send + 'static,
-    B: Body<Data: Send, Error: Into<Box<dyn Error + Send + Sync>>> + Send + 'static,
+    B: Body<Data: Send, Error: Into<Box<dyn Error + Send + Sync>>> + Send + Unpin + 'static,
 {
     // If this fails, small writes are only delayed.
     let _ = socket.set_nodelay(true);
@@ -122,7 +162,11 @@
     let response_phase = phase.clone();
     let ends_with_connection = Arc::new(AtomicBool::new(false));
     let is_unmarked = Arc::clone(&ends_with_connection);
-    let service = service_fn(move |req| {
+    let turns = Turns::new(connection.clone());
+    let service_turns = turns.clone();
+    let service = service_fn(move |mut req: Request<Incoming>| {
+        let turn = service_turns.begin();
+        req.extensions_mut().insert(service_turns.connection());
         let response = handler(req);
         let response_phase = response_phase.clone();
         let is_unmarked = Arc::clone(&is_unmarked);
@@ -133,11 +177,12 @@
                 let close = HeaderValue::from_static("close");
                 resp.headers_mut().insert(CONNECTION, close);
             }
-            Ok::<_, Infallible>(resp)
+            Ok::<_, Infallible>(resp.map(|body| TurnBody::new(body, turn)))
         }
     });
     let reset = Reset::default();
-    let socket = Socket::new(socket, reset.clone());
+    let head_bytes_max = limits.head_bytes_max.max(HEAD_BYTES_MIN);
+    let socket = Socket::new(socket, reset.clone(), turns, limits);
     let reset_if_broken = |served: hyper::Result<()>| {
         let is_body_broken = served.is_err_and(|err| err.is_user());
         if is_body_broken && ends_with_connection.load(Ordering::Relaxed) {
@@ -146,19 +191,22 @@
     };
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.head_timeout)
-        .max_buf_size(limits.head_bytes_max.max(HEAD_BYTES_MIN))
+        .header_read_timeout(limits.idle_timeout)
+        .max_buf_size(head_bytes_max)
         .serve_connection(TokioIo::new(socket), service);
     let mut conn = std::pin::pin!(conn);
     tokio::select! {
         // Errors are ignored: the client observes a broken connection itself.
         served = conn.as_mut() => return reset_if_broken(served),
+        // Its response may be one whose end only the end of the connection marks.
+        () = connection.closed() => return reset.set(),
         _ = phase.wait_for(|p| *p >= Phase::Closing) => {}
     }
     // Closes an idle connection now, and a busy one after its current request.
     conn.as_mut().graceful_shutdown();
     tokio::select! {
         served = conn => reset_if_broken(served),
+        () = connection.closed() => reset.set(),
         _ = phase.wait_for(|p| *p == Phase::Stopped) => {}
     }
 }
--- a/crates/server/src/context.rs
+++ b/crates/server/src/context.rs
@@ -45,6 +45,7 @@
 
 use crate::bundle::ActiveBundle;
 use crate::bundle::BundleFollower;
+use crate::callers::Callers;
 use crate::dispatch::Dispatcher;
 use crate::members::Members;
 use crate::metrics::Counted;
@@ -95,6 +96,7 @@
     pub(crate) update_socket: OnceLock<UdpSocket>,
     pub(crate) bundle_follower: OnceLock<Arc<BundleFollower>>,
     pub(crate) connections: Gauge,
+    pub(crate) callers: Callers,
     pub(crate) in_flight: Gauge,
     pub(crate) unsettled: Gauge,
     pub(crate) suspects: Arc<Gate>,
@@ -140,6 +142,7 @@
             update_socket: OnceLock::new(),
             bundle_follower: OnceLock::new(),
             connections: Gauge::default(),
+            callers: Callers::new(&settings),
             in_flight: Gauge::default(),
             unsettled: Gauge::default(),
             suspects: Gate::new(settings.host.name.clone()),
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -23,6 +23,7 @@
 
 mod api;
 mod bundle;
+mod callers;
 mod context;
 mod dispatch;
 pub mod error;
--- a/crates/server/src/lifecycle.rs
+++ b/crates/server/src/lifecycle.rs
@@ -17,6 +17,7 @@
 
 use crate::api;
 use crate::bundle::BundleFollower;
+use crate::callers;
 use crate::context::Context;
 use crate::context::post;
 use crate::error::StartError;
@@ -109,8 +110,13 @@
         let leases = leases::start(&ctx);
         tokio::spawn(online::resend_stream_counts(Arc::clone(&ctx)));
         quarantine::start(&ctx);
-        tokio::spawn(api::serve(Arc::clone(&ctx), listen, api::handle));
-        tokio::spawn(api::serve(Arc::clone(&ctx), admin, api::admin::handle));
+        tokio::spawn(callers::report(Arc::clone(&ctx)));
+        let entrance = ctx.callers.entrance.clone();
+        let callers = api::serve(Arc::clone(&ctx), listen, entrance, api::handle);
+        tokio::spawn(callers);
+        let entrance = ctx.callers.operators.clone();
+        let operators = api::serve(Arc::clone(&ctx), admin, entrance, api::admin::handle);
+        tokio::spawn(operators);
         slog::info!(ctx.logger, "listening";
             "listen" => addrs.listen.to_string(), "admin" => addrs.admin.to_string(),
             "peer" => addrs.peer.to_string(), "gossip" => addrs.gossip.to_string(),
--- a/crates/server/src/metrics.rs
+++ b/crates/server/src/metrics.rs
@@ -38,10 +38,12 @@
     Orders,
     /// Bytes of gossip by direction.
     GossipBytes,
+    /// Callers that gave way or were refused, by event.
+    Callers,
 }
 
 /// The counters, in the order of [`Counted`].
-const COUNTERS: [Counter; 7] = [
+const COUNTERS: [Counter; 8] = [
     counter(
         "notchwharf_requests_total",
         "Requests by outcome.",
@@ -57,6 +59,11 @@
         "Gossip bytes.",
         "direction",
     ),
+    counter(
+        "notchwharf_callers_total",
+        "Callers that gave way or were refused.",
+        "event",
+    ),
 ];
 
 /// The histograms, in the order of [`Timed`].
