Reserve request bodies before they are kept

A chunked body doubled its buffer, so it took up to three times its size while it grew.

A body is now kept in segments of up to 64 KiB, each of which is reserved in the budget for callers before it is allocated, and joined at the end. What is reserved stays so until the last reference to the body is dropped, as when it waits for a target or is sent again.

Ruled out: reserving the announced size at once (an announcement costs a caller nothing); waiting in line for bytes (a hundred halves keep one another from finishing); refusing by size (a large request that is sent at once is served, also beside a crowd that came first).

--- a/crates/intake/src/body.rs
+++ b/crates/intake/src/body.rs
@@ -1,9 +1,10 @@
 //! Reads request bodies.
 //!
-//! A body's bytes are copied into one buffer, whose size is reserved before it grows. Keeping the
-//! pieces as they arrive was rejected: each piece is part of a larger buffer, so a caller could hold
-//! kilobytes with each byte. Reserving the announced length at once was rejected as well: it would
-//! cost a caller nothing to occupy the whole budget.
+//! A body's bytes are copied into segments, each of which is reserved before it is allocated, and joined at the
+//! end. Keeping the pieces as they arrive was rejected: each piece is part of a larger buffer, so a caller
+//! could hold kilobytes with each byte. One buffer that doubles was rejected as well: it is up to twice as large as
+//! its content, and the allocator cannot reuse the smaller buffers for larger ones. So was reserving the
+//! announced length at once: it would cost a caller nothing to occupy the whole budget.
 
 use std::time::Duration;
 
@@ -16,10 +17,10 @@
 use crate::Reservation;
 use crate::error;
 
-/// Size of the buffer for a body whose length is not announced.
-const FIRST_BUFFER_BYTES: usize = 4 << 10;
-/// Largest buffer that is made for an announced body before its bytes arrive.
-const ANNOUNCED_BUFFER_BYTES: usize = 16 << 10;
+/// Size of the first segment of a body whose length is not announced, in bytes.
+const FIRST_SEGMENT_BYTES: usize = 4 << 10;
+/// Size of the other segments, in bytes.
+const SEGMENT_BYTES: usize = 64 << 10;
 
 /// Limits of a body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,15 +31,84 @@
     pub idle_timeout: Duration,
 }
 
-/// Received bytes with their reservation.
+/// A body that is being received.
+#[derive(Default)]
 struct Received {
-    bytes: Vec<u8>,
-    _reservation: Option<Reservation>,
+    /// All but the last are full.
+    segments: Vec<Vec<u8>>,
+    len: usize,
+    reservation: Option<Reservation>,
 }
 
-impl AsRef<[u8]> for Received {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
+impl Received {
+    /// Keeps the next bytes of a body of `expected` bytes at the most.
+    async fn push(
+        &mut self,
+        connection: &Connection,
+        mut data: &[u8],
+        expected: usize,
+    ) -> Result<(), error::Body> {
+        while !data.is_empty() {
+            let room = self.segments.last().map_or(0, |s| s.capacity() - s.len());
+            if room == 0 {
+                self.add_segment(connection, data.len(), expected).await?;
+                continue;
+            }
+            let (kept, rest) = data.split_at(room.min(data.len()));
+            let last = self.segments.last_mut().into_iter();
+            last.for_each(|segment| segment.extend_from_slice(kept));
+            self.len += kept.len();
+            data = rest;
+        }
+        Ok(())
+    }
+
+    async fn add_segment(
+        &mut self,
+        connection: &Connection,
+        wanted: usize,
+        expected: usize,
+    ) -> Result<(), error::Body> {
+        let size = match self.segments.is_empty() {
+            true => wanted.max(FIRST_SEGMENT_BYTES),
+            false => SEGMENT_BYTES,
+        };
+        let size = size.min(SEGMENT_BYTES).min(expected - self.len);
+        self.reserve(connection, size).await?;
+        self.segments.push(Vec::with_capacity(size));
+        Ok(())
+    }
+
+    async fn reserve(&mut self, connection: &Connection, bytes: usize) -> Result<(), error::Body> {
+        let reserved = {
+            let _wait = connection.await_body();
+            connection.reserve(bytes as u64).await
+        };
+        let reserved = reserved.map_err(error::Body::Shortage)?;
+        match &mut self.reservation {
+            Some(reservation) => reservation.merge(reserved),
+            none => *none = Some(reserved),
+        }
+        Ok(())
+    }
+
+    /// Joins the segments. Both the segments and the whole exist meanwhile.
+    async fn join(mut self, connection: &Connection) -> Result<Bytes, error::Body> {
+        let bytes = match self.segments.len() {
+            0 | 1 => self.segments.pop().unwrap_or_default(),
+            _ => {
+                self.reserve(connection, self.len).await?;
+                let mut whole = Vec::with_capacity(self.len);
+                for segment in self.segments.drain(..) {
+                    whole.extend_from_slice(&segment);
+                }
+                whole
+            }
+        };
+        Ok(match self.reservation {
+            Some(reservation) => reservation.keep(bytes),
+            None => bytes.into(),
+        })
     }
 }
 
@@ -79,10 +149,7 @@
     let expected = body.size_hint().exact().map_or(limits.bytes_max, |len| {
         usize::try_from(len).unwrap_or(usize::MAX)
     });
-    let mut received = Received {
-        bytes: Vec::new(),
-        _reservation: None,
-    };
+    let mut received = Received::default();
     loop {
         let frame = match body.frame().now_or_never() {
             Some(frame) => frame,
@@ -93,46 +160,15 @@
             }
         };
         let Some(frame) = frame else {
-            return Ok(Bytes::from_owner(received));
+            return received.join(connection).await;
         };
         let frame = frame.map_err(|_| error::Body::Incomplete)?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        let len = received.bytes.len() + data.len();
-        if len > limits.bytes_max {
+        if received.len + data.len() > limits.bytes_max {
             return Err(error::Body::TooLarge);
         }
-        if len > received.bytes.capacity() {
-            received = grow(connection, received, len, expected).await?;
-        }
-        received.bytes.extend_from_slice(&data);
+        received.push(connection, &data, expected).await?;
     }
 }
-
-/// Moves received bytes to a buffer for at least `len` bytes, and no more than the expected ones.
-async fn grow(
-    connection: &Connection,
-    received: Received,
-    len: usize,
-    expected: usize,
-) -> Result<Received, error::Body> {
-    let doubled = match received.bytes.capacity() {
-        0 if expected <= ANNOUNCED_BUFFER_BYTES => expected,
-        0 => FIRST_BUFFER_BYTES,
-        capacity => capacity.saturating_mul(2),
-    };
-    let capacity = doubled.min(expected).max(len);
-    // Both buffers exist while the bytes are copied.
-    let reservation = {
-        let _wait = connection.await_body();
-        connection.reserve(capacity as u64).await
-    };
-    let reservation = reservation.map_err(error::Body::Shortage)?;
-    let mut bytes = Vec::with_capacity(capacity);
-    bytes.extend_from_slice(&received.bytes);
-    Ok(Received {
-        bytes,
-        _reservation: Some(reservation),
-    })
-}
--- a/crates/intake/src/connection.rs
+++ b/crates/intake/src/connection.rs
@@ -10,6 +10,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use bytes::Bytes;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -260,6 +261,21 @@
         self.give_back(surplus);
     }
 
+    /// Returns bytes that are reserved with this until the last reference to them is dropped. What they do
+    /// not need is returned.
+    pub fn keep(mut self, bytes: impl AsRef<[u8]> + Send + 'static) -> Bytes {
+        self.shrink(bytes.as_ref().len() as u64);
+        Bytes::from_owner(Kept {
+            bytes,
+            _reservation: self,
+        })
+    }
+
+    /// Adds the bytes of another reservation for the same connection.
+    pub(crate) fn merge(&mut self, mut other: Self) {
+        self.bytes += std::mem::take(&mut other.bytes);
+    }
+
     fn give_back(&self, bytes: u64) {
         self.shared.ledger().release(self.connection, bytes);
         self.shared.returned.notify_waiters();
@@ -272,6 +288,18 @@
     }
 }
 
+/// Bytes with their reservation.
+struct Kept<B> {
+    bytes: B,
+    _reservation: Reservation,
+}
+
+impl<B: AsRef<[u8]>> AsRef<[u8]> for Kept<B> {
+    fn as_ref(&self) -> &[u8] {
+        self.bytes.as_ref()
+    }
+}
+
 impl fmt::Debug for Reservation {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_tuple("Reservation").field(&self.bytes).finish()
