Reserve answers of jobs until their callers have read them

Callers saw: a host ended, out of memory, when 80 callers asked for the body of one item of 4 MiB and did not read it.

Cause: each call read the whole job from the store, decoded it and kept a copy of the item until it was written; none of it was counted. Besides, small blobs in the cache of the store kept the whole buffer that they were cut from.

What a job's blobs occupy is reserved before they are read, and the answer until it is written; calls that hosts forward to one another are reserved at the other host as well. Without room the answer is 503 with Retry-After.

--- a/crates/gateway/src/blobs.rs
+++ b/crates/gateway/src/blobs.rs
@@ -83,7 +83,9 @@
             return;
         }
         self.bytes += bytes.len();
-        self.blobs.push_back((key.to_owned(), bytes.clone()));
+        // What is passed may be a small part of a large buffer.
+        let copy = Bytes::copy_from_slice(bytes);
+        self.blobs.push_back((key.to_owned(), copy));
         while self.bytes > CACHE_BYTES_MAX {
             let Some((_, oldest)) = self.blobs.pop_front() else {
                 return;
--- a/crates/gateway/src/jobs/forwarding.rs
+++ b/crates/gateway/src/jobs/forwarding.rs
@@ -17,6 +17,7 @@
 
 use super::JobResult;
 use super::Submission;
+use super::not_now;
 use super::read::try_body;
 use super::read::try_read;
 use super::submit::try_end;
@@ -30,6 +31,9 @@
 /// of a record and a round trip.
 const TIMEOUT: Duration = Duration::from_millis(2_800);
 
+/// Copies of a forwarded call that exist at a time: its parts, the record and its call.
+const CALL_COPIES: u64 = 3;
+
 /// Maximum number of peers tried in this host's cell, and in others: the first may just have
 /// failed.
 const PEERS_MAX: usize = 2;
@@ -164,6 +168,11 @@
 /// Serves a call that a peer forwarded and returns the encoded response; `None` if the call
 /// is invalid.
 pub(crate) async fn handle_forwarded(ctx: &Arc<Context>, bytes: &[u8]) -> Option<Vec<u8>> {
+    let reserved = ctx.callers.intake.reserve(CALL_COPIES * bytes.len() as u64);
+    let Ok(_reserved) = reserved.await else {
+        let refused: JobResult<()> = Err(not_now(ctx, "callers occupy the host"));
+        return Some(postcard::to_stdvec(&refused).expect("Responses are representable."));
+    };
     let call = match postcard::from_bytes::<Call>(bytes) {
         Ok(call) => call,
         Err(err) => {
--- a/crates/gateway/src/jobs/read.rs
+++ b/crates/gateway/src/jobs/read.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use notchwharf_intake::Reservation;
 use notchwharf_ledger::jobs::Blob;
 use notchwharf_ledger::jobs::Listed;
 use notchwharf_ledger::jobs::Outcome;
@@ -28,6 +29,11 @@
 /// Maximum bytes of a page of more than one result.
 const PAGE_BYTES_MAX: usize = 900 << 10;
 
+/// Copies of results that exist while they are read: the records and the texts.
+const RESULT_COPIES: u64 = 2;
+/// Copies of a job that exist while the body of an item is read: the records, the whole and the items.
+const BODY_COPIES: u64 = 3;
+
 /// Maximum staleness of the job records at which a host responds without reading them again:
 /// what one host has returned, all must return within a second.
 const STALENESS_MAX: Duration = Duration::from_millis(600);
@@ -124,6 +130,7 @@
     };
     let fitting = fitting(&listed);
     let blobs: Vec<Blob> = fitting.iter().flat_map(blobs).cloned().collect();
+    let _reserved = reserve(ctx, RESULT_COPIES, &blobs).await?;
     let mut parts = ctx.blobs.read_all(Topic::Results, &blobs).await.into_iter();
     for entry in fitting {
         let text = match &entry.outcome {
@@ -150,6 +157,13 @@
     Ok(page)
 }
 
+/// Reserves what blobs occupy while they are read for a caller.
+async fn reserve(ctx: &Context, copies: u64, blobs: &[Blob]) -> JobResult<Reservation> {
+    let bytes: u64 = blobs.iter().map(|b| u64::from(b.bytes)).sum();
+    let reserved = ctx.callers.intake.reserve(copies * bytes).await;
+    reserved.map_err(|_| not_now(ctx, "callers occupy the host"))
+}
+
 /// Returns the results that fit into one page: at least the first one.
 fn fitting(listed: &[Listed]) -> &[Listed] {
     let mut bytes = 0;
@@ -205,6 +219,7 @@
         let index = state.item_index(item).ok_or(JobError::NotFound)?;
         (Arc::clone(&state.accepted), index as usize)
     };
+    let _reserved = reserve(ctx, BODY_COPIES, &accepted.payload).await?;
     let payload = Payload::read(ctx, &accepted).await;
     let payload = payload.map_err(|_| not_now(ctx, "the items cannot be read"))?;
     let item = payload
