Begin no request on a connection that is told to close

Read, not seen: a connection that gives way could receive the rest of a request before it was dropped. The request would have been passed on, and its caller would have got no answer though nothing was wrong with it.

A connection that is told to close is dropped before anything else of it is polled, its handler is not run, and a body that is complete meanwhile is refused. It is reset only while it is answering or its caller does not read: a reset would discard a response that the caller has not read yet. So that closed connections do not keep their unread bytes in the kernel for minutes, the kernel gives up on them after 30 s.

--- a/crates/intake/src/connection.rs
+++ b/crates/intake/src/connection.rs
@@ -105,9 +105,11 @@
     connection: ConnectionId,
     bytes: u64,
 ) -> Result<Reservation, Shortage> {
-    shared
-        .ask(|ledger| ledger.reserve(connection, bytes))
-        .await?;
+    let asked = shared.ask(|ledger| ledger.reserve(connection, bytes)).await;
+    if let Err(shortage) = asked {
+        shared.ledger().report_mut().refused_bytes += 1;
+        return Err(shortage);
+    }
     Ok(Reservation {
         shared: Arc::clone(shared),
         connection,
@@ -144,7 +146,10 @@
             }
             Ok(grant)
         };
-        self.shared.ask(request).await?;
+        if let Err(shortage) = self.shared.ask(request).await {
+            self.shared.ledger().report_mut().refused_connections += 1;
+            return Err(shortage);
+        }
         Ok(Connection(Arc::new(Open {
             shared: Arc::clone(&self.shared),
             id,
@@ -189,6 +194,12 @@
         self.0.close.notified().await;
     }
 
+    /// Returns whether the connection was told to close. Once it is the host's turn, this does not change
+    /// unless the host waits for the caller again.
+    pub fn is_closing(&self) -> bool {
+        self.0.shared.ledger().is_closing(self.0.id)
+    }
+
     /// Begins to handle a request: the host no longer waits for its caller.
     pub fn begin_turn(&self) -> Turn {
         self.0.shared.ledger().begin_turn(self.0.id);
--- a/crates/intake/src/ledger.rs
+++ b/crates/intake/src/ledger.rs
@@ -185,7 +185,6 @@
                 if closing > 0 && has_place {
                     return Ok(Grant::Wait);
                 }
-                self.report.refused_connections += 1;
                 return Err(Shortage::Occupied);
             };
             match has_place {
@@ -243,7 +242,6 @@
     pub(crate) fn reserve(&mut self, id: ConnectionId, bytes: u64) -> Result<Grant, Shortage> {
         let max = self.report.bytes_max;
         if bytes > max {
-            self.report.refused_bytes += 1;
             return Err(Shortage::OverBudget);
         }
         if self.report.bytes + bytes <= max {
@@ -271,7 +269,6 @@
             victims.push(*victim);
         }
         if remaining > max {
-            self.report.refused_bytes += 1;
             return Err(Shortage::Occupied);
         }
         self.report.closed_for_bytes += victims.len() as u64;
@@ -303,6 +300,13 @@
         self.reorder(id);
     }
 
+    /// Returns whether a connection was told to close.
+    pub(crate) fn is_closing(&self, id: ConnectionId) -> bool {
+        self.connections
+            .get(&id)
+            .is_none_or(|entry| entry.is_closing)
+    }
+
     /// Begins to handle a request.
     pub(crate) fn begin_turn(&mut self, id: ConnectionId) {
         self.change(id, |entry| entry.is_host_turn = true);
--- a/crates/listen/src/lib.rs
+++ b/crates/listen/src/lib.rs
@@ -49,6 +49,8 @@
 
 /// The smallest buffer size that hyper accepts.
 const HEAD_BYTES_MIN: usize = 8_192;
+/// The time for which the kernel keeps bytes that a caller does not read after its connection was closed.
+const UNREAD_TIMEOUT: Duration = Duration::from_secs(30);
 /// The pause after a connection could not be accepted. Without it, a lack of descriptors would occupy a core.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -135,13 +137,15 @@
     }
 }
 
-/// Sets the sizes of the kernel's buffers for the connections of a listener. They count as memory of the
-/// process, and grow to megabytes for each connection otherwise.
+/// Bounds the kernel's buffers for the connections of a listener, and the time for which they outlive
+/// their connections. They count as memory of the process, and grow to megabytes for each connection
+/// otherwise.
 fn bound_buffers(listener: &TcpListener) {
     let listener = SockRef::from(listener);
     // These fail only where sockets have no such option, and then no such buffers.
     let _ = listener.set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
     let _ = listener.set_send_buffer_size(SEND_BUFFER_BYTES);
+    let _ = listener.set_tcp_user_timeout(Some(UNREAD_TIMEOUT));
 }
 
 async fn serve_connection<F, R, B>(
@@ -166,11 +170,17 @@
     let service_turns = turns.clone();
     let service = service_fn(move |mut req: Request<Incoming>| {
         let turn = service_turns.begin();
+        let is_closing = service_turns.connection().is_closing();
         req.extensions_mut().insert(service_turns.connection());
         let response = handler(req);
         let response_phase = response_phase.clone();
         let is_unmarked = Arc::clone(&is_unmarked);
         async move {
+            if is_closing {
+                // The connection is about to be dropped, and its caller may send the request
+                // elsewhere.
+                std::future::pending::<()>().await;
+            }
             let mut resp = response.await;
             is_unmarked.store(resp.version() == Version::HTTP_10, Ordering::Relaxed);
             if *response_phase.borrow() >= Phase::Leaving {
@@ -182,13 +192,20 @@
     });
     let reset = Reset::default();
     let head_bytes_max = limits.head_bytes_max.max(HEAD_BYTES_MIN);
-    let socket = Socket::new(socket, reset.clone(), turns, limits);
+    let socket = Socket::new(socket, reset.clone(), turns.clone(), limits);
     let reset_if_broken = |served: hyper::Result<()>| {
         let is_body_broken = served.is_err_and(|err| err.is_user());
         if is_body_broken && ends_with_connection.load(Ordering::Relaxed) {
             reset.set();
         }
     };
+    // The end of the response may be marked by the end of the connection only. A connection without
+    // one is closed, as its caller may not have read the last response yet.
+    let reset_if_answering = || {
+        if turns.is_host_turn() {
+            reset.set();
+        }
+    };
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
@@ -196,17 +213,19 @@
         .serve_connection(TokioIo::new(socket), service);
     let mut conn = std::pin::pin!(conn);
     tokio::select! {
+        // First, so that no request begins on a connection that is told to close.
+        biased;
+        () = connection.closed() => return reset_if_answering(),
         // Errors are ignored: the client observes a broken connection itself.
         served = conn.as_mut() => return reset_if_broken(served),
-        // Its response may be one whose end only the end of the connection marks.
-        () = connection.closed() => return reset.set(),
         _ = phase.wait_for(|p| *p >= Phase::Closing) => {}
     }
     // Closes an idle connection now, and a busy one after its current request.
     conn.as_mut().graceful_shutdown();
     tokio::select! {
+        biased;
+        () = connection.closed() => reset_if_answering(),
         served = conn => reset_if_broken(served),
-        () = connection.closed() => reset.set(),
         _ = phase.wait_for(|p| *p == Phase::Stopped) => {}
     }
 }
--- a/crates/listen/src/socket.rs
+++ b/crates/listen/src/socket.rs
@@ -192,7 +192,8 @@
 
 impl Drop for Socket {
     fn drop(&mut self) {
-        if self.reset.0.load(Ordering::Relaxed) {
+        let is_blocked = self.write_timeout.is_some();
+        if is_blocked || self.reset.0.load(Ordering::Relaxed) {
             // If this fails, the caller may take the response for a whole one.
             let _ = self.inner.set_zero_linger();
         }
