Return the memory of large bodies to the kernel

Operators saw: after a crowd had gone, a host kept hundreds of megabytes, and the next crowd began on top of them.

Cause: the allocator keeps what it frees in the arena of the thread that allocated it. Its threshold for mapping memory grows with the largest block that was freed, so after the first large body all others come from the arenas, where freed segments of one thread are of no use to another.

Buffers of 32 KiB and more are mapped from the kernel, by memmap2, and are returned when they are dropped.

--- a/crates/intake/src/body.rs
+++ b/crates/intake/src/body.rs
@@ -15,7 +15,9 @@
 
 use crate::Connection;
 use crate::Reservation;
+use crate::buffer::Buffer;
 use crate::error;
+use crate::error::Shortage;
 
 /// Size of the first segment of a body whose length is not announced, in bytes.
 const FIRST_SEGMENT_BYTES: usize = 4 << 10;
@@ -35,7 +37,7 @@
 #[derive(Default)]
 struct Received {
     /// All but the last are full.
-    segments: Vec<Vec<u8>>,
+    segments: Vec<Buffer>,
     len: usize,
     reservation: Option<Reservation>,
 }
@@ -49,16 +51,14 @@
         expected: usize,
     ) -> Result<(), error::Body> {
         while !data.is_empty() {
-            let room = self.segments.last().map_or(0, |s| s.capacity() - s.len());
-            if room == 0 {
-                self.add_segment(connection, data.len(), expected).await?;
-                continue;
+            match self.segments.last_mut() {
+                Some(last) if last.room() > 0 => {
+                    let rest = last.push(data);
+                    self.len += data.len() - rest.len();
+                    data = rest;
+                }
+                _ => self.add_segment(connection, data.len(), expected).await?,
             }
-            let (kept, rest) = data.split_at(room.min(data.len()));
-            let last = self.segments.last_mut().into_iter();
-            last.for_each(|segment| segment.extend_from_slice(kept));
-            self.len += kept.len();
-            data = rest;
         }
         Ok(())
     }
@@ -75,7 +75,7 @@
         };
         let size = size.min(SEGMENT_BYTES).min(expected - self.len);
         self.reserve(connection, size).await?;
-        self.segments.push(Vec::with_capacity(size));
+        self.segments.push(new_buffer(size)?);
         Ok(())
     }
 
@@ -94,24 +94,25 @@
 
     /// Joins the segments. Both the segments and the whole exist meanwhile.
     async fn join(mut self, connection: &Connection) -> Result<Bytes, error::Body> {
-        let bytes = match self.segments.len() {
-            0 | 1 => self.segments.pop().unwrap_or_default(),
-            _ => {
-                self.reserve(connection, self.len).await?;
-                let mut whole = Vec::with_capacity(self.len);
-                for segment in self.segments.drain(..) {
-                    whole.extend_from_slice(&segment);
-                }
-                whole
+        if self.segments.len() > 1 {
+            self.reserve(connection, self.len).await?;
+            let mut whole = new_buffer(self.len)?;
+            for segment in self.segments.drain(..) {
+                whole.push(segment.as_ref());
             }
-        };
-        Ok(match self.reservation {
-            Some(reservation) => reservation.keep(bytes),
-            None => bytes.into(),
+            self.segments.push(whole);
+        }
+        Ok(match (self.reservation, self.segments.pop()) {
+            (Some(reservation), Some(whole)) => reservation.keep(whole),
+            _ => Bytes::new(),
         })
     }
 }
 
+fn new_buffer(capacity: usize) -> Result<Buffer, error::Body> {
+    Buffer::new(capacity).map_err(|_| error::Body::Shortage(Shortage::Occupied))
+}
+
 /// Reads a body to its end. What it occupies is reserved until the last reference to the returned bytes
 /// is dropped. Trailers are ignored.
 ///
@@ -160,7 +161,12 @@
             }
         };
         let Some(frame) = frame else {
-            return received.join(connection).await;
+            let body = received.join(connection).await?;
+            // A request whose connection is closed must not run.
+            return match connection.is_closing() {
+                true => Err(error::Body::Shortage(Shortage::Occupied)),
+                false => Ok(body),
+            };
         };
         let frame = frame.map_err(|_| error::Body::Incomplete)?;
         let Ok(data) = frame.into_data() else {
--- a/crates/intake/src/lib.rs
+++ b/crates/intake/src/lib.rs
@@ -36,8 +36,10 @@
 //! largest request.
 
 mod body;
+mod buffer;
 mod connection;
 pub mod error;
+mod json;
 mod ledger;
 mod machine;
 
@@ -49,6 +51,7 @@
 pub use self::connection::Intake;
 pub use self::connection::Reservation;
 pub use self::connection::Turn;
+pub use self::json::json_bytes;
 pub use self::ledger::Report;
 pub use self::machine::Machine;
 
--- a/crates/intake/src/machine.rs
+++ b/crates/intake/src/machine.rs
@@ -64,6 +64,12 @@
         self.memory_bytes / 2
     }
 
+    /// Returns the bytes that callers may occupy if several threads serve them: less, as the allocator keeps
+    /// what it frees for the thread that allocated it.
+    pub fn caller_bytes_of_threads(&self) -> u64 {
+        self.memory_bytes / 4
+    }
+
     /// Returns how many connections of items of jobs the descriptors suffice for.
     pub fn items_max(&self) -> u64 {
         (self.descriptors / ITEM_DESCRIPTORS_SHARE).max(1)
