Reserve request bodies at the own interface

Callers saw: a host ended, out of memory, under 64 callers that sent 8 MiB but the last byte, or chunks without an end; as at the platform's interface, whose reader was written a second time here.

Bodies are read by the same reader, with the same budget, and what a keyed call takes to reach its owner is reserved. Requests without room get 503 with the code host_occupied, and 413 with over_budget if they are larger than the budget. As several threads serve callers here, the budget is a quarter of the memory: arenas of the allocator keep what their threads free.

--- a/crates/server/src/api/body.rs
+++ b/crates/server/src/api/body.rs
@@ -4,18 +4,22 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::Request;
 use hyper::StatusCode;
-use hyper::body::Body as _;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
 use hyper::header::RETRY_AFTER;
+use hyper::http::Extensions;
 use notchwharf_config::settings::ms;
+use notchwharf_intake::BodyLimits;
+use notchwharf_intake::Connection;
+use notchwharf_intake::Reservation;
+use notchwharf_intake::error;
+use notchwharf_intake::error::Shortage;
 use serde::Serialize;
 
 use super::error::ApiError;
@@ -26,30 +30,50 @@
 /// A response.
 pub(crate) type Response = hyper::Response<Body>;
 
-/// Reads a complete body within the configured limits.
+/// Returns the connection on which a request came.
+pub(crate) fn connection(extensions: &Extensions) -> Result<Connection, ApiError> {
+    let connection = extensions.get::<Connection>().cloned();
+    // The listener adds it to each request.
+    connection.ok_or(ApiError::Occupied)
+}
+
+/// Reserves bytes that are kept for a caller.
+pub(crate) async fn reserve(connection: &Connection, bytes: u64) -> Result<Reservation, ApiError> {
+    connection.reserve(bytes).await.map_err(shortage_error)
+}
+
+fn shortage_error(shortage: Shortage) -> ApiError {
+    match shortage {
+        Shortage::Occupied => ApiError::Occupied,
+        Shortage::OverBudget => ApiError::OverBudget,
+    }
+}
+
+/// Reads a complete body within the configured limits and the budget for callers.
 pub(crate) async fn read(ctx: &Context, req: Request<Incoming>) -> Result<Bytes, ApiError> {
     let limits = &ctx.settings.limits;
     let max = limits.body_bytes_max;
-    let mut body = req.into_body();
-    if body.size_hint().lower() > max {
-        return Err(ApiError::TooLarge { max });
-    }
-    let idle_timeout = ms(limits.body_timeout_ms);
-    let mut content = BytesMut::new();
-    while let Some(data) = next_chunk(&mut body, idle_timeout).await? {
-        content.extend_from_slice(&data);
-        if content.len() as u64 > max {
-            return Err(ApiError::TooLarge { max });
-        }
-    }
-    Ok(content.freeze())
+    let connection = connection(req.extensions())?;
+    let limits = BodyLimits {
+        bytes_max: usize::try_from(max).unwrap_or(usize::MAX),
+        idle_timeout: ms(limits.body_timeout_ms),
+    };
+    let body = notchwharf_intake::read_body(&connection, req.into_body(), limits).await;
+    body.map_err(|err| match err {
+        error::Body::TooLarge => ApiError::TooLarge { max },
+        error::Body::TimedOut => ApiError::BodyTimeout,
+        error::Body::Incomplete => ApiError::IncompleteBody,
+        error::Body::Shortage(shortage) => shortage_error(shortage),
+    })
 }
 
 /// Reads the next chunk of a body. Returns `None` at its end.
 pub(crate) async fn next_chunk(
+    connection: &Connection,
     body: &mut Incoming,
     idle_timeout: Duration,
 ) -> Result<Option<Bytes>, ApiError> {
+    let _wait = connection.await_body();
     loop {
         let frame = tokio::time::timeout(idle_timeout, body.frame()).await;
         let Some(frame) = frame.map_err(|_| ApiError::BodyTimeout)? else {
--- a/crates/server/src/api/error.rs
+++ b/crates/server/src/api/error.rs
@@ -73,6 +73,10 @@
     NoTarget {
         retry_after: Duration,
     },
+    /// Callers occupy what the host has for them.
+    Occupied,
+    /// The request needs more than the host has for callers.
+    OverBudget,
     /// Targets crashed while running such a request.
     Quarantined {
         retry_after: Duration,
@@ -95,7 +99,9 @@
                 StatusCode::BAD_REQUEST
             }
             Self::EmptyInputFile | Self::IncompleteBody => StatusCode::BAD_REQUEST,
-            Self::TooManyItems { .. } | Self::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::TooManyItems { .. } | Self::TooLarge { .. } | Self::OverBudget => {
+                StatusCode::PAYLOAD_TOO_LARGE
+            }
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::MissingApiKey | Self::UnknownTenant => StatusCode::UNAUTHORIZED,
             Self::NotAllowed { .. } => StatusCode::FORBIDDEN,
@@ -106,7 +112,9 @@
             Self::Starting | Self::Leaving | Self::NoTarget { .. } | Self::LogUnavailable => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
-            Self::NoOwner | Self::Quarantined { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoOwner | Self::Quarantined { .. } | Self::Occupied => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
             Self::OutcomeUnknown | Self::TargetsFailed => StatusCode::BAD_GATEWAY,
             Self::RejectedByTarget(status) => {
@@ -147,6 +155,8 @@
             Self::Leaving => "leaving",
             Self::Overloaded { .. } => "overloaded",
             Self::NoTarget { .. } => "no_target",
+            Self::Occupied => "host_occupied",
+            Self::OverBudget => "over_budget",
             Self::Quarantined { .. } => "targets_crash",
             Self::LogUnavailable => "log_unavailable",
             Self::NoOwner => "no_owner",
@@ -166,6 +176,7 @@
             | Self::Leaving
             | Self::LogUnavailable
             | Self::NoOwner
+            | Self::Occupied
             | Self::TargetsFailed => Some(RETRY_AFTER),
             _ => None,
         }
@@ -246,6 +257,12 @@
             Self::NoTarget { .. } => {
                 f.write_str("No target is available; the request was not run. Retry later.")
             }
+            Self::Occupied => {
+                f.write_str("Other callers occupy the host; the request was not run. Retry later.")
+            }
+            Self::OverBudget => {
+                f.write_str("The request needs more memory than the host has for callers.")
+            }
             Self::LogUnavailable => f.write_str(
                 "The platform's log is unavailable; the request was not run. Retry later.",
             ),
--- a/crates/server/src/api/services.rs
+++ b/crates/server/src/api/services.rs
@@ -59,6 +59,9 @@
     deadline: Instant,
 }
 
+/// Copies of a keyed call's body that exist at a time: in base64, and in the message to its owner.
+const KEYED_COPIES: u64 = 3;
+
 /// Forwards a request to a plain service.
 pub(crate) async fn call(
     ctx: &Arc<Context>,
@@ -75,10 +78,13 @@
         return Err(ApiError::NotAllowed { what });
     }
     let key = idempotency_key(req.headers())?;
+    let connection = body::connection(req.extensions())?;
     let request = read(ctx, req, service).await?;
     let _in_flight = ctx.in_flight.enter();
     match key {
         Some(key) if !is_idempotent(&request.method) => {
+            let bytes = KEYED_COPIES * request.body.len() as u64;
+            let _reserved = body::reserve(&connection, bytes).await?;
             let call = request.keyed(&caller.tenant.name, key);
             run_keyed(ctx, call).await
         }
--- a/crates/server/src/callers.rs
+++ b/crates/server/src/callers.rs
@@ -30,7 +30,7 @@
         let own = &settings.intake;
         let machine = Machine::detect().restrict(own.memory_mb, own.descriptors);
         let connections_max = own.connections_max.unwrap_or(machine.connections_max());
-        let intake = Intake::new(own.bytes_max.unwrap_or(machine.caller_bytes()));
+        let intake = Intake::new(own.bytes_max.unwrap_or(machine.caller_bytes_of_threads()));
         Self {
             entrance: intake.entrance(usize::try_from(connections_max).unwrap_or(usize::MAX)),
             operators: intake.entrance(OPERATORS_MAX),
