Reserve what JSON occupies before it is parsed

Callers saw: a host ended under 64 completions of 8 MiB whose messages were lists of numbers, lists or fields.

Cause: two bytes of text become up to 64 of a tree of values, for each of the threads that parse, and none of it was counted.

A request whose tree is larger than the budget gets 413; one that is large because of its texts, as prompts are, costs twice its size.

--- a/crates/server/src/api/batches.rs
+++ b/crates/server/src/api/batches.rs
@@ -7,6 +7,7 @@
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use notchwharf_config::bundle::Class;
+use notchwharf_intake::json_bytes;
 use notchwharf_ledger::job::Spec;
 use notchwharf_ledger::job::State;
 use notchwharf_ledger::owner::Command;
@@ -49,7 +50,9 @@
     caller.check_class(Class::Batch)?;
     let key = services::idempotency_key(req.headers())?;
     let _in_flight = ctx.in_flight.enter();
+    let connection = body::connection(req.extensions())?;
     let text = body::read(ctx, req).await?;
+    let _reserved = body::reserve(&connection, json_bytes(&text)).await?;
     let create: CreateRequest =
         serde_json::from_slice(&text).map_err(|err| ApiError::MalformedJson(err.to_string()))?;
     let metadata = check(&create)?;
--- a/crates/server/src/api/chat.rs
+++ b/crates/server/src/api/chat.rs
@@ -14,6 +14,8 @@
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use notchwharf_config::bundle::Class;
+use notchwharf_intake::Reservation;
+use notchwharf_intake::json_bytes;
 use notchwharf_proto::peer::Callee;
 use notchwharf_proto::peer::KeyedCall;
 use notchwharf_routing::table::Refusal;
@@ -49,10 +51,15 @@
 /// Bytes of the first message that are hashed to route similar prompts to one target.
 const PREFIX_BYTES_MAX: usize = 512;
 
+/// Copies of a request that exist at a time: parsed, and as it is sent.
+const REQUEST_COPIES: u64 = 2;
+
 /// An admitted request, released when dropped.
 struct Admitted {
     ctx: Arc<Context>,
     tenant: String,
+    /// For the parsed request.
+    reserved: Option<Reservation>,
     _in_flight: Gauge,
 }
 
@@ -66,6 +73,7 @@
         Ok(Self {
             ctx: Arc::clone(ctx),
             tenant,
+            reserved: None,
             _in_flight: ctx.in_flight.enter(),
         })
     }
@@ -83,8 +91,11 @@
     caller.check_class(Class::Online)?;
     let deadline = deadline(ctx, req.headers())?;
     let key = services::idempotency_key(req.headers())?;
-    let admitted = Admitted::admit(ctx, &caller)?;
+    let mut admitted = Admitted::admit(ctx, &caller)?;
+    let connection = body::connection(req.extensions())?;
     let text = body::read(ctx, req).await?;
+    let parsed = REQUEST_COPIES * json_bytes(&text);
+    admitted.reserved = Some(body::reserve(&connection, parsed).await?);
     let (request, serving) = build_request(&caller, &text, deadline)?;
     let is_stream = is_stream_requested(&text);
     if let Some(key) = key {
