Bound what uploads of input files keep

Callers saw: a host ended under 64 uploads whose form field, head of a part, preamble or line did not end.

Cause: the parser of forms reads for as long as there is data, and keeps a head or preamble until it ends; the field purpose was read whole before its length was checked; lines of up to the largest body were kept for any number of uploads.

The field purpose is cut at its limit. What a form reads ahead, lines in three copies, an incomplete line and hashes of items are reserved; an upload whose caller is slow can give way.

--- a/crates/server/src/api/files.rs
+++ b/crates/server/src/api/files.rs
@@ -35,6 +35,9 @@
 use super::body;
 use super::body::Response;
 use super::error::ApiError;
+use super::form;
+use super::form::Ahead;
+use super::input_file;
 use super::input_file::InputFileWriter;
 use super::input_file::StoredFile;
 use crate::context::Context;
@@ -47,6 +50,9 @@
 const OUTPUT_PREFIX: &str = "output-";
 const ERRORS_PREFIX: &str = "errors-";
 const PAGE_ITEMS: u32 = 1_000;
+/// Bytes of an upload besides its lines: what is read ahead, and lines in three copies while they are
+/// written.
+const UPLOAD_BYTES: u64 = (2 * form::AHEAD_BYTES_MAX + 3 * input_file::BLOB_BYTES_MAX) as u64;
 
 /// Returns the ID of the file with a job's results.
 pub(crate) fn output_id(job: &str) -> String {
@@ -81,24 +87,45 @@
         param: "content-type",
         reason: "must be multipart/form-data",
     })?;
-    let mut form = Multipart::new(body_stream(ctx, req), boundary);
+    let connection = body::connection(req.extensions())?;
+    let _reserved = body::reserve(&connection, UPLOAD_BYTES).await?;
+    let ahead = Ahead::default();
+    let idle_timeout = ms(ctx.settings.limits.body_timeout_ms);
+    let form = form::read(
+        connection.clone(),
+        req.into_body(),
+        idle_timeout,
+        ahead.clone(),
+    );
+    let mut form = Multipart::new(form, boundary);
     let mut purpose = None;
     let mut stored = None;
     while let Some(mut field) = form.next_field().await.map_err(upload_error)? {
         match field.name() {
             Some("purpose") => {
-                let text = field.text().await.map_err(upload_error)?;
-                purpose = Some(text).filter(|t| t.len() <= PURPOSE_BYTES_MAX);
+                let mut text = Vec::new();
+                while let Some(bytes) = field.chunk().await.map_err(upload_error)? {
+                    ahead.consume(bytes.len());
+                    let room = (PURPOSE_BYTES_MAX + 1).saturating_sub(text.len());
+                    text.extend_from_slice(&bytes[..room.min(bytes.len())]);
+                }
+                let text = String::from_utf8(text).ok();
+                purpose = text.filter(|t| t.len() <= PURPOSE_BYTES_MAX);
             }
             Some("file") => {
                 let name = field.file_name().unwrap_or("lot.jsonl").to_owned();
-                let mut writer = InputFileWriter::new(ctx, &caller);
+                let mut writer = InputFileWriter::new(ctx, &caller, &connection);
                 while let Some(bytes) = field.chunk().await.map_err(upload_error)? {
+                    ahead.consume(bytes.len());
                     writer.push(&bytes).await?;
                 }
                 stored = Some((name, writer.finish().await?));
             }
-            _ => {}
+            _ => {
+                while let Some(bytes) = field.chunk().await.map_err(upload_error)? {
+                    ahead.consume(bytes.len());
+                }
+            }
         }
     }
     if purpose.as_deref() != Some(PURPOSE) {
@@ -115,29 +142,17 @@
     Ok(body::json(StatusCode::OK, &file_json(&file)))
 }
 
-fn body_stream(
-    ctx: &Context,
-    req: Request<Incoming>,
-) -> impl futures_util::Stream<Item = Result<Bytes, io::Error>> + Send + 'static {
-    let idle_timeout = ms(ctx.settings.limits.body_timeout_ms);
-    stream::unfold(req.into_body(), move |mut incoming| async move {
-        match body::next_chunk(&mut incoming, idle_timeout).await {
-            Ok(Some(bytes)) => Some((Ok(bytes), incoming)),
-            Ok(None) => None,
-            Err(ApiError::BodyTimeout) => Some((Err(io::ErrorKind::TimedOut.into()), incoming)),
-            Err(_) => Some((Err(io::ErrorKind::UnexpectedEof.into()), incoming)),
-        }
-    })
-}
-
 fn upload_error(err: multer::Error) -> ApiError {
-    if let multer::Error::StreamReadFailed(err) = err
-        && let Some(err) = err.downcast_ref::<io::Error>()
-        && err.kind() == io::ErrorKind::TimedOut
-    {
-        return ApiError::BodyTimeout;
+    let multer::Error::StreamReadFailed(err) = err else {
+        return ApiError::IncompleteBody;
+    };
+    match err.downcast_ref::<io::Error>().map(io::Error::kind) {
+        Some(io::ErrorKind::TimedOut) => ApiError::BodyTimeout,
+        Some(io::ErrorKind::FileTooLarge) => ApiError::TooLarge {
+            max: form::AHEAD_BYTES_MAX as u64,
+        },
+        _ => ApiError::IncompleteBody,
     }
-    ApiError::IncompleteBody
 }
 
 /// Records an input file, which makes it accepted.
--- a/crates/server/src/api/input_file.rs
+++ b/crates/server/src/api/input_file.rs
@@ -9,6 +9,9 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use notchwharf_intake::Connection;
+use notchwharf_intake::Reservation;
+use notchwharf_intake::json_bytes;
 use notchwharf_ledger::job::Chunk;
 use notchwharf_ledger::job::Manifest;
 use notchwharf_ledger::record::Blob;
@@ -20,6 +23,7 @@
 use xxhash_rust::xxh3::xxh3_128;
 
 use super::auth::Caller;
+use super::body;
 use super::chat;
 use super::error::ApiError;
 use super::error::LineError;
@@ -28,8 +32,16 @@
 
 /// The endpoint of the requests in input files.
 pub(crate) const ENDPOINT: &str = "/v1/chat/completions";
-const BLOB_BYTES_MAX: usize = 512 << 10;
+pub(crate) const BLOB_BYTES_MAX: usize = 512 << 10;
 const BLOB_ITEMS_MAX: usize = 4_000;
+/// Copies of a line that is being received: its buffer may be twice as large.
+const LINE_COPIES: usize = 2;
+/// Bytes that are reserved at a time for a line.
+const RESERVE_BYTES: usize = 16 << 10;
+/// Number of items for whose hashes bytes are reserved at a time.
+const RESERVED_ITEMS: u32 = 1_024;
+/// Bytes of an item's hash, with the room by which sets of hashes grow, and of its place in the file.
+const ITEM_BYTES: u64 = 64;
 const CUSTOM_ID_BYTES_MAX: usize = 512;
 /// Attempts to append a blob before an upload fails.
 const WRITE_ATTEMPTS_MAX: usize = 5;
@@ -38,6 +50,12 @@
 pub(crate) struct InputFileWriter<'a> {
     ctx: &'a Arc<Context>,
     caller: &'a Caller,
+    connection: &'a Connection,
+    /// For the bytes of a line that is not complete.
+    line_reserved: Vec<Reservation>,
+    line_reserved_bytes: usize,
+    /// For the hashes of items.
+    items_reserved: Vec<Reservation>,
     buffer: BytesMut,
     line_number: u32,
     item_count: u32,
@@ -58,10 +76,18 @@
 }
 
 impl<'a> InputFileWriter<'a> {
-    pub(crate) fn new(ctx: &'a Arc<Context>, caller: &'a Caller) -> Self {
+    pub(crate) fn new(
+        ctx: &'a Arc<Context>,
+        caller: &'a Caller,
+        connection: &'a Connection,
+    ) -> Self {
         Self {
             ctx,
             caller,
+            connection,
+            line_reserved: Vec::new(),
+            line_reserved_bytes: 0,
+            items_reserved: Vec::new(),
             buffer: BytesMut::new(),
             line_number: 0,
             item_count: 0,
@@ -84,11 +110,17 @@
             return Err(ApiError::TooLarge { max });
         }
         self.hasher.update(bytes);
+        self.reserve_line(bytes.len()).await?;
         self.buffer.extend_from_slice(bytes);
         while let Some(end) = self.buffer.iter().position(|b| *b == b'\n') {
             let line = self.buffer.split_to(end + 1);
             self.push_line(&line[..end]).await?;
         }
+        if self.buffer.is_empty() {
+            self.buffer = BytesMut::new();
+            self.line_reserved.clear();
+            self.line_reserved_bytes = 0;
+        }
         if self.buffer.len() as u64 > limits.body_bytes_max {
             let max = limits.body_bytes_max;
             self.line_number += 1;
@@ -116,11 +148,32 @@
         })
     }
 
+    /// Reserves what the buffer may occupy with more bytes: up to twice its content, as it grows.
+    async fn reserve_line(&mut self, bytes: usize) -> Result<(), ApiError> {
+        let wanted = LINE_COPIES * (self.buffer.len() + bytes);
+        if wanted > self.line_reserved_bytes {
+            let more = (wanted - self.line_reserved_bytes).max(RESERVE_BYTES);
+            let reserved = {
+                let _wait = self.connection.await_body();
+                body::reserve(self.connection, more as u64).await?
+            };
+            self.line_reserved.push(reserved);
+            self.line_reserved_bytes += more;
+        }
+        Ok(())
+    }
+
     async fn push_line(&mut self, line: &[u8]) -> Result<(), ApiError> {
         self.line_number += 1;
         if line.trim_ascii().is_empty() {
             return Ok(());
         }
+        if self.item_count.is_multiple_of(RESERVED_ITEMS) {
+            let bytes = u64::from(RESERVED_ITEMS) * ITEM_BYTES;
+            let reserved = body::reserve(self.connection, bytes).await?;
+            self.items_reserved.push(reserved);
+        }
+        let _parsed = body::reserve(self.connection, json_bytes(line)).await?;
         self.check(line).map_err(|error| self.line_error(error))?;
         self.item_count += 1;
         let max = self.ctx.settings.limits.lot_items_max;
--- a/crates/server/src/api/mod.rs
+++ b/crates/server/src/api/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod chat;
 mod error;
 mod files;
+mod form;
 mod input_file;
 mod listen;
 mod services;
