--- a/crates/server/src/api/files.rs
+++ b/crates/server/src/api/files.rs
@@ -2,8 +2,6 @@
 
 use std::io;
 use std::sync::Arc;
-use std::time::Duration;
-use std::time::Instant;
 
 use bytes::Bytes;
 use futures_util::stream;
@@ -17,13 +15,11 @@
 use multer::Multipart;
 use notchwharf_config::bundle::Class;
 use notchwharf_config::settings::ms;
-use notchwharf_intake::Connection;
-use notchwharf_intake::Reservation;
-use notchwharf_intake::error::Shortage;
 use notchwharf_ledger::error::CommandError;
 use notchwharf_ledger::error::Ignored;
 use notchwharf_ledger::job::Failure;
 use notchwharf_ledger::job::File;
+use notchwharf_ledger::job::Manifest;
 use notchwharf_ledger::owner::Answer as ItemResult;
 use notchwharf_ledger::owner::Command;
 use notchwharf_ledger::owner::Reply;
@@ -58,13 +54,6 @@
 /// written.
 const UPLOAD_BYTES: u64 = (2 * form::AHEAD_BYTES_MAX + 3 * input_file::BLOB_BYTES_MAX) as u64;
 
-/// Copies of a blob that exist while it is read: the log's answer, its lines and the response.
-const BLOB_COPIES: u64 = 4;
-/// Copies of a page of results that exist while it is read: its lines and the response.
-const PAGE_COPIES: u64 = 2;
-/// Time between two attempts to reserve a part of a response.
-const RESERVE_INTERVAL: Duration = Duration::from_millis(50);
-
 /// Returns the ID of the file with a job's results.
 pub(crate) fn output_id(job: &str) -> String {
     format!("{OUTPUT_PREFIX}{job}")
@@ -238,78 +227,42 @@
     id: &str,
 ) -> HandlerResult {
     let caller = auth::authenticate(ctx, req.headers())?;
-    let connection = body::connection(req.extensions())?;
     let tenant = caller.tenant.name;
     if let Some(job) = id.strip_prefix(OUTPUT_PREFIX) {
-        return job_results(ctx, connection, tenant, job, true).await;
+        return job_results(ctx, tenant, job, true).await;
     }
     if let Some(job) = id.strip_prefix(ERRORS_PREFIX) {
-        return job_results(ctx, connection, tenant, job, false).await;
+        return job_results(ctx, tenant, job, false).await;
     }
     let file = find(ctx, &tenant, id).await?;
-    Ok(input_file_content(ctx, connection, file))
+    Ok(input_file_content(ctx, file.manifest))
 }
 
-fn input_file_content(ctx: &Arc<Context>, connection: Connection, file: File) -> Response {
+fn input_file_content(ctx: &Arc<Context>, manifest: Manifest) -> Response {
     let ctx = Arc::clone(ctx);
-    // A blob ends with the line that makes it large enough.
-    let blob_bytes_max = input_file::BLOB_BYTES_MAX as u64 + ctx.settings.limits.body_bytes_max;
-    let bytes = BLOB_COPIES * file.len_bytes.min(blob_bytes_max);
-    let chunks = stream::iter(file.manifest.chunks);
+    let chunks = stream::iter(manifest.chunks);
     let frames = futures_util::StreamExt::then(chunks, move |chunk| {
-        let (ctx, connection) = (Arc::clone(&ctx), connection.clone());
+        let ctx = Arc::clone(&ctx);
         async move {
-            let _read = ctx
-                .callers
-                .file_reads
-                .acquire()
-                .await
-                .map_err(io::Error::other)?;
-            let reserved = reserve_in_time(&ctx, &connection, bytes).await;
-            let reserved = reserved.map_err(io::Error::other)?;
             let blob = ctx.blobs.read(chunk.blob).await;
             // The response has no length, so a missing part is indicated by an aborted
             // connection.
             let blob = blob.map_err(io::Error::other)?;
-            Ok(Frame::data(reserved.keep(lines(blob.parts.iter()))))
+            Ok(Frame::data(lines(blob.parts.iter())))
         }
     });
     jsonl(StreamBody::new(frames).boxed_unsync())
 }
 
-/// Reserves bytes for a part of a response that has begun, and so cannot be refused: waits until others
-/// have read theirs.
-///
-/// # Errors
-///
-/// Returns the last [`Shortage`] if there is no room in time.
-async fn reserve_in_time(
-    ctx: &Context,
-    connection: &Connection,
-    bytes: u64,
-) -> Result<Reservation, Shortage> {
-    let deadline = Instant::now() + ms(ctx.settings.limits.body_timeout_ms);
-    loop {
-        match connection.reserve(bytes).await {
-            Err(Shortage::Occupied) if Instant::now() < deadline => {
-                tokio::time::sleep(RESERVE_INTERVAL).await;
-            }
-            reserved => return reserved,
-        }
-    }
-}
-
 /// Returns the results or failed items of a job, reading a page at a time.
 async fn job_results(
     ctx: &Arc<Context>,
-    connection: Connection,
     tenant: String,
     job: &str,
     is_output: bool,
 ) -> HandlerResult {
     let pager = Pager {
         ctx: Arc::clone(ctx),
-        connection,
         tenant,
         job: job.to_owned(),
         is_output,
@@ -334,7 +287,6 @@
 
 struct Pager {
     ctx: Arc<Context>,
-    connection: Connection,
     tenant: String,
     job: String,
     is_output: bool,
@@ -356,24 +308,12 @@
             Err(err) => return Err(ledger_error(err, "file")),
         };
         let mut parts = Vec::new();
-        let mut reserved = Vec::new();
         for result in results {
             if result.outcome.is_ok() == self.is_output {
-                let part = self.line(result).await?;
-                reserved.push(self.reserve(PAGE_COPIES * (part.len() as u64 + 1)).await?);
-                parts.push(part);
+                parts.push(self.line(result).await?);
             }
         }
-        let page = lines(parts.iter());
-        // The parts' reservations are for the page, too.
-        drop((parts, reserved));
-        let reserved = self.reserve(page.len() as u64).await?;
-        Ok((reserved.keep(page), next))
-    }
-
-    async fn reserve(&self, bytes: u64) -> Result<Reservation, ApiError> {
-        let reserved = reserve_in_time(&self.ctx, &self.connection, bytes).await;
-        reserved.map_err(body::shortage_error)
+        Ok((lines(parts.iter()), next))
     }
 
     async fn line(&self, result: ItemResult) -> Result<Vec<u8>, ApiError> {
--- a/crates/server/src/callers.rs
+++ b/crates/server/src/callers.rs
@@ -8,7 +8,6 @@
 use notchwharf_intake::Intake;
 use notchwharf_intake::Machine;
 use notchwharf_intake::Report;
-use tokio::sync::Semaphore;
 
 use crate::context::Context;
 use crate::metrics::Counted;
@@ -24,9 +23,6 @@
     pub(crate) intake: Intake,
     pub(crate) entrance: Entrance,
     pub(crate) operators: Entrance,
-    /// Admits reads of files one at a time: a read takes several times the size of its part of a file
-    /// for a moment, and the allocator may keep that for each thread.
-    pub(crate) file_reads: Semaphore,
 }
 
 impl Callers {
@@ -38,7 +34,6 @@
         Self {
             entrance: intake.entrance(usize::try_from(connections_max).unwrap_or(usize::MAX)),
             operators: intake.entrance(OPERATORS_MAX),
-            file_reads: Semaphore::new(1),
             intake,
         }
     }
