--- a/crates/server/tests/unruly_callers.rs
+++ b/crates/server/tests/unruly_callers.rs
@@ -48,6 +48,8 @@
 const LARGE_CROWD: usize = 800;
 /// Timeout of an attempt of an ordinary caller.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(5);
+/// Bytes of a large file.
+const FILE_BYTES: usize = 6 << 20;
 const CHAT: &str = "/v1/chat/completions";
 const SERVICE: &str = "/services/filing/1";
 const FILES: &str = "/v1/files";
@@ -207,6 +209,30 @@
     scene.withstand(CROWD, &conduct).await;
 }
 
+/// Files whose callers do not read them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn the_own_interface_withstands_callers_that_do_not_read_files() {
+    let mut scene = Scene::start().await;
+    let line = json!({"custom_id": "i", "method": "POST", "url": CHAT, "body": {
+        "model": "hints", "messages": [{"role": "user", "content": "b".repeat(FILE_BYTES)}]}});
+    let form = fleet::upload_form(&line.to_string());
+    let auth = format!("Bearer {SCHOOL_KEY}");
+    let headers = [
+        ("authorization", auth.as_str()),
+        ("content-type", UPLOAD_CONTENT_TYPE),
+    ];
+    let url = format!("{}{FILES}", scene.fleet.hosts[0].url);
+    let client = &scene.fleet.client;
+    let uploaded = fleet::send(client, Method::POST, &url, &headers, form.into()).await;
+    let uploaded = uploaded.unwrap();
+    assert_eq!(uploaded.status, 200, "{}", uploaded.body);
+    let file = uploaded.json()["id"].as_str().unwrap().to_owned();
+    let head = format!(
+        "GET {FILES}/{file}/content HTTP/1.1\r\nHost: a.example\r\nAuthorization: {auth}\r\n\r\n"
+    );
+    scene.withstand(CROWD, &Conduct::silent(&head)).await;
+}
+
 /// Alone, a request of the largest size is served.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn the_own_interface_serves_a_lone_request_of_the_largest_size() {
