Describe what is not bounded yet, and name what a form's parser returns

Names and pages only: consume(bytes), whose argument was not used, is record_returned(); the default of intake.bytes_max at the product's own interface is a quarter of the memory.

--- a/crates/config/src/intake.rs
+++ b/crates/config/src/intake.rs
@@ -18,8 +18,9 @@
     /// case its resource limit counts. A larger number than that has no effect.
     pub descriptors: Option<u64>,
     /// Bytes that requests of callers, their connections and responses that they have not read may
-    /// occupy. From 1_048_576 to 1_099_511_627_776; half of the memory by default. Several times the
-    /// largest request are needed to serve it.
+    /// occupy. From 1_048_576 to 1_099_511_627_776; by default half of the memory, and a quarter at
+    /// the product's own interface, which several threads serve. Several times the largest request
+    /// are needed to serve it.
     pub bytes_max: Option<u64>,
     /// Number of connections that callers may have. From 1 to 16_777_216; by default what is left of
     /// the descriptors if each request needs another one, for its target.
--- a/crates/server/src/api/files.rs
+++ b/crates/server/src/api/files.rs
@@ -105,7 +105,7 @@
             Some("purpose") => {
                 let mut text = Vec::new();
                 while let Some(bytes) = field.chunk().await.map_err(upload_error)? {
-                    ahead.consume(bytes.len());
+                    ahead.record_returned();
                     let room = (PURPOSE_BYTES_MAX + 1).saturating_sub(text.len());
                     text.extend_from_slice(&bytes[..room.min(bytes.len())]);
                 }
@@ -116,14 +116,14 @@
                 let name = field.file_name().unwrap_or("lot.jsonl").to_owned();
                 let mut writer = InputFileWriter::new(ctx, &caller, &connection);
                 while let Some(bytes) = field.chunk().await.map_err(upload_error)? {
-                    ahead.consume(bytes.len());
+                    ahead.record_returned();
                     writer.push(&bytes).await?;
                 }
                 stored = Some((name, writer.finish().await?));
             }
             _ => {
-                while let Some(bytes) = field.chunk().await.map_err(upload_error)? {
-                    ahead.consume(bytes.len());
+                while field.chunk().await.map_err(upload_error)?.is_some() {
+                    ahead.record_returned();
                 }
             }
         }
--- a/crates/server/src/api/form.rs
+++ b/crates/server/src/api/form.rs
@@ -24,14 +24,13 @@
 /// Bytes after which the body pauses.
 const PAUSE_BYTES: usize = 64 << 10;
 
-/// Counts the bytes that the parser has read and not yet returned.
+/// Counts the bytes that the parser has read since it last returned some.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Ahead(Arc<AtomicUsize>);
 
 impl Ahead {
-    /// Counts bytes that the parser returned. It returns fewer than it reads, as boundaries and
-    /// the heads of parts are not returned.
-    pub(crate) fn consume(&self, _bytes: usize) {
+    /// Records that the parser returned bytes. It returns all that it has up to the next boundary.
+    pub(crate) fn record_returned(&self) {
         self.0.store(0, Ordering::Relaxed);
     }
 
