--- a/crates/server/tests/unruly_callers.rs
+++ b/crates/server/tests/unruly_callers.rs
@@ -250,3 +250,88 @@
     assert_eq!(response.status, 200, "{}", response.body);
     scene.check_within_machine();
 }
+
+/// Sound requests of nearly the largest size, at the same time and again: a crowd that keeps all limits.
+#[rstest]
+#[case::service(SERVICE, "", "")]
+#[case::chat(
+    CHAT,
+    "{\"model\":\"hints\",\"max_tokens\":8,\"messages\":[{\"role\":\"user\",\"content\":\"1\"}],\"user\":\"",
+    "\"}"
+)]
+#[case::upload(
+    FILES,
+    "--edge\r\ncontent-disposition: form-data; name=\"purpose\"\r\n\r\nbatch\r\n\
+     --edge\r\ncontent-disposition: form-data; name=\"file\"; filename=\"lot.jsonl\"\r\n\r\n\
+     {\"custom_id\":\"i\",\"method\":\"POST\",\"url\":\"/v1/chat/completions\",\"body\":{\
+     \"model\":\"hints\",\"messages\":[{\"role\":\"user\",\"content\":\"",
+    "\"}]}}\r\n--edge--\r\n"
+)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn the_own_interface_withstands_sound_requests_of_the_largest_size(
+    #[case] path: &str,
+    #[case] begin: &str,
+    #[case] end: &str,
+) {
+    let mut scene = Scene::start().await;
+    let url = format!("{}{path}", scene.fleet.hosts[0].url);
+    let auth = format!("Bearer {SCHOOL_KEY}");
+    let headers = [
+        ("authorization", auth.as_str()),
+        ("content-type", UPLOAD_CONTENT_TYPE),
+    ];
+    let filling = "b".repeat(BODY_MAX - (16 << 10));
+    let body = bytes::Bytes::from(format!("{begin}{filling}{end}"));
+    for _ in 0..2 {
+        let client = &scene.fleet.client;
+        let sent = (0..CROWD).map(|_| {
+            let sent = fleet::send(client, Method::POST, &url, &headers, body.clone());
+            tokio::time::timeout(ATTEMPT_TIMEOUT, sent)
+        });
+        futures_util::future::join_all(sent).await;
+        scene.check_within_machine();
+    }
+    scene.check_served().await;
+    scene.check_within_machine();
+}
+
+/// Crowds of all kinds, each gone before the next one comes: what one leaves behind adds up.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn the_own_interface_withstands_crowds_one_after_the_other() {
+    let mut scene = Scene::start().await;
+    let upload = Conduct {
+        begin: FILE_BEGIN.into(),
+        ..Conduct::unfinished(&head(FILES), Framing::Chunks(64 << 10), BODY_MAX)
+    };
+    let conducts = [
+        Conduct::unfinished(&head(CHAT), Framing::Length(BODY_MAX), BODY_MAX - 1),
+        Conduct::unfinished(&head(SERVICE), Framing::Chunks(64 << 10), BODY_MAX),
+        upload,
+        Conduct::silent(&format!("{}X-Long: {}", head(CHAT), "x".repeat(15_000))),
+    ];
+    for conduct in conducts {
+        scene.withstand(CROWD, &conduct).await;
+    }
+}
+
+/// Callers that do not finish, or do not read, do not keep a host from shutting down.
+#[rstest]
+#[case::unfinished_bodies(Conduct::unfinished(&head(CHAT), Framing::Length(BODY_MAX), BODY_MAX - 1))]
+#[case::unfinished_uploads(Conduct {
+    begin: FILE_BEGIN.into(),
+    ..Conduct::unfinished(&head(FILES), Framing::Chunks(64 << 10), BODY_MAX)
+})]
+#[case::unread(Conduct::silent(&"GET /metrics HTTP/1.1\r\nHost: a.example\r\n\r\n".repeat(20_000)))]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn the_own_interface_shuts_down_under_a_crowd(#[case] conduct: Conduct) {
+    let mut scene = Scene::start().await;
+    let crowd = Crowd::start(addr(&scene.fleet), CROWD, &conduct);
+    crowd.settle(&scene.usage).await;
+    scene.check_within_machine();
+    let child = &mut scene.fleet.hosts[0].child;
+    let pid = child.id().unwrap().to_string();
+    let sent = std::process::Command::new("kill").arg(&pid).status();
+    assert!(sent.unwrap().success());
+    let ended = tokio::time::timeout(processes::WAIT_MAX, child.wait()).await;
+    assert!(ended.unwrap().is_ok_and(|status| status.code().is_some()));
+}
