Admit the connections of a minute of readiness checks

Cause: the entrance for checks admitted 16 connections, whatever the descriptors. A check a second on a new connection that stays open for 60 s has 60.

Now the number is a sixteenth of the descriptors, 4 to 128, and so for metrics; what callers may have is computed from what remains.

Ruled out: a larger constant, which would take most of the descriptors of a small limit.

--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -14,8 +14,6 @@
 use crate::context::Context;
 use crate::metrics::Counted;
 
-/// Connections to an address for checks and metrics, of which few are open at a time.
-const CHECKS_MAX: usize = 16;
 /// Interval of reports.
 const REPORT_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -39,13 +37,14 @@
         let own = &settings.intake;
         let machine = Machine::detect().restrict(own.memory_mb, own.descriptors);
         let connections_max = own.connections_max.unwrap_or(machine.connections_max());
+        let checks_max = machine.checks_max();
         let items_max = machine.items_max().min(settings.batch.running_max.into());
         let count = |max: u64| usize::try_from(max).unwrap_or(usize::MAX);
         let intake = Intake::new(own.bytes_max.unwrap_or(machine.caller_bytes()));
         Self {
             entrance: intake.entrance(count(connections_max)),
-            checks: intake.entrance(CHECKS_MAX),
-            metrics: intake.entrance(CHECKS_MAX),
+            checks: intake.entrance(count(checks_max)),
+            metrics: intake.entrance(count(checks_max)),
             items_max: count(items_max),
             intake,
         }
--- a/crates/intake/src/machine.rs
+++ b/crates/intake/src/machine.rs
@@ -13,6 +13,13 @@
 /// Descriptors that the host keeps for listeners, other hosts, the store, files and connections that
 /// are about to be closed.
 const OWN_DESCRIPTORS: u64 = 64;
+/// One in so many descriptors is kept for readiness checks, and one for readers of metrics.
+const CHECK_DESCRIPTORS_SHARE: u64 = 16;
+/// Connections of readiness checks, or of readers of metrics, that are enough however many descriptors there
+/// are: a check opens one a second, and idle ones stay open for up to a minute.
+const CHECKS_MAX: u64 = 128;
+/// Connections of readiness checks that are allowed however few descriptors there are.
+const CHECKS_MIN: u64 = 4;
 /// One in so many descriptors is kept for connections on which items of jobs run.
 const ITEM_DESCRIPTORS_SHARE: u64 = 8;
 /// Connections of callers that are allowed however few descriptors there are.
@@ -75,10 +82,15 @@
         (self.descriptors / ITEM_DESCRIPTORS_SHARE).max(1)
     }
 
+    /// Returns how many connections readiness checks may have; readers of metrics may have as many.
+    pub fn checks_max(&self) -> u64 {
+        (self.descriptors / CHECK_DESCRIPTORS_SHARE).clamp(CHECKS_MIN, CHECKS_MAX)
+    }
+
     /// Returns how many connections callers may have. Each request may need one more descriptor, for
     /// its target.
     pub fn connections_max(&self) -> u64 {
-        let own = OWN_DESCRIPTORS + self.items_max();
+        let own = OWN_DESCRIPTORS + 2 * self.checks_max() + self.items_max();
         (self.descriptors.saturating_sub(own) / 2).max(CONNECTIONS_MIN)
     }
 }
