Reserve what peers answer for callers, and forward nothing that has no room

Cause: a read without room is refused with 'not now', as one without the store is, and both were forwarded. The peer's answer was read whole, kept, and only then reserved. At the peer the call was read, and its answer encoded, before or without a reservation.

Now a shortage is an error of its own, which is not forwarded; a call that needs more than the whole budget still is. The length that a peer announces is reserved, twice, before its answer is read, and the texts keep their reservation until the caller has read them. The peer reserves a call before it keeps it, and what it answers until it is read. On the wire a shortage is 'not now' as before, as hosts of an earlier build know no other.

Ruled out: forwarding with the answer reserved only. A crowd would occupy the peers as well, and its callers reach them by their retry.

--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -176,6 +176,12 @@
     Unknown,
     /// There is no such job or item.
     NotFound,
+    /// Callers occupy the bytes that the call needs; nothing of the job runs by this attempt. Other hosts
+    /// are told [`JobError::NotNow`], as those of an earlier build do not know this one.
+    Occupied {
+        /// When to retry.
+        retry_after: Duration,
+    },
 }
 
 impl fmt::Display for JobError {
@@ -189,6 +195,7 @@
             Self::NotNow { reason, .. } => write!(f, "not now ({reason}); retry later"),
             Self::Unknown => f.write_str("it is unknown whether this was done; send it again"),
             Self::NotFound => f.write_str("not found"),
+            Self::Occupied { .. } => f.write_str("callers occupy the host; retry later"),
         }
     }
 }
--- a/crates/gateway/src/jobs.rs
+++ b/crates/gateway/src/jobs.rs
@@ -18,6 +18,7 @@
 use hyper::HeaderMap;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
+use notchwharf_intake::error::Shortage;
 use notchwharf_ledger::jobs::Accepted;
 use notchwharf_ledger::jobs::ItemSpec;
 use notchwharf_ledger::jobs::JobId;
@@ -31,6 +32,7 @@
 use crate::ports::StoreError;
 use crate::ports::Topic;
 
+pub(crate) use self::forwarding::CALL_COPIES;
 pub(crate) use self::forwarding::handle_forwarded;
 pub use self::read::read_item_body;
 pub use self::read::read_results;
@@ -142,6 +144,17 @@
     }
 }
 
+/// Returns the error of a call for which there are no bytes. The retry reaches another host.
+fn shortage_error(ctx: &Context, shortage: Shortage) -> JobError {
+    match shortage {
+        Shortage::Occupied => JobError::Occupied {
+            retry_after: OTHER_HOST_RETRY,
+        },
+        // Other hosts may have larger budgets.
+        Shortage::OverBudget => not_now(ctx, "the call needs more than the budget for callers"),
+    }
+}
+
 async fn sync(ctx: &Context) -> JobResult<()> {
     let synced = ctx.journal.sync().await;
     synced.map_err(|_| not_now(ctx, "the job records cannot be read"))
@@ -155,6 +168,7 @@
         Err(JobError::NoRoute) => "no route",
         Err(JobError::OverQuota { .. }) => "over quota",
         Err(JobError::NotNow { .. }) => "not now",
+        Err(JobError::Occupied { .. }) => "no room",
         Err(JobError::Unknown) => "unknown",
         Err(JobError::NotFound) => "not found",
     }
--- a/crates/gateway/src/jobs/forwarding.rs
+++ b/crates/gateway/src/jobs/forwarding.rs
@@ -4,6 +4,9 @@
 //! a caller may reach only these. So a host that cannot serve a call forwards it to a peer that
 //! reaches the store. A call is forwarded once; the peer does not forward it again. Asking the
 //! caller to retry at another host was rejected because callers do not choose their host.
+//!
+//! A call for which callers leave no room is not forwarded: its answer would need the room, too. What a
+//! peer answers is reserved before it is read.
 
 use std::future::Future;
 use std::net::SocketAddr;
@@ -11,6 +14,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use notchwharf_intake::Reservation;
+use notchwharf_intake::error::Shortage;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -20,6 +25,7 @@
 use super::not_now;
 use super::read::try_body;
 use super::read::try_read;
+use super::shortage_error;
 use super::submit::try_end;
 use super::submit::try_submit;
 use crate::context::Context;
@@ -31,8 +37,10 @@
 /// of a record and a round trip.
 const TIMEOUT: Duration = Duration::from_millis(2_800);
 
-/// Copies of a forwarded call that exist at a time: its parts, the record and its call.
-const CALL_COPIES: u64 = 3;
+/// Copies of a forwarded call that exist at a time: the call, its parts, the record and its call.
+pub(crate) const CALL_COPIES: u64 = 4;
+/// Copies of an answer to a forwarded call that exist at a time: the answer and its parts.
+const ANSWER_COPIES: u64 = 2;
 
 /// Maximum number of peers tried in this host's cell, and in others: the first may just have
 /// failed.
@@ -91,36 +99,74 @@
     }
 }
 
-/// Runs a call at this host, or forwards it if this host cannot serve it now.
+/// An answer to a forwarded call.
+struct Answer<T> {
+    result: JobResult<T>,
+    /// For what the peer has answered, if it has.
+    reserved: Option<Reservation>,
+}
+
+impl<T> Answer<T> {
+    fn failed(err: JobError) -> Self {
+        Self {
+            result: Err(err),
+            reserved: None,
+        }
+    }
+
+    fn is_not_now(&self) -> bool {
+        matches!(self.result, Err(JobError::NotNow { .. }))
+    }
+
+    fn keep(self, keep: impl FnOnce(T, Reservation) -> T) -> JobResult<T> {
+        match (self.result, self.reserved) {
+            (Ok(value), Some(reserved)) => Ok(keep(value, reserved)),
+            (result, _) => result,
+        }
+    }
+}
+
+/// Runs a call at this host, or forwards it if this host cannot serve it now. What a peer answers is
+/// kept with its reservation.
 pub(super) async fn run_or_forward<T: DeserializeOwned>(
     ctx: &Context,
     call: &Call,
     local: impl Future<Output = JobResult<T>>,
+    keep: impl FnOnce(T, Reservation) -> T,
 ) -> JobResult<T> {
     if ctx.store.is_up() {
         let res = local.await;
         if !matches!(res, Err(JobError::NotNow { .. })) {
             return res;
         }
-        return forward(ctx, call).await.unwrap_or(res);
+        return match forward(ctx, call).await {
+            Some(answer) => answer.keep(keep),
+            None => res,
+        };
     }
     match forward(ctx, call).await {
-        None | Some(Err(JobError::NotNow { .. })) => local.await,
-        Some(res) => res,
+        Some(answer) if !answer.is_not_now() => answer.keep(keep),
+        _ => local.await,
     }
 }
 
 /// Forwards a call and returns the response; `None` if no peer responded and none executed the
 /// call. A peer that cannot serve the call now may have lost the store as well, so the next
 /// one is tried.
-async fn forward<T: DeserializeOwned>(ctx: &Context, call: &Call) -> Option<JobResult<T>> {
+async fn forward<T: DeserializeOwned>(ctx: &Context, call: &Call) -> Option<Answer<T>> {
     let mut not_now = None;
     let bytes = postcard::to_stdvec(call).expect("Calls are representable.");
     let bytes = Bytes::from(bytes);
     for addr in ctx.peers.sample_with_store(PEERS_MAX) {
-        let response = ctx.peers.call(addr, bytes.clone(), call.timeout()).await;
-        let res = match response {
-            Ok(bytes) => decode(ctx, addr, &bytes),
+        let intake = &ctx.callers.intake;
+        let called = ctx
+            .peers
+            .call(intake, ANSWER_COPIES, addr, bytes.clone(), call.timeout());
+        let answer = match called.await {
+            Ok((bytes, reserved)) => decode(ctx, addr, &bytes).map(|result| Answer {
+                result,
+                reserved: Some(reserved),
+            }),
             Err(CallError::NotSent(reason)) => {
                 record(ctx, call, addr, reason);
                 continue;
@@ -129,16 +175,22 @@
                 record(ctx, call, addr, reason);
                 None
             }
+            Err(err @ CallError::NoRoom(shortage)) => {
+                record(ctx, call, addr, err.reason());
+                let repeatable = shortage_error(ctx, shortage);
+                let err = call.unknown_outcome().unwrap_or(repeatable);
+                return Some(Answer::failed(err));
+            }
         };
-        if let Some(Err(JobError::NotNow { .. })) = &res {
+        if answer.as_ref().is_some_and(Answer::is_not_now) {
             record(ctx, call, addr, "not now");
-            not_now = res;
+            not_now = answer;
             continue;
         }
-        if res.is_some() {
+        if answer.is_some() {
             record(ctx, call, addr, "answered");
         }
-        return res.or_else(|| call.unknown_outcome().map(Err));
+        return answer.or_else(|| call.unknown_outcome().map(Answer::failed));
     }
     not_now
 }
@@ -166,27 +218,58 @@
 }
 
 /// Serves a call that a peer forwarded and returns the encoded response; `None` if the call
-/// is invalid.
-pub(crate) async fn handle_forwarded(ctx: &Arc<Context>, bytes: &[u8]) -> Option<Vec<u8>> {
-    let reserved = ctx.callers.intake.reserve(CALL_COPIES * bytes.len() as u64);
-    let Ok(_reserved) = reserved.await else {
-        let refused: JobResult<()> = Err(not_now(ctx, "callers occupy the host"));
-        return Some(postcard::to_stdvec(&refused).expect("Responses are representable."));
-    };
-    let call = match postcard::from_bytes::<Call>(bytes) {
+/// is invalid. The call comes with the room that is reserved for it, if there is any.
+pub(crate) async fn handle_forwarded(
+    ctx: &Arc<Context>,
+    (bytes, reserved): (Bytes, Result<Reservation, Shortage>),
+) -> Option<Bytes> {
+    if reserved.is_err() {
+        return Some(encode::<()>(ctx, Err(no_room(ctx))));
+    }
+    let call = match postcard::from_bytes::<Call>(&bytes) {
         Ok(call) => call,
         Err(err) => {
             slog::error!(ctx.logger, "invalid forwarded job call"; "error" => err.to_string());
             return None;
         }
     };
-    let encoded = match call {
-        Call::Submit(submission) => postcard::to_stdvec(&try_submit(ctx, submission).await),
+    Some(match call {
+        Call::Submit(submission) => encode(ctx, try_submit(ctx, submission).await),
         Call::Read { job, from, wait } => {
-            postcard::to_stdvec(&try_read(ctx, &job, from, wait).await)
+            let page = try_read(ctx, &job, from, wait).await;
+            let len = page.as_ref().map_or(0, |page| {
+                let texts = page.results.iter().filter_map(|r| r.text.as_ref());
+                texts.map(Bytes::len).sum()
+            });
+            encode_reserved(ctx, page, len).await
+        }
+        Call::Body { job, item } => {
+            let body = try_body(ctx, &job, &item).await;
+            let len = body.as_ref().map_or(0, Bytes::len);
+            encode_reserved(ctx, body, len).await
         }
-        Call::Body { job, item } => postcard::to_stdvec(&try_body(ctx, &job, &item).await),
-        Call::End { job } => postcard::to_stdvec(&try_end(ctx, &job).await),
+        Call::End { job } => encode(ctx, try_end(ctx, &job).await),
+    })
+}
+
+/// Encodes an answer with texts of this length, which is reserved until the peer has read it.
+async fn encode_reserved<T: Serialize>(ctx: &Context, res: JobResult<T>, len: usize) -> Bytes {
+    match ctx.callers.intake.reserve(len as u64).await {
+        Ok(reserved) => reserved.keep(encode(ctx, res)),
+        Err(_) => encode::<T>(ctx, Err(no_room(ctx))),
+    }
+}
+
+fn encode<T: Serialize>(ctx: &Context, res: JobResult<T>) -> Bytes {
+    let res = match res {
+        Err(JobError::Occupied { .. }) => Err(no_room(ctx)),
+        res => res,
     };
-    Some(encoded.expect("Responses are representable."))
+    let encoded = postcard::to_stdvec(&res).expect("Responses are representable.");
+    encoded.into()
+}
+
+/// Returns the error for a peer if callers occupy this host.
+fn no_room(ctx: &Context) -> JobError {
+    not_now(ctx, "callers occupy the host")
 }
--- a/crates/gateway/src/jobs/read.rs
+++ b/crates/gateway/src/jobs/read.rs
@@ -17,6 +17,7 @@
 use super::forwarding::run_or_forward;
 use super::label;
 use super::not_now;
+use super::shortage_error;
 use super::sync;
 use crate::blobs::concat;
 use crate::context::Context;
@@ -38,7 +39,8 @@
 /// what one host has returned, all must return within a second.
 const STALENESS_MAX: Duration = Duration::from_millis(600);
 
-/// Reads results from a position on, waiting for the first one if there is none yet.
+/// Reads results from a position on, waiting for the first one if there is none yet. The texts are
+/// reserved until they are dropped.
 ///
 /// # Errors
 ///
@@ -55,7 +57,7 @@
         from,
         wait,
     };
-    let res = run_or_forward(ctx, &call, try_read(ctx, job, from, wait)).await;
+    let res = run_or_forward(ctx, &call, try_read(ctx, job, from, wait), keep_page).await;
     ctx.metrics.count(Counted::Jobs, label("read", &res));
     if let Err(err) = &res {
         slog::info!(ctx.logger, "results not read"; "id" => job, "from" => from,
@@ -130,7 +132,7 @@
     };
     let fitting = fitting(&listed);
     let blobs: Vec<Blob> = fitting.iter().flat_map(blobs).cloned().collect();
-    let _reserved = reserve(ctx, RESULT_COPIES, &blobs).await?;
+    let mut reserved = reserve(ctx, RESULT_COPIES, &blobs).await?;
     let mut parts = ctx.blobs.read_all(Topic::Results, &blobs).await.into_iter();
     for entry in fitting {
         let text = match &entry.outcome {
@@ -152,16 +154,31 @@
         };
         page.next += 1;
         let item = accepted.items[entry.item as usize].id.clone();
+        let text = text.map(|text| keep(text, &mut reserved));
         page.results.push(ItemResult { item, text });
     }
     Ok(page)
 }
 
+/// Returns a text that is reserved until it is dropped.
+fn keep(text: Bytes, reserved: &mut Reservation) -> Bytes {
+    reserved.split(text.len() as u64).keep(text)
+}
+
+/// Returns a page whose texts are reserved until they are dropped.
+fn keep_page(mut page: ResultPage, mut reserved: Reservation) -> ResultPage {
+    for result in &mut page.results {
+        let text = result.text.take();
+        result.text = text.map(|text| keep(text, &mut reserved));
+    }
+    page
+}
+
 /// Reserves what blobs occupy while they are read for a caller.
 async fn reserve(ctx: &Context, copies: u64, blobs: &[Blob]) -> JobResult<Reservation> {
     let bytes: u64 = blobs.iter().map(|b| u64::from(b.bytes)).sum();
     let reserved = ctx.callers.intake.reserve(copies * bytes).await;
-    reserved.map_err(|_| not_now(ctx, "callers occupy the host"))
+    reserved.map_err(|shortage| shortage_error(ctx, shortage))
 }
 
 /// Returns the results that fit into one page: at least the first one.
@@ -186,7 +203,7 @@
     }
 }
 
-/// Returns the body of an item.
+/// Returns the body of an item, which is reserved until it is dropped.
 ///
 /// # Errors
 ///
@@ -197,7 +214,8 @@
         job: job.to_owned(),
         item: item.to_owned(),
     };
-    let res = run_or_forward(ctx, &call, try_body(ctx, job, item)).await;
+    let keep_body = |body: Bytes, reserved: Reservation| reserved.keep(body);
+    let res = run_or_forward(ctx, &call, try_body(ctx, job, item), keep_body).await;
     ctx.metrics.count(Counted::Jobs, label("body", &res));
     if let Err(err) = &res {
         slog::info!(ctx.logger, "item's body not read"; "id" => job, "item" => item,
@@ -219,7 +237,7 @@
         let index = state.item_index(item).ok_or(JobError::NotFound)?;
         (Arc::clone(&state.accepted), index as usize)
     };
-    let _reserved = reserve(ctx, BODY_COPIES, &accepted.payload).await?;
+    let reserved = reserve(ctx, BODY_COPIES, &accepted.payload).await?;
     let payload = Payload::read(ctx, &accepted).await;
     let payload = payload.map_err(|_| not_now(ctx, "the items cannot be read"))?;
     let item = payload
@@ -227,5 +245,5 @@
         .into_iter()
         .nth(index)
         .ok_or(JobError::NotFound)?;
-    Ok(item.body.into())
+    Ok(reserved.keep(item.body))
 }
--- a/crates/gateway/src/jobs/submit.rs
+++ b/crates/gateway/src/jobs/submit.rs
@@ -43,7 +43,7 @@
     let items = submission.items.len();
     let started = Instant::now();
     let call = Call::Submit(submission.clone());
-    let res = run_or_forward(ctx, &call, try_submit(ctx, submission)).await;
+    let res = run_or_forward(ctx, &call, try_submit(ctx, submission), |(), _| ()).await;
     let outcome = res
         .as_ref()
         .err()
@@ -141,7 +141,7 @@
     let call = Call::End {
         job: job.to_owned(),
     };
-    let res = run_or_forward(ctx, &call, try_end(ctx, job)).await;
+    let res = run_or_forward(ctx, &call, try_end(ctx, job), |(), _| ()).await;
     ctx.metrics.count(Counted::Jobs, label("ended", &res));
     let outcome = res
         .as_ref()
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -38,6 +38,8 @@
 use bytes::Bytes;
 use notchwharf_config::DataCentreId;
 use notchwharf_config::gateway::Peers as Settings;
+use notchwharf_intake::Intake;
+use notchwharf_intake::Reservation;
 use notchwharf_ledger::rendezvous;
 use notchwharf_listen::Phase;
 use notchwharf_proto::messages;
@@ -337,18 +339,20 @@
             .collect()
     }
 
-    /// Calls a peer about a job.
+    /// Calls a peer about a job, and reserves this many copies of its answer before it is read.
     ///
     /// # Errors
     ///
     /// The error says whether the peer may have executed the call.
     pub(crate) async fn call(
         &self,
+        intake: &Intake,
+        copies: u64,
         addr: SocketAddr,
         body: Bytes,
         timeout: Duration,
-    ) -> Result<Bytes, CallError> {
-        rpc::call(addr, rpc::JOBS, body, timeout).await
+    ) -> Result<(Bytes, Reservation), CallError> {
+        rpc::call_within_budget(intake, copies, addr, body, timeout).await
     }
 
     /// Returns whether this host is the one of its cell that should take over a job.
--- a/crates/gateway/src/peers/rpc.rs
+++ b/crates/gateway/src/peers/rpc.rs
@@ -3,6 +3,7 @@
 //! Each call opens a new connection: calls are rare, and a pooled connection may have failed
 //! unnoticed.
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -17,9 +18,13 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use notchwharf_intake::Intake;
+use notchwharf_intake::Reservation;
+use notchwharf_intake::error::Shortage;
 use notchwharf_proto::records::ChangesRequest;
 use notchwharf_proto::records::ChangesResponse;
 use notchwharf_proto::records::encode_changes;
@@ -66,6 +71,8 @@
 /// Timeout of connecting to a peer: many times the latency between data centres.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
+const BROKEN: CallError = CallError::Lost("connection to peer broke");
+
 /// Why there is no response from a peer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum CallError {
@@ -73,13 +80,16 @@
     NotSent(&'static str),
     /// The peer may have executed the call.
     Lost(&'static str),
+    /// The peer has answered, and there is no room for the answer.
+    NoRoom(Shortage),
 }
 
 impl CallError {
     /// Returns a short description of the reason.
-    pub(super) fn reason(self) -> &'static str {
+    pub(crate) fn reason(self) -> &'static str {
         match self {
             Self::NotSent(reason) | Self::Lost(reason) => reason,
+            Self::NoRoom(_) => "no room for the answer",
         }
     }
 }
@@ -91,20 +101,54 @@
     body: Bytes,
     timeout: Duration,
 ) -> Result<Bytes, CallError> {
-    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr));
-    let socket = match connecting.await {
-        Err(_) => return Err(CallError::NotSent("connecting timed out")),
-        Ok(Err(_)) => return Err(CallError::NotSent("connection refused")),
-        Ok(Ok(socket)) => socket,
+    let socket = connect(addr).await?;
+    let called = async { collect(exchange(socket, path, body).await?).await };
+    in_time(timeout, called).await
+}
+
+/// Calls a peer for a caller: so many copies of the answer are reserved before it is read.
+pub(super) async fn call_within_budget(
+    intake: &Intake,
+    copies: u64,
+    addr: SocketAddr,
+    body: Bytes,
+    timeout: Duration,
+) -> Result<(Bytes, Reservation), CallError> {
+    let socket = connect(addr).await?;
+    let called = async {
+        let resp = exchange(socket, JOBS, body).await?;
+        // Peers announce the length of each answer.
+        let len = resp.body().size_hint().exact();
+        let reserved = intake.reserve(copies.saturating_mul(len.unwrap_or(u64::MAX)));
+        let reserved = reserved.await.map_err(CallError::NoRoom)?;
+        Ok((collect(resp).await?, reserved))
     };
-    let called = tokio::time::timeout(timeout, exchange(socket, path, body));
-    called
-        .await
-        .unwrap_or(Err(CallError::Lost("peer did not answer in time")))
+    in_time(timeout, called).await
+}
+
+async fn in_time<T>(
+    timeout: Duration,
+    called: impl Future<Output = Result<T, CallError>>,
+) -> Result<T, CallError> {
+    let called = tokio::time::timeout(timeout, called).await;
+    called.unwrap_or(Err(CallError::Lost("peer did not answer in time")))
+}
+
+async fn connect(addr: SocketAddr) -> Result<TcpStream, CallError> {
+    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr));
+    match connecting.await {
+        Err(_) => Err(CallError::NotSent("connecting timed out")),
+        Ok(Err(_)) => Err(CallError::NotSent("connection refused")),
+        Ok(Ok(socket)) => Ok(socket),
+    }
 }
 
-async fn exchange(socket: TcpStream, path: &str, body: Bytes) -> Result<Bytes, CallError> {
-    const BROKEN: CallError = CallError::Lost("connection to peer broke");
+/// Sends a call, and returns the response before its body is read.
+async fn exchange(
+    socket: TcpStream,
+    path: &str,
+    body: Bytes,
+) -> Result<Response<Incoming>, CallError> {
     let conn = hyper::client::conn::http1::handshake(TokioIo::new(socket)).await;
     let (mut sender, conn) = conn.map_err(|_| CallError::NotSent("no handshake"))?;
     tokio::spawn(conn);
@@ -115,6 +159,10 @@
     if resp.status() != StatusCode::OK {
         return Err(CallError::Lost("peer could not answer"));
     }
+    Ok(resp)
+}
+
+async fn collect(resp: Response<Incoming>) -> Result<Bytes, CallError> {
     let body = Limited::new(resp.into_body(), RESPONSE_BYTES_MAX);
     let body = body.collect().await;
     let body = body.map_err(|err| match err.downcast_ref::<LengthLimitError>() {
@@ -194,10 +242,17 @@
     in_progress: &Mutex<Option<Gauge>>,
 ) -> Response<Full<Bytes>> {
     let path = req.uri().path().to_owned();
+    let body = Limited::new(req.into_body(), REQUEST_BYTES_MAX);
+    if path == JOBS {
+        let call = tokio::time::timeout(REQUEST_TIMEOUT, read_job_call(ctx, body)).await;
+        return match call.ok().flatten() {
+            Some(call) => response(jobs::handle_forwarded(ctx, call).await),
+            None => response(None),
+        };
+    }
     // A request that is incomplete, too long or too slow needs no response: the peer has closed the
     // connection or has given up.
-    let body = Limited::new(req.into_body(), REQUEST_BYTES_MAX).collect();
-    let body = tokio::time::timeout(REQUEST_TIMEOUT, body).await;
+    let body = tokio::time::timeout(REQUEST_TIMEOUT, body.collect()).await;
     let body = body.ok().and_then(Result::ok);
     let body = body.map(http_body_util::Collected::to_bytes);
     let response_body = match (path.as_str(), body) {
@@ -208,13 +263,34 @@
         (DEPARTURES, _) => Some(departures::respond(ctx)),
         (STREAM_ORIGINS, Some(body)) => origins::respond(ctx, &body),
         (TARGET_VERSIONS, Some(body)) => versions::respond(ctx, &body),
-        (JOBS, Some(body)) => jobs::handle_forwarded(ctx, &body).await,
         _ => None,
     };
-    let Some(bytes) = response_body else {
-        let mut resp = Response::new(Full::default());
-        *resp.status_mut() = StatusCode::BAD_REQUEST;
-        return resp;
+    response(response_body.map(Bytes::from))
+}
+
+/// Reads a call about a job, for which room is reserved first. A call without room is read, too, and
+/// discarded: a peer whose connection is closed while it sends cannot tell that nothing ran.
+async fn read_job_call(
+    ctx: &Context,
+    mut body: Limited<Incoming>,
+) -> Option<(Bytes, Result<Reservation, Shortage>)> {
+    let len = body.size_hint().exact().unwrap_or(REQUEST_BYTES_MAX as u64);
+    let reserved = ctx.callers.intake.reserve(jobs::CALL_COPIES * len).await;
+    if reserved.is_ok() {
+        return Some((body.collect().await.ok()?.to_bytes(), reserved));
+    }
+    while let Some(frame) = body.frame().await {
+        frame.ok()?;
+    }
+    Some((Bytes::new(), reserved))
+}
+
+fn response(body: Option<Bytes>) -> Response<Full<Bytes>> {
+    let status = match body {
+        Some(_) => StatusCode::OK,
+        None => StatusCode::BAD_REQUEST,
     };
-    Response::new(Full::new(Bytes::from(bytes)))
+    let mut resp = Response::new(Full::new(body.unwrap_or_default()));
+    *resp.status_mut() = status;
+    resp
 }
--- a/crates/gateway/tests/forwarding.rs
+++ b/crates/gateway/tests/forwarding.rs
@@ -81,3 +81,30 @@
     assert!(matches!(err, JobError::NotNow { .. }), "{err:?}");
     assert_eq!(harness.targets.runs("j1-0"), []);
 }
+
+/// Guards against a way past the budget for callers: a host without room forwarded the call, and kept
+/// what the peer answered.
+#[rstest]
+#[case::reaches_the_store(true)]
+#[case::does_not_reach_the_store(false)]
+#[tokio::test]
+async fn a_host_without_room_takes_no_answer_from_a_peer(#[case] has_store: bool) {
+    let harness = Harness::new(&["t1"]);
+    let (a1, connection, a2) = start(&harness).await;
+    harness.targets.hold();
+    a2.submit("j1", 1, 10).await.unwrap();
+    if !has_store {
+        close_connection(&a1, &connection).await;
+    }
+    let intake = &a1.ctx().callers.intake;
+    let report = intake.report();
+    let everything = intake.reserve(report.bytes_max - report.bytes).await;
+    let read = jobs::read_item_body(a1.ctx(), "j1", "j1-0").await;
+    assert!(matches!(read, Err(JobError::Occupied { .. })), "{read:?}");
+    drop(everything);
+    let read = jobs::read_item_body(a1.ctx(), "j1", "j1-0").await.unwrap();
+    assert_eq!(read, "body of 0");
+    assert_eq!(intake.report().bytes, read.len() as u64);
+    drop(read);
+    assert_eq!(intake.report().bytes, 0);
+}
--- a/crates/intake/src/connection.rs
+++ b/crates/intake/src/connection.rs
@@ -272,6 +272,18 @@
         self.give_back(surplus);
     }
 
+    /// Takes a part of this, or all if it has less.
+    #[must_use]
+    pub fn split(&mut self, bytes: u64) -> Self {
+        let bytes = bytes.min(self.bytes);
+        self.bytes -= bytes;
+        Self {
+            shared: Arc::clone(&self.shared),
+            connection: self.connection,
+            bytes,
+        }
+    }
+
     /// Returns bytes that are reserved with this until the last reference to them is dropped. What they do
     /// not need is returned.
     pub fn keep(mut self, bytes: impl AsRef<[u8]> + Send + 'static) -> Bytes {
@@ -283,7 +295,7 @@
     }
 
     /// Adds the bytes of another reservation for the same connection.
-    pub(crate) fn merge(&mut self, mut other: Self) {
+    pub fn merge(&mut self, mut other: Self) {
         self.bytes += std::mem::take(&mut other.bytes);
     }
 
