Reserve files and results that callers do not read, and read them on one thread

Now a part of a file is reserved before it is read, in the seven copies that its decoding takes, and waits for its room, as its response has begun and cannot be refused; pages of results end at a MiB and are reserved; parts are read on a thread of their own; the cache is bounded by bytes and holds a blob once.

--- a/crates/clients/src/blob.rs
+++ b/crates/clients/src/blob.rs
@@ -23,10 +23,45 @@
 
 /// The number of blob streams.
 pub const STREAM_COUNT: u16 = 16;
-/// The number of blobs that a reader caches.
-const CACHED_BLOBS_MAX: usize = 32;
+/// Bytes of the blobs that a reader caches, some dozens of usual ones.
+const CACHE_BYTES_MAX: usize = 16 << 20;
+/// Largest part of the cache that one blob may take, as a divisor: others are not to be evicted for it.
+const CACHE_SHARE: usize = 4;
 
-type Cache = VecDeque<(BlobId, Arc<Blob>)>;
+/// Evicts the blobs that were added first.
+#[derive(Debug, Default)]
+struct Cache {
+    blobs: VecDeque<(BlobId, Arc<Blob>)>,
+    bytes: usize,
+}
+
+impl Cache {
+    fn find(&self, id: BlobId) -> Option<Arc<Blob>> {
+        let found = self.blobs.iter().find(|(cached_id, _)| *cached_id == id);
+        found.map(|(_, blob)| Arc::clone(blob))
+    }
+
+    fn insert(&mut self, id: BlobId, blob: &Arc<Blob>) {
+        let bytes = byte_count(blob);
+        // Another reader may have inserted it meanwhile.
+        if bytes > CACHE_BYTES_MAX / CACHE_SHARE || self.find(id).is_some() {
+            return;
+        }
+        self.bytes += bytes;
+        self.blobs.push_back((id, Arc::clone(blob)));
+        while self.bytes > CACHE_BYTES_MAX {
+            let Some((_, oldest)) = self.blobs.pop_front() else {
+                return;
+            };
+            self.bytes -= byte_count(&oldest);
+        }
+    }
+}
+
+fn byte_count(blob: &Blob) -> usize {
+    let parts = blob.parts.iter();
+    parts.map(|part| part.len() + size_of::<Vec<u8>>()).sum()
+}
 
 /// Reads and writes blobs.
 #[derive(Clone, Debug)]
@@ -115,16 +150,12 @@
 
     fn find_cached(&self, id: BlobId) -> Option<Arc<Blob>> {
         let cache = self.cache.lock().unwrap_or_else(PoisonError::into_inner);
-        let found = cache.iter().find(|(cached_id, _)| *cached_id == id);
-        found.map(|(_, blob)| Arc::clone(blob))
+        cache.find(id)
     }
 
     fn insert_cached(&self, id: BlobId, blob: &Arc<Blob>) {
         let mut cache = self.cache.lock().unwrap_or_else(PoisonError::into_inner);
-        if cache.len() >= CACHED_BLOBS_MAX {
-            cache.pop_front();
-        }
-        cache.push_back((id, Arc::clone(blob)));
+        cache.insert(id, blob);
     }
 }
 
--- a/crates/intake/src/connection.rs
+++ b/crates/intake/src/connection.rs
@@ -30,7 +30,7 @@
 
 struct Shared {
     ledger: Mutex<Ledger>,
-    /// Notified when bytes or connections are returned.
+    /// Notified when bytes or connections are returned, or may be taken from a caller.
     returned: Notify,
 }
 
@@ -40,6 +40,27 @@
         self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Repeats a request until it is granted, also while nothing is about to be returned.
+    async fn ask_until(
+        &self,
+        deadline: Instant,
+        mut request: impl FnMut(&mut Ledger) -> Result<Grant, Shortage>,
+    ) -> Result<(), Shortage> {
+        loop {
+            let returned = self.returned.notified();
+            let mut returned = std::pin::pin!(returned);
+            // From here on no notification is missed.
+            returned.as_mut().enable();
+            match request(&mut self.ledger()) {
+                Ok(Grant::Granted) => return Ok(()),
+                Err(Shortage::OverBudget) => return Err(Shortage::OverBudget),
+                Ok(Grant::Wait) | Err(Shortage::Occupied) => {}
+            }
+            let in_time = tokio::time::timeout_at(deadline, returned).await;
+            in_time.map_err(|_| Shortage::Occupied)?;
+        }
+    }
+
     /// Repeats a request while enough is about to be returned.
     async fn ask(
         &self,
@@ -106,6 +127,16 @@
     bytes: u64,
 ) -> Result<Reservation, Shortage> {
     let asked = shared.ask(|ledger| ledger.reserve(connection, bytes)).await;
+    granted(shared, connection, bytes, asked)
+}
+
+/// Returns the reservation that was asked for, or counts that it was refused.
+fn granted(
+    shared: &Arc<Shared>,
+    connection: ConnectionId,
+    bytes: u64,
+    asked: Result<(), Shortage>,
+) -> Result<Reservation, Shortage> {
     if let Err(shortage) = asked {
         shared.ledger().report_mut().refused_bytes += 1;
         return Err(shortage);
@@ -215,6 +246,9 @@
     /// Sets whether the caller keeps the host from writing.
     pub fn set_blocked(&self, is_blocked: bool) {
         self.0.shared.ledger().set_blocked(self.0.id, is_blocked);
+        if is_blocked {
+            self.0.shared.returned.notify_waiters();
+        }
     }
 
     /// Records that a body is not read to its end, so that the caller may still be sending it.
@@ -235,6 +269,23 @@
     pub async fn reserve(&self, bytes: u64) -> Result<Reservation, Shortage> {
         reserve(&self.0.shared, self.0.id, bytes).await
     }
+
+    /// Reserves bytes for a part of a response that has begun, and so can no longer be refused: waits
+    /// until others return theirs.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Shortage`] if there is no room in time.
+    pub async fn reserve_within(
+        &self,
+        timeout: Duration,
+        bytes: u64,
+    ) -> Result<Reservation, Shortage> {
+        let (shared, id) = (&self.0.shared, self.0.id);
+        let deadline = Instant::now() + timeout;
+        let asked = shared.ask_until(deadline, |ledger| ledger.reserve(id, bytes));
+        granted(shared, id, bytes, asked.await)
+    }
 }
 
 /// A request that the host handles. When it is dropped, the host waits for the next one.
--- a/crates/intake/tests/budget.rs
+++ b/crates/intake/tests/budget.rs
@@ -312,3 +312,45 @@
         })?;
     }
 }
+
+/// A part of a response that has begun waits for its room.
+#[tokio::test(start_paused = true)]
+async fn a_response_waits_until_others_return_their_bytes() {
+    let entrance = intake(2, 100).entrance(8);
+    let (first, second) = (
+        entrance.admit().await.unwrap(),
+        entrance.admit().await.unwrap(),
+    );
+    let (_first_turn, _second_turn) = (first.begin_turn(), second.begin_turn());
+    let held = first.reserve(100).await.unwrap();
+    let timeout = Duration::from_secs(10);
+    let mut waiting = std::pin::pin!(second.reserve_within(timeout, 100));
+    assert!(waiting.as_mut().now_or_never().is_none());
+    drop(held);
+    drop(waiting.await.unwrap());
+    let _held = first.reserve(100).await.unwrap();
+    let late = second.reserve_within(timeout, 100).await;
+    assert_eq!(late.map(drop), Err(Shortage::Occupied));
+    let too_much = second.reserve_within(timeout, 1 << 40).await;
+    assert_eq!(too_much.map(drop), Err(Shortage::OverBudget));
+}
+
+/// A caller that stops reading while others wait gives way to them.
+#[tokio::test(start_paused = true)]
+async fn a_waiting_response_takes_the_bytes_of_a_caller_that_stops_reading() {
+    let entrance = intake(2, 100).entrance(8);
+    let (first, second) = (
+        entrance.admit().await.unwrap(),
+        entrance.admit().await.unwrap(),
+    );
+    let (_first_turn, _second_turn) = (first.begin_turn(), second.begin_turn());
+    let held = first.reserve(100).await.unwrap();
+    let waiting = second.reserve_within(Duration::from_secs(10), 100);
+    let mut waiting = std::pin::pin!(waiting);
+    assert!(waiting.as_mut().now_or_never().is_none());
+    first.set_blocked(true);
+    assert!(waiting.as_mut().now_or_never().is_none());
+    assert!(is_told_to_close(&first));
+    drop(held);
+    assert!(waiting.await.is_ok());
+}
--- a/crates/server/src/api/body.rs
+++ b/crates/server/src/api/body.rs
@@ -42,7 +42,7 @@
     connection.reserve(bytes).await.map_err(shortage_error)
 }
 
-fn shortage_error(shortage: Shortage) -> ApiError {
+pub(crate) fn shortage_error(shortage: Shortage) -> ApiError {
     match shortage {
         Shortage::Occupied => ApiError::Occupied,
         Shortage::OverBudget => ApiError::OverBudget,
--- a/crates/server/src/api/files.rs
+++ b/crates/server/src/api/files.rs
@@ -13,13 +13,15 @@
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use multer::Multipart;
+use notchwharf_clients::error::ReadError;
 use notchwharf_config::bundle::Class;
 use notchwharf_config::settings::ms;
+use notchwharf_intake::Connection;
+use notchwharf_intake::Reservation;
 use notchwharf_ledger::error::CommandError;
 use notchwharf_ledger::error::Ignored;
 use notchwharf_ledger::job::Failure;
 use notchwharf_ledger::job::File;
-use notchwharf_ledger::job::Manifest;
 use notchwharf_ledger::owner::Answer as ItemResult;
 use notchwharf_ledger::owner::Command;
 use notchwharf_ledger::owner::Reply;
@@ -54,6 +56,12 @@
 /// written.
 const UPLOAD_BYTES: u64 = (2 * form::AHEAD_BYTES_MAX + 3 * input_file::BLOB_BYTES_MAX) as u64;
 
+/// Copies of a blob that exist while it is read: the log's answer, which is a third longer, as received, in
+/// one piece and parsed; the record, its parts and the response.
+const BLOB_COPIES: u64 = 7;
+/// Bytes at which a page of results ends.
+const PAGE_BYTES: usize = 1 << 20;
+
 /// Returns the ID of the file with a job's results.
 pub(crate) fn output_id(job: &str) -> String {
     format!("{OUTPUT_PREFIX}{job}")
@@ -227,28 +235,39 @@
     id: &str,
 ) -> HandlerResult {
     let caller = auth::authenticate(ctx, req.headers())?;
+    let connection = body::connection(req.extensions())?;
     let tenant = caller.tenant.name;
     if let Some(job) = id.strip_prefix(OUTPUT_PREFIX) {
-        return job_results(ctx, tenant, job, true).await;
+        return job_results(ctx, connection, tenant, job, true).await;
     }
     if let Some(job) = id.strip_prefix(ERRORS_PREFIX) {
-        return job_results(ctx, tenant, job, false).await;
+        return job_results(ctx, connection, tenant, job, false).await;
     }
     let file = find(ctx, &tenant, id).await?;
-    Ok(input_file_content(ctx, file.manifest))
+    Ok(input_file_content(ctx, connection, file))
 }
 
-fn input_file_content(ctx: &Arc<Context>, manifest: Manifest) -> Response {
+fn input_file_content(ctx: &Arc<Context>, connection: Connection, file: File) -> Response {
     let ctx = Arc::clone(ctx);
-    let chunks = stream::iter(manifest.chunks);
+    // A blob ends with the line that makes it large enough.
+    let blob_bytes_max = input_file::BLOB_BYTES_MAX as u64 + ctx.settings.limits.body_bytes_max;
+    let bytes = BLOB_COPIES * file.len_bytes.min(blob_bytes_max);
+    let chunks = stream::iter(file.manifest.chunks);
     let frames = futures_util::StreamExt::then(chunks, move |chunk| {
-        let ctx = Arc::clone(&ctx);
+        let (ctx, connection) = (Arc::clone(&ctx), connection.clone());
         async move {
-            let blob = ctx.blobs.read(chunk.blob).await;
+            let timeout = ms(ctx.settings.limits.body_timeout_ms);
+            let reserved = connection.reserve_within(timeout, bytes).await;
+            let reserved = reserved.map_err(io::Error::other)?;
+            let blobs = ctx.blobs.clone();
+            let read = move || async move {
+                let blob = blobs.read(chunk.blob).await?;
+                Ok::<_, ReadError>(lines(blob.parts.iter()))
+            };
+            let lines = ctx.file_reader.run(read).await?;
             // The response has no length, so a missing part is indicated by an aborted
             // connection.
-            let blob = blob.map_err(io::Error::other)?;
-            Ok(Frame::data(lines(blob.parts.iter())))
+            Ok(Frame::data(reserved.keep(lines.map_err(io::Error::other)?)))
         }
     });
     jsonl(StreamBody::new(frames).boxed_unsync())
@@ -257,12 +276,14 @@
 /// Returns the results or failed items of a job, reading a page at a time.
 async fn job_results(
     ctx: &Arc<Context>,
+    connection: Connection,
     tenant: String,
     job: &str,
     is_output: bool,
 ) -> HandlerResult {
     let pager = Pager {
         ctx: Arc::clone(ctx),
+        connection,
         tenant,
         job: job.to_owned(),
         is_output,
@@ -287,6 +308,7 @@
 
 struct Pager {
     ctx: Arc<Context>,
+    connection: Connection,
     tenant: String,
     job: String,
     is_output: bool,
@@ -307,18 +329,40 @@
             Ok(_) => return Err(ApiError::NotFound("job")),
             Err(err) => return Err(ledger_error(err, "file")),
         };
+        // The lines, and the page that they are copied to.
+        let mut reserved = self.reserve(2 * PAGE_BYTES as u64).await?;
         let mut parts = Vec::new();
+        let mut bytes = 0;
         for result in results {
-            if result.outcome.is_ok() == self.is_output {
-                parts.push(self.line(result).await?);
+            if result.outcome.is_ok() != self.is_output {
+                continue;
+            }
+            if bytes >= PAGE_BYTES {
+                return Ok((reserved.keep(lines(parts.iter())), Some(result.item)));
             }
+            let part = self.line(result).await?;
+            bytes += part.len() + 1;
+            if bytes > PAGE_BYTES {
+                // The last line may be long.
+                reserved.merge(self.reserve(2 * (bytes - PAGE_BYTES) as u64).await?);
+            }
+            parts.push(part);
         }
-        Ok((lines(parts.iter()), next))
+        Ok((reserved.keep(lines(parts.iter())), next))
+    }
+
+    async fn reserve(&self, bytes: u64) -> Result<Reservation, ApiError> {
+        let timeout = ms(self.ctx.settings.limits.body_timeout_ms);
+        let reserved = self.connection.reserve_within(timeout, bytes).await;
+        reserved.map_err(body::shortage_error)
     }
 
     async fn line(&self, result: ItemResult) -> Result<Vec<u8>, ApiError> {
         let read = |location| async move {
-            let part = self.ctx.blobs.read_part(location).await;
+            let blobs = self.ctx.blobs.clone();
+            let read = move || async move { blobs.read_part(location).await };
+            let part = self.ctx.file_reader.run(read).await;
+            let part = part.map_err(|_| ApiError::LogUnavailable)?;
             part.map_err(|_| ApiError::LogUnavailable)
         };
         let failure = match result.outcome {
@@ -350,8 +394,9 @@
     }
 }
 
-fn lines<'a>(parts: impl Iterator<Item = &'a Vec<u8>>) -> Bytes {
-    let mut out = Vec::new();
+fn lines<'a>(parts: impl Iterator<Item = &'a Vec<u8>> + Clone) -> Bytes {
+    // A buffer that grows would have twice the room that is reserved.
+    let mut out = Vec::with_capacity(parts.clone().map(|part| part.len() + 1).sum());
     for part in parts {
         out.extend_from_slice(part);
         out.push(b'\n');
--- a/crates/server/src/context.rs
+++ b/crates/server/src/context.rs
@@ -47,6 +47,7 @@
 use crate::bundle::BundleFollower;
 use crate::callers::Callers;
 use crate::dispatch::Dispatcher;
+use crate::file_reader::FileReader;
 use crate::members::Members;
 use crate::metrics::Counted;
 use crate::metrics::Metrics;
@@ -97,6 +98,7 @@
     pub(crate) bundle_follower: OnceLock<Arc<BundleFollower>>,
     pub(crate) connections: Gauge,
     pub(crate) callers: Callers,
+    pub(crate) file_reader: FileReader,
     pub(crate) in_flight: Gauge,
     pub(crate) unsettled: Gauge,
     pub(crate) suspects: Arc<Gate>,
@@ -104,7 +106,7 @@
 }
 
 impl Context {
-    pub(crate) fn new(settings: Settings, logger: slog::Logger) -> Self {
+    pub(crate) fn new(settings: Settings, logger: slog::Logger, file_reader: FileReader) -> Self {
         let timeout = ms(settings.platform.timeout_ms);
         let log = Log::new(&settings.platform.log_url, timeout, LOG_WAIT);
         let idle = ms(settings.online.idle_timeout_ms);
@@ -143,6 +145,7 @@
             bundle_follower: OnceLock::new(),
             connections: Gauge::default(),
             callers: Callers::new(&settings),
+            file_reader,
             in_flight: Gauge::default(),
             unsettled: Gauge::default(),
             suspects: Gate::new(settings.host.name.clone()),
--- a/crates/server/src/error.rs
+++ b/crates/server/src/error.rs
@@ -9,6 +9,8 @@
     Listen,
     /// The server for other hosts cannot be started.
     Peers,
+    /// The thread that reads files cannot be started.
+    FileReader,
 }
 
 impl fmt::Display for StartError {
@@ -18,6 +20,7 @@
                 "cannot listen on a configured address; check the addresses under `host`",
             ),
             Self::Peers => f.write_str("cannot start the server for other hosts"),
+            Self::FileReader => f.write_str("cannot start the thread that reads files"),
         }
     }
 }
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -28,6 +28,7 @@
 mod dispatch;
 pub mod error;
 mod exchange;
+mod file_reader;
 mod item;
 mod keyed;
 mod leases;
--- a/crates/server/src/lifecycle.rs
+++ b/crates/server/src/lifecycle.rs
@@ -21,6 +21,7 @@
 use crate::context::Context;
 use crate::context::post;
 use crate::error::StartError;
+use crate::file_reader::FileReader;
 use crate::leases;
 use crate::leases::TargetLeases;
 use crate::members;
@@ -90,7 +91,8 @@
             peer: peer.local_addr().change_context(StartError::Listen)?,
             gossip: gossip.local_addr().change_context(StartError::Listen)?,
         };
-        let ctx = Arc::new(Context::new(settings, logger));
+        let file_reader = FileReader::start().change_context(StartError::FileReader)?;
+        let ctx = Arc::new(Context::new(settings, logger, file_reader));
         let update_socket = UdpSocket::bind((addrs.gossip.ip(), 0));
         let update_socket = update_socket.await.change_context(StartError::Listen)?;
         // Each `OnceLock` of a new context is empty, so setting it cannot fail.
