Reject answers whose length or transfer coding is spoilt

What callers saw: a target in trouble sent a head that was spoilt where it tells the length of the body. The caller got it as a complete answer, with a body that was not the target's: chunk sizes inside it, or cut to a length that does not describe it.

Cause: an end counted as marked if the head had `Content-Length` or `Transfer-Encoding`, whatever they said. The HTTP library reads a body whose last coding is not `chunked` to the end of the connection, and ignores a length beside a coding. So the two disagreed about just the heads that are spoilt, and the length was passed on with bytes that it does not describe. An equal length that is repeated could not be written to the caller, whose connection was closed without an answer.

Why it works: the new package `notchwharf-answers` decides in one place what the head says of the end of the body, and refuses a head that says it twice, or in other words than the library knows. Online requests, items, the store, calls of peers and the own interface's clients use it.

Ruled out: repairing a head with both a length and a coding, as nothing shows which one is wrong.

--- /dev/null
+++ b/crates/answers/src/error.rs
@@ -0,0 +1,59 @@
+//! Errors of this crate.
+
+use std::fmt;
+
+/// Why the head of a response is not sound.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Head {
+    /// The length is not a number, or there are several.
+    Length,
+    /// The transfer coding is not `chunked`, or there are several.
+    Coding,
+    /// There is a length and a transfer coding.
+    LengthAndCoding,
+}
+
+impl Head {
+    /// Returns a short description of the reason.
+    pub fn reason(self) -> &'static str {
+        match self {
+            Self::Length => "answer with a broken length",
+            Self::Coding => "answer with a broken transfer coding",
+            Self::LengthAndCoding => "answer with a length and a transfer coding",
+        }
+    }
+}
+
+impl fmt::Display for Head {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.reason())
+    }
+}
+
+impl std::error::Error for Head {}
+
+/// Why a response was not read to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Read {
+    /// The head is not sound.
+    Head(Head),
+    /// Only the end of the connection would mark the end of the body, which proves nothing.
+    NotMarked,
+    /// The body is longer than allowed.
+    TooLong,
+    /// The connection ended within the body.
+    Broken,
+}
+
+impl fmt::Display for Read {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Head(head) => head.fmt(f),
+            Self::NotMarked => f.write_str("nothing marks the end of the response"),
+            Self::TooLong => f.write_str("the response is too long"),
+            Self::Broken => f.write_str("the connection ended within the response"),
+        }
+    }
+}
+
+impl std::error::Error for Read {}
--- /dev/null
+++ b/crates/answers/src/framing.rs
@@ -0,0 +1,99 @@
+//! What a head says of the end of its body.
+//!
+//! Trusting the presence of `Content-Length` or `Transfer-Encoding` was rejected: the library then
+//! reads the body by another rule than the one that is announced.
+
+use hyper::HeaderMap;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::Version;
+use hyper::body::Body;
+use hyper::header::CONTENT_LENGTH;
+use hyper::header::HeaderValue;
+use hyper::header::TRANSFER_ENCODING;
+
+use crate::error;
+
+/// The only transfer coding of a body that no request has asked for another one.
+const CHUNKED: &[u8] = b"chunked";
+
+/// What proves the end of a body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// The response has no body.
+    Empty,
+    /// The body has this many bytes.
+    Length(u64),
+    /// The last chunk.
+    LastChunk,
+    /// Nothing: the body ends with the connection, as does that of a server that has crashed.
+    Connection,
+}
+
+impl End {
+    /// Returns whether the end of the body can be told from the end of the connection.
+    pub fn is_marked(self) -> bool {
+        self != Self::Connection
+    }
+}
+
+/// Checks the head of a response as received, and returns what proves the end of its body.
+///
+/// A length that is repeated, or written with leading zeros, is replaced by the plain number.
+///
+/// # Errors
+///
+/// Returns an error if the head is not sound. The request may have run, and the connection must not be
+/// used again.
+pub fn accept<B: Body>(resp: &mut Response<B>) -> Result<End, error::Head> {
+    let is_empty = resp.body().is_end_stream();
+    let end = match (length(resp.headers())?, is_chunked(resp)?) {
+        (Some(_), true) => return Err(error::Head::LengthAndCoding),
+        (Some(length), false) => {
+            resp.headers_mut().insert(CONTENT_LENGTH, length.into());
+            End::Length(length)
+        }
+        (None, true) => End::LastChunk,
+        (None, false) => End::Connection,
+    };
+    if resp.status() == StatusCode::NO_CONTENT && !matches!(end, End::Connection | End::Length(0)) {
+        return Err(error::Head::Length);
+    }
+    // A response to HEAD, or one whose status has no body, may tell the length of another one.
+    Ok(if is_empty { End::Empty } else { end })
+}
+
+/// Returns the length that the head tells, if any.
+fn length(headers: &HeaderMap) -> Result<Option<u64>, error::Head> {
+    let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
+    let Some(first) = lengths.next() else {
+        return Ok(None);
+    };
+    let mut values = std::iter::once(first).chain(lengths).flat_map(|value| {
+        let values = value.as_bytes().split(|byte| *byte == b',');
+        values.map(|value| parse_length(value.trim_ascii()))
+    });
+    let length = values.next().flatten().ok_or(error::Head::Length)?;
+    match values.all(|other| other == Some(length)) {
+        true => Ok(Some(length)),
+        false => Err(error::Head::Length),
+    }
+}
+
+fn parse_length(digits: &[u8]) -> Option<u64> {
+    if !digits.iter().all(u8::is_ascii_digit) {
+        return None;
+    }
+    std::str::from_utf8(digits).ok()?.parse().ok()
+}
+
+/// Returns whether the head announces chunks.
+fn is_chunked<B>(resp: &Response<B>) -> Result<bool, error::Head> {
+    let mut codings = resp.headers().get_all(TRANSFER_ENCODING).iter();
+    let is_chunks = |value: &HeaderValue| value.as_bytes().eq_ignore_ascii_case(CHUNKED);
+    match (codings.next(), codings.next()) {
+        (None, _) => Ok(false),
+        (Some(coding), None) if is_chunks(coding) && resp.version() == Version::HTTP_11 => Ok(true),
+        _ => Err(error::Head::Coding),
+    }
+}
--- a/crates/cli/src/call.rs
+++ b/crates/cli/src/call.rs
@@ -64,7 +64,7 @@
         _ => CommandError::OutcomeUnknown,
     })?;
     let is_success = resp.status().is_success();
-    let body = tokio::time::timeout(TIMEOUT, read_body(resp.into_body())).await;
+    let body = tokio::time::timeout(TIMEOUT, read_body(resp)).await;
     let body = body.map_err(|_| CommandError::OutcomeUnknown)?;
     let body = body.map_err(|_| CommandError::OutcomeUnknown)?;
     let value: Value = serde_json::from_slice(&body).map_err(|_| CommandError::OutcomeUnknown)?;
--- a/crates/clients/src/http.rs
+++ b/crates/clients/src/http.rs
@@ -14,10 +14,7 @@
 
 use bytes::Bytes;
 use error_stack::Report;
-use http_body_util::BodyExt as _;
 use http_body_util::Full;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
@@ -26,6 +23,9 @@
 use hyper_util::client::legacy;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
+use notchwharf_answers::accept;
+use notchwharf_answers::error;
+use notchwharf_answers::read_whole;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -50,19 +50,22 @@
     timeout: Duration,
 }
 
-/// Reads a complete body. The caller limits the time.
+/// Reads a complete body whose end is proved. The caller limits the time.
 ///
 /// # Errors
 ///
-/// Returns [`CallError::TooLong`] if the body is longer than a response may be, and
-/// [`CallError::Lost`] if the connection fails.
-pub async fn read_body(body: Incoming) -> CallResult<Bytes> {
-    let body = Limited::new(body, RESPONSE_BYTES_MAX).collect().await;
-    let body = body.map_err(|err| match err.downcast_ref::<LengthLimitError>() {
-        Some(_) => Report::new(CallError::TooLong),
-        None => Report::new(CallError::Lost),
-    })?;
-    Ok(body.to_bytes())
+/// Returns [`CallError::TooLong`] if the body is longer than a response may be,
+/// [`CallError::Lost`] if the connection fails, and [`CallError::Unsound`] if nothing marks the end
+/// of the body.
+pub async fn read_body(resp: Response<Incoming>) -> CallResult<Bytes> {
+    let body = read_whole(resp, RESPONSE_BYTES_MAX).await;
+    body.map_err(|err| match err {
+        error::Read::TooLong => Report::new(CallError::TooLong),
+        error::Read::Broken => Report::new(CallError::Lost),
+        error::Read::Head(_) | error::Read::NotMarked => {
+            Report::new(err).change_context(CallError::Unsound)
+        }
+    })
 }
 
 impl Client {
@@ -96,13 +99,16 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if no head is received; only [`CallError::NotSent`] means that the
+    /// Returns an error if no sound head is received; only [`CallError::NotSent`] means that the
     /// request had no effect.
     pub async fn send(&self, req: Request<Full<Bytes>>) -> CallResult<Response<Incoming>> {
         let result = tokio::time::timeout(self.timeout, self.inner.request(req)).await;
         match result {
             Err(_) => Err(Report::new(CallError::TimedOut)),
-            Ok(Ok(resp)) => Ok(resp),
+            Ok(Ok(mut resp)) => match accept(&mut resp) {
+                Ok(_) => Ok(resp),
+                Err(err) => Err(Report::new(err).change_context(CallError::Unsound)),
+            },
             Ok(Err(err)) if err.is_connect() => Err(Report::new(CallError::NotSent)),
             Ok(Err(_)) => Err(Report::new(CallError::Lost)),
         }
@@ -117,7 +123,7 @@
         let call = async {
             let resp = self.send(req).await?;
             let status = resp.status();
-            let body = read_body(resp.into_body()).await?;
+            let body = read_body(resp).await?;
             if status.is_success() {
                 return Ok(body);
             }
--- a/crates/gateway/src/peers/rpc.rs
+++ b/crates/gateway/src/peers/rpc.rs
@@ -13,7 +13,6 @@
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
-use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
@@ -22,6 +21,8 @@
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use notchwharf_answers::error;
+use notchwharf_answers::read_whole;
 use notchwharf_intake::Intake;
 use notchwharf_intake::Reservation;
 use notchwharf_intake::error::Shortage;
@@ -163,13 +164,12 @@
 }
 
 async fn collect(resp: Response<Incoming>) -> Result<Bytes, CallError> {
-    let body = Limited::new(resp.into_body(), RESPONSE_BYTES_MAX);
-    let body = body.collect().await;
-    let body = body.map_err(|err| match err.downcast_ref::<LengthLimitError>() {
-        Some(_) => CallError::Lost("peer's answer too long"),
-        None => BROKEN,
-    })?;
-    Ok(body.to_bytes())
+    let body = read_whole(resp, RESPONSE_BYTES_MAX).await;
+    body.map_err(|err| match err {
+        error::Read::TooLong => CallError::Lost("peer's answer too long"),
+        error::Read::Broken => BROKEN,
+        error::Read::Head(_) | error::Read::NotMarked => CallError::Lost("peer's answer broken"),
+    })
 }
 
 /// Serves calls of peers until the host stops.
--- a/crates/server/src/api/services.rs
+++ b/crates/server/src/api/services.rs
@@ -190,7 +190,7 @@
         let resp = resp.map_err(|report| report.current_context().clone())?;
         let status = resp.status();
         let headers = keyed::response_headers(resp.headers());
-        let body = read_body(resp.into_body()).await;
+        let body = read_body(resp).await;
         let body = body.map_err(|report| report.current_context().clone())?;
         Ok(response(status, &headers, body))
     };
--- a/crates/server/src/keyed.rs
+++ b/crates/server/src/keyed.rs
@@ -185,7 +185,7 @@
             Ok(Ok(resp)) => {
                 let status = resp.status().as_u16();
                 let headers = response_headers(resp.headers());
-                let body = read_body(resp.into_body());
+                let body = read_body(resp);
                 let body = tokio::time::timeout(timeout, body).await;
                 let body = body
                     .map_err(|_| CallFailure::Unknown)?
