Reject answers whose status is that of no final response

What callers saw: a target in trouble answered with status 600 or 999, and callers got it as an answer, with its body; with 101 they got 101, and then a cut connection. At the own interface a service's 600 was passed on, and recorded under its idempotency key.

Cause: the library accepts statuses up to 999, and 101 although no request asks for another protocol. Nothing looked at the status of an answer before it was forwarded.

Why it works: `notchwharf_answers::accept`, which all readers use, refuses statuses outside 200 to 599 (RFC 9110, 15). The request has run, so nothing is promised.

--- a/crates/answers/src/error.rs
+++ b/crates/answers/src/error.rs
@@ -5,6 +5,8 @@
 /// Why the head of a response is not sound.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Head {
+    /// The status is no status of a final response to a request of HTTP.
+    Status,
     /// The length is not a number, or there are several.
     Length,
     /// The transfer coding is not `chunked`, or there are several.
@@ -17,6 +19,7 @@
     /// Returns a short description of the reason.
     pub fn reason(self) -> &'static str {
         match self {
+            Self::Status => "answer with no valid status",
             Self::Length => "answer with a broken length",
             Self::Coding => "answer with a broken transfer coding",
             Self::LengthAndCoding => "answer with a length and a transfer coding",
--- a/crates/answers/src/framing.rs
+++ b/crates/answers/src/framing.rs
@@ -3,6 +3,8 @@
 //! Trusting the presence of `Content-Length` or `Transfer-Encoding` was rejected: the library then
 //! reads the body by another rule than the one that is announced.
 
+use std::ops::RangeInclusive;
+
 use hyper::HeaderMap;
 use hyper::Response;
 use hyper::StatusCode;
@@ -14,6 +16,9 @@
 
 use crate::error;
 
+/// Statuses of final responses (RFC 9110, 15). The library also accepts those up to 999, and 101, after
+/// which the connection would speak another protocol that no request has asked for.
+const STATUSES: RangeInclusive<u16> = 200..=599;
 /// The only transfer coding of a body that no request has asked for another one.
 const CHUNKED: &[u8] = b"chunked";
 
@@ -46,6 +51,9 @@
 /// Returns an error if the head is not sound. The request may have run, and the connection must not be
 /// used again.
 pub fn accept<B: Body>(resp: &mut Response<B>) -> Result<End, error::Head> {
+    if !STATUSES.contains(&resp.status().as_u16()) {
+        return Err(error::Head::Status);
+    }
     let is_empty = resp.body().is_end_stream();
     let end = match (length(resp.headers())?, is_chunked(resp)?) {
         (Some(_), true) => return Err(error::Head::LengthAndCoding),
--- a/crates/answers/tests/framing.rs
+++ b/crates/answers/tests/framing.rs
@@ -115,6 +115,21 @@
     assert_eq!(accept(&mut resp), end);
 }
 
+#[rstest]
+#[case::other_protocol("101 Switching Protocols", Err(error::Head::Status))]
+#[case::largest("599 Failed", Ok(End::Length(15)))]
+#[case::too_large("600 OK", Err(error::Head::Status))]
+#[case::far_too_large("999 OK", Err(error::Head::Status))]
+#[tokio::test]
+async fn a_status_of_no_final_response_is_rejected(
+    #[case] status: &str,
+    #[case] end: Result<End, error::Head>,
+) {
+    let bytes = format!("HTTP/1.1 {status}\r\nContent-Length: 15\r\n\r\n{BODY}");
+    let mut resp = receive(Method::GET, bytes.into()).await.unwrap();
+    assert_eq!(accept(&mut resp), end);
+}
+
 #[tokio::test]
 async fn a_repeated_length_is_forwarded_once() {
     let mut resp = receive_head("Content-Length: 15, 15\r\n").await.unwrap();
--- a/crates/server/tests/broken_answers.rs
+++ b/crates/server/tests/broken_answers.rs
@@ -194,6 +194,8 @@
 /// for a while.
 #[rstest]
 #[case::status_zero(with_status_line("HTTP/1.1 000 OK"))]
+#[case::status_too_large(with_status_line("HTTP/1.1 600 OK"))]
+#[case::other_protocol(with_status_line("HTTP/1.1 101 Switching Protocols"))]
 #[case::no_length(Broken::with_line(b"Content-Length: x"))]
 #[case::two_lengths(Broken::with_line(b"Content-Length: 15\r\nContent-Length: 16"))]
 #[case::length_and_coding(Broken::with_line(b"Content-Length: 4\r\nTransfer-Encoding: x"))]
