Refuse requests that come too late in a shutdown, and answer those that run at its end

What callers saw: in a planned stop of one host, in calm, requests that came late in the grace were taken and passed on. At the end of the grace they were cut with no answer, among them requests that may not be repeated.

Cause: a host that drains waits until no request is in progress, and takes requests until then. While callers keep sending, that moment does not come, and the timeout ends all requests at once. Nothing compared the time that a request may take with the time that is left.

Ruled out: refusing by the learned pace of the route, as a request that outlasts it is cut; refusing all requests from the signal on, as balancers still send, and most requests take far less.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -7,6 +7,7 @@
 use notchwharf_config::gateway::Settings;
 use notchwharf_config::routes::Table;
 use notchwharf_duties::Supervisor;
+use notchwharf_listen::Drain;
 use notchwharf_listen::Phase;
 use notchwharf_routing::balancer;
 use notchwharf_routing::balancer::Balancer;
@@ -61,6 +62,8 @@
     pub timer: Timer,
     /// The lifecycle phase of the process.
     pub phase: watch::Sender<Phase>,
+    /// The end of its service, once it shuts down.
+    pub drain: Drain,
     /// Keeps the tasks of this host running.
     duties: Supervisor,
     /// The current routes; `None` until they are known.
@@ -162,6 +165,7 @@
         Self {
             timer: Timer::start(),
             phase: watch::Sender::new(Phase::Starting),
+            drain: Drain::default(),
             duties: Supervisor::new(
                 notchwharf_duties::Config::default(),
                 report_duty(&metrics, &logger),
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -100,11 +100,13 @@
     /// Returns whether everything was finished within the configured time.
     pub async fn shut_down(self) -> bool {
         let ctx = &self.ctx;
+        let timeout = ms(ctx.settings.shutdown.drain_timeout_ms);
+        ctx.drain
+            .begin(ms(ctx.settings.shutdown.notice_ms), timeout);
         ctx.advance_phase(Phase::Leaving);
         ctx.peers.notify();
         slog::info!(ctx.logger, "leaving"; "in_flight" => ctx.in_flight.count(),
             "connections" => ctx.connections.count());
-        let timeout = ms(ctx.settings.shutdown.drain_timeout_ms);
         let drained = tokio::time::timeout(timeout, self.drain()).await;
         let in_flight = ctx.in_flight.count();
         ctx.advance_phase(Phase::Stopped);
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -50,6 +50,8 @@
 /// Weight of a workspace without a rate limit when slots are shared, in requests per second:
 /// that of a large workspace.
 const UNLIMITED_WEIGHT: f64 = 100.0;
+/// Retry delay if this host shuts down: the retry is routed to another host.
+const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Deadline of a request that names none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
 
@@ -148,6 +150,14 @@
     let wait = req.deadline.map_or(route.timeout, |d| d.min(route.timeout));
     let mut trace = Trace::new(ctx, &req, &route, table.version(), arrived);
     let deadline = arrived + wait;
+    if !ctx.drain.admits(deadline) {
+        let failure = Failure::NotRun {
+            retry_after: LEAVING_RETRY_AFTER,
+            reason: "the host shuts down",
+        };
+        trace.fail(&failure);
+        return Err(failure);
+    }
     let permit = admit(ctx, &caller, &route, deadline).await;
     let permit = permit.inspect_err(|failure| trace.fail(failure))?;
     let resumed = find_origin(ctx, &req, &route, deadline, &mut trace).await;
--- a/crates/gateway/src/online/body.rs
+++ b/crates/gateway/src/online/body.rs
@@ -9,6 +9,7 @@
 //! responses that way.
 
 use std::io;
+use std::sync::Arc;
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -27,6 +28,7 @@
 use super::ForwardedResponse;
 use super::dispatch::AllowedVersions;
 use super::dispatch::Dispatch;
+use super::dispatch::STOPPED;
 use super::dispatch::StartedResponse;
 use crate::error::Failure;
 use crate::origins;
@@ -119,7 +121,17 @@
     /// arrived: until then the caller has received no headers, and another target's may be used.
     pub(super) async fn start(mut self) -> Result<ForwardedResponse, Failure> {
         if self.events.is_some() {
-            match self.next().await {
+            let ctx = Arc::clone(&self.dispatch.ctx);
+            let first = tokio::select! {
+                biased;
+                first = self.next() => first,
+                () = ctx.drain.answers_end() => {
+                    let failure = Failure::Unknown { reason: STOPPED };
+                    self.dispatch.trace.fail(&failure);
+                    return Err(failure);
+                }
+            };
+            match first {
                 Some(Ok(bytes)) => self.first_event = Some(bytes),
                 Some(Err(_)) => return Err(self.dispatch.trace.failure()),
                 None => {}
--- a/crates/gateway/src/online/dispatch.rs
+++ b/crates/gateway/src/online/dispatch.rs
@@ -79,6 +79,8 @@
     pub(super) trace: Trace,
     /// The permit from its workspace's limit; refunded if the request never runs.
     permit: Option<Permit>,
+    /// Whether the request may have run.
+    is_used: bool,
     /// Its parameters in this host's wait queue; none if targets queue requests.
     pub(super) scheduling: Option<SchedulingParams>,
     /// The stream whose origin is recorded; `None` if it cannot be resumed by its id.
@@ -126,6 +128,7 @@
             caller_deadline: trace.arrived() + req.deadline.unwrap_or(DEFAULT_DEADLINE),
             trace,
             permit,
+            is_used: false,
             ctx: Arc::clone(ctx),
             request: Arc::new(req.forwarded),
             host: req.host,
@@ -162,7 +165,14 @@
 
     /// Sends the request until a target responds, and forwards the response.
     pub(super) async fn run(mut self) -> Result<ForwardedResponse, Failure> {
-        match self.send(None).await {
+        let ctx = Arc::clone(&self.ctx);
+        let sent = tokio::select! {
+            // An answer that has arrived counts, although the host stops.
+            biased;
+            sent = self.send(None) => sent,
+            () = ctx.drain.answers_end() => Err(self.stopped_failure()),
+        };
+        match sent {
             Ok(response) => ResponseBody::new(self, response).start().await,
             Err(failure) => {
                 self.trace.fail(&failure);
@@ -263,6 +273,7 @@
 
     /// Records whether the request may have run, and so has used its permit.
     fn set_used(&mut self, is_used: bool) {
+        self.is_used = is_used;
         if let Some(permit) = &mut self.permit {
             permit.is_used = is_used;
         }
@@ -436,6 +447,17 @@
         }
     }
 
+    /// Returns the failure of a request that the host waits for no longer, as it stops.
+    fn stopped_failure(&self) -> Failure {
+        if self.is_used {
+            return Failure::Unknown { reason: STOPPED };
+        }
+        Failure::NotRun {
+            retry_after: RETRY_AFTER,
+            reason: STOPPED,
+        }
+    }
+
     /// Sends the request to the chosen target, and waits for the headers of its response.
     async fn offer(
         &self,
@@ -542,6 +564,8 @@
     }
 }
 
+/// Reason of a request that the end of its host ended.
+pub(super) const STOPPED: &str = "the host stops";
 /// Reason of an offer that the request's deadline ended.
 const TIMED_OUT: &str = "timed out";
 /// Reason of an offer to which the target responded with a server error.
--- a/crates/listen/src/lib.rs
+++ b/crates/listen/src/lib.rs
@@ -10,6 +10,7 @@
 //! A response of HTTP/1.0 without a length ends with its connection. If its body fails, the
 //! connection is reset, so that the response does not appear whole.
 
+mod drain;
 mod socket;
 mod turn;
 
@@ -42,6 +43,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
+pub use self::drain::Drain;
 use self::socket::Reset;
 use self::socket::Socket;
 use self::turn::TurnBody;
