Reset an answer without a marked end that is cut as its host stops

What callers saw: an answer without a length, whose target was still sending when its host stopped, ended with an orderly close. Its caller got the part as the whole.

Cause: a connection is reset if the body of such an answer fails. When the host stops, the task of the connection is dropped instead, and the socket is closed in order.

Found by the tests of late requests in a shutdown.

Why it works: a guard that is dropped before the connection resets it if the host is answering and only the end of the connection marks the end of the answer. That covers every way in which the task ends; that it also covers the end of the process is by reading, as the test runs the host in its own process.

--- a/crates/listen/src/lib.rs
+++ b/crates/listen/src/lib.rs
@@ -7,8 +7,8 @@
 //! finds the [`Connection`] in the extensions of its request, and reserves there what it keeps. A connection
 //! that has to give way to others is reset.
 //!
-//! A response of HTTP/1.0 without a length ends with its connection. If its body fails, the
-//! connection is reset, so that the response does not appear whole.
+//! A response of HTTP/1.0 without a length ends with its connection. If its body fails, or the host stops
+//! within it, the connection is reset, so that the response does not appear whole.
 
 mod drain;
 mod socket;
@@ -150,6 +150,21 @@
     let _ = listener.set_tcp_user_timeout(Some(UNREAD_TIMEOUT));
 }
 
+/// Resets a connection that is dropped within a response whose end only the end of the connection marks.
+struct CutGuard {
+    turns: Turns,
+    is_unmarked: Arc<AtomicBool>,
+    reset: Reset,
+}
+
+impl Drop for CutGuard {
+    fn drop(&mut self) {
+        if self.turns.is_host_turn() && self.is_unmarked.load(Ordering::Relaxed) {
+            self.reset.set();
+        }
+    }
+}
+
 async fn serve_connection<F, R, B>(
     cfg: Config,
     connection: Connection,
@@ -214,6 +229,12 @@
         .max_buf_size(head_bytes_max)
         .serve_connection(TokioIo::new(socket), service);
     let mut conn = std::pin::pin!(conn);
+    // Dropped before the connection, also if this task ends with the process.
+    let _cut = CutGuard {
+        turns: turns.clone(),
+        is_unmarked: Arc::clone(&ends_with_connection),
+        reset: reset.clone(),
+    };
     tokio::select! {
         // First, so that no request begins on a connection that is told to close.
         biased;
