Refuse calls that come too late in a shutdown at the own interface, too

Settings make the drain longer than the longest call, which holds for calls in progress at its begin, and not for those that come later.

--- a/crates/server/src/api/chat.rs
+++ b/crates/server/src/api/chat.rs
@@ -285,9 +285,17 @@
 
 /// Returns the deadline of a request.
 pub(crate) fn deadline(ctx: &Context, headers: &HeaderMap) -> Result<Instant, ApiError> {
+    let deadline = Instant::now() + timeout(ctx, headers)?;
+    match ctx.drain.admits(deadline) {
+        true => Ok(deadline),
+        false => Err(ApiError::Leaving),
+    }
+}
+
+fn timeout(ctx: &Context, headers: &HeaderMap) -> Result<Duration, ApiError> {
     let max = ctx.settings.online.request_timeout_ms;
     let Some(value) = headers.get(TIMEOUT_HEADER) else {
-        return Ok(Instant::now() + Duration::from_millis(max));
+        return Ok(Duration::from_millis(max));
     };
     let invalid = ApiError::InvalidValue {
         param: TIMEOUT_HEADER,
@@ -295,7 +303,7 @@
     };
     let requested_ms = value.to_str().ok().and_then(|v| v.parse::<u64>().ok());
     let requested_ms = requested_ms.filter(|ms| *ms > 0).ok_or(invalid)?;
-    Ok(Instant::now() + Duration::from_millis(requested_ms.min(max)))
+    Ok(Duration::from_millis(requested_ms.min(max)))
 }
 
 pub(crate) fn api_error(failure: Failure) -> ApiError {
--- a/crates/server/src/api/mod.rs
+++ b/crates/server/src/api/mod.rs
@@ -35,7 +35,12 @@
 
 /// Handles a request of a caller.
 pub(crate) async fn handle(ctx: Arc<Context>, req: Request<Incoming>) -> Response {
-    let result = route(&ctx, req).await;
+    let result = tokio::select! {
+        // An answer that has arrived counts, although the host stops.
+        biased;
+        result = route(&ctx, req) => result,
+        () = ctx.drain.answers_end() => Err(ApiError::OutcomeUnknown),
+    };
     let outcome = match &result {
         Ok(_) => "answered",
         Err(error) => match error.outcome() {
--- a/crates/server/src/context.rs
+++ b/crates/server/src/context.rs
@@ -32,6 +32,7 @@
 use notchwharf_ledger::record::Incarnation;
 use notchwharf_ledger::record::ShardId;
 use notchwharf_ledger::record::TargetId;
+use notchwharf_listen::Drain;
 use notchwharf_listen::Phase;
 use notchwharf_membership::fact;
 use notchwharf_quarantine::gate::Gate;
@@ -83,6 +84,7 @@
     pub(crate) timer: Timer,
     pub(crate) metrics: Metrics,
     pub(crate) phase: watch::Sender<Phase>,
+    pub(crate) drain: Drain,
     pub(crate) bundle: watch::Sender<Option<Arc<ActiveBundle>>>,
     pub(crate) pacer: Pacer,
     pub(crate) table: Mutex<Table>,
@@ -130,6 +132,7 @@
             timer: Timer::start(),
             metrics: Metrics::new(),
             phase: watch::Sender::new(Phase::Starting),
+            drain: Drain::default(),
             bundle: watch::Sender::new(None),
             pacer: Pacer::default(),
             table: Mutex::new(Table::new(cfg, rand::random())),
--- a/crates/server/src/lifecycle.rs
+++ b/crates/server/src/lifecycle.rs
@@ -164,13 +164,15 @@
     /// Returns whether all work was finished within the configured drain timeout.
     pub async fn leave(self) -> bool {
         let ctx = &self.ctx;
+        let shutdown = &ctx.settings.shutdown;
+        ctx.drain
+            .begin(ms(shutdown.notice_ms), ms(shutdown.drain_timeout_ms));
         ctx.begin_leaving();
         slog::info!(ctx.logger, "leaving");
         if let Some(members) = ctx.members.get() {
             post(members, Leave);
         }
         post(&self.leases, leases::ReleaseAll);
-        let shutdown = &ctx.settings.shutdown;
         let drained = tokio::time::timeout(ms(shutdown.drain_timeout_ms), self.drain()).await;
         self.stop();
         drained.is_ok()
