Reserve texts of items that grow, and let those without room start over

What callers saw (report of other operators): a faulty target sent without end. The host that had called it kept everything, ran out of memory, and the requests of its other callers ended with it.

Cause: the text of an item may have up to `batch.text_bytes_max` (16 MiB), and nothing bounded the texts of all items together, nor the copies of them that are saved as progress.

Handled before, tests kept: one endless head, garbage, event, chunk size or trailer, at a stream or an item, is cut at its limit.

Why it works: what an item keeps beyond 64 KiB is reserved in the budget for callers, four copies of it. If there is no room, the item discards its text and starts over later, so that others come to their ends; the run counts like one whose answer is too long.

Ruled out: keeping the text while there is no room, as then all items may wait for one another.

--- a/crates/gateway/src/backlog.rs
+++ b/crates/gateway/src/backlog.rs
@@ -31,6 +31,7 @@
 use crate::ports::Decode;
 use crate::ports::ForwardedRequest;
 use crate::progress::SavedProgress;
+use crate::room::Room;
 use crate::time::millis;
 
 /// Identifies an item by its job and its index in the submission.
@@ -53,6 +54,8 @@
     pub(crate) size: Size,
     /// The data of the events received so far, joined by line feeds.
     pub(crate) text: Vec<u8>,
+    /// Room for the text and an event that has begun.
+    pub(crate) room: Room,
     /// The number of the last event received.
     pub(crate) last_event: Option<u64>,
     /// The number of responses that ended after the last event where nothing marked the end.
@@ -140,7 +143,8 @@
 
     /// Discards the text, so that any target may run it.
     pub(crate) fn start_over(&mut self) {
-        self.text.clear();
+        self.text = Vec::new();
+        self.room.clear();
         self.last_event = None;
         self.saved_event = None;
         self.unmarked_ends = 0;
--- a/crates/gateway/src/items/load.rs
+++ b/crates/gateway/src/items/load.rs
@@ -19,6 +19,7 @@
 use crate::jobs::Payload;
 use crate::metrics::Counted;
 use crate::ports::ForwardedRequest;
+use crate::room::Room;
 use crate::sync::lock;
 
 /// Delay before a job's items are read again after a failure.
@@ -154,6 +155,7 @@
             text: Vec::new(),
             last_event: None,
             unmarked_ends: 0,
+            room: Room::default(),
             origin: None,
             waiting_since: None,
             attempts,
--- a/crates/gateway/src/items/run.rs
+++ b/crates/gateway/src/items/run.rs
@@ -46,6 +46,8 @@
 /// Number of responses with the same end that show that a text is whole although nothing marks it: a
 /// target may mark the end of none.
 const UNMARKED_ENDS: u32 = 3;
+/// Copies of a text that exist at a time: while it grows, and while its progress is saved.
+const TEXT_COPIES: u64 = 4;
 /// Reason of a run whose response has stalled.
 const SILENT: &str = "silent";
 
@@ -599,6 +601,13 @@
             item.start_over();
             return RunOutcome::Unusable("answer too long");
         }
+        let kept = item.text.len() + events.len();
+        let intake = &ctx.callers.intake;
+        if item.room.grow(intake, TEXT_COPIES, kept).await.is_err() {
+            // What it has occupies room that others need to come to their ends.
+            item.start_over();
+            return RunOutcome::Unusable("no room for the answer");
+        }
         if item.unsaved_event_count() >= ctx.settings.batch.save_events {
             ctx.progress.record(item);
         }
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -58,6 +58,11 @@
         }
     }
 
+    /// Returns the bytes of the partial event that is left.
+    pub(crate) fn len(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Returns whether no partial event is left.
     pub(crate) fn is_empty(&self) -> bool {
         self.buf.is_empty()
