--- a/crates/gateway/src/online/body.rs
+++ b/crates/gateway/src/online/body.rs
@@ -34,6 +34,7 @@
 use crate::origins;
 use crate::origins::RunningStream;
 use crate::ports::Body;
+use crate::room::Room;
 use crate::sse::EventEnd;
 use crate::sse::Events;
 use crate::sse::is_next;
@@ -43,6 +44,9 @@
 /// Why a response cannot be used whose events stopped coming.
 const SILENT: &str = "silent";
 
+/// Copies of an event that exist at a time: while its buffer grows.
+const EVENT_COPIES: u64 = 2;
+
 /// A response whose body is being forwarded.
 pub(super) struct ResponseBody {
     dispatch: Dispatch,
@@ -66,6 +70,8 @@
     has_begun: bool,
     /// Since when the next event is awaited from the target.
     waiting_since: Option<Instant>,
+    /// Room for an event that has begun.
+    room: Room,
     /// Bytes received from all targets.
     bytes_read: u64,
     /// Keeps the stream's origin available to starting hosts.
@@ -111,6 +117,7 @@
             first_event: None,
             has_begun: false,
             waiting_since: None,
+            room: Room::default(),
             bytes_read: 0,
             running_stream: None,
             is_done: false,
@@ -270,6 +277,11 @@
         if complete.is_empty() && events.check_partial().is_err() {
             return Err(Interruption::Unusable("event too long"));
         }
+        let intake = &self.dispatch.ctx.callers.intake;
+        let grown = self.room.grow(intake, EVENT_COPIES, events.len());
+        if grown.await.is_err() {
+            return Err(Interruption::Unusable("no room for the event"));
+        }
         if self.last_event.is_some() && !std::mem::replace(&mut self.has_begun, true) {
             self.begin_stream();
         }
