Reserve answers of services at the own interface

What callers saw (report of other operators): as for items: a faulty service that sends without end made the host keep up to 64 MiB for each call, until it ran out of memory and all its callers lost theirs.

Cause: the answer of a service is kept as a whole, up to 64 MiB, and was not counted.

Why it works: two copies of such an answer (four with an idempotency key) are reserved while it is received, beyond 64 KiB. One without room is given up, with outcome `unknown`. The growing reservation moves from the gateway to `notchwharf-intake`, as both interfaces use it.

What remains: the recorded answer of a keyed call is not reserved after it was received.

--- a/crates/answers/src/lib.rs
+++ b/crates/answers/src/lib.rs
@@ -33,4 +33,5 @@
 
 pub use self::framing::End;
 pub use self::framing::accept;
+pub use self::whole::Reader;
 pub use self::whole::read_whole;
--- a/crates/clients/src/http.rs
+++ b/crates/clients/src/http.rs
@@ -23,9 +23,12 @@
 use hyper_util::client::legacy;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
+use notchwharf_answers::Reader;
 use notchwharf_answers::accept;
 use notchwharf_answers::error;
 use notchwharf_answers::read_whole;
+use notchwharf_intake::Intake;
+use notchwharf_intake::Room;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -59,13 +62,36 @@
 /// of the body.
 pub async fn read_body(resp: Response<Incoming>) -> CallResult<Bytes> {
     let body = read_whole(resp, RESPONSE_BYTES_MAX).await;
-    body.map_err(|err| match err {
-        error::Read::TooLong => Report::new(CallError::TooLong),
-        error::Read::Broken => Report::new(CallError::Lost),
-        error::Read::Head(_) | error::Read::NotMarked => {
-            Report::new(err).change_context(CallError::Unsound)
-        }
-    })
+    body.map_err(read_error)
+}
+
+/// Reads a complete body whose end is proved, within a budget: so many copies of it are reserved, as long
+/// as the returned room is kept.
+///
+/// # Errors
+///
+/// Returns the errors of [`read_body`], and [`CallError::TooLong`] if the budget has no room.
+pub async fn read_body_within(
+    resp: Response<Incoming>,
+    intake: &Intake,
+    copies: u64,
+) -> CallResult<(Bytes, Room)> {
+    let mut room = Room::default();
+    let mut reader = Reader::new(resp, RESPONSE_BYTES_MAX).map_err(read_error)?;
+    while let Some(bytes) = reader.receive().await.map_err(read_error)? {
+        let grown = room.grow(intake, copies, bytes).await;
+        grown.map_err(|err| Report::new(err).change_context(CallError::TooLong))?;
+    }
+    Ok((reader.into_bytes(), room))
+}
+
+fn read_error(err: error::Read) -> Report<CallError> {
+    let context = match err {
+        error::Read::TooLong => CallError::TooLong,
+        error::Read::Broken => CallError::Lost,
+        error::Read::Head(_) | error::Read::NotMarked => CallError::Unsound,
+    };
+    Report::new(err).change_context(context)
 }
 
 impl Client {
--- a/crates/gateway/src/backlog.rs
+++ b/crates/gateway/src/backlog.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use notchwharf_intake::Room;
 use notchwharf_ledger::jobs::Accepted;
 use notchwharf_ledger::jobs::Attempts;
 use notchwharf_ledger::jobs::JobId;
@@ -31,7 +32,6 @@
 use crate::ports::Decode;
 use crate::ports::ForwardedRequest;
 use crate::progress::SavedProgress;
-use crate::room::Room;
 use crate::time::millis;
 
 /// Identifies an item by its job and its index in the submission.
--- a/crates/gateway/src/items/load.rs
+++ b/crates/gateway/src/items/load.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use notchwharf_config::routes::JobPolicy;
+use notchwharf_intake::Room;
 use notchwharf_ledger::jobs::Accepted;
 use notchwharf_ledger::jobs::Attempts;
 use notchwharf_ledger::jobs::HostId;
@@ -19,7 +20,6 @@
 use crate::jobs::Payload;
 use crate::metrics::Counted;
 use crate::ports::ForwardedRequest;
-use crate::room::Room;
 use crate::sync::lock;
 
 /// Delay before a job's items are read again after a failure.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,7 +33,6 @@
 mod progress;
 pub mod proof;
 mod quarantine;
-mod room;
 mod spread;
 mod sse;
 mod store;
--- a/crates/gateway/src/online/body.rs
+++ b/crates/gateway/src/online/body.rs
@@ -23,6 +23,7 @@
 use hyper::body::Frame;
 use hyper::header::CONTENT_LENGTH;
 use notchwharf_config::routes::Kind;
+use notchwharf_intake::Room;
 use notchwharf_origins::Origin;
 
 use super::ForwardedResponse;
@@ -34,7 +35,6 @@
 use crate::origins;
 use crate::origins::RunningStream;
 use crate::ports::Body;
-use crate::room::Room;
 use crate::sse::EventEnd;
 use crate::sse::Events;
 use crate::sse::is_next;
--- a/crates/intake/src/lib.rs
+++ b/crates/intake/src/lib.rs
@@ -42,6 +42,7 @@
 mod json;
 mod ledger;
 mod machine;
+mod room;
 
 pub use self::body::BodyLimits;
 pub use self::body::read_body;
@@ -54,6 +55,7 @@
 pub use self::json::json_bytes;
 pub use self::ledger::Report;
 pub use self::machine::Machine;
+pub use self::room::Room;
 
 /// Size of the receive buffer that is set on sockets of callers, in bytes. The kernel doubles it for its own
 /// bookkeeping.
--- a/crates/server/src/api/services.rs
+++ b/crates/server/src/api/services.rs
@@ -22,7 +22,7 @@
 use hyper::header::HeaderValue;
 use notchwharf_clients::error::CallError;
 use notchwharf_clients::http::Client;
-use notchwharf_clients::http::read_body;
+use notchwharf_clients::http::read_body_within;
 use notchwharf_config::bundle::Class;
 use notchwharf_ledger::error::CommandError;
 use notchwharf_proto::peer::Callee;
@@ -62,6 +62,9 @@
 /// Copies of a keyed call's body that exist at a time: in base64, and in the message to its owner.
 const KEYED_COPIES: u64 = 3;
 
+/// Copies of an answer that exist at a time: while its buffer grows.
+const ANSWER_COPIES: u64 = 2;
+
 /// Forwards a request to a plain service.
 pub(crate) async fn call(
     ctx: &Arc<Context>,
@@ -190,9 +193,9 @@
         let resp = resp.map_err(|report| report.current_context().clone())?;
         let status = resp.status();
         let headers = keyed::response_headers(resp.headers());
-        let body = read_body(resp).await;
-        let body = body.map_err(|report| report.current_context().clone())?;
-        Ok(response(status, &headers, body))
+        let body = read_body_within(resp, &ctx.callers.intake, ANSWER_COPIES).await;
+        let (body, room) = body.map_err(|report| report.current_context().clone())?;
+        Ok(response(status, &headers, room.keep(body)))
     };
     let exchange = tokio::time::timeout_at(deadline, exchange).await;
     exchange.unwrap_or(Err(CallError::TimedOut))
--- a/crates/server/src/keyed.rs
+++ b/crates/server/src/keyed.rs
@@ -17,7 +17,7 @@
 use hyper::Request;
 use jsonrpsee::core::client::Error as RpcError;
 use notchwharf_clients::error::CallError;
-use notchwharf_clients::http::read_body;
+use notchwharf_clients::http::read_body_within;
 use notchwharf_ledger::error::CommandError;
 use notchwharf_ledger::error::Ignored;
 use notchwharf_ledger::owner::Command;
@@ -45,6 +45,8 @@
 const PEER_TIMEOUT_MARGIN: Duration = Duration::from_secs(2);
 /// Longest time for which a response is delayed until it is recorded.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(500);
+/// Copies of an answer that exist at a time: as received, in base64, and as it is recorded.
+const ANSWER_COPIES: u64 = 4;
 /// Response headers that are recorded and forwarded.
 pub(crate) const RESPONSE_HEADERS: [&str; 3] = ["content-type", "location", "etag"];
 
@@ -185,9 +187,9 @@
             Ok(Ok(resp)) => {
                 let status = resp.status().as_u16();
                 let headers = response_headers(resp.headers());
-                let body = read_body(resp);
+                let body = read_body_within(resp, &ctx.callers.intake, ANSWER_COPIES);
                 let body = tokio::time::timeout(timeout, body).await;
-                let body = body
+                let (body, _room) = body
                     .map_err(|_| CallFailure::Unknown)?
                     .map_err(|_| CallFailure::Unknown)?;
                 return Ok(KeyedResponse {
