--- a/crates/server/tests/broken_answers.rs
+++ b/crates/server/tests/broken_answers.rs
@@ -15,7 +15,6 @@
 use std::time::Duration;
 
 use broken::Broken;
-use broken::CHUNKED_BODY;
 use broken::End;
 use broken::PLAIN_BODY;
 use broken::START;
@@ -180,31 +179,23 @@
     panic!("the call does not run");
 }
 
-fn with_chunked_line(line: &str) -> Broken {
-    let bytes = [START, line.as_bytes(), b"\r\n\r\n", CHUNKED_BODY].concat();
-    Broken::closed(bytes.leak())
-}
-
-fn with_status_line(line: &str) -> Broken {
-    let rest: &[u8] = b"\r\nContent-Length: 15\r\n\r\n";
-    Broken::closed([line.as_bytes(), rest, PLAIN_BODY].concat().leak())
-}
-
 /// Some of the answers that the adapter's tests send, as a service that seems to fail is sent nothing
 /// for a while.
 #[rstest]
-#[case::status_zero(with_status_line("HTTP/1.1 000 OK"))]
-#[case::status_too_large(with_status_line("HTTP/1.1 600 OK"))]
-#[case::other_protocol(with_status_line("HTTP/1.1 101 Switching Protocols"))]
+#[case::status_zero(Broken::with_status_line("HTTP/1.1 000 OK"))]
+#[case::status_too_large(Broken::with_status_line("HTTP/1.1 600 OK"))]
+#[case::other_protocol(Broken::with_status_line("HTTP/1.1 101 Switching Protocols"))]
 #[case::no_length(Broken::with_line(b"Content-Length: x"))]
 #[case::two_lengths(Broken::with_line(b"Content-Length: 15\r\nContent-Length: 16"))]
 #[case::length_and_coding(Broken::with_line(b"Content-Length: 4\r\nTransfer-Encoding: x"))]
 #[case::blank_in_name(Broken::with_line(b"Content Length: 15"))]
 #[case::control_in_name(Broken::with_line(b"Content-Length\x00: 15"))]
 #[case::no_field(Broken::with_line(b"garbage\r\nContent-Length: 15"))]
-#[case::other_coding(with_chunked_line("Transfer-Encoding: chunke"))]
-#[case::two_codings(with_chunked_line("Transfer-Encoding: x, chunked"))]
-#[case::chunked_and_length(with_chunked_line("Transfer-Encoding: chunked\r\nContent-Length: 4"))]
+#[case::other_coding(Broken::with_chunked_line("Transfer-Encoding: chunke"))]
+#[case::two_codings(Broken::with_chunked_line("Transfer-Encoding: x, chunked"))]
+#[case::chunked_and_length(Broken::with_chunked_line(
+    "Transfer-Encoding: chunked\r\nContent-Length: 4"
+))]
 #[case::unmarked(Broken::with_line(b"Connection: close"))]
 #[tokio::test]
 async fn a_broken_answer_of_a_service_is_no_answer_and_no_promise(
