Keep the time for last answers in proportion, and return the room of events

A drain of less than 200 ms would have refused all requests at once: the time in which last answers are sent is a quarter of the drain at most. And a stream kept the room of its largest event until its end; it is returned once no event is incomplete.

--- a/crates/gateway/src/online/body.rs
+++ b/crates/gateway/src/online/body.rs
@@ -277,6 +277,9 @@
         if complete.is_empty() && events.check_partial().is_err() {
             return Err(Interruption::Unusable("event too long"));
         }
+        if events.is_empty() {
+            self.room.clear();
+        }
         let intake = &self.dispatch.ctx.callers.intake;
         let grown = self.room.grow(intake, EVENT_COPIES, events.len());
         if grown.await.is_err() {
--- a/crates/listen/src/drain.rs
+++ b/crates/listen/src/drain.rs
@@ -12,6 +12,8 @@
 
 /// Time before the end in which answers still reach their callers.
 const ANSWER_MARGIN: Duration = Duration::from_millis(200);
+/// Largest part of a shutdown that this time may take, as a divisor.
+const ANSWER_SHARE: u32 = 4;
 
 /// When a host that shuts down stops to take and to answer requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -52,9 +54,10 @@
     /// `timeout`.
     pub fn begin(&self, notice: Duration, timeout: Duration) {
         let now = Instant::now();
+        let margin = ANSWER_MARGIN.min(timeout / ANSWER_SHARE);
         self.schedule.send_replace(Some(Schedule {
             notice_ends: now + notice,
-            answers_end: now + timeout.saturating_sub(ANSWER_MARGIN),
+            answers_end: now + (timeout - margin),
         }));
     }
 
