--- a/crates/answers/src/error.rs
+++ b/crates/answers/src/error.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-/// Why the head of a response is not sound.
+/// Why the head of a response is invalid.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Head {
     /// The status is no status of a final response to a request of HTTP.
@@ -41,7 +41,7 @@
 /// Why a response was not read to its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Read {
-    /// The head is not sound.
+    /// The head is invalid.
     Head(Head),
     /// Only the end of the connection would mark the end of the body, which proves nothing.
     NotMarked,
--- a/crates/answers/src/framing.rs
+++ b/crates/answers/src/framing.rs
@@ -52,7 +52,7 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the head is not sound. The request may have run, and the connection must not be
+/// Returns an error if the head is invalid. The request may have run, and the connection must not be
 /// used again.
 pub fn accept<B: Body>(resp: &mut Response<B>) -> Result<End, error::Head> {
     if !STATUSES.contains(&resp.status().as_u16()) {
--- a/crates/answers/src/lib.rs
+++ b/crates/answers/src/lib.rs
@@ -1,6 +1,6 @@
-//! Decides whether the head of an HTTP response is sound, and what proves the end of its body.
+//! Decides whether the head of an HTTP response is valid, and what proves the end of its body.
 //!
-//! A server in trouble may send a head whose length or transfer coding is spoilt. The HTTP library
+//! A faulty server may send a head whose length or transfer coding is malformed. The HTTP library
 //! rejects lines that are no fields and lengths that are no numbers. It accepts any transfer coding,
 //! and reads the body to the end of the connection if the coding is not `chunked`; a length beside a
 //! transfer coding is ignored, but stays in the head. Whoever forwards such a response by its head
--- a/crates/answers/src/whole.rs
+++ b/crates/answers/src/whole.rs
@@ -13,7 +13,7 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the head is not sound, nothing marks the end of the body, the body has more than
+/// Returns an error if the head is invalid, nothing marks the end of the body, the body has more than
 /// `bytes_max` bytes, or the connection ends within it.
 pub async fn read_whole(resp: Response<Incoming>, bytes_max: usize) -> Result<Bytes, error::Read> {
     let mut reader = Reader::new(resp, bytes_max)?;
@@ -34,7 +34,7 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the head is not sound, or nothing marks the end of the body.
+    /// Returns an error if the head is invalid, or nothing marks the end of the body.
     pub fn new(mut resp: Response<Incoming>, bytes_max: usize) -> Result<Self, error::Read> {
         let end = accept(&mut resp).map_err(error::Read::Head)?;
         if !end.is_marked() {
--- a/crates/answers/tests/framing.rs
+++ b/crates/answers/tests/framing.rs
@@ -69,11 +69,11 @@
     "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
     Err(error::Head::LengthAndCoding)
 )]
-#[case::spoilt_coding_beside_length(
+#[case::malformed_coding_beside_length(
     "Transfer-Encoding: x\r\nContent-Length: 15\r\n",
     Err(error::Head::Coding)
 )]
-#[case::spoilt_length_beside_chunks(
+#[case::malformed_length_beside_chunks(
     "Transfer-Encoding: chunked\r\nContent-Length: x\r\n",
     Err(error::Head::Length)
 )]
@@ -170,7 +170,7 @@
     assert_eq!(read.map(|bytes| bytes.len()), result);
 }
 
-/// Parts of values, of which spoilt and sound ones are put together.
+/// Parts of values, of which malformed and valid ones are put together.
 const PARTS: [&str; 16] = [
     "chunked", "Chunked", "chunke", "gzip", "identity", ",", ", ", " ", "\t", "5", "15", "0", "-",
     "+", "x", "",
--- a/crates/clients/src/error.rs
+++ b/crates/clients/src/error.rs
@@ -13,8 +13,8 @@
     TimedOut,
     /// The response is longer than a response may be.
     TooLong,
-    /// The response's head is not sound, or nothing marks the end of its body.
-    Unsound,
+    /// The response's head is invalid, or nothing marks the end of its body.
+    Invalid,
     /// The response has this status, which is not a success.
     Status(u16),
     /// The response does not have the expected format.
@@ -34,7 +34,7 @@
             Self::NotSent => f.write_str("the request could not be sent"),
             Self::Lost => f.write_str("the connection failed; the outcome is unknown"),
             Self::TooLong => f.write_str("the response is too long; the outcome is unknown"),
-            Self::Unsound => f.write_str("the response is broken; the outcome is unknown"),
+            Self::Invalid => f.write_str("the response is broken; the outcome is unknown"),
             Self::TimedOut => f.write_str("the call timed out; the outcome is unknown"),
             Self::Status(status) => write!(f, "the server responded with status {status}"),
             Self::Malformed => f.write_str("the response does not have the expected format"),
--- a/crates/clients/src/http.rs
+++ b/crates/clients/src/http.rs
@@ -58,7 +58,7 @@
 /// # Errors
 ///
 /// Returns [`CallError::TooLong`] if the body is longer than a response may be,
-/// [`CallError::Lost`] if the connection fails, and [`CallError::Unsound`] if nothing marks the end
+/// [`CallError::Lost`] if the connection fails, and [`CallError::Invalid`] if nothing marks the end
 /// of the body.
 pub async fn read_body(resp: Response<Incoming>) -> CallResult<Bytes> {
     let body = read_whole(resp, RESPONSE_BYTES_MAX).await;
@@ -89,7 +89,7 @@
     let context = match err {
         error::Read::TooLong => CallError::TooLong,
         error::Read::Broken => CallError::Lost,
-        error::Read::Head(_) | error::Read::NotMarked => CallError::Unsound,
+        error::Read::Head(_) | error::Read::NotMarked => CallError::Invalid,
     };
     Report::new(err).change_context(context)
 }
@@ -125,7 +125,7 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if no sound head is received; only [`CallError::NotSent`] means that the
+    /// Returns an error if no valid head is received; only [`CallError::NotSent`] means that the
     /// request had no effect.
     pub async fn send(&self, req: Request<Full<Bytes>>) -> CallResult<Response<Incoming>> {
         let result = tokio::time::timeout(self.timeout, self.inner.request(req)).await;
@@ -133,7 +133,7 @@
             Err(_) => Err(Report::new(CallError::TimedOut)),
             Ok(Ok(mut resp)) => match accept(&mut resp) {
                 Ok(_) => Ok(resp),
-                Err(err) => Err(Report::new(err).change_context(CallError::Unsound)),
+                Err(err) => Err(Report::new(err).change_context(CallError::Invalid)),
             },
             Ok(Err(err)) if err.is_connect() => Err(Report::new(CallError::NotSent)),
             Ok(Err(_)) => Err(Report::new(CallError::Lost)),
--- a/crates/server/src/exchange.rs
+++ b/crates/server/src/exchange.rs
@@ -192,7 +192,7 @@
         CallError::Status(status) => StreamError::Rejected(*status),
         CallError::Lost => StreamError::Disconnected,
         CallError::TimedOut => StreamError::TimedOut,
-        CallError::Malformed | CallError::TooLong | CallError::Unsound => StreamError::InvalidChunk,
+        CallError::Malformed | CallError::TooLong | CallError::Invalid => StreamError::InvalidChunk,
     }
 }
 
