Answer all requests before a host that shuts down is gone

What callers saw: when a planned stop ran out of time, uploads that were still being received and calls about jobs that waited for the store or for results ended with their connections, without an answer. Submissions and ends of jobs were taken until the process was gone. Whether such a request had run was left to the caller's guess, among them those that may not be repeated.

Cause: the end of the drain was waited for beside the dispatch of online requests only. What comes before it, and all calls about jobs, knew nothing of it.

Change: Drain::within limits any part of a request's handling. Load balancers' notice ends with the answers, should it be set longer.

That identity, limit and origin are waited for no longer than that is by reading, as no test makes them wait.

--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -63,7 +63,20 @@
     TimedOut,
 }
 
+/// Retry delay if this host shuts down: the retry is routed to another host.
+const STOPPED_RETRY_AFTER: Duration = Duration::from_millis(50);
+/// Reason of what ends because this host shuts down.
+pub(crate) const STOPPED: &str = "the host shuts down";
+
 impl Failure {
+    /// Returns the failure of a request that did not run, as this host shuts down.
+    pub fn stopped() -> Self {
+        Self::NotRun {
+            retry_after: STOPPED_RETRY_AFTER,
+            reason: STOPPED,
+        }
+    }
+
     /// Returns the outcome as logs and metrics name it.
     pub fn label(&self) -> &'static str {
         match self {
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -50,8 +50,6 @@
 /// Weight of a workspace without a rate limit when slots are shared, in requests per second:
 /// that of a large workspace.
 const UNLIMITED_WEIGHT: f64 = 100.0;
-/// Retry delay if this host shuts down: the retry is routed to another host.
-const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Deadline of a request that names none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
 
@@ -138,7 +136,8 @@
     mut req: Request,
     arrived: Instant,
 ) -> Result<ForwardedResponse, Failure> {
-    let Identified { table, caller } = identify_caller(ctx, &req, arrived).await?;
+    let identified = ctx.drain.within(identify_caller(ctx, &req, arrived)).await;
+    let Identified { table, caller } = identified.unwrap_or_else(|| Err(Failure::stopped()))?;
     let route = find_route(ctx, &table, &req)?;
     if req.forwarded.id.is_empty() {
         // No answer could name it, and targets reject it.
@@ -151,16 +150,19 @@
     let mut trace = Trace::new(ctx, &req, &route, table.version(), arrived);
     let deadline = arrived + wait;
     if !ctx.drain.admits(deadline) {
-        let failure = Failure::NotRun {
-            retry_after: LEAVING_RETRY_AFTER,
-            reason: "the host shuts down",
-        };
+        let failure = Failure::stopped();
         trace.fail(&failure);
         return Err(failure);
     }
-    let permit = admit(ctx, &caller, &route, deadline).await;
+    let permit = ctx
+        .drain
+        .within(admit(ctx, &caller, &route, deadline))
+        .await;
+    let permit = permit.unwrap_or_else(|| Err(Failure::stopped()));
     let permit = permit.inspect_err(|failure| trace.fail(failure))?;
-    let resumed = find_origin(ctx, &req, &route, deadline, &mut trace).await;
+    let resumed = find_origin(ctx, &req, &route, deadline, &mut trace);
+    let resumed = ctx.drain.within(resumed).await;
+    let resumed = resumed.unwrap_or_else(|| Err(Failure::stopped()));
     let resumed = resumed.inspect_err(|failure| trace.fail(failure))?;
     let scheduling = queues_at_hosts(ctx, &table).then(|| scheduling_params(&caller, &route));
     let dispatch = Dispatch::new(ctx, req, route, trace, permit, deadline)
--- a/crates/gateway/src/online/dispatch.rs
+++ b/crates/gateway/src/online/dispatch.rs
@@ -27,6 +27,7 @@
 use crate::catalog;
 use crate::context::Context;
 use crate::error::Failure;
+use crate::error::STOPPED;
 use crate::fingerprint;
 use crate::limits::Permit;
 use crate::metrics::Counted;
@@ -452,10 +453,7 @@
         if self.is_used {
             return Failure::Unknown { reason: STOPPED };
         }
-        Failure::NotRun {
-            retry_after: RETRY_AFTER,
-            reason: STOPPED,
-        }
+        Failure::stopped()
     }
 
     /// Sends the request to the chosen target, and waits for the headers of its response.
@@ -564,8 +562,6 @@
     }
 }
 
-/// Reason of a request that the end of its host ended.
-pub(super) const STOPPED: &str = "the host stops";
 /// Reason of an offer that the request's deadline ended.
 const TIMED_OUT: &str = "timed out";
 /// Reason of an offer to which the target responded with a server error.
--- a/crates/listen/src/drain.rs
+++ b/crates/listen/src/drain.rs
@@ -55,9 +55,10 @@
     pub fn begin(&self, notice: Duration, timeout: Duration) {
         let now = Instant::now();
         let margin = ANSWER_MARGIN.min(timeout / ANSWER_SHARE);
+        let answers_end = now + (timeout - margin);
         self.schedule.send_replace(Some(Schedule {
-            notice_ends: now + notice,
-            answers_end: now + (timeout - margin),
+            notice_ends: (now + notice).min(answers_end),
+            answers_end,
         }));
     }
 
@@ -69,6 +70,16 @@
         })
     }
 
+    /// Waits for a part of a request's handling. Returns `None` if no request is to be waited for any
+    /// longer before it is done; what is done by then counts.
+    pub async fn within<T>(&self, part: impl Future<Output = T>) -> Option<T> {
+        tokio::select! {
+            biased;
+            done = part => Some(done),
+            () = self.answers_end() => None,
+        }
+    }
+
     /// Waits until no request is to be waited for any longer. The rest of the time is left for telling
     /// callers.
     pub async fn answers_end(&self) {
