Forward complete events although there is no room for the next one

What callers would see: a resumable stream that lacks events and looks complete.

Cause: the number of the last event is recorded before room is reserved for the event that follows it in the same part of the body. Without room the part was dropped, with the complete events in it, and the stream went on at another target after them.

Change: without room, complete events are forwarded first. What follows them is a part of one frame; the next part asks for the room again.

What follows complete events in a frame is reserved beyond 64 KiB, and read buffers have 64 KiB, so that only a buffer that was allocated larger than asked for reaches this.

--- a/crates/gateway/src/online/body.rs
+++ b/crates/gateway/src/online/body.rs
@@ -282,7 +282,8 @@
         }
         let intake = &self.dispatch.ctx.callers.intake;
         let grown = self.room.grow(intake, EVENT_COPIES, events.len());
-        if grown.await.is_err() {
+        // Events that are complete are forwarded; what follows them is a part of one frame.
+        if grown.await.is_err() && complete.is_empty() {
             return Err(Interruption::Unusable("no room for the event"));
         }
         if self.last_event.is_some() && !std::mem::replace(&mut self.has_begun, true) {
