Do not blame a target for a shortage of room at its host

What callers saw: while callers occupy a host, a target whose answer found no room was sent nothing for 400 ms and longer, as if its connection had broken, so that the remaining targets had to take its load.

Cause: an answer that is given up for a shortage was an unusable one, and those are recorded as failures of the connection.

Change: items have an outcome of their own for it, streams an interruption, and neither is recorded. The labels of metrics and logs are unchanged. Room of an event is returned when its stream goes on elsewhere. An item without an event stays in doubt: that bounds its runs.

--- a/crates/gateway/src/items/run.rs
+++ b/crates/gateway/src/items/run.rs
@@ -76,6 +76,8 @@
     Interrupted(&'static str),
     /// The target stalled, or its response was invalid.
     Unusable(&'static str),
+    /// This host had no room for the response.
+    NoRoom,
 }
 
 /// How far a run has come.
@@ -330,6 +332,7 @@
             requeue(ctx, item);
         }
         RunOutcome::Impossible
+        | RunOutcome::NoRoom
         | RunOutcome::NotRun(_)
         | RunOutcome::Overdue
         | RunOutcome::Unusable(_) => requeue_after_delay(ctx, item).await,
@@ -446,6 +449,7 @@
         RunOutcome::EndNotMarked => "end not marked",
         RunOutcome::Failed => "failed",
         RunOutcome::Impossible => "impossible",
+        RunOutcome::NoRoom => "no room for the answer",
         RunOutcome::NotRun(err) => err.reason(),
         RunOutcome::Interrupted(reason) | RunOutcome::Unusable(reason) => reason,
     }
@@ -472,6 +476,7 @@
         RunOutcome::NotRun(NoReply::Full) => balancer.record_rejection(target, now),
         RunOutcome::NotRun(NoReply::Rejected(_))
         | RunOutcome::Cancelled
+        | RunOutcome::NoRoom
         | RunOutcome::NotAdmitted
         | RunOutcome::Superseded => {}
         RunOutcome::NotRun(_)
@@ -606,7 +611,7 @@
         if item.room.grow(intake, TEXT_COPIES, kept).await.is_err() {
             // What it has occupies room that others need to come to their ends.
             item.start_over();
-            return RunOutcome::Unusable("no room for the answer");
+            return RunOutcome::NoRoom;
         }
         if item.unsaved_event_count() >= ctx.settings.batch.save_events {
             ctx.progress.record(item);
--- a/crates/gateway/src/online/body.rs
+++ b/crates/gateway/src/online/body.rs
@@ -46,6 +46,8 @@
 
 /// Copies of an event that exist at a time: while its buffer grows.
 const EVENT_COPIES: u64 = 2;
+/// Reason of a response for which this host has no room.
+const NO_ROOM: &str = "no room for the event";
 
 /// A response whose body is being forwarded.
 pub(super) struct ResponseBody {
@@ -95,6 +97,8 @@
     EndNotMarked,
     /// The target stalled or sent an event out of order.
     Unusable(&'static str),
+    /// This host has no room for an event that has begun.
+    NoRoom,
     /// The request's deadline has passed.
     TimedOut,
 }
@@ -284,7 +288,7 @@
         let grown = self.room.grow(intake, EVENT_COPIES, events.len());
         // Events that are complete are forwarded; what follows them is a part of one frame.
         if grown.await.is_err() && complete.is_empty() {
-            return Err(Interruption::Unusable("no room for the event"));
+            return Err(Interruption::NoRoom);
         }
         if self.last_event.is_some() && !std::mem::replace(&mut self.has_begun, true) {
             self.begin_stream();
@@ -391,6 +395,7 @@
             Interruption::ConnectionLost(reason) => (reason, true),
             Interruption::EndNotMarked => ("end not marked", false),
             Interruption::Unusable(reason) => (reason, false),
+            Interruption::NoRoom => (NO_ROOM, false),
         };
         let Some(response) = self.response.take() else {
             return Err(Failure::Unknown { reason });
@@ -415,7 +420,7 @@
         self.dispatch
             .trace
             .log_broken_stream(&target, reason, self.last_event, fingerprint);
-        if !is_maybe_whole {
+        if !is_maybe_whole && reason != NO_ROOM {
             lock(&self.dispatch.ctx.balancer).record_connection_failure(&target, Instant::now());
         }
         if may_have_crashed {
@@ -435,6 +440,7 @@
             return Err(Failure::Unknown { reason });
         };
         events.clear();
+        self.room.clear();
         if self.dispatch.runs >= self.dispatch.route.attempts_max {
             return Err(Failure::Unknown { reason });
         }
