Test broken answers of peers over a real socket

A host that does not reach the store forwards a submission to a peer, at whose address a listener then answers byte for byte. Each body says that the job was accepted, as the first case shows, whose head is sound. A malformed coding, a coding beside a length, a malformed length, no length, a length that is not reached and status 000 leave it unknown whether the job was accepted, and a read is refused for now.

--- a/crates/gateway/tests/forwarding.rs
+++ b/crates/gateway/tests/forwarding.rs
@@ -3,17 +3,23 @@
 
 mod harness;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use harness::Harness;
 use harness::TOKENS_MAX;
+use harness::WAIT_MAX;
 use harness::close_connection;
 use harness::start_two_hosts as start;
 use harness::targets::item_text;
 use harness::wait_until;
+use notchwharf_config::gateway::Settings;
 use notchwharf_gateway::error::JobError;
 use notchwharf_gateway::jobs;
 use rstest::rstest;
+use tokio::io::AsyncReadExt as _;
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::TcpListener;
 
 #[tokio::test]
 async fn a_host_without_the_store_forwards_all_job_calls() {
@@ -108,3 +114,72 @@
     drop(read);
     assert_eq!(intake.report().bytes, 0);
 }
+
+/// Longest time for which a host does not notice that its peer has ended, in milliseconds.
+const UNNOTICED_MS: u64 = 30_000;
+
+/// Answers all calls at an address with the same bytes, and closes each connection.
+async fn answer_calls(addr: SocketAddr, answer: &'static [u8]) {
+    let listener = loop {
+        if let Ok(listener) = TcpListener::bind(addr).await {
+            break listener;
+        }
+        // The host that has ended there closes its listener soon.
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    };
+    tokio::spawn(async move {
+        while let Ok((mut socket, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut call = [0; 4_096];
+                let _ = socket.read(&mut call).await;
+                let _ = socket.write_all(answer).await;
+            });
+        }
+    });
+}
+
+/// The body of each answer says that a job was accepted.
+#[rstest]
+#[case::whole(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n\0", true)]
+#[case::coding(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunke\r\n\r\n\0", false)]
+#[case::length_and_coding(
+    b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: x\r\n\r\n\0",
+    false
+)]
+#[case::length(b"HTTP/1.1 200 OK\r\nContent-Length: 1x\r\n\r\n\0", false)]
+#[case::not_marked(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n\0", false)]
+#[case::cut(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n\0", false)]
+#[case::status(b"HTTP/1.1 000 OK\r\nContent-Length: 1\r\n\r\n\0", false)]
+#[tokio::test]
+async fn an_answer_of_a_peer_counts_only_if_it_is_whole(
+    #[case] answer: &'static [u8],
+    #[case] is_whole: bool,
+) {
+    let harness = Harness::new(&["t1"]);
+    let connection = harness.store.connection();
+    let patient = |settings: &mut Settings| {
+        settings.peers.down_ms = UNNOTICED_MS;
+    };
+    let store = connection.clone();
+    let a1 = harness.start_with_store("a1", store, patient).await;
+    a1.wait_ready().await;
+    let a2 = harness.start_ready("a2").await;
+    close_connection(&a1, &connection).await;
+    let forwarded = async {
+        while a1.submit("j0", 1, 10).await.is_err() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let forwarded = tokio::time::timeout(WAIT_MAX, forwarded).await;
+    assert!(forwarded.is_ok(), "the host has not discovered its peer");
+    let addr = a2.ctx().settings.host.peer_listen;
+    a2.kill();
+    answer_calls(addr, answer).await;
+    let submitted = a1.submit("j1", 1, 10).await;
+    match is_whole {
+        true => assert_eq!(submitted, Ok(())),
+        false => assert_eq!(submitted, Err(JobError::Unknown)),
+    }
+    let read = jobs::read_item_body(a1.ctx(), "j1", "j1-0").await;
+    assert!(matches!(read, Err(JobError::NotNow { .. })), "{read:?}");
+}
