--- a/crates/server/tests/unruly_callers.rs
+++ b/crates/server/tests/unruly_callers.rs
@@ -103,6 +103,7 @@
         assert_eq!(status, None, "the process has ended");
         let peak = self.usage.peak();
         println!("peak: {peak:?}");
+        assert!(peak.bytes > 0, "no process was sampled");
         assert!(peak.bytes < MACHINE.memory_bytes, "{peak:?}");
         assert!(peak.descriptors < MACHINE.descriptors, "{peak:?}");
     }
