own interface: say that an upload did not run if its host stops before it is received

What callers saw: an upload that was still being received at the end of a shutdown got 502, that it may have run, so that a call that may not be repeated was lost to its caller.

Cause: the end of the shutdown was waited for around the whole handling of a request.

Change: the body is received with Drain::within, and what is not received by then is refused with `leaving`: nothing was sent.

Uploads of files are read in another way and still get 502.

--- a/crates/server/src/api/body.rs
+++ b/crates/server/src/api/body.rs
@@ -49,7 +49,8 @@
     }
 }
 
-/// Reads a complete body within the configured limits and the budget for callers.
+/// Reads a complete body within the configured limits and the budget for callers, until the host's service
+/// ends.
 pub(crate) async fn read(ctx: &Context, req: Request<Incoming>) -> Result<Bytes, ApiError> {
     let limits = &ctx.settings.limits;
     let max = limits.body_bytes_max;
@@ -58,7 +59,8 @@
         bytes_max: usize::try_from(max).unwrap_or(usize::MAX),
         idle_timeout: ms(limits.body_timeout_ms),
     };
-    let body = notchwharf_intake::read_body(&connection, req.into_body(), limits).await;
+    let body = notchwharf_intake::read_body(&connection, req.into_body(), limits);
+    let body = ctx.drain.within(body).await.ok_or(ApiError::Leaving)?;
     body.map_err(|err| match err {
         error::Body::TooLarge => ApiError::TooLarge { max },
         error::Body::TimedOut => ApiError::BodyTimeout,
--- a/crates/server/tests/shutdown.rs
+++ b/crates/server/tests/shutdown.rs
@@ -12,10 +12,15 @@
 use notchwharf_standins::fleet::Response;
 use rstest::rstest;
 use serde_json::json;
+use tokio::io::AsyncReadExt as _;
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::TcpStream;
 
 /// Calls that are sent while their host shuts down, and the time between two of them.
 const CALLS: usize = 12;
 const CALL_INTERVAL: Duration = Duration::from_millis(130);
+/// Time between two bytes of a slow upload.
+const BYTE_INTERVAL: Duration = Duration::from_millis(200);
 /// Longest time that a response takes.
 const TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -86,3 +91,40 @@
     let is_refused = |outcome: &(u16, String)| outcome.0 == 503;
     assert!(outcomes.iter().flatten().any(is_refused), "{outcomes:?}");
 }
+
+#[rstest]
+#[case::service("/services/filing/permits")]
+#[case::chat("/v1/chat/completions")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_upload_that_is_being_received_when_its_host_stops_is_told_that_it_did_not_run(
+    #[case] path: &str,
+) {
+    let mut fleet = start().await;
+    let url = fleet.url("a1");
+    let mut socket = TcpStream::connect(url.trim_start_matches("http://"))
+        .await
+        .unwrap();
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nHost: a1\r\nAuthorization: Bearer {PERMITS_KEY}\r\n\
+         Content-Length: 100\r\n\r\n"
+    );
+    socket.write_all(head.as_bytes()).await.unwrap();
+    let reading = tokio::spawn(async move {
+        // A caller that sends slowly is waited for.
+        let (mut reader, mut writer) = socket.into_split();
+        let writing = tokio::spawn(async move {
+            while writer.write_all(b"x").await.is_ok() {
+                tokio::time::sleep(BYTE_INTERVAL).await;
+            }
+        });
+        let mut received = Vec::new();
+        // What arrived before a reset stays.
+        let _ = reader.read_to_end(&mut received).await;
+        writing.abort();
+        String::from_utf8(received).unwrap()
+    });
+    fleet.leave_host("a1").await;
+    let received = reading.await.unwrap();
+    assert!(received.starts_with("HTTP/1.1 503 "), "{received:?}");
+    assert!(received.contains("not-run"), "{received:?}");
+}
