own interface: list answers of services that go on behind their length

Cause: what the client of the HTTP library has read behind a body stays in its connection, which is closed. The adapter's pool keeps connections itself, so that it sees these bytes.

--- a/crates/server/tests/broken_answers.rs
+++ b/crates/server/tests/broken_answers.rs
@@ -213,6 +213,17 @@
     );
 }
 
+#[rstest]
+#[tokio::test]
+async fn an_answer_of_a_service_that_goes_on_behind_its_length_does_not_look_complete(
+    #[values(None, Some("k1"))] key: Option<&str>,
+) {
+    let (fleet, service) = start().await;
+    service.set(Broken::with_line(b"Content-Length: 4"), false);
+    let response = send_until_run(&fleet, &service, key).await.unwrap();
+    assert_eq!(response.status, 502, "{response:?}");
+}
+
 #[rstest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_answer_to_a_long_upload_that_is_reset_does_not_look_complete(
