Count requests that end with their host before their caller is identified

A request that waited for its caller's identity at the end of a shutdown got 503 and was counted nowhere, as its wait was limited outside the place that counts. The limit moves inside, and the three waits before a dispatch share it.

--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -136,8 +136,7 @@
     mut req: Request,
     arrived: Instant,
 ) -> Result<ForwardedResponse, Failure> {
-    let identified = ctx.drain.within(identify_caller(ctx, &req, arrived)).await;
-    let Identified { table, caller } = identified.unwrap_or_else(|| Err(Failure::stopped()))?;
+    let Identified { table, caller } = identify_caller(ctx, &req, arrived).await?;
     let route = find_route(ctx, &table, &req)?;
     if req.forwarded.id.is_empty() {
         // No answer could name it, and targets reject it.
@@ -154,15 +153,10 @@
         trace.fail(&failure);
         return Err(failure);
     }
-    let permit = ctx
-        .drain
-        .within(admit(ctx, &caller, &route, deadline))
-        .await;
-    let permit = permit.unwrap_or_else(|| Err(Failure::stopped()));
+    let permit = before_stop(ctx, admit(ctx, &caller, &route, deadline)).await;
     let permit = permit.inspect_err(|failure| trace.fail(failure))?;
     let resumed = find_origin(ctx, &req, &route, deadline, &mut trace);
-    let resumed = ctx.drain.within(resumed).await;
-    let resumed = resumed.unwrap_or_else(|| Err(Failure::stopped()));
+    let resumed = before_stop(ctx, resumed).await;
     let resumed = resumed.inspect_err(|failure| trace.fail(failure))?;
     let scheduling = queues_at_hosts(ctx, &table).then(|| scheduling_params(&caller, &route));
     let dispatch = Dispatch::new(ctx, req, route, trace, permit, deadline)
@@ -171,6 +165,15 @@
     dispatch.run().await
 }
 
+/// Waits for what a request needs before it is sent, until the host's service ends.
+async fn before_stop<T>(
+    ctx: &Context,
+    part: impl Future<Output = Result<T, Failure>>,
+) -> Result<T, Failure> {
+    let done = ctx.drain.within(part).await;
+    done.unwrap_or_else(|| Err(Failure::stopped()))
+}
+
 /// Finds the origin of the stream that a request takes up again; `None` for a new stream.
 async fn find_origin(
     ctx: &Arc<Context>,
@@ -205,7 +208,8 @@
         headers: &req.forwarded.headers,
     };
     let deadline = arrived + req.deadline.unwrap_or(DEFAULT_DEADLINE);
-    let identified = access::identify_request(ctx, head, deadline).await;
+    let identified = access::identify_request(ctx, head, deadline);
+    let identified = before_stop(ctx, identified).await;
     identified.inspect_err(|failure| {
         ctx.metrics.count(Counted::Requests, failure.label());
     })
