own interface: refuse answers of services that go on behind their length

Cause: what the pooled client of the HTTP library has read behind a body stays in its connection, which it closes.

Change: calls of services keep their connections themselves, as the adapter's pool does, and look for more once a body was read. The decision whether such bytes show a wrong length moves to notchwharf-answers, which both ask. Connections are used again as before; those of calls that may not be repeated are not. A keyed call has its time as a whole; before, head and body had it each.

Ruled out: one pool for the adapter and this, as that one knows what targets of the platform promise.

--- a/crates/answers/src/framing.rs
+++ b/crates/answers/src/framing.rs
@@ -22,6 +22,8 @@
 const STATUSES: RangeInclusive<u16> = 200..=599;
 /// The only transfer coding of a body that no request has asked for another one.
 const CHUNKED: &[u8] = b"chunked";
+/// How a response begins.
+const RESPONSE_START: &[u8] = b"HTTP/1.";
 /// Options of the `Connection` field.
 const CLOSE: &[u8] = b"close";
 const KEEP_ALIVE: &[u8] = b"keep-alive";
@@ -46,6 +48,12 @@
     }
 }
 
+/// Returns whether bytes behind the body of a response show that it does not end where its length says.
+/// The start of another response does not.
+pub fn is_cut(surplus: &[u8]) -> bool {
+    !surplus.is_empty() && !surplus.starts_with(RESPONSE_START)
+}
+
 /// Checks the head of a response as received, and returns what proves the end of its body.
 ///
 /// A length that is repeated, or written with leading zeros, is replaced by the plain number.
--- a/crates/answers/src/lib.rs
+++ b/crates/answers/src/lib.rs
@@ -33,5 +33,6 @@
 
 pub use self::framing::End;
 pub use self::framing::accept;
+pub use self::framing::is_cut;
 pub use self::whole::Reader;
 pub use self::whole::read_whole;
--- a/crates/clients/src/http.rs
+++ b/crates/clients/src/http.rs
@@ -10,6 +10,7 @@
 //! # Ok(()) }
 //! ```
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -33,13 +34,14 @@
 use serde::de::DeserializeOwned;
 
 use crate::error::CallError;
+use crate::whole::Connections;
 
 /// The timeout of a connection attempt.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// The time after which an idle connection is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+pub(crate) const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Size of the read buffer of a connection. A longer head is invalid.
-const BUFFER_BYTES: usize = 64 << 10;
+pub(crate) const BUFFER_BYTES: usize = 64 << 10;
 const JSON_CONTENT_TYPE: &str = "application/json";
 
 /// Maximum size of a response in bytes.
@@ -52,6 +54,8 @@
 #[derive(Clone, Debug)]
 pub struct Client {
     inner: legacy::Client<HttpConnector, Full<Bytes>>,
+    /// For calls whose responses are read as a whole.
+    connections: Arc<Connections>,
     timeout: Duration,
 }
 
@@ -67,27 +71,6 @@
     body.map_err(read_error)
 }
 
-/// Reads a complete body whose end is proved, within a budget: so many copies of it are reserved, as long
-/// as the returned room is kept.
-///
-/// # Errors
-///
-/// Returns the errors of [`read_body`], and [`CallError::TooLong`] if the budget has no room.
-pub async fn read_body_within(
-    resp: Response<Incoming>,
-    intake: &Intake,
-    copies: u64,
-) -> CallResult<(Bytes, Room)> {
-    let mut room = Room::default();
-    let mut reader = Reader::new(resp, RESPONSE_BYTES_MAX).map_err(read_error)?;
-    while let Some(part) = reader.receive().await.map_err(read_error)? {
-        let grown = room.grow(intake, copies, reader.len() + part.len()).await;
-        grown.map_err(|err| Report::new(err).change_context(CallError::TooLong))?;
-        reader.keep(&part);
-    }
-    Ok((reader.into_bytes(), room))
-}
-
 fn read_error(err: error::Read) -> Report<CallError> {
     let context = match err {
         error::Read::TooLong => CallError::TooLong,
@@ -122,7 +105,11 @@
             .retry_canceled_requests(false)
             .http1_max_buf_size(BUFFER_BYTES)
             .build(connector);
-        Self { inner, timeout }
+        Self {
+            inner,
+            connections: Arc::new(Connections::new(idle_connections_max)),
+            timeout,
+        }
     }
 
     /// Sends a request and returns the response as soon as its head has been received.
@@ -144,6 +131,38 @@
         }
     }
 
+    /// Sends a request and reads the whole response, whose body is followed by nothing, within a budget: so
+    /// many copies of the body are reserved, as long as the returned room is kept. The caller limits the
+    /// time in which the body arrives.
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of [`Client::send`] and [`read_body`], and [`CallError::TooLong`] if the budget
+    /// has no room.
+    pub async fn call_within(
+        &self,
+        req: Request<Full<Bytes>>,
+        intake: &Intake,
+        copies: u64,
+    ) -> CallResult<(Response<Bytes>, Room)> {
+        let begun = tokio::time::timeout(self.timeout, self.connections.begin(req)).await;
+        let begun = begun.map_err(|_| Report::new(CallError::TimedOut))?;
+        let (mut resp, exchange) = begun?;
+        let accepted = accept(&mut resp);
+        accepted.map_err(|err| Report::new(err).change_context(CallError::Invalid))?;
+        let (head, body) = resp.into_parts();
+        let resp = Response::from_parts(head.clone(), body);
+        let mut room = Room::default();
+        let mut reader = Reader::new(resp, RESPONSE_BYTES_MAX).map_err(read_error)?;
+        while let Some(part) = reader.receive().await.map_err(read_error)? {
+            let grown = room.grow(intake, copies, reader.len() + part.len()).await;
+            grown.map_err(|err| Report::new(err).change_context(CallError::TooLong))?;
+            reader.keep(&part);
+        }
+        exchange.end().await?;
+        Ok((Response::from_parts(head, reader.into_bytes()), room))
+    }
+
     /// Sends a request and returns the complete body of the response.
     ///
     /// # Errors
--- a/crates/clients/src/lib.rs
+++ b/crates/clients/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod http;
 pub mod log;
 pub mod target;
+mod whole;
--- a/crates/server/src/api/services.rs
+++ b/crates/server/src/api/services.rs
@@ -22,7 +22,6 @@
 use hyper::header::HeaderValue;
 use notchwharf_clients::error::CallError;
 use notchwharf_clients::http::Client;
-use notchwharf_clients::http::read_body_within;
 use notchwharf_config::bundle::Class;
 use notchwharf_ledger::error::CommandError;
 use notchwharf_proto::peer::Callee;
@@ -189,13 +188,16 @@
     let req = request.to_http(&url).ok_or(CallError::NotSent)?;
     let deadline = tokio::time::Instant::from_std(request.deadline);
     let exchange = async {
-        let resp = client.send(req).await;
-        let resp = resp.map_err(|report| report.current_context().clone())?;
-        let status = resp.status();
+        let called = client
+            .call_within(req, &ctx.callers.intake, ANSWER_COPIES)
+            .await;
+        let (resp, room) = called.map_err(|report| report.current_context().clone())?;
         let headers = keyed::response_headers(resp.headers());
-        let body = read_body_within(resp, &ctx.callers.intake, ANSWER_COPIES).await;
-        let (body, room) = body.map_err(|report| report.current_context().clone())?;
-        Ok(response(status, &headers, room.keep(body)))
+        Ok(response(
+            resp.status(),
+            &headers,
+            room.keep(resp.into_body()),
+        ))
     };
     let exchange = tokio::time::timeout_at(deadline, exchange).await;
     exchange.unwrap_or(Err(CallError::TimedOut))
--- a/crates/server/src/keyed.rs
+++ b/crates/server/src/keyed.rs
@@ -17,7 +17,6 @@
 use hyper::Request;
 use jsonrpsee::core::client::Error as RpcError;
 use notchwharf_clients::error::CallError;
-use notchwharf_clients::http::read_body_within;
 use notchwharf_ledger::error::CommandError;
 use notchwharf_ledger::error::Ignored;
 use notchwharf_ledger::owner::Command;
@@ -182,20 +181,14 @@
         let url = ctx.target_url(&target).ok_or(CallFailure::NotSent)?;
         let req = request(&url, call).ok_or(CallFailure::NotSent)?;
         let timeout = Duration::from_millis(call.timeout_ms);
-        let sent = tokio::time::timeout(timeout, ctx.services_once.send(req)).await;
-        match sent {
-            Ok(Ok(resp)) => {
-                let status = resp.status().as_u16();
-                let headers = response_headers(resp.headers());
-                let body = read_body_within(resp, &ctx.callers.intake, ANSWER_COPIES);
-                let body = tokio::time::timeout(timeout, body).await;
-                let (body, _room) = body
-                    .map_err(|_| CallFailure::Unknown)?
-                    .map_err(|_| CallFailure::Unknown)?;
+        let intake = &ctx.callers.intake;
+        let called = ctx.services_once.call_within(req, intake, ANSWER_COPIES);
+        match tokio::time::timeout(timeout, called).await {
+            Ok(Ok((resp, _room))) => {
                 return Ok(KeyedResponse {
-                    status,
-                    headers,
-                    body_base64: BASE64_STANDARD.encode(body),
+                    status: resp.status().as_u16(),
+                    headers: response_headers(resp.headers()),
+                    body_base64: BASE64_STANDARD.encode(resp.body()),
                     replayed: false,
                 });
             }
--- a/crates/server/tests/broken_answers.rs
+++ b/crates/server/tests/broken_answers.rs
@@ -222,6 +222,8 @@
     service.set(Broken::with_line(b"Content-Length: 4"), false);
     let response = send_until_run(&fleet, &service, key).await.unwrap();
     assert_eq!(response.status, 502, "{response:?}");
+    let response = call(&fleet, Method::GET, None, "").await.unwrap();
+    assert!(response.status >= 500, "{response:?}");
 }
 
 #[rstest]
