--- a/crates/clients/src/whole.rs
+++ b/crates/clients/src/whole.rs
@@ -156,7 +156,7 @@
                 connections.keep(authority, connection);
                 Ok(())
             }
-            // The library looks for more only once the request is written.
+            // The library looks for more only once the request is written, which goes on meanwhile.
             Err(_) => Ok(()),
             Ok(Err(_)) => {
                 let surplus = connection.surplus_rx.await.unwrap_or_default();
--- a/crates/clients/tests/whole.rs
+++ b/crates/clients/tests/whole.rs
@@ -20,6 +20,10 @@
 const TIMEOUT: Duration = Duration::from_secs(5);
 const BUDGET_BYTES: u64 = 1 << 20;
 const COPIES: u64 = 3;
+/// Bytes of a request that do not fit into the buffers of a connection, and a time for which its server
+/// does not read them.
+const BODY_BYTES: usize = 16 << 20;
+const PAUSE: Duration = Duration::from_millis(300);
 /// Calls, one after the other, and the time between two of them, in which a server's end of a connection
 /// is noticed.
 const CALLS: usize = 4;
@@ -134,6 +138,35 @@
     assert_eq!(server.connections.load(Ordering::Relaxed), connections);
 }
 
+/// A server that answers early may still use the rest of the request.
+#[rstest]
+#[tokio::test]
+async fn a_request_that_is_answered_early_arrives_as_a_whole(
+    #[values(Client::new(TIMEOUT), Client::unpooled(TIMEOUT))] client: Client,
+) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let url = format!("http://{}/x", listener.local_addr().unwrap());
+    let receiving = tokio::spawn(async move {
+        let (mut socket, _) = listener.accept().await.unwrap();
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            head.push(socket.read_u8().await.unwrap());
+        }
+        let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
+        socket.write_all(answer).await.unwrap();
+        tokio::time::sleep(PAUSE).await;
+        let mut body = vec![0; BODY_BYTES];
+        socket.read_exact(&mut body).await.map(|_| body)
+    });
+    let body = Bytes::from(vec![b'x'; BODY_BYTES]);
+    let req = request(Method::POST, &url, body.clone()).unwrap();
+    let intake = Intake::new(BUDGET_BYTES);
+    let (resp, _room) = client.call_within(req, &intake, COPIES).await.unwrap();
+    assert_eq!(resp.into_body(), "body");
+    let received = receiving.await.unwrap();
+    assert_eq!(received.map(|received| received == body).ok(), Some(true));
+}
+
 #[rstest]
 #[tokio::test]
 async fn a_call_that_reaches_no_server_is_not_sent(
